--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install demo run test check format generate bench capacity clean
+
+install: $(STAMP)
+
+$(STAMP): requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: install
+	$(BIN)/python -m examples.demo
+
+run: install
+	$(BIN)/tanagerforkd --embedded --settings examples/press/embedded.json5
+
+test: install
+	$(BIN)/python -m pytest -n 4
+
+check: install
+	$(BIN)/black --check --quiet src tests bench examples tools
+	$(BIN)/ruff check --quiet src tests bench examples tools
+	$(BIN)/mypy --no-error-summary
+
+format: install
+	$(BIN)/ruff check --quiet --fix src tests bench examples tools || true
+	$(BIN)/black --quiet src tests bench examples tools
+
+generate: install
+	$(BIN)/pip install --quiet -r requirements-generate.txt
+	$(BIN)/python -m tools.generate
+
+capacity: install
+	$(BIN)/python -m bench.capacity
+
+clean:
+	rm -rf $(VENV) build .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, seeded and bounded; each prints its seeds."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example sets and the demonstration of the main job."""
--- /dev/null
+++ b/src/tanagerfork/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned, signed-off bundles."""
--- /dev/null
+++ b/src/tanagerfork/bundles/register.py
@@ -0,0 +1,113 @@
+"""The bundle in force at one daemon; versions only grow."""
+
+import dataclasses
+from collections.abc import Callable, Mapping, Sequence
+
+import result
+
+from tanagerfork import errors
+from tanagerfork.bundles import manifest as manifests
+from tanagerfork.bundles import signature
+from tanagerfork.generated import bundle as records
+from tanagerfork.generated import settings as settings_records
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BundleInForce:
+    """A bundle with the head that put it in force."""
+
+    head: records.Head
+    manifest: records.Manifest
+    bundle: records.Bundle
+
+
+Listener = Callable[[BundleInForce], None]
+
+
+class BundleRegister:
+    """Keeps the newest bundle whose sign-off counts.
+
+    :param operator_keys: keys whose sign-off counts.
+    """
+
+    __slots__ = ("current", "contents", "_operator_keys", "_listeners")
+
+    def __init__(self, operator_keys: Sequence[settings_records.OperatorKey]) -> None:
+        self.current: BundleInForce | None = None
+        self.contents: dict[str, bytes] = {}
+        self._operator_keys = operator_keys
+        self._listeners: list[Listener] = []
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 for none."""
+        return self.current.head.version if self.current else 0
+
+    def subscribe(self, listener: Listener) -> None:
+        """Have every accepted bundle told.
+
+        :param listener: called with each bundle after it came in force.
+        """
+        self._listeners.append(listener)
+
+    def verify(
+        self, signed: records.SignedManifest
+    ) -> result.Result[records.Manifest, errors.BundleError]:
+        """Check a sign-off against the operators' keys.
+
+        :param signed: manifest with its signature.
+        :return: the manifest, or why the sign-off does not count.
+        """
+        return signature.verify_manifest(signed, self._operator_keys)
+
+    def check_head(self, head: records.Head) -> result.Result[records.Manifest, errors.BundleError]:
+        """Check whether a head may come in force.
+
+        :param head: head from the key-value service or a peer.
+        :return: its manifest, or why it may not.
+        """
+        if head.version <= self.version:
+            message = f"version {head.version} is no newer than {self.version}; nothing to do"
+            return result.Err(errors.VersionNotNewer(message))
+        verified = self.verify(head.signed)
+        if isinstance(verified, result.Err):
+            return verified
+        encoded = head.signed.manifest_json.encode()
+        manifest = verified.ok_value
+        if (
+            manifest.version != head.version
+            or manifests.hash_content(encoded) != head.manifest_sha256
+        ):
+            return result.Err(errors.BundleInvalid("the head contradicts its manifest; roll again"))
+        return verified
+
+    def find_missing(self, manifest: records.Manifest) -> list[str]:
+        """Return the hashes of the parts that are not held yet.
+
+        :param manifest: checked manifest.
+        :return: hashes, in the manifest's order.
+        """
+        return [part.sha256 for part in manifest.parts if part.sha256 not in self.contents]
+
+    def accept(
+        self, head: records.Head, contents: Mapping[str, bytes]
+    ) -> result.Result[BundleInForce, errors.BundleError]:
+        """Put a bundle in force.
+
+        :param head: head from the key-value service or a peer.
+        :param contents: contents of parts that were not held yet, by hash.
+        :return: the bundle now in force, or why it was refused.
+        """
+        checked = self.check_head(head)
+        if isinstance(checked, result.Err):
+            return checked
+        manifest = checked.ok_value
+        merged = {**self.contents, **contents}
+        assembled = manifests.assemble_bundle(manifest, merged)
+        if isinstance(assembled, result.Err):
+            return assembled
+        self.contents = {part.sha256: merged[part.sha256] for part in manifest.parts}
+        self.current = BundleInForce(head, manifest, assembled.ok_value)
+        for listener in self._listeners:
+            listener(self.current)
+        return result.Ok(self.current)
--- /dev/null
+++ b/src/tanagerfork/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims on Idempotency-Keys."""
--- /dev/null
+++ b/src/tanagerfork/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/src/tanagerfork/errors.py
@@ -0,0 +1,258 @@
+"""Typed errors of the package; every message names the remedy."""
+
+from typing import ClassVar, Literal
+
+Ran = Literal["no", "unknown", "yes"]
+
+NOT_RUN: Ran = "no"
+RAN: Ran = "yes"
+MAY_HAVE_RUN: Ran = "unknown"
+
+
+class TanagerforkError(Exception):
+    """Root of all errors of the package.
+
+    :param message: what happened and what to do about it.
+    :param retry_after_ms: when to come back; 0 means not again as it is.
+    """
+
+    kind: ClassVar[str] = "internal"
+    status: ClassVar[int] = 500
+    ran: ClassVar[Ran] = MAY_HAVE_RUN
+
+    def __init__(self, message: str, retry_after_ms: int = 0) -> None:
+        super().__init__(message)
+        self.message = message
+        self.retry_after_ms = retry_after_ms
+
+
+class CallerError(TanagerforkError):
+    """An error that a caller is told."""
+
+
+class BadRequest(CallerError):
+    """The request is malformed."""
+
+    kind = "bad_request"
+    status = 400
+    ran = NOT_RUN
+
+
+class Unauthorized(CallerError):
+    """The bearer token is missing or belongs to no team."""
+
+    kind = "unauthorized"
+    status = 401
+    ran = NOT_RUN
+
+
+class Forbidden(CallerError):
+    """The team may not use what it asked for."""
+
+    kind = "forbidden"
+    status = 403
+    ran = NOT_RUN
+
+
+class NotFound(CallerError):
+    """No such model or service."""
+
+    kind = "not_found"
+    status = 404
+    ran = NOT_RUN
+
+
+class RequestTooSlow(CallerError):
+    """The caller did not send its request in time."""
+
+    kind = "request_too_slow"
+    status = 408
+    ran = NOT_RUN
+
+
+class BodyTooLarge(CallerError):
+    """The body exceeds the limit."""
+
+    kind = "body_too_large"
+    status = 413
+    ran = NOT_RUN
+
+
+class KeyReused(CallerError):
+    """The Idempotency-Key was used with another request."""
+
+    kind = "key_reused"
+    status = 422
+    ran = NOT_RUN
+
+
+class KeyExpired(CallerError):
+    """The Idempotency-Key is older than the claims that are kept."""
+
+    kind = "key_expired"
+    status = 409
+    ran = NOT_RUN
+
+
+class NotRun(CallerError):
+    """The request was refused before it ran."""
+
+    kind = "not_run"
+    status = 503
+    ran = NOT_RUN
+
+
+class RateLimited(NotRun):
+    """The team is over its limits."""
+
+    status = 429
+
+
+class Quarantined(CallerError):
+    """The request crashed upstreams and is not run again for a while."""
+
+    kind = "quarantined"
+    status = 422
+    ran = NOT_RUN
+
+
+class OutcomeUnknown(CallerError):
+    """The request may have run, and what it did is not known."""
+
+    kind = "outcome_unknown"
+    status = 502
+    ran = MAY_HAVE_RUN
+
+
+class DeadlineExceeded(CallerError):
+    """The request did not finish before its deadline."""
+
+    kind = "deadline_exceeded"
+    status = 504
+    ran = MAY_HAVE_RUN
+
+
+class AnswerCut(CallerError):
+    """The answer began and cannot be completed."""
+
+    kind = "answer_cut"
+    status = 502
+    ran = RAN
+
+
+class PlatformError(TanagerforkError):
+    """The platform's service did not do what was asked."""
+
+    kind = "platform"
+    status = 503
+
+
+class PlatformUnavailable(PlatformError):
+    """The call certainly took no effect."""
+
+    kind = "platform_unavailable"
+    ran = NOT_RUN
+
+
+class AnswerLost(PlatformError):
+    """The call may have taken effect; its answer was lost."""
+
+    kind = "answer_lost"
+
+
+class Conflict(PlatformError):
+    """A compare-and-swap found another revision."""
+
+    kind = "conflict"
+    status = 409
+    ran = NOT_RUN
+
+
+class UpstreamError(TanagerforkError):
+    """An upstream did not give a whole answer."""
+
+    kind = "upstream"
+    status = 502
+
+
+class UpstreamUnreachable(UpstreamError):
+    """No byte of the request was sent."""
+
+    kind = "upstream_unreachable"
+    ran = NOT_RUN
+
+
+class UpstreamRefused(UpstreamError):
+    """The upstream says that it refused before running."""
+
+    kind = "upstream_refused"
+    ran = NOT_RUN
+
+
+class UpstreamLost(UpstreamError):
+    """The exchange broke after the first byte of the request was sent."""
+
+    kind = "upstream_lost"
+
+
+class UpstreamSilent(UpstreamLost):
+    """The upstream stayed silent for longer than its token gap allows."""
+
+    kind = "upstream_silent"
+
+
+class UpstreamConfused(UpstreamLost):
+    """The upstream sent an answer of another attempt, or no valid one."""
+
+    kind = "upstream_confused"
+
+
+class SettingsError(TanagerforkError):
+    """A settings or bundle file is missing or invalid."""
+
+    kind = "settings"
+    status = 400
+    ran = NOT_RUN
+
+
+class BundleError(TanagerforkError):
+    """A bundle cannot be accepted."""
+
+    kind = "bundle"
+    status = 400
+    ran = NOT_RUN
+
+
+class BundleInvalid(BundleError):
+    """The bundle contradicts itself, its schema or a limit."""
+
+    kind = "bundle_invalid"
+
+
+class SignatureInvalid(BundleError):
+    """The sign-off is missing, wrong, or by an unknown key."""
+
+    kind = "signature_invalid"
+    status = 403
+
+
+class StaleParent(BundleError):
+    """Another bundle was rolled since this one was drafted."""
+
+    kind = "stale_parent"
+    status = 409
+
+
+class VersionNotNewer(BundleError):
+    """The bundle is no newer than the one in force."""
+
+    kind = "version_not_newer"
+    status = 409
+
+
+class PeerMessageInvalid(TanagerforkError):
+    """A peer's message was dropped."""
+
+    kind = "peer_message_invalid"
+    status = 400
+    ran = NOT_RUN
--- /dev/null
+++ b/src/tanagerfork/front/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners for callers and operators."""
--- /dev/null
+++ b/src/tanagerfork/front/services.py
@@ -0,0 +1,176 @@
+"""Requests for plain services: repeatable ones are retried, all others run at most once."""
+
+import dataclasses
+import random
+import uuid
+
+import result
+
+from tanagerfork import errors
+from tanagerfork import metrics as metric
+from tanagerfork.claims import book, decision
+from tanagerfork.generated import bundle
+from tanagerfork.timeline import kinds, ring
+from tanagerfork.upstream import service as services
+
+RETRY_MS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceRequest:
+    """A checked request for a plain service."""
+
+    request_id: str
+    team: bundle.Team
+    service: bundle.Service
+    method: str
+    path: str
+    query: str
+    content_type: str
+    body: bytes
+    idempotency_key: str
+    timeout_ms: int
+
+
+class ServiceRunner:
+    """Has requests answered by plain services.
+
+    :param failure_domain: failure domain whose upstreams are preferred.
+    :param client: service client.
+    :param claims: at-most-once claims.
+    :param rng: random numbers.
+    :param timeline: time line.
+    :param metrics: counters.
+    """
+
+    __slots__ = ("_failure_domain", "_client", "_claims", "_rng", "_timeline", "_metrics")
+
+    def __init__(
+        self,
+        failure_domain: str,
+        client: services.ServiceClient,
+        claims: book.Claims,
+        rng: random.Random,
+        timeline: ring.Timeline,
+        metrics: metric.Metrics,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._client = client
+        self._claims = claims
+        self._rng = rng
+        self._timeline = timeline
+        self._metrics = metrics
+
+    async def run(
+        self, request: ServiceRequest
+    ) -> result.Result[services.ServiceAnswer, errors.CallerError]:
+        """Have a request answered.
+
+        :param request: request.
+        :return: the service's whole answer, or why there is none and whether the request ran.
+        """
+        if is_repeatable(request):
+            return await self._call_until_answered(request)
+        if not request.idempotency_key:
+            return await self._call_once(request, uuid.uuid4().hex)
+        return await self._call_claimed(request)
+
+    async def _call_claimed(
+        self, request: ServiceRequest
+    ) -> result.Result[services.ServiceAnswer, errors.CallerError]:
+        path = f"{request.service.name}/{request.path}?{request.query}"
+        wish = decision.ClaimWish(
+            key_sha256=decision.hash_key(request.team.name, request.idempotency_key),
+            body_sha256=decision.hash_request(request.method, path, request.body),
+            attempt=uuid.uuid4().hex,
+        )
+        claimed = await self._claims.claim(wish)
+        if isinstance(claimed, result.Err):
+            return claimed
+        if isinstance(claimed.ok_value, book.Outcome):
+            recorded = claimed.ok_value
+            self._metrics.count("claims_answered_from_record_total")
+            answer = services.ServiceAnswer(recorded.status, recorded.content_type, recorded.body)
+            return result.Ok(answer)
+        called = await self._call_once(request, wish.attempt)
+        settled = await self._claims.settle(claimed.ok_value, _to_outcome(called))
+        if settled.is_err():
+            self._timeline.record(
+                kinds.EventKind.CLAIM_IN_DOUBT,
+                "the outcome could not be recorded",
+                request=request.request_id,
+            )
+        return called
+
+    async def _call_until_answered(
+        self, request: ServiceRequest
+    ) -> result.Result[services.ServiceAnswer, errors.CallerError]:
+        error: errors.UpstreamError | None = None
+        for upstream in self._order_upstreams(request.service):
+            called = await self._client.call(upstream, _to_call(request, uuid.uuid4().hex))
+            if isinstance(called, result.Ok):
+                return called
+            error = called.err_value
+            self._metrics.count("attempts_failed_total", kind=error.kind)
+        return result.Err(_describe_failure(request, error))
+
+    async def _call_once(
+        self, request: ServiceRequest, attempt_id: str
+    ) -> result.Result[services.ServiceAnswer, errors.CallerError]:
+        error: errors.UpstreamError | None = None
+        for upstream in self._order_upstreams(request.service):
+            called = await self._client.call(upstream, _to_call(request, attempt_id))
+            if isinstance(called, result.Ok):
+                return called
+            error = called.err_value
+            self._metrics.count("attempts_failed_total", kind=error.kind)
+            if error.ran != errors.NOT_RUN:
+                break
+        return result.Err(_describe_failure(request, error))
+
+    def _order_upstreams(self, service: bundle.Service) -> list[bundle.ServiceUpstream]:
+        shuffled = self._rng.sample(service.upstreams, len(service.upstreams))
+        return sorted(shuffled, key=lambda item: item.failure_domain != self._failure_domain)
+
+
+def is_repeatable(request: ServiceRequest) -> bool:
+    """Return whether the bundle says that a request may be repeated.
+
+    :param request: request.
+    """
+    return any(
+        rule.method.upper() == request.method and request.path.startswith(rule.path_prefix)
+        for rule in request.service.repeatable
+    )
+
+
+def _to_call(request: ServiceRequest, attempt_id: str) -> services.ServiceCall:
+    return services.ServiceCall(
+        attempt_id=attempt_id,
+        request_id=request.request_id,
+        method=request.method,
+        path=request.path,
+        query=request.query,
+        content_type=request.content_type,
+        body=request.body,
+        timeout_ms=min(request.timeout_ms, request.service.timeout_ms),
+    )
+
+
+def _to_outcome(
+    called: result.Result[services.ServiceAnswer, errors.CallerError],
+) -> book.Outcome:
+    if isinstance(called, result.Ok):
+        answer = called.ok_value
+        return book.Outcome("answered", answer.status, answer.content_type, answer.body)
+    return book.Outcome("not_run" if called.err_value.ran == errors.NOT_RUN else "unknown")
+
+
+def _describe_failure(
+    request: ServiceRequest, error: errors.UpstreamError | None
+) -> errors.CallerError:
+    if error is None or error.ran == errors.NOT_RUN:
+        message = f"no upstream of {request.service.name} took the call; send it again later"
+        return errors.NotRun(message, RETRY_MS)
+    message = "the call may have run; send it again under the same Idempotency-Key, or look it up"
+    return errors.OutcomeUnknown(message)
--- /dev/null
+++ b/src/tanagerfork/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of VMs: layout, presence and coordination."""
--- /dev/null
+++ b/src/tanagerfork/groups/observer.py
@@ -0,0 +1,69 @@
+"""Observation: asks the engines for their reports."""
+
+import asyncio
+
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import metrics as metric
+from tanagerfork.generated import engine
+from tanagerfork.groups import presence
+from tanagerfork.upstream import engine as engines
+
+
+class Observer:
+    """Reads the report of each VM, with one task a VM.
+
+    :param client: engine client.
+    :param known: where reports are kept.
+    :param clock: clock to wait on.
+    :param metrics: counters.
+    :param interval_ms: time between two reads, in milliseconds.
+    """
+
+    __slots__ = ("_client", "_known", "_clock", "_metrics", "_interval_ms", "_tasks")
+
+    def __init__(
+        self,
+        client: engines.EngineClient,
+        known: presence.Presence,
+        clock: clocks.Clock,
+        metrics: metric.Metrics,
+        interval_ms: int,
+    ) -> None:
+        self._client = client
+        self._known = known
+        self._clock = clock
+        self._metrics = metrics
+        self._interval_ms = interval_ms
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def follow(self, vms: list[engine.VmEntry]) -> None:
+        """Observe these VMs from now on, and no others.
+
+        :param vms: VMs to observe.
+        """
+        wanted = {vm.vm: vm for vm in vms}
+        for name in list(self._tasks):
+            if name not in wanted:
+                self._tasks.pop(name).cancel()
+                self._known.forget(name)
+        for name, vm in wanted.items():
+            if name not in self._tasks:
+                self._tasks[name] = asyncio.create_task(self._observe(vm))
+
+    def stop(self) -> None:
+        """End all tasks."""
+        for task in self._tasks.values():
+            task.cancel()
+        self._tasks.clear()
+
+    async def _observe(self, vm: engine.VmEntry) -> None:
+        while True:
+            asked_at_ms = self._clock.monotonic_ms()
+            answer = await self._client.report(vm)
+            if isinstance(answer, result.Ok) and answer.ok_value.vm == vm.vm:
+                self._known.hear(answer.ok_value, asked_at_ms)
+            else:
+                self._metrics.count("reports_missed_total")
+            await self._clock.sleep_ms(self._interval_ms)
--- /dev/null
+++ b/src/tanagerfork/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between daemons."""
--- /dev/null
+++ b/src/tanagerfork/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services as the daemon sees them."""
--- /dev/null
+++ b/src/tanagerfork/platform/etcd.py
@@ -0,0 +1,216 @@
+"""The key-value service through the etcd v3 JSON gateway."""
+
+import asyncio
+import base64
+from collections.abc import AsyncIterator
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+import result
+
+from tanagerfork import errors
+from tanagerfork.platform import key_value
+
+WATCH_LINE_BYTES = 4 * 1024 * 1024
+
+
+class _Kv(msgspec.Struct):
+    """One key of an answer; integers come as strings and bytes as base64."""
+
+    key: str
+    value: str = ""
+    mod_revision: str = "0"
+
+
+class _Header(msgspec.Struct):
+    """Header of an answer."""
+
+    revision: str = "0"
+
+
+class _RangeAnswer(msgspec.Struct):
+    """Answer to a range call."""
+
+    kvs: list[_Kv] = []
+
+
+class _TxnAnswer(msgspec.Struct):
+    """Answer to a txn call."""
+
+    header: _Header = msgspec.field(default_factory=_Header)
+    succeeded: bool = False
+
+
+class _Event(msgspec.Struct):
+    """One event of a watch."""
+
+    kv: _Kv
+    type: str = "PUT"
+
+
+class _WatchResult(msgspec.Struct):
+    """Events of a watch."""
+
+    events: list[_Event] = []
+
+
+class _WatchLine(msgspec.Struct):
+    """One line of a watch."""
+
+    result: _WatchResult = msgspec.field(default_factory=_WatchResult)
+
+
+class _RangeCall(msgspec.Struct, omit_defaults=True):
+    """A range call; an empty range_end asks for one key."""
+
+    key: str
+    range_end: str = ""
+
+
+class _Compare(msgspec.Struct):
+    """A condition of a txn call."""
+
+    key: str
+    mod_revision: str
+    target: str = "MOD"
+    result: str = "EQUAL"
+
+
+class _Put(msgspec.Struct):
+    """A put of a txn call."""
+
+    key: str
+    value: str
+
+
+class _PutRequest(msgspec.Struct):
+    """A put among the requests of a txn call."""
+
+    request_put: _Put
+
+
+class _TxnCall(msgspec.Struct):
+    """A txn call that puts one key under one condition."""
+
+    compare: list[_Compare]
+    success: list[_PutRequest]
+
+
+class _WatchCreate(msgspec.Struct):
+    """What to watch."""
+
+    key: str
+    start_revision: str
+
+
+class _WatchCall(msgspec.Struct):
+    """A watch call."""
+
+    create_request: _WatchCreate
+
+
+AnswerT = TypeVar("AnswerT")
+
+
+class EtcdKeyValue:
+    """Adapter of the etcd v3 JSON gateway to `key_value.KeyValue`.
+
+    :param session: HTTP session, closed by its owner.
+    :param base_url: address of the gateway.
+    :param key_prefix: prefix of every key of the fleet.
+    :param timeout_ms: deadline of one call, in milliseconds.
+    """
+
+    __slots__ = ("_session", "_base_url", "_key_prefix", "_timeout_s")
+
+    def __init__(
+        self, session: aiohttp.ClientSession, base_url: str, key_prefix: str, timeout_ms: int
+    ) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._key_prefix = key_prefix
+        self._timeout_s = timeout_ms / 1000
+
+    async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
+        """Read one key; see `key_value.KeyValue.read`."""
+        call = _RangeCall(key=self._encode_key(key))
+        answer = await self._call("/v3/kv/range", call, _RangeAnswer)
+        return answer.map(lambda found: self._decode_kv(found.kvs[0]) if found.kvs else None)
+
+    async def read_prefix(
+        self, prefix: str
+    ) -> result.Result[list[key_value.Entry], errors.PlatformError]:
+        """Read all keys with a prefix; see `key_value.KeyValue.read_prefix`."""
+        first = (self._key_prefix + prefix).encode()
+        after_last = first[:-1] + bytes([first[-1] + 1])
+        call = _RangeCall(key=_to_base64(first), range_end=_to_base64(after_last))
+        answer = await self._call("/v3/kv/range", call, _RangeAnswer)
+        return answer.map(lambda found: [self._decode_kv(kv) for kv in found.kvs])
+
+    async def swap(
+        self, key: str, value: bytes, revision: int
+    ) -> result.Result[int, errors.PlatformError]:
+        """Write a key under its revision; see `key_value.KeyValue.swap`."""
+        encoded_key = self._encode_key(key)
+        call = _TxnCall(
+            compare=[_Compare(key=encoded_key, mod_revision=str(revision))],
+            success=[_PutRequest(_Put(key=encoded_key, value=_to_base64(value)))],
+        )
+        answer = await self._call("/v3/kv/txn", call, _TxnAnswer)
+        if isinstance(answer, result.Err):
+            return answer
+        if not answer.ok_value.succeeded:
+            return result.Err(errors.Conflict(f"{key} was written by another; read it again"))
+        return result.Ok(int(answer.ok_value.header.revision))
+
+    async def watch(self, key: str, revision: int) -> AsyncIterator[key_value.Entry]:
+        """Follow one key; see `key_value.KeyValue.watch`."""
+        call = _WatchCall(_WatchCreate(key=self._encode_key(key), start_revision=str(revision)))
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
+        try:
+            async with self._session.post(
+                self._base_url + "/v3/watch",
+                data=msgspec.json.encode(call),
+                timeout=timeout,
+                read_bufsize=WATCH_LINE_BYTES,
+            ) as response:
+                async for line in response.content:
+                    for event in msgspec.json.decode(line, type=_WatchLine).result.events:
+                        if event.type == "PUT":
+                            yield self._decode_kv(event.kv)
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError, ValueError):
+            return
+
+    async def _call(
+        self, path: str, call: msgspec.Struct, answer_type: type[AnswerT]
+    ) -> result.Result[AnswerT, errors.PlatformError]:
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                async with self._session.post(
+                    self._base_url + path, data=msgspec.json.encode(call)
+                ) as response:
+                    body = await response.read()
+        except aiohttp.ClientConnectorError:
+            return result.Err(errors.PlatformUnavailable("the key-value service is away; wait"))
+        except (aiohttp.ClientError, TimeoutError):
+            return result.Err(errors.AnswerLost("the key-value service gave no answer; read back"))
+        if response.status in (429, 503):
+            return result.Err(errors.PlatformUnavailable("the key-value service refused; wait"))
+        if response.status != 200:
+            return result.Err(errors.AnswerLost(f"the key-value service said {response.status}"))
+        try:
+            return result.Ok(msgspec.json.decode(body, type=answer_type))
+        except msgspec.MsgspecError as error:
+            return result.Err(errors.AnswerLost(f"the key-value service's answer is bad: {error}"))
+
+    def _encode_key(self, key: str) -> str:
+        return _to_base64((self._key_prefix + key).encode())
+
+    def _decode_kv(self, kv: _Kv) -> key_value.Entry:
+        key = base64.b64decode(kv.key).decode().removeprefix(self._key_prefix)
+        return key_value.Entry(key, base64.b64decode(kv.value), int(kv.mod_revision))
+
+
+def _to_base64(value: bytes) -> str:
+    return base64.b64encode(value).decode()
--- /dev/null
+++ b/src/tanagerfork/platform/key_value.py
@@ -0,0 +1,58 @@
+"""The platform's key-value service, as decisions see it."""
+
+import dataclasses
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+import result
+
+from tanagerfork import errors
+
+ABSENT = 0  # Revision of a key that does not exist.
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Entry:
+    """A key with its value at one revision."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class KeyValue(Protocol):
+    """What the system needs of the key-value service."""
+
+    async def read(self, key: str) -> result.Result[Entry | None, errors.PlatformError]:
+        """Read one key.
+
+        :param key: key without the fleet's prefix.
+        :return: the entry, None where the key is absent, or why it could not be read.
+        """
+
+    async def read_prefix(self, prefix: str) -> result.Result[list[Entry], errors.PlatformError]:
+        """Read all keys with a prefix.
+
+        :param prefix: start of the keys, without the fleet's prefix.
+        :return: the entries in key order, or why they could not be read.
+        """
+
+    async def swap(
+        self, key: str, value: bytes, revision: int
+    ) -> result.Result[int, errors.PlatformError]:
+        """Write a key if its revision is still the expected one.
+
+        :param key: key without the fleet's prefix.
+        :param value: new value, at most 1 MB.
+        :param revision: expected revision, `ABSENT` where the key must not exist.
+        :return: the new revision; `Conflict` if another write came first, `PlatformUnavailable`
+            if the write certainly took no effect, `AnswerLost` if it may have.
+        """
+
+    def watch(self, key: str, revision: int) -> AsyncIterator[Entry]:
+        """Follow one key.
+
+        :param key: key without the fleet's prefix.
+        :param revision: first revision of interest.
+        :return: entries as they change; ends when the service goes away.
+        """
--- /dev/null
+++ b/src/tanagerfork/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which group runs a request, and when."""
--- /dev/null
+++ b/src/tanagerfork/settings.py
@@ -0,0 +1,160 @@
+"""Settings of the daemon: JSON with comments, checked against the schema on load."""
+
+import ipaddress
+import pathlib
+import re
+from collections.abc import Sequence
+from typing import Any, TypeVar
+
+import msgspec
+import pyjson5
+
+from tanagerfork import errors
+from tanagerfork.generated import settings as records
+
+ENCODING = "utf-8"
+PLACE_IN_MESSAGE = re.compile(r" - at `\$\.?(?P<field>[^`]*)`$")
+
+RecordT = TypeVar("RecordT")
+
+
+def load_settings(path: pathlib.Path, overrides: Sequence[str] = ()) -> records.Settings:
+    """Read and check a settings file.
+
+    :param path: JSON with comments.
+    :param overrides: FIELD=VALUE texts that go before the file, such as callers.port=8600.
+    :return: the settings with the schema's defaults filled in.
+    :raises SettingsError: one line that names file, field, what was wrong and the remedy.
+    """
+    value = decode_json(read_text(path), str(path))
+    for override in overrides:
+        _override(value, override)
+    settings = convert_record(value, str(path), records.Settings)
+    check_settings(settings, path)
+    return settings
+
+
+def load_record(path: pathlib.Path, record_type: type[RecordT]) -> RecordT:
+    """Read a record from a file of JSON with comments.
+
+    :param path: file.
+    :param record_type: generated type of the record.
+    :return: the record.
+    :raises SettingsError: one line that names file, field, what was wrong and the remedy.
+    """
+    return convert_record(decode_json(read_text(path), str(path)), str(path), record_type)
+
+
+def read_text(path: pathlib.Path) -> str:
+    """Read a text file.
+
+    :param path: file.
+    :return: its text.
+    :raises SettingsError: the file is missing or no UTF-8.
+    """
+    try:
+        return path.read_text(ENCODING)
+    except OSError as error:
+        message = f"{path}: cannot be read ({error.strerror}); name a readable file"
+        raise errors.SettingsError(message) from error
+    except UnicodeDecodeError as error:
+        raise errors.SettingsError(f"{path}: is not UTF-8; save it as UTF-8") from error
+
+
+def decode_json(text: str, name: str) -> Any:
+    """Decode JSON with comments.
+
+    :param text: JSON with comments.
+    :param name: name of the source in messages.
+    :return: the value, not checked yet.
+    :raises SettingsError: one line that names the source, what was wrong and the remedy.
+    """
+    try:
+        return pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        message = f"{name}: is not JSON with comments ({error.message}); mend the syntax"
+        raise errors.SettingsError(message) from error
+
+
+def convert_record(value: Any, name: str, record_type: type[RecordT]) -> RecordT:
+    """Check a decoded value against the schema.
+
+    :param value: value of `decode_json`.
+    :param name: name of the source in messages.
+    :param record_type: generated type of the record.
+    :return: the record.
+    :raises SettingsError: one line that names source, field, what was wrong and the remedy.
+    """
+    try:
+        return msgspec.convert(value, type=record_type)
+    except msgspec.ValidationError as error:
+        raise errors.SettingsError(_describe_problem(name, str(error))) from error
+
+
+def check_settings(settings: records.Settings, path: pathlib.Path) -> None:
+    """Check what the schema cannot say.
+
+    :param settings: settings as decoded.
+    :param path: file, for messages.
+    :raises SettingsError: one line that names file, field, what was wrong and the remedy.
+    """
+    for field, host in (
+        ("callers.host", settings.callers.host),
+        ("operators.host", settings.operators.host),
+        ("peers.host", settings.peers.host),
+    ):
+        _check_address(path, field, host)
+    for number, seed in enumerate(settings.peers.seeds):
+        host, _, port = seed.rpartition(":")
+        _check_address(path, f"peers.seeds[{number}]", host)
+        if not port.isdigit() or not 0 < int(port) < 65536:
+            _refuse(path, f"peers.seeds[{number}]", f"{seed!r} has no port", "write IP:port")
+    if settings.limits.default_deadline_ms > settings.limits.max_deadline_ms:
+        _refuse(
+            path,
+            "limits.default_deadline_ms",
+            "exceeds limits.max_deadline_ms",
+            "raise the one or lower the other",
+        )
+    if settings.groups.order_timeout_ms * 2 >= settings.groups.lease_ttl_ms:
+        _refuse(
+            path,
+            "groups.order_timeout_ms",
+            "leaves no margin in groups.lease_ttl_ms",
+            "keep it under half of the lease",
+        )
+
+
+def _override(value: Any, override: str) -> None:
+    field, equals, text = override.partition("=")
+    *sections, last = field.split(".")
+    if not equals or not last or not isinstance(value, dict):
+        raise errors.SettingsError(f"--set {override}: is not FIELD=VALUE; see --help")
+    for section in sections:
+        value = value.setdefault(section, {})
+        if not isinstance(value, dict):
+            raise errors.SettingsError(f"--set {override}: {section} holds no fields; see --help")
+    try:
+        value[last] = pyjson5.decode(text)
+    except pyjson5.Json5Exception:
+        value[last] = text
+
+
+def _check_address(path: pathlib.Path, field: str, host: str) -> None:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        _refuse(path, field, f"{host!r} is no IP address", "write an IP number, not a name")
+
+
+def _refuse(path: pathlib.Path, field: str, problem: str, remedy: str) -> None:
+    raise errors.SettingsError(f"{path}: {field}: {problem}; {remedy}")
+
+
+def _describe_problem(name: str, text: str) -> str:
+    place = PLACE_IN_MESSAGE.search(text)
+    field = place["field"] if place else ""
+    problem = PLACE_IN_MESSAGE.sub("", text)
+    problem = problem[:1].lower() + problem[1:]
+    where = f"{name}: {field}: " if field else f"{name}: "
+    return f"{where}{problem}; see `tanagerfork settings describe`"
--- /dev/null
+++ b/src/tanagerfork/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The time line of events."""
--- /dev/null
+++ b/src/tanagerfork/timeline/kinds.py
@@ -0,0 +1,35 @@
+"""Kinds of the events on the time line."""
+
+import enum
+
+
+class EventKind(enum.StrEnum):
+    """What an event is about; the part before the dot is its subject."""
+
+    DAEMON_STATE = "daemon.state"
+    BUNDLE_ACCEPTED = "bundle.accepted"
+    BUNDLE_REFUSED = "bundle.refused"
+    GROUP_FORMED = "group.formed"
+    GROUP_WHOLE = "group.whole"
+    GROUP_BROKEN = "group.broken"
+    GROUP_REPAIRED = "group.repaired"
+    GROUP_DISSOLVED = "group.dissolved"
+    GROUP_DRAINING = "group.draining"
+    ORDER_SENT = "order.sent"
+    ORDER_REFUSED = "order.refused"
+    LEASE_TAKEN = "lease.taken"
+    LEASE_LOST = "lease.lost"
+    CLAIM_IN_DOUBT = "claim.in_doubt"
+    REQUEST_RETRIED = "request.retried"
+    REQUEST_REFUSED = "request.refused"
+    REQUEST_DECIDED = "request.decided"
+    FINGERPRINT_SUSPECTED = "fingerprint.suspected"
+    FINGERPRINT_QUARANTINED = "fingerprint.quarantined"
+    GROUP_EJECTED = "group.ejected"
+    GROUP_READMITTED = "group.readmitted"
+    VM_LEAVING = "vm.leaving"
+    PEER_STATE = "peer.state"
+    ROLLOUT_WAVE = "rollout.wave"
+    ROLLOUT_STOPPED = "rollout.stopped"
+    PLATFORM_AWAY = "platform.away"
+    PLATFORM_BACK = "platform.back"
--- /dev/null
+++ b/src/tanagerfork/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines and plain services."""
--- /dev/null
+++ b/src/tanagerfork/upstream/engine.py
@@ -0,0 +1,247 @@
+"""Model engines: orders, reports and exchanges, as decisions see them and over HTTP."""
+
+import asyncio
+import dataclasses
+from typing import Protocol, TypeVar
+
+import aiohttp
+import msgspec
+import result
+
+from tanagerfork import errors
+from tanagerfork.generated import engine
+from tanagerfork.upstream import stream
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+REQUEST_HEADER = "X-Request-Id"
+PRIORITY_HEADER = "X-Priority"
+OFFSET_HEADER = "X-Resume-Offset"
+NOT_RUN_HEADER = "X-Not-Run"
+
+RecordT = TypeVar("RecordT")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Attempt:
+    """One attempt to have a request answered."""
+
+    attempt_id: str
+    request_id: str
+    body: bytes
+    priority: int = 0
+    resume_offset: int = 0
+    first_token_timeout_ms: int = 60_000
+    silence_timeout_ms: int = 10_000
+
+
+class Exchange(Protocol):
+    """One attempt under way at an engine."""
+
+    async def next_batch(self) -> result.Result[stream.Batch, errors.UpstreamError]:
+        """Wait for the next events of the answer.
+
+        :return: checked events, or why the answer cannot be completed by this exchange.
+        """
+
+    async def close(self) -> None:
+        """Give the exchange up; its connection is closed unless the answer is whole."""
+
+
+class EngineClient(Protocol):
+    """What the system needs of the model engines."""
+
+    async def report(
+        self, vm: engine.VmEntry
+    ) -> result.Result[engine.EngineReport, errors.UpstreamError]:
+        """Ask an engine for its report.
+
+        :param vm: VM of the engine.
+        :return: the report, or why there is none.
+        """
+
+    async def order(
+        self, vm: engine.VmEntry, order: engine.Order
+    ) -> result.Result[engine.OrderAnswer, errors.UpstreamError]:
+        """Give an engine an order.
+
+        :param vm: VM of the engine.
+        :param order: order with the sender's fencing number.
+        :return: the engine's answer, or why there is none.
+        """
+
+    async def cache_events(
+        self, vm: engine.VmEntry, after_sequence: int
+    ) -> result.Result[engine.CacheEvents, errors.UpstreamError]:
+        """Read an engine's cache events.
+
+        :param vm: VM of the engine.
+        :param after_sequence: last sequence that is known already.
+        :return: the events, late and with gaps, or why there are none.
+        """
+
+    async def open(
+        self, vm: engine.VmEntry, attempt: Attempt
+    ) -> result.Result[Exchange, errors.UpstreamError]:
+        """Send a request.
+
+        :param vm: first member of a whole group.
+        :param attempt: what to send.
+        :return: the exchange once the engine accepted it, or why it did not.
+        """
+
+    async def cancel(self, vm: engine.VmEntry, attempt_id: str) -> None:
+        """Tell an engine that an attempt was given up.
+
+        :param vm: VM of the engine.
+        :param attempt_id: attempt.
+        """
+
+
+class HttpExchange:
+    """An exchange over HTTP.
+
+    :param response: response whose head was read.
+    :param attempt: attempt that was sent.
+    """
+
+    __slots__ = ("_response", "_attempt", "_parser", "_chunks", "_silence", "_is_whole")
+
+    def __init__(self, response: aiohttp.ClientResponse, attempt: Attempt) -> None:
+        self._response = response
+        self._attempt = attempt
+        self._parser = stream.EventParser(attempt.attempt_id, attempt.request_id)
+        self._chunks = response.content.iter_any()
+        self._silence = stream.SilenceTimer(
+            response.close, attempt.first_token_timeout_ms, attempt.silence_timeout_ms
+        )
+        self._is_whole = False
+
+    async def next_batch(self) -> result.Result[stream.Batch, errors.UpstreamError]:
+        """Wait for the next events; see `Exchange.next_batch`."""
+        try:
+            async for chunk in self._chunks:
+                self._silence.hear()
+                parsed = self._parser.feed(chunk)
+                if isinstance(parsed, result.Err) or parsed.ok_value.data or parsed.ok_value.is_end:
+                    self._is_whole = parsed.is_ok() and parsed.unwrap().is_end
+                    return parsed
+        except (aiohttp.ClientError, OSError) as error:
+            return result.Err(self._describe_loss(repr(error)))
+        return result.Err(self._describe_loss("the answer ended without its end marker"))
+
+    async def close(self) -> None:
+        """Give the exchange up; see `Exchange.close`."""
+        self._silence.stop()
+        if self._is_whole:
+            self._response.release()
+        else:
+            self._response.close()
+
+    def _describe_loss(self, reason: str) -> errors.UpstreamError:
+        if self._silence.is_silent:
+            return errors.UpstreamSilent("the engine stayed silent; ask over a new connection")
+        return errors.UpstreamLost(f"the exchange broke ({reason}); resume it elsewhere")
+
+
+class HttpEngineClient:
+    """Model engines over HTTP.
+
+    :param session: HTTP session, closed by its owner.
+    :param call_timeout_ms: deadline of reports and orders, in milliseconds.
+    """
+
+    __slots__ = ("_session", "_call_timeout_s")
+
+    def __init__(self, session: aiohttp.ClientSession, call_timeout_ms: int) -> None:
+        self._session = session
+        self._call_timeout_s = call_timeout_ms / 1000
+
+    async def report(
+        self, vm: engine.VmEntry
+    ) -> result.Result[engine.EngineReport, errors.UpstreamError]:
+        """Ask an engine for its report; see `EngineClient.report`."""
+        return await self._call("GET", vm.url + "/report", b"", engine.EngineReport)
+
+    async def order(
+        self, vm: engine.VmEntry, order: engine.Order
+    ) -> result.Result[engine.OrderAnswer, errors.UpstreamError]:
+        """Give an engine an order; see `EngineClient.order`."""
+        body = msgspec.json.encode(order)
+        return await self._call("POST", vm.url + "/order", body, engine.OrderAnswer)
+
+    async def cache_events(
+        self, vm: engine.VmEntry, after_sequence: int
+    ) -> result.Result[engine.CacheEvents, errors.UpstreamError]:
+        """Read an engine's cache events; see `EngineClient.cache_events`."""
+        url = f"{vm.url}/cache-events?after={after_sequence}"
+        return await self._call("GET", url, b"", engine.CacheEvents)
+
+    async def cancel(self, vm: engine.VmEntry, attempt_id: str) -> None:
+        """Tell an engine that an attempt was given up; see `EngineClient.cancel`."""
+        try:
+            async with asyncio.timeout(self._call_timeout_s):
+                headers = {ATTEMPT_HEADER: attempt_id}
+                async with self._session.post(vm.url + "/cancel", headers=headers):
+                    pass
+        except (aiohttp.ClientError, TimeoutError):
+            return
+
+    async def open(
+        self, vm: engine.VmEntry, attempt: Attempt
+    ) -> result.Result[Exchange, errors.UpstreamError]:
+        """Send a request; see `EngineClient.open`."""
+        headers = {
+            "Content-Type": "application/json",
+            ATTEMPT_HEADER: attempt.attempt_id,
+            REQUEST_HEADER: attempt.request_id,
+            PRIORITY_HEADER: str(attempt.priority),
+            OFFSET_HEADER: str(attempt.resume_offset),
+        }
+        try:
+            async with asyncio.timeout(attempt.first_token_timeout_ms / 1000):
+                response = await self._session.post(
+                    vm.url + "/v1/chat/completions",
+                    data=attempt.body,
+                    headers=headers,
+                    allow_redirects=False,
+                )
+        except aiohttp.ClientConnectorError:
+            return result.Err(errors.UpstreamUnreachable(f"{vm.vm} takes no connection; go on"))
+        except TimeoutError:
+            return result.Err(errors.UpstreamSilent(f"{vm.vm} gave no first token; go elsewhere"))
+        except (aiohttp.ClientError, OSError) as error:
+            return result.Err(errors.UpstreamLost(f"{vm.vm} broke off ({error!r}); go elsewhere"))
+        refusal = _check_head(vm, response, attempt)
+        if refusal is not None:
+            response.close()
+            return result.Err(refusal)
+        return result.Ok(HttpExchange(response, attempt))
+
+    async def _call(
+        self, method: str, url: str, body: bytes, answer_type: type[RecordT]
+    ) -> result.Result[RecordT, errors.UpstreamError]:
+        try:
+            async with asyncio.timeout(self._call_timeout_s):
+                async with self._session.request(
+                    method, url, data=body, allow_redirects=False
+                ) as response:
+                    answer = await response.read()
+            if response.status != 200:
+                return result.Err(errors.UpstreamRefused(f"{url} said {response.status}; go on"))
+            return result.Ok(msgspec.json.decode(answer, type=answer_type))
+        except aiohttp.ClientConnectorError as error:
+            return result.Err(errors.UpstreamUnreachable(f"{url} takes no connection: {error}"))
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+            return result.Err(errors.UpstreamLost(f"{url} gave no answer ({error!r}); ask again"))
+
+
+def _check_head(
+    vm: engine.VmEntry, response: aiohttp.ClientResponse, attempt: Attempt
+) -> errors.UpstreamError | None:
+    if response.headers.get(ATTEMPT_HEADER) != attempt.attempt_id:
+        return errors.UpstreamConfused(f"{vm.vm} answered another attempt; go elsewhere")
+    if response.headers.get(NOT_RUN_HEADER):
+        return errors.UpstreamRefused(f"{vm.vm} refused before running; go elsewhere")
+    if response.status != 200:
+        return errors.UpstreamLost(f"{vm.vm} said {response.status}; go elsewhere")
+    return None
--- /dev/null
+++ b/src/tanagerfork/upstream/service.py
@@ -0,0 +1,117 @@
+"""Plain services over HTTP."""
+
+import asyncio
+import dataclasses
+from typing import Protocol
+
+import aiohttp
+import result
+
+from tanagerfork import errors
+from tanagerfork.generated import bundle
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+NOT_RUN_HEADER = "X-Not-Run"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServiceCall:
+    """One call of a plain service."""
+
+    attempt_id: str
+    request_id: str
+    method: str
+    path: str
+    query: str
+    content_type: str
+    body: bytes
+    timeout_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServiceAnswer:
+    """A whole answer of a plain service."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class ServiceClient(Protocol):
+    """What the system needs of plain services."""
+
+    async def call(
+        self, upstream: bundle.ServiceUpstream, call: ServiceCall
+    ) -> result.Result[ServiceAnswer, errors.UpstreamError]:
+        """Call a service once.
+
+        :param upstream: upstream of the service.
+        :param call: what to send.
+        :return: the whole answer, or why there is none and whether the call ran.
+        """
+
+
+class HttpServiceClient:
+    """Plain services over HTTP; each call has a connection of its own.
+
+    A pooled connection may break on the first byte, and then nobody knows whether the call ran;
+    the HTTP library would even send some methods again.
+
+    :param session: HTTP session whose connector closes each connection after use.
+    :param answer_limit_bytes: largest answer.
+    """
+
+    __slots__ = ("_session", "_answer_limit_bytes")
+
+    def __init__(self, session: aiohttp.ClientSession, answer_limit_bytes: int) -> None:
+        self._session = session
+        self._answer_limit_bytes = answer_limit_bytes
+
+    async def call(
+        self, upstream: bundle.ServiceUpstream, call: ServiceCall
+    ) -> result.Result[ServiceAnswer, errors.UpstreamError]:
+        """Call a service once; see `ServiceClient.call`."""
+        url = f"{upstream.url.rstrip('/')}/{call.path}"
+        headers = {ATTEMPT_HEADER: call.attempt_id, "X-Request-Id": call.request_id}
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        try:
+            async with asyncio.timeout(call.timeout_ms / 1000):
+                async with self._session.request(
+                    call.method,
+                    url + (f"?{call.query}" if call.query else ""),
+                    data=call.body or None,
+                    headers=headers,
+                    allow_redirects=False,
+                ) as response:
+                    body = await response.content.read(self._answer_limit_bytes + 1)
+                    while not response.content.at_eof():
+                        body += await response.content.read(self._answer_limit_bytes + 1)
+                        if len(body) > self._answer_limit_bytes:
+                            break
+        except aiohttp.ClientConnectorError as error:
+            message = f"{upstream.name} takes no connection ({error}); go elsewhere"
+            return result.Err(errors.UpstreamUnreachable(message))
+        except TimeoutError:
+            return result.Err(errors.UpstreamSilent(f"{upstream.name} gave no answer in time"))
+        except (aiohttp.ClientError, OSError) as error:
+            return result.Err(errors.UpstreamLost(f"{upstream.name} broke off ({error!r})"))
+        return self._check(upstream, call, response, body)
+
+    def _check(
+        self,
+        upstream: bundle.ServiceUpstream,
+        call: ServiceCall,
+        response: aiohttp.ClientResponse,
+        body: bytes,
+    ) -> result.Result[ServiceAnswer, errors.UpstreamError]:
+        if len(body) > self._answer_limit_bytes:
+            return result.Err(errors.UpstreamLost(f"the answer of {upstream.name} is too large"))
+        if response.headers.get(ATTEMPT_HEADER) != call.attempt_id:
+            message = f"{upstream.name} answered another attempt"
+            return result.Err(errors.UpstreamConfused(message))
+        if response.headers.get(NOT_RUN_HEADER):
+            message = f"{upstream.name} refused before running"
+            return result.Err(errors.UpstreamRefused(message))
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return result.Ok(ServiceAnswer(response.status, content_type, body))
--- /dev/null
+++ b/src/tanagerfork_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the model engines and the plain services."""
--- /dev/null
+++ b/src/tanagerfork_standins/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the stand-ins with `python -m tanagerfork_standins`."""
+
+from tanagerfork_standins import site
+
+site.main()
--- /dev/null
+++ b/src/tanagerfork_standins/faults.py
@@ -0,0 +1,120 @@
+"""Faults that are brought about in a site of stand-ins."""
+
+import msgspec
+
+from tanagerfork_standins import engine, key_value, service
+
+
+class Fault(msgspec.Struct, forbid_unknown_fields=True):
+    """One fault: what happens, and to what."""
+
+    kind: str
+    vm: str = ""
+    fabric_domain: str = ""
+    service: str = ""
+    amount: float = 1.0
+    word: str = ""
+
+
+class UnknownFault(ValueError):
+    """No such fault, or no such VM or service."""
+
+
+class FaultTable:
+    """Brings faults about.
+
+    :param engines: engines by VM.
+    :param store: key-value service.
+    :param services: plain services' upstreams by name.
+    """
+
+    __slots__ = ("_engines", "_store", "_services")
+
+    def __init__(
+        self,
+        engines: dict[str, engine.Engine],
+        store: key_value.KeyValueStandIn,
+        services: dict[str, service.ServiceStandIn],
+    ) -> None:
+        self._engines = engines
+        self._store = store
+        self._services = services
+
+    async def apply(self, fault: Fault) -> None:
+        """Bring one fault about.
+
+        :param fault: what happens, and to what.
+        :raises UnknownFault: no such kind, VM, fabric domain or service.
+        """
+        if fault.kind.startswith("key_value_"):
+            self._apply_to_store(fault)
+        elif fault.kind.startswith("service_"):
+            self._apply_to_service(fault)
+        elif fault.kind == "fabric_domain_dark":
+            for vm in self._find_in_fabric_domain(fault.fabric_domain):
+                await vm.die()
+        elif fault.kind == "fabric_domain_back":
+            for vm in self._find_in_fabric_domain(fault.fabric_domain):
+                await vm.come_back()
+        else:
+            await self._apply_to_engine(fault)
+
+    def _find_in_fabric_domain(self, fabric_domain: str) -> list[engine.Engine]:
+        found = [vm for vm in self._engines.values() if vm.entry.fabric_domain == fabric_domain]
+        if not found:
+            raise UnknownFault(f"no VM in fabric domain {fabric_domain!r}; see GET /vms")
+        return found
+
+    def _apply_to_store(self, fault: Fault) -> None:
+        faults = self._store.faults
+        if fault.kind == "key_value_away":
+            faults.away = bool(fault.amount)
+        elif fault.kind == "key_value_slow":
+            faults.delay_ms = int(fault.amount)
+        elif fault.kind == "key_value_lost_answers":
+            faults.lost_answers = int(fault.amount)
+        elif fault.kind == "key_value_forget":
+            self._store.forget(fault.word)
+        else:
+            raise UnknownFault(f"no fault {fault.kind!r}; see tanagerfork_standins.faults")
+
+    def _apply_to_service(self, fault: Fault) -> None:
+        if fault.service not in self._services:
+            raise UnknownFault(f"no service upstream {fault.service!r}")
+        faults = self._services[fault.service].faults
+        field = fault.kind.removeprefix("service_")
+        if field not in ("refuse", "crash_before", "crash_after", "delay_ms"):
+            raise UnknownFault(f"no fault {fault.kind!r}; see tanagerfork_standins.faults")
+        setattr(faults, field, int(fault.amount))
+
+    async def _apply_to_engine(self, fault: Fault) -> None:
+        if fault.vm not in self._engines:
+            raise UnknownFault(f"no VM {fault.vm!r}; see GET /vms")
+        vm = self._engines[fault.vm]
+        if fault.kind == "vm_dies":
+            await vm.die()
+        elif fault.kind == "vm_returns":
+            await vm.come_back()
+        elif fault.kind == "vm_returns_unchanged":
+            await vm.come_back(same_incarnation=True)
+        elif fault.kind == "vm_pauses":
+            vm.pause()
+        elif fault.kind == "vm_resumes":
+            vm.resume()
+        elif fault.kind == "vm_leaving":
+            vm.entry.leaving = bool(fault.amount)
+        else:
+            self._set_engine_fault(vm, fault)
+
+    def _set_engine_fault(self, vm: engine.Engine, fault: Fault) -> None:
+        faults = vm.faults
+        if fault.kind == "vm_straggles":
+            faults.slowdown = fault.amount
+        elif fault.kind == "connections_silent":
+            faults.silenced += 1
+        elif fault.kind == "crash_on_word":
+            faults.crash_word = fault.word
+        elif fault.kind in ("refuse", "cut_after_tokens", "crossed", "no_end", "late_ms"):
+            setattr(faults, fault.kind, int(fault.amount))
+        else:
+            raise UnknownFault(f"no fault {fault.kind!r}; see tanagerfork_standins.faults")
--- /dev/null
+++ b/src/tanagerfork_standins/listener.py
@@ -0,0 +1,42 @@
+"""A loopback HTTP listener of a stand-in."""
+
+import aiohttp.web
+
+LOOPBACK = "127.0.0.1"
+SHUTDOWN_S = 0.1
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+class Listener:
+    """One HTTP listener that can be closed and opened again on the same port.
+
+    :param port: TCP port; 0 lets the system choose.
+    """
+
+    __slots__ = ("port", "app", "_runner")
+
+    def __init__(self, port: int = 0) -> None:
+        self.port = port
+        self.app = aiohttp.web.Application(client_max_size=BODY_LIMIT_BYTES)
+        self._runner: aiohttp.web.AppRunner | None = None
+
+    @property
+    def url(self) -> str:
+        """Base address of the listener."""
+        return f"http://{LOOPBACK}:{self.port}"
+
+    async def start(self) -> None:
+        """Bind the port and serve."""
+        self._runner = aiohttp.web.AppRunner(
+            self.app, access_log=None, shutdown_timeout=SHUTDOWN_S, handler_cancellation=True
+        )
+        await self._runner.setup()
+        site = aiohttp.web.TCPSite(self._runner, LOOPBACK, self.port, reuse_address=True)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Close the port and every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
--- /dev/null
+++ b/src/tanagerfork_standins/site.py
@@ -0,0 +1,185 @@
+"""A whole site of stand-ins: platform, model engines and plain services."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+import aiohttp.web
+import msgspec
+import pyjson5
+
+from tanagerfork.generated import engine as engine_records
+from tanagerfork_standins import engine, faults, key_value, listener, service, weights
+
+
+class VmPlan(msgspec.Struct, forbid_unknown_fields=True):
+    """VMs of one fabric domain."""
+
+    failure_domain: str
+    fabric_domain: str
+    vms: int
+    pool: str = ""
+    accelerators: int = 8
+    checks_fencing: bool = True
+    first_port: int = 0
+
+
+class ServicePlan(msgspec.Struct, forbid_unknown_fields=True):
+    """One upstream of a plain service."""
+
+    name: str
+    service: str
+    collection: str
+    failure_domain: str
+    port: int = 0
+
+
+class SitePlan(msgspec.Struct, forbid_unknown_fields=True):
+    """What a site of stand-ins consists of."""
+
+    vms: list[VmPlan]
+    services: list[ServicePlan] = []
+    key_value_port: int = 0
+    control_port: int = 0
+    vm_list_lag_ms: int = 0
+    load_ms: int = 300
+    loads_at_once: int = 4
+    first_token_ms: float = 20.0
+    token_gap_ms: float = 5.0
+    slots: int = 16
+    report_lag_ms: float = 0.0
+
+
+class Site:
+    """Starts, breaks and stops the stand-ins of a site.
+
+    :param plan: what the site consists of.
+    """
+
+    def __init__(self, plan: SitePlan) -> None:
+        self.plan = plan
+        self.key_value = key_value.KeyValueStandIn(plan.key_value_port)
+        self.control = listener.Listener(plan.control_port)
+        self.weights = weights.WeightStore(plan.load_ms, plan.loads_at_once)
+        self.engines: dict[str, engine.Engine] = {}
+        self.services: dict[str, service.ServiceStandIn] = {}
+        self.records: dict[str, service.Records] = {}
+        self._listed = b'{"vms": []}'
+        self._lister: asyncio.Task[None] | None = None
+        self._build_engines()
+        self._build_services()
+        self.faults = faults.FaultTable(self.engines, self.key_value, self.services)
+        self.control.app.router.add_get("/vms", self._serve_vms)
+        self.control.app.router.add_post("/faults", self._serve_fault)
+
+    @property
+    def vm_list_url(self) -> str:
+        """Address of the VM list."""
+        return self.control.url + "/vms"
+
+    async def start(self) -> None:
+        """Start every stand-in."""
+        await self.key_value.listener.start()
+        for vm in self.engines.values():
+            await vm.start()
+        for upstream in self.services.values():
+            await upstream.listener.start()
+        self._list_vms()
+        await self.control.start()
+        self._lister = asyncio.create_task(self._keep_listing())
+
+    async def stop(self) -> None:
+        """Stop every stand-in."""
+        if self._lister is not None:
+            self._lister.cancel()
+        await self.control.stop()
+        for upstream in self.services.values():
+            await upstream.listener.stop()
+        for vm in self.engines.values():
+            await vm.stop()
+        await self.key_value.listener.stop()
+
+    def _build_engines(self) -> None:
+        plan = self.plan
+        speed = engine.EngineSpeed(
+            first_token_ms=plan.first_token_ms,
+            token_gap_ms=plan.token_gap_ms,
+            slots=plan.slots,
+            report_lag_ms=plan.report_lag_ms,
+        )
+        for domain in plan.vms:
+            for number in range(domain.vms):
+                entry = engine_records.VmEntry(
+                    vm=f"{domain.fabric_domain}-vm{number}",
+                    url="",
+                    failure_domain=domain.failure_domain,
+                    fabric_domain=domain.fabric_domain,
+                    pool=domain.pool,
+                    accelerators=domain.accelerators,
+                    checks_fencing=domain.checks_fencing,
+                )
+                port = domain.first_port + number if domain.first_port else 0
+                self.engines[entry.vm] = engine.Engine(
+                    entry, self.engines, self.weights, speed, port
+                )
+
+    def _build_services(self) -> None:
+        for upstream in self.plan.services:
+            records = self.records.setdefault(upstream.service, service.Records())
+            self.services[upstream.name] = service.ServiceStandIn(
+                upstream.name, upstream.collection, records, upstream.port
+            )
+
+    def _list_vms(self) -> None:
+        listed = [vm.entry for vm in self.engines.values()]
+        self._listed = msgspec.json.encode(engine_records.VmList(vms=listed))
+
+    async def _keep_listing(self) -> None:
+        while True:
+            await asyncio.sleep(max(self.plan.vm_list_lag_ms, 50) / 1000)
+            self._list_vms()
+
+    async def _serve_vms(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        return aiohttp.web.Response(body=self._listed, content_type="application/json")
+
+    async def _serve_fault(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        try:
+            await self.faults.apply(msgspec.json.decode(await request.read(), type=faults.Fault))
+        except (msgspec.MsgspecError, faults.UnknownFault) as error:
+            return aiohttp.web.Response(status=400, text=str(error))
+        return aiohttp.web.Response(status=204)
+
+
+def read_plan(path: pathlib.Path) -> SitePlan:
+    """Read a site's plan from JSON with comments.
+
+    :param path: file.
+    :return: the plan.
+    """
+    return msgspec.convert(pyjson5.decode(path.read_text()), type=SitePlan)
+
+
+async def serve(plan: SitePlan) -> None:
+    """Run a site until a signal ends it.
+
+    :param plan: what the site consists of.
+    """
+    site = Site(plan)
+    await site.start()
+    print(f"key-value service {site.key_value.listener.url}")
+    print(f"VM list {site.vm_list_url}")
+    for name, upstream in site.services.items():
+        print(f"service {name} {upstream.listener.url}", flush=True)
+    stopped = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await site.stop()
+
+
+def main() -> None:
+    """Run the site whose plan is named on the command line."""
+    if len(sys.argv) != 2:
+        sys.exit("usage: tanagerfork-standins PLAN.json5")
+    asyncio.run(serve(read_plan(pathlib.Path(sys.argv[1]))))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tanagerfork and its stand-ins."""
--- /dev/null
+++ b/tests/sites.py
@@ -0,0 +1,163 @@
+"""Small running sites for tests, on ports from the system."""
+
+import asyncio
+import contextlib
+import hashlib
+from collections.abc import AsyncIterator, Callable
+
+import aiohttp
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from tanagerfork import clock as clocks
+from tanagerfork import daemon as daemons
+from tanagerfork.bundles import signature
+from tanagerfork.generated import bundle as bundle_records
+from tanagerfork.generated import settings as settings_records
+from tanagerfork_standins import embedding, site
+
+MODEL = "rota-writer"
+SERVICE = "batch-ledger"
+TOKEN = "test-token"
+HOST = "127.0.0.1"
+WAIT_S = 20
+
+
+def make_plan(vms: int = 9) -> site.SitePlan:
+    """Return a plan of one fabric domain and two ledger upstreams."""
+    return site.SitePlan(
+        vms=[site.VmPlan(failure_domain="ipoh-a", fabric_domain="f1", vms=vms)],
+        services=[
+            site.ServicePlan(
+                name=f"ledger-{number}",
+                service=SERVICE,
+                collection="pressings",
+                failure_domain="ipoh-a",
+            )
+            for number in range(2)
+        ],
+        load_ms=20,
+        first_token_ms=2,
+        token_gap_ms=1,
+        slots=64,
+    )
+
+
+def make_bundle(stand_ins: site.Site, groups: int = 2) -> bundle_records.Bundle:
+    """Return a bundle of one model, one service and one team."""
+    upstreams = [
+        bundle_records.ServiceUpstream(name=name, failure_domain="ipoh-a", url=item.listener.url)
+        for name, item in stand_ins.services.items()
+    ]
+    placed = bundle_records.GroupCount(failure_domain="ipoh-a", groups=groups)
+    return bundle_records.Bundle(
+        name="test",
+        models=[
+            bundle_records.Model(
+                name=MODEL, version="1", members_per_group=4, placement=[placed], token_gap_ms=5
+            )
+        ],
+        services=[
+            bundle_records.Service(
+                name=SERVICE,
+                upstreams=upstreams,
+                repeatable=[bundle_records.Repeatable(method="GET", path_prefix="pressings")],
+            )
+        ],
+        teams=[
+            bundle_records.Team(
+                name="shift-leads",
+                token_sha256=[hashlib.sha256(TOKEN.encode()).hexdigest()],
+                models=[MODEL],
+                services=[SERVICE],
+            )
+        ],
+    )
+
+
+def make_settings(
+    stand_ins: site.Site, key: ed25519.Ed25519PrivateKey, name: str = "ipoh-a-1"
+) -> settings_records.Settings:
+    """Return the settings of a daemon of a site."""
+    listener = settings_records.Listener(host=HOST, port=0)
+    return settings_records.Settings(
+        name=name,
+        failure_domain="ipoh-a",
+        callers=listener,
+        operators=settings_records.OperatorSettings(host=HOST, port=0),
+        peers=settings_records.PeerSettings(host=HOST, port=0, shared_key="test-shared-key"),
+        platform=settings_records.PlatformSettings(
+            key_value_url=stand_ins.key_value.listener.url,
+            vm_list_url=stand_ins.vm_list_url,
+            vm_list_interval_ms=100,
+        ),
+        operator_keys=[
+            settings_records.OperatorKey(
+                operator=embedding.OPERATOR, public_key=signature.encode_public_key(key)
+            )
+        ],
+        groups=settings_records.GroupSettings(
+            observe_interval_ms=50, presence_ttl_ms=500, plan_interval_ms=50
+        ),
+        limits=settings_records.LimitSettings(drain_limit_ms=10_000),
+        seed=1,
+    )
+
+
+class RunningSite:
+    """Stand-ins, one daemon with a bundle in force, and a caller's session."""
+
+    def __init__(
+        self,
+        stand_ins: site.Site,
+        daemon: daemons.Daemon,
+        operator: embedding.EmbeddedSite,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.stand_ins = stand_ins
+        self.daemon = daemon
+        self.operator = operator
+        self.session = session
+        self.headers = {"Authorization": f"Bearer {TOKEN}"}
+
+    @property
+    def url(self) -> str:
+        """Base address of the callers' listener."""
+        return f"http://{HOST}:{self.daemon.callers_port}"
+
+    @property
+    def operators_url(self) -> str:
+        """Base address of the operators' listener."""
+        return f"http://{HOST}:{self.daemon.operators_port}"
+
+    def count_whole(self) -> int:
+        """Return the number of whole groups."""
+        return len(self.daemon.groups.whole_groups(MODEL, self.daemon.clock.monotonic_ms()))
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for something that must come about; fails where it does not."""
+    for _ in range(WAIT_S * 100):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("did not come about in time")
+
+
+@contextlib.asynccontextmanager
+async def run_site(groups: int = 2, vms: int = 9) -> AsyncIterator[RunningSite]:
+    """Run stand-ins and one daemon until its groups are whole."""
+    stand_ins = site.Site(make_plan(vms))
+    await stand_ins.start()
+    key = ed25519.Ed25519PrivateKey.generate()
+    daemon = daemons.Daemon(make_settings(stand_ins, key), clocks.SystemClock())
+    await daemon.start()
+    operator = embedding.EmbeddedSite(stand_ins, make_bundle(stand_ins, groups), key)
+    async with aiohttp.ClientSession() as session:
+        running = RunningSite(stand_ins, daemon, operator, session)
+        try:
+            await operator.roll_bundle(daemon.store)
+            await wait_until(lambda: running.count_whole() == groups)
+            yield running
+        finally:
+            await daemon.stop()
+            await stand_ins.stop()
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,90 @@
+"""Tests of the whole path through one daemon."""
+
+import asyncio
+
+from tests import sites
+
+
+async def ask(running: sites.RunningSite, number: int) -> bool:
+    """Send one of three kinds of requests; return whether its answer is whole and its own."""
+    name = f"request-{number}"
+    headers = {**running.headers, "X-Request-Id": name}
+    if number % 3 == 2:
+        headers["Idempotency-Key"] = name
+        url = f"{running.url}/services/{sites.SERVICE}/pressings"
+        async with running.session.post(url, json={"lot": name}, headers=headers) as response:
+            return response.status == 201 and (await response.json())["entry"] == {"lot": name}
+    message = {"role": "user", "content": f"draft {name} of the rota"}
+    body = {"model": sites.MODEL, "stream": number % 3 == 0, "messages": [message]}
+    url = f"{running.url}/v1/chat/completions"
+    async with running.session.post(url, json=body, headers=headers) as response:
+        if not body["stream"]:
+            content = (await response.json())["choices"][0]["message"]["content"]
+            return content == f"draft {name} of the rota [{name}]"
+        text = await response.text()
+        return text.endswith("data: [DONE]\n\n") and text.count(f'"id":"{name}"') == 7
+
+
+class TestWholePath:
+    async def test_300_mixed_requests_each_get_their_own_whole_answer(self):
+        async with sites.run_site() as running:
+            answers = await asyncio.gather(*(ask(running, number) for number in range(300)))
+            assert answers.count(True) == 300
+            assert len(running.stand_ins.records[sites.SERVICE].records) == 100
+
+    async def test_group_that_lost_a_member_serves_nothing_until_it_is_repaired(self):
+        async with sites.run_site(groups=1, vms=5) as running:
+            now_ms = running.daemon.clock.monotonic_ms()
+            member = running.daemon.groups.whole_groups(sites.MODEL, now_ms)[0].record.members[2]
+            await running.stand_ins.engines[member].die()
+            await sites.wait_until(lambda: running.count_whole() == 0)
+            await sites.wait_until(lambda: running.count_whole() == 1)
+            assert await ask(running, 0)
+
+    async def test_planned_stop_cuts_off_nothing_in_flight(self):
+        async with sites.run_site() as running:
+            for vm in running.stand_ins.engines.values():
+                vm.faults.late_ms = 300
+            asked = [asyncio.create_task(ask(running, number)) for number in (0, 1, 3, 4)]
+            await sites.wait_until(lambda: running.daemon.callers.open_requests == 4)
+            await running.daemon.stop()
+            assert await asyncio.gather(*asked) == [True] * 4
+
+
+class TestRefusals:
+    async def test_errors_name_kind_remedy_and_whether_the_request_ran(self):
+        table = [
+            ({}, {}, 401, "unauthorized"),
+            ({"X-Request-Id": "a b"}, {}, 400, "bad_request"),
+            ({"X-Deadline-Ms": "0"}, {"model": sites.MODEL}, 400, "bad_request"),
+        ]
+        async with sites.run_site(groups=1, vms=4) as running:
+            for headers, body, status, kind in table:
+                if kind != "unauthorized":
+                    headers = {**running.headers, **headers}
+                url = f"{running.url}/v1/chat/completions"
+                async with running.session.post(url, json=body, headers=headers) as response:
+                    error = (await response.json())["error"]
+                    assert (response.status, error["kind"], error["ran"]) == (status, kind, "no")
+
+    async def test_unknown_model_is_told_as_not_found(self):
+        async with sites.run_site(groups=1, vms=4) as running:
+            body = {"model": "x", "messages": [{"role": "user", "content": "y"}]}
+            url = f"{running.url}/v1/chat/completions"
+            async with running.session.post(url, json=body, headers=running.headers) as response:
+                assert response.status == 404
+
+
+class TestOperatorsListener:
+    async def test_health_readiness_and_metrics(self):
+        async with sites.run_site(groups=1, vms=4) as running:
+            assert await read(running, "/healthz") == (200, "ok\n")
+            assert await read(running, "/readyz") == (200, "serving\n")
+            status, text = await read(running, "/metrics")
+            assert status == 200 and "tanagerfork_orders_sent_total" in text
+
+
+async def read(running: sites.RunningSite, path: str) -> tuple[int, str]:
+    """Read a page of the operators' listener."""
+    async with running.session.get(running.operators_url + path) as response:
+        return response.status, await response.text()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance programs of the project."""
