Stamp events by hybrid logical clocks and bound the ring in bytes

Wall clocks that differ by 250 ms put effects before their causes in a merged time line (over 100 of 399 pairs in the test's chain). A stamp that follows what was heard keeps the order; what is heard from more than 5 s ahead does not count.

--- a/src/tanagerfork/bundles/follower.py
+++ b/src/tanagerfork/bundles/follower.py
@@ -66,6 +66,7 @@
                 self._metrics.count("bundle_parts_missing_total")
                 return
             contents[sha256] = fetched.ok_value
+        self._timeline.observe(head.rolled_at_ms, 0)
         accepted = self._bundles.accept(head, contents)
         if isinstance(accepted, result.Err):
             self._timeline.record(kinds.EventKind.BUNDLE_REFUSED, accepted.err_value.message)
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -150,7 +150,8 @@
         if isinstance(published, result.Err):
             return published
         rolled_by = call.rolled_by or call.operator
-        return await heads.roll_head(self._store, signed, rolled_by, self._clock.wall_ms())
+        at_ms = self._timeline.stamp().ceiling_ms
+        return await heads.roll_head(self._store, signed, rolled_by, at_ms)
 
 
 def _answer(record: msgspec.Struct) -> aiohttp.web.Response:
--- a/src/tanagerfork/timeline/ring.py
+++ b/src/tanagerfork/timeline/ring.py
@@ -4,7 +4,11 @@
 
 from tanagerfork import clock as clocks
 from tanagerfork.generated import events
-from tanagerfork.timeline import kinds
+from tanagerfork.timeline import hybrid, kinds
+
+EVENT_BYTES = 400  # Record and container, without the texts.
+MAX_DETAIL_CHARS = 500
+MAX_BYTES = 2 * 1024 * 1024
 
 
 class Timeline:
@@ -13,17 +17,31 @@
     :param daemon: name of the daemon.
     :param clock: clock that stamps the events.
     :param size: events kept.
+    :param max_bytes: memory of the events kept, as estimated by their texts.
     """
 
-    __slots__ = ("_daemon", "_clock", "_events", "_next_sequence", "_wall_ms", "_counter")
+    __slots__ = (
+        "time",
+        "_daemon",
+        "_events",
+        "_size",
+        "_max_bytes",
+        "_held_bytes",
+        "_next_sequence",
+        "_started_ms",
+    )
 
-    def __init__(self, daemon: str, clock: clocks.Clock, size: int) -> None:
+    def __init__(
+        self, daemon: str, clock: clocks.Clock, size: int, max_bytes: int = MAX_BYTES
+    ) -> None:
+        self.time = hybrid.HybridClock(clock)
         self._daemon = daemon
-        self._clock = clock
-        self._events: collections.deque[events.Event] = collections.deque(maxlen=size)
+        self._events: collections.deque[events.Event] = collections.deque()
+        self._size = size
+        self._max_bytes = max_bytes
+        self._held_bytes = 0
         self._next_sequence = 0
-        self._wall_ms = 0
-        self._counter = 0
+        self._started_ms = clock.wall_ms()
 
     def record(
         self,
@@ -45,23 +63,39 @@
         :param bundle_version: bundle concerned.
         :return: the event as recorded.
         """
-        self._tick()
+        stamp = self.time.tick()
         event = events.Event(
             daemon=self._daemon,
             sequence=self._next_sequence,
-            wall_ms=self._wall_ms,
-            counter=self._counter,
+            wall_ms=stamp.wall_ms,
+            counter=stamp.counter,
             kind=kind.value,
             group=group,
             vm=vm,
             request=request,
             bundle_version=bundle_version,
-            detail=detail,
+            detail=detail[:MAX_DETAIL_CHARS],
         )
         self._next_sequence += 1
         self._events.append(event)
+        self._held_bytes += estimate_bytes(event)
+        while len(self._events) > self._size or self._held_bytes > self._max_bytes:
+            self._held_bytes -= estimate_bytes(self._events.popleft())
         return event
 
+    def observe(self, wall_ms: int, counter: int) -> bool:
+        """Have all later events sort after a stamp that was heard.
+
+        :param wall_ms: wall clock part of the stamp.
+        :param counter: counter part of the stamp.
+        :return: whether it counts; False where it is too far ahead of the own clock.
+        """
+        return self.time.observe(hybrid.HybridTime(wall_ms, counter))
+
+    def stamp(self) -> hybrid.HybridTime:
+        """Return the stamp of a message that is sent."""
+        return self.time.tick()
+
     def read(self, after_sequence: int = -1) -> events.EventPage:
         """Return the events that are still kept.
 
@@ -71,12 +105,17 @@
         kept = [event for event in self._events if event.sequence > after_sequence]
         dropped = self._next_sequence - len(self._events)
         return events.EventPage(
-            daemon=self._daemon, dropped=dropped, next_sequence=self._next_sequence, events=kept
+            daemon=self._daemon,
+            started_ms=self._started_ms,
+            dropped=dropped,
+            next_sequence=self._next_sequence,
+            events=kept,
         )
 
-    def _tick(self) -> None:
-        now_ms = self._clock.wall_ms()
-        if now_ms > self._wall_ms:
-            self._wall_ms, self._counter = now_ms, 0
-        else:
-            self._counter += 1
+
+def estimate_bytes(event: events.Event) -> int:
+    """Return the memory that an event takes, about.
+
+    :param event: event.
+    """
+    return EVENT_BYTES + len(event.detail) + len(event.group) + len(event.vm) + len(event.request)
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,122 @@
+"""Tests of the time line: stamps, ring and merge."""
+
+import random
+
+import pytest
+
+from tanagerfork import clock as clocks
+from tanagerfork.timeline import hybrid, kinds, merge, ring
+
+START_MS = 1_800_000_000_000
+KIND = kinds.EventKind.DAEMON_STATE
+
+
+class SkewedClock(clocks.ManualClock):
+    """A clock whose wall clock is off by a fixed time."""
+
+    def __init__(self, skew_ms: int) -> None:
+        super().__init__(0, START_MS + skew_ms)
+
+
+def exchange(skew_ms: int, tells_stamps: bool, steps: int = 400) -> list[ring.Timeline]:
+    """Record alternating causes and effects at two daemons whose clocks differ.
+
+    Each event's detail is its place in the chain of causes, so that the order can be checked.
+    """
+    rng = random.Random(skew_ms)
+    skewed = [SkewedClock(0), SkewedClock(-skew_ms)]
+    daemons = [ring.Timeline(f"d{number}", skewed[number], 10_000) for number in range(2)]
+    at = 0
+    for step in range(steps):
+        daemons[at].record(KIND, str(step))
+        sent = daemons[at].stamp()
+        for moved in skewed:
+            moved.advance(rng.randrange(3))
+        at = 1 - at
+        if tells_stamps:
+            daemons[at].observe(sent.wall_ms, sent.counter)
+    return daemons
+
+
+def count_inversions(order: list[str]) -> int:
+    """Count effects that stand directly before their causes."""
+    places = {step: place for place, step in enumerate(order)}
+    return sum(places[str(step)] > places[str(step + 1)] for step in range(len(order) - 1))
+
+
+class TestCauses:
+    @pytest.mark.parametrize("skew_ms", [0, 1, 10, 100, 250, 4000])
+    def test_no_cause_sorts_after_its_effect(self, skew_ms):
+        pages = [daemon.read() for daemon in exchange(skew_ms, tells_stamps=True)]
+        order = [event.detail for event in merge.merge_pages(pages)]
+        assert order == [str(step) for step in range(400)]
+
+    @pytest.mark.parametrize("skew_ms", [100, 250])
+    def test_plain_wall_clocks_do_misorder(self, skew_ms):
+        pages = [daemon.read() for daemon in exchange(skew_ms, tells_stamps=False)]
+        order = [event.detail for event in merge.merge_pages(pages)]
+        assert count_inversions(order) > 100
+
+    def test_ceiling_orders_without_the_counter(self):
+        first = ring.Timeline("a", SkewedClock(0), 10)
+        second = ring.Timeline("b", SkewedClock(-250), 10)
+        for _ in range(5):
+            cause = first.record(KIND)
+        second.observe(first.stamp().ceiling_ms, 0)
+        assert merge.order_of(second.record(KIND)) > merge.order_of(cause)
+
+
+class TestBounds:
+    def test_clock_hours_ahead_drags_no_other(self):
+        daemon = ring.Timeline("a", SkewedClock(0), 10)
+        assert not daemon.observe(START_MS + 3_600_000, 0)
+        assert daemon.record(KIND).wall_ms == START_MS
+        assert daemon.time.refused_jumps == 1
+
+    def test_jump_is_bounded_by_the_own_clock_however_often_it_is_heard(self):
+        daemon = ring.Timeline("a", SkewedClock(0), 10)
+        for ahead_ms in range(0, 100_000, 1000):
+            daemon.observe(START_MS + ahead_ms, 0)
+        assert daemon.time.ahead_ms == hybrid.MAX_AHEAD_MS
+
+    @pytest.mark.parametrize(
+        ("size", "max_bytes", "kept"), [(10, 10**6, 10), (1000, 5 * 1000, 5), (1000, 10**6, 100)]
+    )
+    def test_ring_is_bounded_in_events_and_bytes(self, size, max_bytes, kept):
+        daemon = ring.Timeline("a", SkewedClock(0), size, max_bytes)
+        for _ in range(100):
+            daemon.record(KIND, "x" * 10_000)
+        page = daemon.read()
+        assert len(page.events) == kept and page.dropped == 100 - kept
+        assert [event.sequence for event in page.events] == list(range(100 - kept, 100))
+        held = sum(ring.estimate_bytes(event) for event in page.events)
+        assert held <= max_bytes
+
+
+class TestFilter:
+    @pytest.mark.parametrize(
+        ("wanted", "found"),
+        [
+            (merge.EventFilter(), "abcd"),
+            (merge.EventFilter(kind="group"), "bc"),
+            (merge.EventFilter(kind="group.broken"), "c"),
+            (merge.EventFilter(group="g1"), "bc"),
+            (merge.EventFilter(vm="vm-1"), "c"),
+            (merge.EventFilter(request="r1"), "d"),
+            (merge.EventFilter(bundle_version=3), "a"),
+            (merge.EventFilter(since_ms=START_MS + 20), "cd"),
+            (merge.EventFilter(until_ms=START_MS + 10), "ab"),
+        ],
+    )
+    def test_keeps_what_is_asked_for(self, wanted, found):
+        clock = SkewedClock(0)
+        daemon = ring.Timeline("a", clock, 10)
+        daemon.record(kinds.EventKind.BUNDLE_ACCEPTED, "a", bundle_version=3)
+        clock.advance(10)
+        daemon.record(kinds.EventKind.GROUP_WHOLE, "b", group="g1")
+        clock.advance(10)
+        daemon.record(kinds.EventKind.GROUP_BROKEN, "c", group="g1", vm="vm-1")
+        clock.advance(10)
+        daemon.record(kinds.EventKind.REQUEST_REFUSED, "d", request="r1")
+        kept = merge.merge_pages([daemon.read()], wanted)
+        assert "".join(event.detail for event in kept) == found
