--- a/src/tanagerfork/cli/app.py
+++ b/src/tanagerfork/cli/app.py
@@ -1,10 +1,34 @@
-"""The operators' command-line tool."""
+"""The operators' command-line tool; it has no verb that touches one VM."""
+
+import os
+import sys
 
 import typer
 
 from tanagerfork import __version__
-
-app = typer.Typer(no_args_is_help=True, help="Operate a fleet of tanagerfork daemons.")
+from tanagerfork.cli import (
+    bundle_commands,
+    key_commands,
+    outcome,
+    rollout_commands,
+    settings_commands,
+    status_commands,
+    timeline_commands,
+)
+
+app = typer.Typer(
+    cls=outcome.CommandGroup,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode="rich" if sys.stdout.isatty() else None,
+    help="Operate a fleet of tanagerfork daemons.",
+)
+app.add_typer(bundle_commands.app, name="bundle")
+app.add_typer(key_commands.app, name="keys")
+app.add_typer(settings_commands.app, name="settings")
+app.add_typer(rollout_commands.app, name="rollout")
+status_commands.register(app)
+timeline_commands.register(app)
 
 
 @app.callback()
@@ -20,4 +44,5 @@
 
 def main() -> None:
     """Run the program."""
+    os.environ.setdefault("_TYPER_STANDARD_TRACEBACK", "1")
     app()
--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -16,12 +16,13 @@
 
 from tanagerfork import clock as clocks
 from tanagerfork import errors, lifecycle, logs
+from tanagerfork import measures as measure
 from tanagerfork import metrics as metric
 from tanagerfork import settings as settings_files
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book
-from tanagerfork.front import callers, chat, operators, services
+from tanagerfork.front import callers, chat, journal, listener, operators, services
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import coordinator, directory, observer, presence
@@ -33,7 +34,8 @@
 
 READY_CHECK_MS = 100
 DRAIN_CHECK_MS = 20
-CLOSE_S = 1.0
+OPERATOR_CONNECTIONS = 256
+CONNECTIONS_PER_REQUEST = 2
 USAGE_STATUS = 2
 
 
@@ -55,7 +57,10 @@
         self.groups.subscribe(self._note_group)
         self._rng = random.Random(settings.seed or None)
         self._tasks: list[asyncio.Task[None]] = []
-        self._runners: list[aiohttp.web.AppRunner] = []
+        self._listeners: list[listener.Listener] = []
+        self.measures = measure.Measures()
+        self.journal = journal.Journal(settings.name, clock, self.timeline, self.metrics)
+        self.metrics.collect_from(self._export_metrics)
         self._hasten = asyncio.Event()
         self.callers_port = 0
         self.operators_port = 0
@@ -107,8 +112,8 @@
         for task in self._tasks:
             task.cancel()
         self._observer.stop()
-        for runner in self._runners:
-            await runner.cleanup()
+        for opened in self._listeners:
+            await opened.stop()
         await self._session.close()
         await self._single_use_session.close()
         self.lifecycle.apply("stop")
@@ -140,30 +145,36 @@
         self.callers = callers.CallersFront(
             self.bundles, chats, plain_services, settings.limits, self.clock, self.metrics
         )
-        operators_front = operators.OperatorsFront(
-            self._read_status,
-            self.timeline,
-            self.metrics,
-            self.bundles,
-            self.store,
-            self.clock,
-            settings.operators.token_sha256,
+        sources = operators.Sources(
+            self._read_status, self.timeline, self.journal, self.metrics, self.bundles, self.store
         )
+        operators_front = operators.OperatorsFront(sources, settings.operators.token_sha256)
+        callers_app = self.callers.build_app()
+        callers_app.middlewares.append(self.journal.note)
         self.operators_port = await self._listen(
-            operators_front.build_app(), settings.operators.host, settings.operators.port
+            operators_front.build_app(), settings.operators, OPERATOR_CONNECTIONS
         )
         self.callers_port = await self._listen(
-            self.callers.build_app(), settings.callers.host, settings.callers.port
+            callers_app, settings.callers, settings.limits.open_requests * CONNECTIONS_PER_REQUEST
         )
 
-    async def _listen(self, app: aiohttp.web.Application, host: str, port: int) -> int:
-        runner = aiohttp.web.AppRunner(
-            app, access_log=None, shutdown_timeout=CLOSE_S, handler_cancellation=True
+    async def _listen(
+        self,
+        app: aiohttp.web.Application,
+        bound: settings_records.Listener | settings_records.OperatorSettings,
+        max_connections: int,
+    ) -> int:
+        certificate = None
+        if bound.certificate_path:
+            certificate = listener.Certificate(bound.certificate_path, bound.private_key_path)
+            self._start_task(
+                listener.follow_certificate(certificate, self.clock, self.timeline, self.metrics)
+            )
+        opened = listener.Listener(
+            app, bound.host, bound.port, max_connections, self.metrics, certificate
         )
-        await runner.setup()
-        self._runners.append(runner)
-        await aiohttp.web.TCPSite(runner, host, port).start()
-        return int(runner.addresses[0][1])
+        self._listeners.append(opened)
+        return await opened.start()
 
     def _start_tasks(self) -> None:
         follow = follower.BundleFollower(
@@ -205,15 +216,36 @@
         while True:
             is_ready = self.bundles.current is not None
             self.lifecycle.apply("become_ready" if is_ready else "lose_readiness")
-            self.groups.views(self.clock.monotonic_ms())
+            self._take_measures()
             await self.clock.sleep_ms(READY_CHECK_MS)
 
+    def _take_measures(self) -> None:
+        now_ms = self.clock.monotonic_ms()
+        views = self.groups.views(now_ms)
+        in_force = self.bundles.current
+        sample = measure.take_sample(
+            self.settings.failure_domain,
+            in_force.bundle.models if in_force else (),
+            views,
+            self.groups.vms,
+            lambda vm: self.groups.is_reporting(vm, now_ms),
+        )
+        self.measures.advance(sample, [view.record.group for view in views], now_ms)
+
+    def _export_metrics(self, metrics: metric.Metrics) -> None:
+        self.measures.export(self.settings.failure_domain, metrics)
+        metrics.set_gauge("bundle_version", self.bundles.version)
+        metrics.set_gauge("open_requests", self.callers.open_requests)
+        metrics.set_gauge("timeline_ahead_seconds", self.timeline.time.ahead_ms / 1000)
+        metrics.set_counter("timeline_jumps_refused_total", self.timeline.time.refused_jumps)
+
     def _read_status(self) -> operator_records.DaemonStatus:
         return statuses.describe_daemon(
             self.settings,
             self.lifecycle.state,
             self.bundles,
             self.groups,
+            self.measures,
             self.callers.open_requests,
             self.clock.monotonic_ms(),
         )
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -256,3 +256,55 @@
     kind = "peer_message_invalid"
     status = 400
     ran = NOT_RUN
+
+
+class OperatorError(TanagerforkError):
+    """What an operator asked for was not done."""
+
+    kind = "operator"
+    status = 400
+
+
+class DaemonUnreachable(OperatorError):
+    """A daemon's operators' listener did not answer."""
+
+    kind = "daemon_unreachable"
+    status = 503
+    ran = NOT_RUN
+
+
+class DaemonAnswerLost(DaemonUnreachable):
+    """The exchange with a daemon broke after it was sent the call."""
+
+    kind = "daemon_answer_lost"
+    ran = MAY_HAVE_RUN
+
+
+class DaemonRefused(OperatorError):
+    """A daemon refused what an operator asked for.
+
+    :param message: what happened and what to do about it.
+    :param refused_kind: kind of the daemon's own error.
+    :param retry_after_ms: when to come back; 0 means not again as it is.
+    """
+
+    kind = "daemon_refused"
+    ran = NOT_RUN
+
+    def __init__(self, message: str, refused_kind: str, retry_after_ms: int = 0) -> None:
+        super().__init__(message, retry_after_ms)
+        self.refused_kind = refused_kind
+
+
+class KeyFileInvalid(OperatorError):
+    """A file with a key or token is missing, open to others, or unreadable."""
+
+    kind = "key_file_invalid"
+    ran = NOT_RUN
+
+
+class DraftInvalid(OperatorError):
+    """A draft cannot be signed off or rolled as it is."""
+
+    kind = "draft_invalid"
+    ran = NOT_RUN
--- a/src/tanagerfork/front/callers.py
+++ b/src/tanagerfork/front/callers.py
@@ -12,7 +12,7 @@
 from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import register
-from tanagerfork.front import chat, services, sink, teams
+from tanagerfork.front import chat, journal, services, sink, teams
 from tanagerfork.generated import bundle, callers
 from tanagerfork.generated import settings as settings_records
 
@@ -78,6 +78,7 @@
             request_id = _take_request_id(request, request_id)
             team = self._find_team(request)
         except errors.CallerError as error:
+            request[journal.ERROR] = error
             return self._refuse(error, request_id)
         entries = [callers.ModelEntry(id=name) for name in team.models]
         body = msgspec.json.encode(callers.ModelList(data=entries))
@@ -101,6 +102,7 @@
                 priority=min(asked.priority, team.max_priority),
                 deadline_at_ms=self._clock.monotonic_ms() + self._take_deadline(request),
             )
+            request[journal.MODEL] = call.model.name
             headers = {REQUEST_ID_HEADER: request_id}
             answer = (
                 sink.StreamSink(request, headers)
@@ -113,6 +115,7 @@
             self._metrics.count("requests_answered_total", team=team.name)
             return ran.ok_value
         except errors.CallerError as error:
+            request[journal.ERROR] = error
             if answer is not None and answer.has_begun:
                 return await self._cut(error, request_id, answer)
             return self._refuse(error, request_id)
@@ -152,6 +155,7 @@
                 },
             )
         except errors.CallerError as error:
+            request[journal.ERROR] = error
             return self._refuse(error, request_id)
         finally:
             self.open_requests -= 1
@@ -167,6 +171,7 @@
         found = teams.find_team(self._bundles.current.bundle, authorization)
         if isinstance(found, result.Err):
             raise found.err_value
+        request[journal.TEAM] = found.ok_value.name
         return found.ok_value
 
     def _find_model(self, team: bundle.Team, name: str) -> bundle.Model:
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -1,69 +1,75 @@
 """The operators' listener: health, metrics, status, time line and bundles."""
 
-import hashlib
-import hmac
-from collections.abc import Callable
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
 
 import aiohttp.web
 import msgspec
 import result
 
-from tanagerfork import clock as clocks
-from tanagerfork import errors
+from tanagerfork import errors, logs
 from tanagerfork import metrics as metric
+from tanagerfork import status as statuses
 from tanagerfork.bundles import head as heads
 from tanagerfork.bundles import manifest as manifests
 from tanagerfork.bundles import register
 from tanagerfork.front import callers as callers_front
-from tanagerfork.generated import bundle, operators
+from tanagerfork.front import journal as journals
+from tanagerfork.front import teams
+from tanagerfork.generated import bundle, events, operators
 from tanagerfork.platform import key_value
-from tanagerfork.timeline import ring
+from tanagerfork.timeline import kinds, ring
 
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
+MAX_OPEN_CALLS = 64
+CALL_TIMEOUT_S = 60.0
+FULL_RETRY_MS = 1000
 OPEN_PATHS = ("/healthz", "/readyz")
 
 StatusReader = Callable[[], operators.DaemonStatus]
+Handler = Callable[[aiohttp.web.Request], Awaitable[aiohttp.web.StreamResponse]]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sources:
+    """What the operators' listener tells of."""
+
+    read_status: StatusReader
+    timeline: ring.Timeline
+    journal: journals.Journal
+    metrics: metric.Metrics
+    bundles: register.BundleRegister
+    store: key_value.KeyValue
 
 
 class OperatorsFront:
     """Answers operators, balancers and metrics collectors.
 
-    :param read_status: returns the daemon's status.
-    :param timeline: time line.
-    :param metrics: counters.
-    :param bundles: bundle in force.
-    :param store: key-value service.
-    :param clock: wall clock for rolls.
+    :param sources: what it tells of.
     :param token_sha256: hash of the operators' bearer token; empty asks for none.
     """
 
     __slots__ = (
         "_read_status",
         "_timeline",
+        "_journal",
         "_metrics",
         "_bundles",
         "_store",
-        "_clock",
         "_token_sha256",
+        "_open_calls",
     )
 
-    def __init__(
-        self,
-        read_status: StatusReader,
-        timeline: ring.Timeline,
-        metrics: metric.Metrics,
-        bundles: register.BundleRegister,
-        store: key_value.KeyValue,
-        clock: clocks.Clock,
-        token_sha256: str,
-    ) -> None:
-        self._read_status = read_status
-        self._timeline = timeline
-        self._metrics = metrics
-        self._bundles = bundles
-        self._store = store
-        self._clock = clock
+    def __init__(self, sources: Sources, token_sha256: str) -> None:
+        self._read_status = sources.read_status
+        self._timeline = sources.timeline
+        self._journal = sources.journal
+        self._metrics = sources.metrics
+        self._bundles = sources.bundles
+        self._store = sources.store
         self._token_sha256 = token_sha256
+        self._open_calls = 0
 
     def build_app(self) -> aiohttp.web.Application:
         """Return the application of the operators' listener."""
@@ -72,23 +78,42 @@
         app.router.add_get("/readyz", self._serve_readiness)
         app.router.add_get("/metrics", self._serve_metrics)
         app.router.add_get("/v1/status", self._serve_status)
+        app.router.add_get("/v1/teams", self._serve_teams)
+        app.router.add_get("/v1/latencies", self._serve_latencies)
         app.router.add_get("/v1/timeline", self._serve_timeline)
+        app.router.add_get("/v1/requests/{request_id}", self._serve_request)
         app.router.add_get("/v1/bundle/head", self._serve_head)
+        app.router.add_get("/v1/bundle/in-force", self._serve_in_force)
         app.router.add_get("/v1/bundle/parts/{sha256}", self._serve_part)
         app.router.add_post("/v1/bundle/roll", self._serve_roll)
-        app.middlewares.append(self._check_token)
+        app.middlewares.append(self._check_call)
         return app
 
     @aiohttp.web.middleware
-    async def _check_token(
-        self, request: aiohttp.web.Request, handler: Callable
+    async def _check_call(
+        self, request: aiohttp.web.Request, handler: Handler
     ) -> aiohttp.web.StreamResponse:
-        if self._token_sha256 and request.path not in OPEN_PATHS:
+        if request.path in OPEN_PATHS:
+            return await handler(request)
+        if self._token_sha256:
             token = request.headers.get("Authorization", "").removeprefix("Bearer ")
-            hashed = hashlib.sha256(token.encode()).hexdigest()
-            if not hmac.compare_digest(hashed, self._token_sha256):
+            if not teams.is_token(token, self._token_sha256):
+                self._metrics.count("operator_calls_refused_total", reason="token")
                 return _refuse(errors.Unauthorized("give the operators' token (--token-file)"))
-        return await handler(request)
+        if self._open_calls >= MAX_OPEN_CALLS:
+            self._metrics.count("operator_calls_refused_total", reason="full")
+            message = f"{MAX_OPEN_CALLS} operators' calls are open; come back later"
+            return _refuse(errors.NotRun(message, FULL_RETRY_MS))
+        self._open_calls += 1
+        try:
+            return await asyncio.wait_for(handler(request), CALL_TIMEOUT_S)
+        except TimeoutError:
+            return _refuse(errors.RequestTooSlow("the call took too long; send it again"))
+        except aiohttp.web.HTTPRequestEntityTooLarge:
+            message = f"the body exceeds {BODY_LIMIT_BYTES} bytes; split the bundle"
+            return _refuse(errors.BodyTooLarge(message))
+        finally:
+            self._open_calls -= 1
 
     async def _serve_health(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         return aiohttp.web.Response(text="ok\n")
@@ -103,7 +128,29 @@
         return aiohttp.web.Response(text=self._metrics.render())
 
     async def _serve_status(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
-        return _answer(self._read_status())
+        status = self._read_status()
+        if request.query.get("brief") == "1":
+            status.groups, status.peers = [], []
+        return _answer(status)
+
+    async def _serve_teams(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        in_force = self._bundles.current
+        listed = in_force.bundle.teams if in_force else []
+        return _answer(
+            operators.TeamList(
+                teams=[statuses.describe_team(team, self._metrics) for team in listed]
+            )
+        )
+
+    async def _serve_latencies(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        return _answer(operators.LatencyList(latencies=self._metrics.encode_latencies()))
+
+    async def _serve_request(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        found = self._journal.find(request.match_info["request_id"])
+        return _answer(events.RequestTraceList(traces=found))
+
+    async def _serve_in_force(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        return _answer(statuses.describe_bundle(self._bundles.current))
 
     async def _serve_timeline(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         text = request.query.get("after", "-1")
@@ -151,7 +198,16 @@
             return published
         rolled_by = call.rolled_by or call.operator
         at_ms = self._timeline.stamp().ceiling_ms
-        return await heads.roll_head(self._store, signed, rolled_by, at_ms)
+        rolled = await heads.roll_head(self._store, signed, rolled_by, at_ms)
+        if isinstance(rolled, result.Ok):
+            version = rolled.ok_value.version
+            event = self._timeline.record(
+                kinds.EventKind.BUNDLE_ROLLED,
+                f"signed off by {call.operator}, rolled by {rolled_by}",
+                bundle_version=version,
+            )
+            logs.log_event(event)
+        return rolled
 
 
 def _answer(record: msgspec.Struct) -> aiohttp.web.Response:
--- a/src/tanagerfork/logs.py
+++ b/src/tanagerfork/logs.py
@@ -1,5 +1,6 @@
-"""Structured logs: one line for each change of state."""
+"""Structured logs: one line for each change of state, to the error output only."""
 
+import datetime
 import logging as standard_logging
 
 import msgspec
@@ -8,13 +9,18 @@
 from tanagerfork.generated import events
 from tanagerfork.generated import settings as settings_records
 
+EVENT_FIELD = "timeline_event"
 
-class LogLine(msgspec.Struct):
+
+class LogLine(msgspec.Struct, omit_defaults=True):
     """One line of the log."""
 
+    timestamp: str
     level: str
     logger: str
     message: str
+    event: events.Event | None = None
+    error: str = ""
 
 
 class JsonFormatter(standard_logging.Formatter):
@@ -25,10 +31,30 @@
 
         :param record: record of the logging library.
         """
-        line = LogLine(record.levelname.lower(), record.name, record.getMessage())
+        line = LogLine(
+            timestamp=_format_moment(record.created),
+            level=record.levelname.lower(),
+            logger=record.name,
+            message=record.getMessage(),
+            event=getattr(record, EVENT_FIELD, None),
+            error=self.formatException(record.exc_info) if record.exc_info else "",
+        )
         return msgspec.json.encode(line).decode()
 
 
+class TextFormatter(standard_logging.Formatter):
+    """Formats a line for people."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Return the line of a record.
+
+        :param record: record of the logging library.
+        """
+        moment = _format_moment(record.created)
+        text = f"{moment} {record.levelname.lower()} {record.name} {record.getMessage()}"
+        return text + (f"\n{self.formatException(record.exc_info)}" if record.exc_info else "")
+
+
 def configure_logs(settings: settings_records.LogSettings) -> None:
     """Set level and form of the log.
 
@@ -37,8 +63,8 @@
     logging.use_absl_handler()
     logging.set_verbosity(settings.level)
     logging.set_stderrthreshold(settings.level)
-    if settings.format == "json":
-        logging.get_absl_handler().setFormatter(JsonFormatter())
+    formatter = JsonFormatter() if settings.format == "json" else TextFormatter()
+    logging.get_absl_handler().setFormatter(formatter)
 
 
 def log_event(event: events.Event) -> None:
@@ -46,4 +72,11 @@
 
     :param event: event that is a change of state.
     """
-    logging.info("%s", msgspec.json.encode(event).decode())
+    subject = event.group or event.vm or event.request
+    message = " ".join(part for part in (event.kind, subject, event.detail) if part)
+    logging.get_absl_logger().info("%s", message, extra={EVENT_FIELD: event})
+
+
+def _format_moment(created_s: float) -> str:
+    moment = datetime.datetime.fromtimestamp(created_s, datetime.UTC)
+    return moment.isoformat(timespec="milliseconds")
--- /dev/null
+++ b/src/tanagerfork/measures.py
@@ -0,0 +1,133 @@
+"""The two measures: group downtime and stranded accelerators, as one daemon sees its domain.
+
+Group downtime counts, for each model, the groups that the bundle in force asks for in the failure
+domain beyond those that are serving. A stranded accelerator belongs to a VM that is listed, is not
+leaving and reports itself, and that is a member of no serving group; reserves are stranded.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+from tanagerfork import metrics as metric
+from tanagerfork.generated import bundle, engine
+from tanagerfork.groups import presence
+
+MAX_STEP_MS = 5_000  # A longer step was a pause of this process; nothing was seen in it.
+MS_PER_S = 1000
+SERVING_STATES = (presence.GroupState.WHOLE, presence.GroupState.DRAINING)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sample:
+    """What a failure domain looks like at one time."""
+
+    down_groups: int = 0
+    down_names: tuple[str, ...] = ()
+    live_accelerators: int = 0
+    stranded_accelerators: int = 0
+
+
+def take_sample(
+    failure_domain: str,
+    models: Iterable[bundle.Model],
+    views: Sequence[presence.GroupView],
+    vms: Iterable[engine.VmEntry],
+    is_reporting: Callable[[str], bool],
+) -> Sample:
+    """Work out what counts at one time.
+
+    :param failure_domain: failure domain.
+    :param models: models of the bundle in force.
+    :param views: groups of the failure domain.
+    :param vms: the platform's list, which lags.
+    :param is_reporting: whether a VM's own report counts now.
+    :return: the sample.
+    """
+    serving = [view for view in views if view.state in SERVING_STATES]
+    counts = collections.Counter(view.record.model for view in serving)
+    members = {vm for view in serving for vm in view.record.members}
+    live = [vm for vm in vms if not vm.leaving and is_reporting(vm.vm)]
+    return Sample(
+        down_groups=sum(
+            max(0, _count_wanted(model, failure_domain) - counts[model.name]) for model in models
+        ),
+        down_names=tuple(view.record.group for view in views if view.state not in SERVING_STATES),
+        live_accelerators=sum(vm.accelerators for vm in live),
+        stranded_accelerators=sum(vm.accelerators for vm in live if vm.vm not in members),
+    )
+
+
+class Measures:
+    """Sums the samples up over time."""
+
+    __slots__ = (
+        "latest",
+        "group_downtime_ms",
+        "stranded_accelerator_ms",
+        "unmeasured_ms",
+        "_downtime_by_group_ms",
+        "_taken_at_ms",
+    )
+
+    def __init__(self) -> None:
+        self.latest = Sample()
+        self.group_downtime_ms = 0
+        self.stranded_accelerator_ms = 0
+        self.unmeasured_ms = 0
+        self._downtime_by_group_ms: dict[str, int] = {}
+        self._taken_at_ms: int | None = None
+
+    @property
+    def downtime_by_group_ms(self) -> Mapping[str, int]:
+        """Time that each group of the layout was not serving."""
+        return self._downtime_by_group_ms
+
+    def advance(self, sample: Sample, groups: Iterable[str], now_ms: int) -> None:
+        """Count the time since the last sample as that sample was, and take a new one.
+
+        :param sample: failure domain now.
+        :param groups: groups of the layout; others are forgotten.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        passed_ms = now_ms - self._taken_at_ms if self._taken_at_ms is not None else 0
+        self._taken_at_ms = now_ms
+        if passed_ms > MAX_STEP_MS:
+            self.unmeasured_ms += passed_ms
+            passed_ms = 0
+        self.group_downtime_ms += passed_ms * self.latest.down_groups
+        self.stranded_accelerator_ms += passed_ms * self.latest.stranded_accelerators
+        known = {name: self._downtime_by_group_ms.get(name, 0) for name in groups}
+        for name in self.latest.down_names:
+            if name in known:
+                known[name] += passed_ms
+        self._downtime_by_group_ms = known
+        self.latest = sample
+
+    def export(self, failure_domain: str, metrics: metric.Metrics) -> None:
+        """Set the metrics of the two measures.
+
+        :param failure_domain: failure domain.
+        :param metrics: metrics of the daemon.
+        """
+        domain = failure_domain
+        metrics.set_counter(
+            "group_downtime_seconds_total", self.group_downtime_ms / MS_PER_S, failure_domain=domain
+        )
+        metrics.set_counter(
+            "stranded_accelerator_seconds_total",
+            self.stranded_accelerator_ms / MS_PER_S,
+            failure_domain=domain,
+        )
+        metrics.set_counter(
+            "unmeasured_seconds_total", self.unmeasured_ms / MS_PER_S, failure_domain=domain
+        )
+        metrics.set_gauge("groups_down", self.latest.down_groups, failure_domain=domain)
+        metrics.set_gauge("accelerators", self.latest.live_accelerators, failure_domain=domain)
+        metrics.set_gauge(
+            "stranded_accelerators", self.latest.stranded_accelerators, failure_domain=domain
+        )
+
+
+def _count_wanted(model: bundle.Model, failure_domain: str) -> int:
+    return sum(item.groups for item in model.placement if item.failure_domain == failure_domain)
--- a/src/tanagerfork/metrics.py
+++ b/src/tanagerfork/metrics.py
@@ -1,28 +1,63 @@
 """Counters, gauges and latency histograms of a daemon."""
 
 import collections
-from collections.abc import Iterable
+import dataclasses
+from collections.abc import Callable, Iterable
 
 from hdrh import histogram
 
+from tanagerfork.generated import operators
+
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 DIGITS = 2
+US_PER_MS = 1000
+US_PER_S = 1_000_000
 QUANTILES = (50.0, 95.0, 99.0)
 PREFIX = "tanagerfork_"
+MAX_SERIES = 1000  # Label sets of one name; the rest is counted as one.
+MAX_HISTOGRAMS = 200  # About 20 KB each.
+OVERFLOW = "other"
+STAGE_SECONDS = "request_stage_seconds"
+HELP = {
+    "group_downtime_seconds_total": "Group-seconds that the bundle asks for and no group served.",
+    "stranded_accelerator_seconds_total": "Accelerator-seconds of live VMs in no whole group.",
+    "request_stage_seconds": "Latency of a stage of a request.",
+    "requests_ended_total": "Requests that ended, by outcome.",
+}
+HELP_ELSEWHERE = "See the table of metrics in docs/OPERATING.md."
 
 Labels = tuple[tuple[str, str], ...]
+Series = dict[tuple[str, Labels], float]
+Collector = Callable[["Metrics"], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Latency:
+    """Durations of one label set."""
+
+    measured: histogram.HdrHistogram
+    sum_us: int = 0
 
 
 class Metrics:
     """Counts and measures; printed in the Prometheus text format."""
 
-    __slots__ = ("_counters", "_gauges", "_histograms")
+    __slots__ = ("_counters", "_gauges", "_latencies", "_sizes", "_collectors")
 
     def __init__(self) -> None:
-        self._counters: dict[tuple[str, Labels], float] = collections.defaultdict(float)
-        self._gauges: dict[tuple[str, Labels], float] = {}
-        self._histograms: dict[tuple[str, Labels], histogram.HdrHistogram] = {}
+        self._counters: Series = {}
+        self._gauges: Series = {}
+        self._latencies: dict[tuple[str, Labels], Latency] = {}
+        self._sizes: collections.Counter[str] = collections.Counter()
+        self._collectors: list[Collector] = []
+
+    def collect_from(self, collector: Collector) -> None:
+        """Have values that are kept elsewhere set before each rendering.
+
+        :param collector: called with these metrics.
+        """
+        self._collectors.append(collector)
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter.
@@ -31,7 +66,8 @@
         :param amount: what to add.
         :param labels: labels of the counter.
         """
-        self._counters[name, _to_labels(labels)] += amount
+        key = self._bound_key(self._counters, name, labels)
+        self._counters[key] = self._counters.get(key, 0) + amount
 
     def counted(self, name: str, **labels: str) -> float:
         """Return a counter's value.
@@ -40,7 +76,16 @@
         :param labels: labels of the counter.
         :return: the sum so far.
         """
-        return self._counters[name, _to_labels(labels)]
+        return self._counters.get((name, _to_labels(labels)), 0)
+
+    def set_counter(self, name: str, value: float, **labels: str) -> None:
+        """Set a counter that is kept elsewhere and only grows.
+
+        :param name: name without the prefix, ending in _total.
+        :param value: sum so far.
+        :param labels: labels of the counter.
+        """
+        self._counters[self._bound_key(self._counters, name, labels)] = value
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge.
@@ -49,7 +94,7 @@
         :param value: value.
         :param labels: labels of the gauge.
         """
-        self._gauges[name, _to_labels(labels)] = value
+        self._gauges[self._bound_key(self._gauges, name, labels)] = value
 
     def observe_ms(self, name: str, duration_ms: float, **labels: str) -> None:
         """Add a duration to a histogram.
@@ -59,34 +104,95 @@
         :param labels: labels of the histogram.
         """
         key = name, _to_labels(labels)
-        if key not in self._histograms:
-            self._histograms[key] = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-        self._histograms[key].record_value(max(LOWEST_US, int(duration_ms * 1000)))
+        latency = self._latencies.get(key)
+        if latency is None:
+            if len(self._latencies) >= MAX_HISTOGRAMS:
+                key = name, tuple((label, OVERFLOW) for label, _ in key[1])
+                self.count("metric_series_capped_total")
+            latency = self._latencies.setdefault(key, Latency(make_histogram()))
+        duration_us = max(LOWEST_US, int(duration_ms * US_PER_MS))
+        latency.measured.record_value(min(duration_us, HIGHEST_US))
+        latency.sum_us += duration_us
+
+    def encode_latencies(self) -> list[operators.EncodedLatency]:
+        """Return all histograms in a form that can be merged without loss."""
+        return [
+            operators.EncodedLatency(
+                name=name,
+                labels=[operators.Label(name=label, value=value) for label, value in labels],
+                histogram=latency.measured.encode().decode(),
+            )
+            for (name, labels), latency in sorted(self._latencies.items(), key=_key_of)
+        ]
 
     def render(self) -> str:
         """Return all metrics in the Prometheus text format."""
-        lines: list[str] = []
-        for (name, labels), value in sorted(self._counters.items()):
-            lines.append(f"{PREFIX}{name}{_render_labels(labels)} {value:g}")
-        for (name, labels), value in sorted(self._gauges.items()):
-            lines.append(f"{PREFIX}{name}{_render_labels(labels)} {value:g}")
-        for (name, labels), measured in sorted(self._histograms.items(), key=lambda item: item[0]):
-            lines.extend(_render_histogram(name, labels, measured))
+        for collector in self._collectors:
+            collector(self)
+        lines = [*_render_series(self._counters, "counter"), *_render_series(self._gauges, "gauge")]
+        described = ""
+        for (name, labels), latency in sorted(self._latencies.items(), key=_key_of):
+            if name != described:
+                lines.extend(_describe(name, "summary"))
+                described = name
+            lines.extend(_render_latency(name, labels, latency))
         return "\n".join(lines) + "\n"
 
+    def _bound_key(self, series: Series, name: str, labels: dict[str, str]) -> tuple[str, Labels]:
+        key = name, _to_labels(labels)
+        if key in series:
+            return key
+        if self._sizes[name] >= MAX_SERIES:
+            self.count("metric_series_capped_total")
+            return name, tuple((label, OVERFLOW) for label, _ in key[1])
+        self._sizes[name] += 1
+        return key
+
+
+def make_histogram() -> histogram.HdrHistogram:
+    """Return an empty histogram of durations, in microseconds."""
+    return histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
 
 def _to_labels(labels: dict[str, str]) -> Labels:
     return tuple(sorted(labels.items()))
 
 
+def _key_of(item: tuple[tuple[str, Labels], Latency]) -> tuple[str, Labels]:
+    return item[0]
+
+
+def _render_series(series: Series, kind: str) -> Iterable[str]:
+    described = ""
+    for (name, labels), value in sorted(series.items()):
+        if name != described:
+            yield from _describe(name, kind)
+            described = name
+        yield f"{PREFIX}{name}{_render_labels(labels)} {_render_value(value)}"
+
+
+def _describe(name: str, kind: str) -> Iterable[str]:
+    yield f"# HELP {PREFIX}{name} {HELP.get(name, HELP_ELSEWHERE)}"
+    yield f"# TYPE {PREFIX}{name} {kind}"
+
+
 def _render_labels(labels: Iterable[tuple[str, str]]) -> str:
-    inner = ",".join(f'{key}="{value}"' for key, value in labels)
+    inner = ",".join(f'{name}="{_escape(value)}"' for name, value in labels)
     return f"{{{inner}}}" if inner else ""
 
 
-def _render_histogram(name: str, labels: Labels, measured: histogram.HdrHistogram) -> Iterable[str]:
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def _render_value(value: float) -> str:
+    return str(int(value)) if value == int(value) else repr(value)
+
+
+def _render_latency(name: str, labels: Labels, latency: Latency) -> Iterable[str]:
     for quantile in QUANTILES:
-        value_s = measured.get_value_at_percentile(quantile) / 1_000_000
+        value_s = latency.measured.get_value_at_percentile(quantile) / US_PER_S
         with_quantile = (*labels, ("quantile", f"{quantile / 100:g}"))
-        yield f"{PREFIX}{name}{_render_labels(with_quantile)} {value_s:g}"
-    yield f"{PREFIX}{name}_count{_render_labels(labels)} {measured.get_total_count()}"
+        yield f"{PREFIX}{name}{_render_labels(with_quantile)} {_render_value(value_s)}"
+    yield f"{PREFIX}{name}_sum{_render_labels(labels)} {_render_value(latency.sum_us / US_PER_S)}"
+    yield f"{PREFIX}{name}_count{_render_labels(labels)} {latency.measured.get_total_count()}"
--- a/src/tanagerfork/settings.py
+++ b/src/tanagerfork/settings.py
@@ -13,6 +13,7 @@
 from tanagerfork.generated import settings as records
 
 ENCODING = "utf-8"
+SHA256_FORM = re.compile(r"[0-9a-f]{64}")
 PLACE_IN_MESSAGE = re.compile(r" - at `\$\.?(?P<field>[^`]*)`$")
 
 RecordT = TypeVar("RecordT")
@@ -109,6 +110,12 @@
         _check_address(path, f"peers.seeds[{number}]", host)
         if not port.isdigit() or not 0 < int(port) < 65536:
             _refuse(path, f"peers.seeds[{number}]", f"{seed!r} has no port", "write IP:port")
+    _check_operators_listener(path, settings.operators)
+    for section, certificate_path, private_key_path in (
+        ("callers", settings.callers.certificate_path, settings.callers.private_key_path),
+        ("operators", settings.operators.certificate_path, settings.operators.private_key_path),
+    ):
+        _check_certificate(path, section, certificate_path, private_key_path)
     if settings.limits.default_deadline_ms > settings.limits.max_deadline_ms:
         _refuse(
             path,
@@ -140,6 +147,37 @@
         value[last] = text
 
 
+def _check_operators_listener(path: pathlib.Path, operators: records.OperatorSettings) -> None:
+    if not ipaddress.ip_address(operators.host).is_loopback and not operators.token_sha256:
+        _refuse(
+            path,
+            "operators.token_sha256",
+            f"is empty while operators.host {operators.host} can be reached from other VMs",
+            "give the hash of a token (`printf %s TOKEN | sha256sum`) or bind 127.0.0.1",
+        )
+    if operators.token_sha256 and not SHA256_FORM.fullmatch(operators.token_sha256):
+        _refuse(
+            path,
+            "operators.token_sha256",
+            "is no SHA-256",
+            "write 64 digits of 0-9a-f (`printf %s TOKEN | sha256sum`)",
+        )
+
+
+def _check_certificate(
+    path: pathlib.Path, section: str, certificate_path: str, private_key_path: str
+) -> None:
+    if bool(certificate_path) != bool(private_key_path):
+        field = f"{section}.{'private_key_path' if certificate_path else 'certificate_path'}"
+        _refuse(path, field, "is empty while its partner is set", "set both or neither")
+    for field, file in (
+        ("certificate_path", certificate_path),
+        ("private_key_path", private_key_path),
+    ):
+        if file and not pathlib.Path(file).is_file():
+            _refuse(path, f"{section}.{field}", f"{file!r} is no file", "name a PEM file")
+
+
 def _check_address(path: pathlib.Path, field: str, host: str) -> None:
     try:
         ipaddress.ip_address(host)
--- a/src/tanagerfork/status.py
+++ b/src/tanagerfork/status.py
@@ -1,7 +1,11 @@
 """What a daemon says of itself to operators."""
 
+import msgspec
+
+from tanagerfork import measures as measure
+from tanagerfork import metrics as metric
 from tanagerfork.bundles import register
-from tanagerfork.generated import operators
+from tanagerfork.generated import bundle, operators
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import directory, presence
 
@@ -11,6 +15,7 @@
     state: str,
     bundles: register.BundleRegister,
     groups: directory.GroupDirectory,
+    measures: measure.Measures,
     open_requests: int,
     now_ms: int,
 ) -> operators.DaemonStatus:
@@ -20,14 +25,14 @@
     :param state: lifecycle state.
     :param bundles: bundle in force.
     :param groups: groups as the daemon knows them.
+    :param measures: the two measures, as this daemon sees its failure domain.
     :param open_requests: requests held.
     :param now_ms: monotonic clock, in milliseconds.
     :return: the status.
     """
     views = groups.views(now_ms)
     in_force = bundles.current
-    whole = {vm for view in views if is_serving(view) for vm in view.record.members}
-    accelerators = sum(vm.accelerators for vm in groups.vms)
+    downtimes_ms = measures.downtime_by_group_ms
     return operators.DaemonStatus(
         name=settings.name,
         failure_domain=settings.failure_domain,
@@ -37,17 +42,25 @@
         bundle_sha256=in_force.head.manifest_sha256 if in_force else "",
         bundle_name=in_force.bundle.name if in_force else "",
         open_requests=open_requests,
-        accelerators=accelerators,
-        stranded_accelerators=sum(vm.accelerators for vm in groups.vms if vm.vm not in whole),
-        groups=[describe_group(view, settings.failure_domain) for view in views],
+        accelerators=measures.latest.live_accelerators,
+        stranded_accelerators=measures.latest.stranded_accelerators,
+        stranded_accelerator_ms=measures.stranded_accelerator_ms,
+        group_downtime_ms=measures.group_downtime_ms,
+        groups=[
+            describe_group(view, settings.failure_domain, downtimes_ms.get(view.record.group, 0))
+            for view in views
+        ],
     )
 
 
-def describe_group(view: presence.GroupView, failure_domain: str) -> operators.GroupStatus:
+def describe_group(
+    view: presence.GroupView, failure_domain: str, downtime_ms: int
+) -> operators.GroupStatus:
     """Describe a group.
 
     :param view: group as the daemon sees it.
     :param failure_domain: its failure domain.
+    :param downtime_ms: time the group was not serving.
     :return: the status.
     """
     return operators.GroupStatus(
@@ -60,12 +73,42 @@
         members=view.record.members,
         reserves=view.record.reserves,
         missing=list(view.missing),
+        downtime_ms=downtime_ms,
     )
 
 
-def is_serving(view: presence.GroupView) -> bool:
-    """Return whether a group is whole, draining or not.
+def describe_team(team: bundle.Team, metrics: metric.Metrics) -> operators.TeamStatus:
+    """Describe a team.
 
-    :param view: group as the daemon sees it.
+    :param team: team of the bundle in force.
+    :param metrics: counters of the daemon.
+    :return: the status.
     """
-    return view.state in (presence.GroupState.WHOLE, presence.GroupState.DRAINING)
+    answered = metrics.counted("requests_ended_total", team=team.name, outcome="answered")
+    refused = metrics.counted("requests_ended_total", team=team.name, outcome="refused")
+    return operators.TeamStatus(
+        team=team.name,
+        weight=team.weight,
+        max_priority=team.max_priority,
+        models=team.models,
+        services=team.services,
+        answered=int(answered),
+        refused=int(refused),
+    )
+
+
+def describe_bundle(in_force: register.BundleInForce | None) -> operators.BundleSnapshot:
+    """Return the bundle in force as one document.
+
+    :param in_force: bundle in force; None for none.
+    :return: the document, with version 0 where none is in force.
+    """
+    if in_force is None:
+        return operators.BundleSnapshot(version=0, manifest_sha256="", bundle_json="")
+    return operators.BundleSnapshot(
+        version=in_force.head.version,
+        manifest_sha256=in_force.head.manifest_sha256,
+        rolled_by=in_force.head.rolled_by,
+        rolled_at_ms=in_force.head.rolled_at_ms,
+        bundle_json=msgspec.json.encode(in_force.bundle).decode(),
+    )
--- a/src/tanagerfork/timeline/kinds.py
+++ b/src/tanagerfork/timeline/kinds.py
@@ -33,3 +33,6 @@
     ROLLOUT_STOPPED = "rollout.stopped"
     PLATFORM_AWAY = "platform.away"
     PLATFORM_BACK = "platform.back"
+    CERTIFICATE_RENEWED = "certificate.renewed"
+    CERTIFICATE_REFUSED = "certificate.refused"
+    BUNDLE_ROLLED = "bundle.rolled"
