--- a/src/tanagerfork_standins/embedding.py
+++ b/src/tanagerfork_standins/embedding.py
@@ -67,7 +67,9 @@
         return (
             f"try: curl -N http://127.0.0.1:{port}/v1/chat/completions "
             f"-H 'Authorization: Bearer {EXAMPLE_TOKEN}' "
-            f"-d '{msgspec.json.encode(body).decode()}'"
+            f"-d '{msgspec.json.encode(body).decode()}'\n"
+            f"bring faults about: curl {self.stand_ins.control.url}/faults "
+            '-d \'{"kind": "vm_dies", "vm": "..."}\''
         )
 
 
@@ -78,7 +80,9 @@
     :param settings: settings of the daemon; changed.
     :return: the running site.
     """
-    stand_ins = site.Site(site.read_plan(folder / SITE_FILE))
+    plan = site.read_plan(folder / SITE_FILE)
+    site.free_ports(plan)
+    stand_ins = site.Site(plan)
     bundle = document.load_bundle(folder / BUNDLE_FILE)
     await stand_ins.start()
     settings.platform.key_value_url = stand_ins.key_value.listener.url
--- a/src/tanagerfork_standins/engine.py
+++ b/src/tanagerfork_standins/engine.py
@@ -42,6 +42,8 @@
     crossed: int = 0
     no_end: int = 0
     late_ms: int = 0
+    garbage: int = 0
+    lost_events: int = 0
     crash_word: str = ""
 
 
@@ -110,6 +112,7 @@
         self.listener = listener.Listener(port)
         self.faults = EngineFaults()
         self.speed = speed
+        self.streams = 0
         self.runs: collections.Counter[str] = collections.Counter()
         self._fleet = fleet
         self._store = store
@@ -339,6 +342,7 @@
             await asyncio.sleep(self.faults.late_ms / 1000)
             await self._prefill(chat)
             await response.prepare(request)
+            self.streams += 1
             words = make_words(chat, request_id)
             await self._write_tokens(response, words[offset:], attempt_id, chat.model)
         finally:
@@ -375,6 +379,9 @@
             kind="stored" if kind == "stored" else "evicted",
             prefix=prefix_hash,
         )
+        if self.faults.lost_events > 0:
+            self.faults.lost_events -= 1
+            return
         self._events.append(event)
 
     async def _write_tokens(
@@ -397,6 +404,9 @@
             if 0 < self.faults.cut_after_tokens <= count:
                 self.faults.cut_after_tokens = 0
                 raise asyncio.CancelledError
+            if self.faults.garbage > 0:
+                self.faults.garbage -= 1
+                await response.write(b"data: no answer\n\n")
             await response.write(make_chunk(shown_id, model, word))
         await response.write(make_chunk(shown_id, model, "", "stop"))
         if self.faults.no_end > 0:
--- a/src/tanagerfork_standins/faults.py
+++ b/src/tanagerfork_standins/faults.py
@@ -4,6 +4,16 @@
 
 from tanagerfork_standins import engine, key_value, service
 
+COUNTED_ENGINE_FAULTS = (
+    "refuse",
+    "cut_after_tokens",
+    "crossed",
+    "no_end",
+    "late_ms",
+    "garbage",
+    "lost_events",
+)
+
 
 class Fault(msgspec.Struct, forbid_unknown_fields=True):
     """One fault: what happens, and to what."""
@@ -73,7 +83,13 @@
             faults.delay_ms = int(fault.amount)
         elif fault.kind == "key_value_lost_answers":
             faults.lost_answers = int(fault.amount)
-        elif fault.kind == "key_value_forget":
+        elif fault.kind == "key_value_silent_watches":
+            faults.silenced_watches += 1
+        elif fault.kind == "key_value_save":
+            self._store.save()
+        elif fault.kind == "key_value_restore":
+            self._store.restore()
+        elif fault.kind == "key_value_lease_lapses":
             self._store.forget(fault.word)
         else:
             raise UnknownFault(f"no fault {fault.kind!r}; see tanagerfork_standins.faults")
@@ -103,6 +119,8 @@
             vm.resume()
         elif fault.kind == "vm_leaving":
             vm.entry.leaving = bool(fault.amount)
+        elif fault.kind == "vm_says_leaving":
+            vm.report.state = "leaving"
         else:
             self._set_engine_fault(vm, fault)
 
@@ -114,7 +132,7 @@
             faults.silenced += 1
         elif fault.kind == "crash_on_word":
             faults.crash_word = fault.word
-        elif fault.kind in ("refuse", "cut_after_tokens", "crossed", "no_end", "late_ms"):
+        elif fault.kind in COUNTED_ENGINE_FAULTS:
             setattr(faults, fault.kind, int(fault.amount))
         else:
             raise UnknownFault(f"no fault {fault.kind!r}; see tanagerfork_standins.faults")
--- a/src/tanagerfork_standins/key_value.py
+++ b/src/tanagerfork_standins/key_value.py
@@ -135,6 +135,7 @@
     away: bool = False
     delay_ms: int = 0
     lost_answers: int = 0
+    silenced_watches: int = 0
     reads: int = 0
     writes: int = 0
     open_watches: int = 0
@@ -146,7 +147,7 @@
     :param port: TCP port; 0 lets the system choose.
     """
 
-    __slots__ = ("listener", "faults", "keys", "revision", "_changed")
+    __slots__ = ("listener", "faults", "keys", "revision", "_changed", "_saved")
 
     def __init__(self, port: int = 0) -> None:
         self.listener = listener.Listener(port)
@@ -154,6 +155,7 @@
         self.keys: dict[bytes, StoredKey] = {}
         self.revision = 1
         self._changed = asyncio.Condition()
+        self._saved = (1, dict[bytes, StoredKey]())
         self.listener.app.router.add_post("/v3/kv/range", self._range)
         self.listener.app.router.add_post("/v3/kv/put", self._put)
         self.listener.app.router.add_post("/v3/kv/txn", self._txn)
@@ -167,6 +169,18 @@
         self.revision += 1
         self.keys.pop(key.encode(), None)
 
+    def save(self) -> None:
+        """Keep the present state, as a backup does."""
+        self._saved = self.revision, self._copy_keys(self.keys)
+
+    def restore(self) -> None:
+        """Go back to the state that was kept last; revisions go back with it."""
+        self.revision, saved = self._saved
+        self.keys = self._copy_keys(saved)
+
+    def _copy_keys(self, keys: dict[bytes, StoredKey]) -> dict[bytes, StoredKey]:
+        return {key: dataclasses.replace(stored) for key, stored in keys.items()}
+
     async def _range(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         call = msgspec.json.decode(await request.read(), type=RangeCall)
         self.faults.reads += 1
@@ -200,11 +214,14 @@
         await self._suffer()
         key = base64.b64decode(call.key)
         seen_revision = max(int(call.start_revision) - 1, 0)
+        silenced_at_start = self.faults.silenced_watches
         response = aiohttp.web.StreamResponse()
         await response.prepare(request)
         self.faults.open_watches += 1
         try:
             while not self.faults.away:
+                if self.faults.silenced_watches != silenced_at_start:
+                    await asyncio.Event().wait()
                 stored = self.keys.get(key)
                 if stored is not None and stored.mod_revision > seen_revision:
                     seen_revision = stored.mod_revision
--- a/src/tanagerfork_standins/site.py
+++ b/src/tanagerfork_standins/site.py
@@ -160,6 +160,18 @@
     return msgspec.convert(pyjson5.decode(path.read_text()), type=SitePlan)
 
 
+def free_ports(plan: SitePlan) -> None:
+    """Let the system choose every port of a site.
+
+    :param plan: plan; changed.
+    """
+    plan.key_value_port = plan.control_port = 0
+    for domain in plan.vms:
+        domain.first_port = 0
+    for upstream in plan.services:
+        upstream.port = 0
+
+
 async def serve(plan: SitePlan) -> None:
     """Run a site until a signal ends it.
 
