Run six daemons in three failure domains in tests

Cause: what the daemons do together was not exercised; one daemon alone cannot show a key that is sent again elsewhere.

--- a/tests/sites.py
+++ b/tests/sites.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 
 import aiohttp
 from cryptography.hazmat.primitives.asymmetric import ed25519
@@ -19,19 +19,24 @@
 SERVICE = "batch-ledger"
 TOKEN = "test-token"
 HOST = "127.0.0.1"
+FAILURE_DOMAIN = "ipoh-a"
+FAILURE_DOMAINS = ("ipoh-a", "ipoh-b", "taiping")
 WAIT_S = 20
 
 
-def make_plan(vms: int = 9) -> site.SitePlan:
-    """Return a plan of one fabric domain and two ledger upstreams."""
+def make_plan(vms: int = 9, failure_domains: Sequence[str] = (FAILURE_DOMAIN,)) -> site.SitePlan:
+    """Return a plan of one fabric domain in each failure domain, and two ledger upstreams."""
     return site.SitePlan(
-        vms=[site.VmPlan(failure_domain="ipoh-a", fabric_domain="f1", vms=vms)],
+        vms=[
+            site.VmPlan(failure_domain=domain, fabric_domain=f"f{number}", vms=vms)
+            for number, domain in enumerate(failure_domains, start=1)
+        ],
         services=[
             site.ServicePlan(
                 name=f"ledger-{number}",
                 service=SERVICE,
                 collection="pressings",
-                failure_domain="ipoh-a",
+                failure_domain=failure_domains[0],
             )
             for number in range(2)
         ],
@@ -43,17 +48,20 @@
 
 
 def make_bundle(stand_ins: site.Site, groups: int = 2) -> bundle_records.Bundle:
-    """Return a bundle of one model, one service and one team."""
+    """Return a bundle of one model in each failure domain, one service and one team."""
+    domains = dict.fromkeys(domain.failure_domain for domain in stand_ins.plan.vms)
     upstreams = [
-        bundle_records.ServiceUpstream(name=name, failure_domain="ipoh-a", url=item.listener.url)
+        bundle_records.ServiceUpstream(
+            name=name, failure_domain=FAILURE_DOMAIN, url=item.listener.url
+        )
         for name, item in stand_ins.services.items()
     ]
-    placed = bundle_records.GroupCount(failure_domain="ipoh-a", groups=groups)
+    placed = [bundle_records.GroupCount(failure_domain=name, groups=groups) for name in domains]
     return bundle_records.Bundle(
         name="test",
         models=[
             bundle_records.Model(
-                name=MODEL, version="1", members_per_group=4, placement=[placed], token_gap_ms=5
+                name=MODEL, version="1", members_per_group=4, placement=placed, token_gap_ms=5
             )
         ],
         services=[
@@ -75,13 +83,16 @@
 
 
 def make_settings(
-    stand_ins: site.Site, key: ed25519.Ed25519PrivateKey, name: str = "ipoh-a-1"
+    stand_ins: site.Site,
+    key: ed25519.Ed25519PrivateKey,
+    name: str = "ipoh-a-1",
+    failure_domain: str = FAILURE_DOMAIN,
 ) -> settings_records.Settings:
     """Return the settings of a daemon of a site."""
     listener = settings_records.Listener(host=HOST, port=0)
     return settings_records.Settings(
         name=name,
-        failure_domain="ipoh-a",
+        failure_domain=failure_domain,
         callers=listener,
         operators=settings_records.OperatorSettings(host=HOST, port=0),
         peers=settings_records.PeerSettings(host=HOST, port=0, shared_key="test-shared-key"),
@@ -161,3 +172,51 @@
         finally:
             await daemon.stop()
             await stand_ins.stop()
+
+
+class RunningFleet:
+    """Stand-ins, several daemons with a bundle in force, and a caller's session."""
+
+    def __init__(
+        self,
+        stand_ins: site.Site,
+        daemons_by_name: dict[str, daemons.Daemon],
+        operator: embedding.EmbeddedSite,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.stand_ins = stand_ins
+        self.daemons = daemons_by_name
+        self.sites = {
+            name: RunningSite(stand_ins, daemon, operator, session)
+            for name, daemon in daemons_by_name.items()
+        }
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(
+    daemons_per_domain: int = 2,
+    failure_domains: Sequence[str] = FAILURE_DOMAINS,
+    groups: int = 1,
+    vms: int = 5,
+) -> AsyncIterator[RunningFleet]:
+    """Run stand-ins and daemons in several failure domains until all see their groups whole."""
+    stand_ins = site.Site(make_plan(vms, failure_domains))
+    await stand_ins.start()
+    key = ed25519.Ed25519PrivateKey.generate()
+    running: dict[str, daemons.Daemon] = {}
+    for domain in failure_domains:
+        for number in range(1, daemons_per_domain + 1):
+            settings = make_settings(stand_ins, key, f"{domain}-{number}", domain)
+            running[settings.name] = daemons.Daemon(settings, clocks.SystemClock())
+            await running[settings.name].start()
+    operator = embedding.EmbeddedSite(stand_ins, make_bundle(stand_ins, groups), key)
+    async with aiohttp.ClientSession() as session:
+        fleet = RunningFleet(stand_ins, running, operator, session)
+        try:
+            await operator.roll_bundle(next(iter(running.values())).store)
+            for item in fleet.sites.values():
+                await wait_until(lambda item=item: item.count_whole() == groups)
+            yield fleet
+        finally:
+            await asyncio.gather(*(daemon.stop() for daemon in running.values()))
+            await stand_ins.stop()
