--- a/src/tanagerfork/cli/client.py
+++ b/src/tanagerfork/cli/client.py
@@ -44,7 +44,7 @@
     for url in urls:
         if not url.startswith(("http://", "https://")):
             message = f"--daemon {url}: is no address; write http://IP:PORT or https://IP:PORT"
-            return result.Err(errors.OperatorError(message))
+            return result.Err(errors.UsageInvalid(message))
     token = ""
     if token_file is not None:
         read = key_files.read_private_text(token_file)
--- a/src/tanagerfork/cli/outcome.py
+++ b/src/tanagerfork/cli/outcome.py
@@ -13,7 +13,13 @@
 FAILED = 1
 USAGE = 2
 PARTLY_UNREACHABLE = 3
-USAGE_ERRORS = (errors.SettingsError, errors.KeyFileInvalid)
+USAGE_ERRORS = (
+    errors.SettingsError,
+    errors.UsageInvalid,
+    errors.KeyFileInvalid,
+    errors.DraftInvalid,
+    errors.BundleInvalid,
+)
 
 ValueT = TypeVar("ValueT")
 ErrorT = TypeVar("ErrorT", bound=errors.TanagerforkError)
--- a/src/tanagerfork/cli/settings_commands.py
+++ b/src/tanagerfork/cli/settings_commands.py
@@ -31,7 +31,5 @@
     if as_json:
         output.print_record(operators.FieldList(fields=listed))
         return
-    rows = [
-        (item.path, item.type, item.default or "required", item.description) for item in listed
-    ]
+    rows = [(item.path, item.type, item.default or "required", item.description) for item in listed]
     output.print_table(("field", "type", "default", "meaning"), rows)
--- a/src/tanagerfork/cli/timeline_commands.py
+++ b/src/tanagerfork/cli/timeline_commands.py
@@ -133,7 +133,7 @@
     """Return a point in time in milliseconds since the epoch; 0 for none.
 
     :param text: ISO 8601.
-    :raises OperatorError: the text is no point in time.
+    :raises UsageInvalid: the text is no point in time.
     """
     if not text:
         return 0
@@ -141,7 +141,7 @@
         moment = datetime.datetime.fromisoformat(text)
     except ValueError as error:
         message = f"{text!r} is no time; write it as 2026-12-04T06:30:00"
-        raise errors.OperatorError(message) from error
+        raise errors.UsageInvalid(message) from error
     if moment.tzinfo is None:
         moment = moment.replace(tzinfo=datetime.UTC)
     return int(moment.timestamp() * MS_PER_S)
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -265,6 +265,13 @@
     status = 400
 
 
+class UsageInvalid(OperatorError):
+    """An option or argument of a command is wrong."""
+
+    kind = "usage_invalid"
+    ran = NOT_RUN
+
+
 class DaemonUnreachable(OperatorError):
     """A daemon's operators' listener did not answer."""
 
--- a/src/tanagerfork/timeline/trace.py
+++ b/src/tanagerfork/timeline/trace.py
@@ -29,7 +29,7 @@
     ph: str
     pid: int
     tid: int
-    ts: int = 0
+    ts: int
     s: str = ""
     cat: str = ""
     args: TraceArguments | None = None
@@ -51,12 +51,14 @@
     daemons = _number(event.daemon for event in ordered)
     rows = _number(_name_row(event) for event in ordered)
     traced = [
-        TraceEvent("process_name", NAME, pid, 0, args=TraceArguments(name=daemon))
+        TraceEvent("process_name", NAME, pid, 0, 0, args=TraceArguments(name=daemon))
         for daemon, pid in daemons.items()
     ]
     for daemon, row in dict.fromkeys((event.daemon, _name_row(event)) for event in ordered):
         arguments = TraceArguments(name=row)
-        traced.append(TraceEvent("thread_name", NAME, daemons[daemon], rows[row], args=arguments))
+        traced.append(
+            TraceEvent("thread_name", NAME, daemons[daemon], rows[row], 0, args=arguments)
+        )
     origin_ms = ordered[0].wall_ms if ordered else 0
     for event in ordered:
         traced.append(
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,176 @@
+"""Tests of the operators' tool: keys, bundles, errors."""
+
+import os
+import stat
+
+import aiohttp.web
+import msgspec
+import pytest
+from cryptography.hazmat.primitives.asymmetric import ed25519
+from typer import main
+
+from tanagerfork.bundles import manifest
+from tanagerfork.cli import app, drafts, key_files
+from tanagerfork.generated import bundle as bundle_records
+from tanagerfork.generated import operators
+from tanagerfork_standins import listener
+from tests import commands
+
+
+class TestKeys:
+    def test_new_key_is_private_and_only_its_public_half_is_printed(self, tmp_path):
+        path = tmp_path / "ipoh.pem"
+        ran = commands.call("keys", "new", str(path), "--operator", "ipoh")
+        assert stat.S_IMODE(path.stat().st_mode) == 0o600
+        assert path.read_text().splitlines()[1] not in ran.output
+        assert '"operator":"ipoh"' in ran.stdout
+
+    def test_key_is_never_overwritten(self, tmp_path):
+        path = tmp_path / "ipoh.pem"
+        path.write_text("precious")
+        ran = commands.call("keys", "new", str(path), "--operator", "ipoh", status=2)
+        commands.assert_one_line(ran, str(path), "another file")
+        assert path.read_text() == "precious"
+
+    @pytest.mark.parametrize("mode", [0o640, 0o604, 0o620, 0o666])
+    def test_key_open_to_others_is_refused_with_chmod_as_remedy(self, tmp_path, mode):
+        path = tmp_path / "ipoh.pem"
+        key_files.write_private_key(path, ed25519.Ed25519PrivateKey.generate(), "").unwrap()
+        os.chmod(path, mode)
+        refused = key_files.read_private_key(path, lambda: "").unwrap_err()
+        assert f"chmod 600 {path}" in refused.message
+
+    def test_passphrase_is_asked_for_and_needed(self, tmp_path):
+        path = tmp_path / "ipoh.pem"
+        words = ["keys", "new", str(path), "--operator", "ipoh", "--passphrase"]
+        commands.call(*words, input="secret words\nsecret words\n")
+        assert key_files.read_private_key(path, lambda: "secret words").is_ok()
+        wrong = key_files.read_private_key(path, lambda: "wrong").unwrap_err()
+        assert "right passphrase" in wrong.message
+
+
+class TestErrors:
+    @pytest.mark.parametrize(
+        ("words", "status", "parts"),
+        [
+            (["status", "--daemon", "http://127.0.0.1:1"], 1, ["127.0.0.1:1", "check address"]),
+            (["status", "--daemon", "127.0.0.1:1"], 2, ["http://IP:PORT"]),
+            (["bundle", "check", "nowhere.json5"], 2, ["nowhere.json5", "readable"]),
+            (["bundle", "roll", "nowhere.json"], 2, ["nowhere.json", "signed bundle"]),
+            (["settings", "check", "nowhere.json5"], 2, ["nowhere.json5"]),
+            (["timeline", "--since", "yesterday"], 2, ["yesterday"]),
+            (["teams", "--token-file", "nowhere"], 2, ["nowhere"]),
+        ],
+    )
+    def test_error_is_one_line_with_its_remedy(self, words, status, parts):
+        commands.assert_one_line(commands.call(*words, status=status), *parts)
+
+    def test_unknown_option_is_a_usage_error(self):
+        assert commands.call("status", "--nonsense", status=2).stdout == ""
+
+    def test_no_verb_touches_one_vm(self):
+        listed = main.get_command(app.app).commands
+        groups = [group.commands for group in listed.values() if hasattr(group, "commands")]
+        verbs = {*listed, *(verb for group in groups for verb in group)}
+        assert {"roll", "status"} <= verbs
+        assert not {"kill", "restart", "drain", "order", "eject", "cordon", "move"} & verbs
+
+
+class TestBundles:
+    def test_first_bundle_from_template_to_force(self, tmp_path):
+        draft = str(tmp_path / "first.json5")
+        with commands.run_offices() as site:
+            assert "no bundle is in force" in commands.call("bundle", "show", *site.at).stdout
+            commands.call("bundle", "new", draft, *site.at)
+            commands.call("bundle", "check", draft)
+            commands.call("bundle", "sign-off", draft, *site.signing(tmp_path, "ipoh"))
+            for _ in range(2):  # Rolling what is in force already is no error.
+                rolled = commands.call("bundle", "roll", f"{draft}.signed.json", *site.at)
+                assert "version 1 is accepted" in rolled.stdout
+                site.wait_for_version(1)
+            watched = commands.call("rollout", "watch", "--limit-s", "20", *site.at)
+            assert "in force at 1 of 1 daemons" in watched.stdout
+            assert '"first bundle"' in commands.call("bundle", "show", *site.at).stdout
+
+    def test_two_offices_race_and_the_loser_is_told_whose_bundle_is_in_force(self, tmp_path):
+        with commands.run_offices() as site:
+            for office in commands.OFFICES:
+                draft = tmp_path / f"{office}.json5"
+                commands.call("bundle", "new", str(draft), *site.at)
+                draft.write_text(draft.read_text().replace("first bundle", f"of {office}"))
+                commands.call("bundle", "sign-off", str(draft), *site.signing(tmp_path, office))
+            ipoh, taiping = (tmp_path / f"{name}.json5.signed.json" for name in commands.OFFICES)
+            commands.call("bundle", "roll", str(ipoh), *site.at)
+            lost = commands.call("bundle", "roll", str(taiping), *site.at, status=1)
+            commands.assert_one_line(lost, "version 1", "rolled by ipoh", "bundle rebase")
+            site.wait_for_version(1)
+            assert "of ipoh" in commands.call("bundle", "show", *site.at).stdout
+
+    def test_draft_of_an_older_bundle_is_not_signed_off(self, tmp_path):
+        with commands.run_offices() as site:
+            signing = site.signing(tmp_path, "ipoh")
+            late = str(tmp_path / "late.json5")
+            for version in (1, 2):
+                draft = str(tmp_path / f"{version}.json5")
+                commands.call("bundle", "new", draft, *site.at)
+                commands.call("bundle", "sign-off", draft, *signing)
+                commands.call("bundle", "roll", f"{draft}.signed.json", *site.at)
+                site.wait_for_version(version)
+                if version == 1:
+                    commands.call("bundle", "new", late, *site.at)
+            stale = commands.call("bundle", "sign-off", late, *signing, status=1)
+            commands.assert_one_line(stale, "based on version 1", "version 2", "rebase")
+            drafts.base_path(tmp_path / "late.json5").unlink()
+            unknown = commands.call("bundle", "sign-off", late, *signing, status=2)
+            commands.assert_one_line(unknown, "--onto 2")
+            commands.call("bundle", "sign-off", late, "--onto", "2", *signing)
+
+    def test_sign_off_by_another_key_is_refused(self, tmp_path):
+        draft = str(tmp_path / "a.json5")
+        with commands.run_offices() as site:
+            site.keys["ipoh"] = ed25519.Ed25519PrivateKey.generate()
+            commands.call("bundle", "new", draft, *site.at)
+            commands.call("bundle", "sign-off", draft, *site.signing(tmp_path, "ipoh"))
+            refused = commands.call("bundle", "roll", f"{draft}.signed.json", *site.at, status=1)
+            commands.assert_one_line(refused, "does not fit", "sign")
+
+
+class LossyDaemon:
+    """An operators' listener that takes a roll and loses the answer."""
+
+    def __init__(self) -> None:
+        self.head: bundle_records.Head | None = None
+        self.rolls = 0
+        self.listener = listener.Listener()
+        self.listener.app.router.add_post("/v1/bundle/roll", self.roll)
+        self.listener.app.router.add_get("/v1/bundle/head", self.read_head)
+
+    async def roll(self, request):
+        self.rolls += 1
+        call = msgspec.json.decode(await request.read(), type=operators.RollCall)
+        signed = bundle_records.SignedManifest(
+            manifest_json=call.manifest_json, operator=call.operator, signature=call.signature
+        )
+        sha256 = manifest.hash_content(call.manifest_json.encode())
+        self.head = bundle_records.Head(version=1, manifest_sha256=sha256, signed=signed)
+        request.transport.abort()
+        return aiohttp.web.Response()
+
+    async def read_head(self, request):
+        return aiohttp.web.Response(body=msgspec.json.encode(self.head))
+
+
+class TestLostAnswers:
+    def test_roll_whose_answer_was_lost_is_confirmed_and_not_sent_twice(self, tmp_path):
+        signed = tmp_path / "signed.json"
+        empty = operators.BundleSnapshot(version=0, manifest_sha256="", bundle_json="")
+        key = ed25519.Ed25519PrivateKey.generate()
+        rolled = drafts.sign_draft(drafts.decode_bundle(""), empty, "ipoh", key)
+        signed.write_bytes(msgspec.json.encode(rolled))
+        with commands.run_loop() as loop:
+            lossy = LossyDaemon()
+            loop.run(lossy.listener.start())
+            ran = commands.call("bundle", "roll", str(signed), "--daemon", lossy.listener.url)
+            loop.run(lossy.listener.stop())
+        assert "version 1 is accepted" in ran.stdout
+        assert lossy.rolls == 1
--- /dev/null
+++ b/tests/test_cli_reads.py
@@ -0,0 +1,204 @@
+"""Tests of the operators' tool's reads, over daemons that answer fixed records."""
+
+import contextlib
+import json
+
+import aiohttp.web
+import msgspec
+import pytest
+
+from tanagerfork import metrics as metric
+from tanagerfork.cli import client as clients
+from tanagerfork.cli import fleet, timeline_commands
+from tanagerfork.generated import events, operators
+from tanagerfork_standins import listener
+from tests import commands
+
+START_MS = 1_800_000_000_000
+NOWHERE = "http://127.0.0.1:1"
+
+
+class FixedDaemon:
+    """An operators' listener that answers fixed records."""
+
+    def __init__(self, status: operators.DaemonStatus, page: events.EventPage) -> None:
+        self.status = status
+        self.page = page
+        self.metrics = metric.Metrics()
+        self.traces: list[events.RequestTrace] = []
+        self.paths: list[str] = []
+        self.listener = listener.Listener()
+        self.listener.app.router.add_get("/{path:.*}", self.serve)
+
+    async def serve(self, request):
+        self.paths.append(request.path_qs)
+        team = operators.TeamStatus(team="growers", models=["rota-writer"], answered=7, refused=1)
+        known = {
+            "/v1/status": self.status,
+            "/v1/teams": operators.TeamList(teams=[team]),
+            "/v1/timeline": self.page,
+            "/v1/latencies": operators.LatencyList(latencies=self.metrics.encode_latencies()),
+            "/v1/requests/rota-7": events.RequestTraceList(traces=self.traces),
+        }
+        return aiohttp.web.Response(body=msgspec.json.encode(known[request.path]))
+
+
+def make_event(daemon: str, at_ms: int, kind: str, **fields) -> events.Event:
+    """Return an event some time after the start."""
+    return events.Event(
+        daemon=daemon, sequence=at_ms, wall_ms=START_MS + at_ms, kind=kind, **fields
+    )
+
+
+def make_daemons() -> list[FixedDaemon]:
+    """Return a daemon that is well and one that lags, in two failure domains."""
+    whole = operators.GroupStatus(
+        group="ipoh-a/rota-writer/0", model="rota-writer", version="1", generation=1, state="whole",
+        reserves=["f1-vm4"],
+    )  # fmt: skip
+    broken = operators.GroupStatus(
+        group="taiping/rota-writer/0", model="rota-writer", version="1", generation=2,
+        state="broken", missing=["f2-vm1"],
+    )  # fmt: skip
+    first = operators.DaemonStatus(
+        name="ipoh-a-1", failure_domain="ipoh-a", state="serving", bundle_version=4,
+        bundle_name="night shift", accelerators=40, stranded_accelerators=8,
+        stranded_accelerator_ms=96_500, groups=[whole],
+    )  # fmt: skip
+    second = operators.DaemonStatus(
+        name="taiping-1", failure_domain="taiping", state="not_ready", reason="key-value away",
+        bundle_version=3, accelerators=32, stranded_accelerators=24, group_downtime_ms=61_250,
+        stranded_accelerator_ms=1_470_000, groups=[broken],
+    )  # fmt: skip
+    told = [
+        make_event("ipoh-a-1", 0, "bundle.accepted", bundle_version=4, detail="rolled by ipoh"),
+        make_event("ipoh-a-1", 40, "group.whole", group="ipoh-a/rota-writer/0", detail="was new"),
+        make_event("ipoh-a-1", 900, "request.retried", group="taiping/rota-writer/0",
+                   request="rota-7", detail="the stream broke off; go elsewhere"),
+    ]  # fmt: skip
+    heard = [
+        make_event("taiping-1", 50, "group.whole", group="taiping/rota-writer/0"),
+        make_event("taiping-1", 890, "group.broken", group="taiping/rota-writer/0", vm="f2-vm1",
+                   detail="was whole; missing: f2-vm1"),
+    ]  # fmt: skip
+    pages = [
+        events.EventPage(daemon="ipoh-a-1", events=told, next_sequence=901),
+        events.EventPage(daemon="taiping-1", events=heard, dropped=2, next_sequence=891),
+    ]
+    daemons = [FixedDaemon(first, pages[0]), FixedDaemon(second, pages[1])]
+    daemons[0].traces = [
+        events.RequestTrace(
+            daemon="ipoh-a-1", request="rota-7", wall_ms=START_MS + 1200, duration_ms=800,
+            method="POST", path="/v1/chat/completions", team="growers", status=200,
+            outcome="answered",
+        )
+    ]  # fmt: skip
+    for number in range(100):
+        labels = {"team": "growers", "model": "rota-writer", "stage": "first_token"}
+        daemons[0].metrics.observe_ms(metric.STAGE_SECONDS, 10 + number % 5, **labels)
+        if number < 5:
+            daemons[1].metrics.observe_ms(metric.STAGE_SECONDS, 900, **labels)
+    return daemons
+
+
+@contextlib.contextmanager
+def run_daemons(is_one_away: bool = False):
+    """Run the daemons; the first knows the others as peers."""
+    daemons = make_daemons()
+    with commands.run_loop() as loop:
+        for daemon in daemons:
+            loop.run(daemon.listener.start())
+        daemons[0].status.peers = [
+            operators.PeerStatus(
+                name="taiping-1", state="alive", failure_domain="taiping",
+                operators_url=daemons[1].listener.url,
+            )
+        ]  # fmt: skip
+        if is_one_away:
+            away = operators.PeerStatus(
+                name="ipoh-b-1", state="suspect", failure_domain="ipoh-b", operators_url=NOWHERE
+            )
+            daemons[0].status.peers.append(away)
+        try:
+            yield daemons
+        finally:
+            for daemon in daemons:
+                loop.run(daemon.listener.stop())
+
+
+READS = {
+    "status": ["status"],
+    "teams": ["teams"],
+    "latency": ["latency"],
+    "timeline": ["timeline"],
+    "timeline-lines": ["timeline", "--jsonl", "--kind", "group"],
+    "explain": ["explain", "rota-7"],
+}
+
+
+class TestReads:
+    @pytest.mark.parametrize("name", list(READS))
+    def test_output(self, name, snapshot):
+        with run_daemons() as daemons:
+            ran = commands.call(*READS[name], "--daemon", daemons[0].listener.url)
+        assert ran.stdout == snapshot
+
+    def test_daemon_that_cannot_be_reached_is_named_and_gives_status_3(self, snapshot):
+        with run_daemons(is_one_away=True) as daemons:
+            at = ["--daemon", daemons[0].listener.url]
+            assert commands.call("status", *at, status=3).stdout == snapshot
+            for words in (["teams"], ["latency"], ["timeline"], ["explain", "rota-7"]):
+                assert "ipoh-b-1" in commands.call(*words, *at, status=3).stdout
+
+    @pytest.mark.parametrize("words", [["status"], ["teams"], ["latency"], ["explain", "rota-7"]])
+    def test_json_holds_what_the_table_shows(self, words):
+        with run_daemons() as daemons:
+            ran = commands.call(*words, "--json", "--daemon", daemons[0].listener.url)
+        assert json.loads(ran.stdout)
+
+    def test_follow_asks_only_for_what_is_new_and_sees_restarts(self):
+        with run_daemons() as daemons, commands.run_loop() as loop:
+            daemon = daemons[1]
+            survey = fleet.Survey({daemon.listener.url: daemon.status})
+            known: dict[str, tuple[int, int]] = {}
+            for started_ms in (5, 5, 6):
+                daemon.page.started_ms = started_ms
+                loop.run(read_newer(daemon.listener.url, survey, known))
+        first, second, third, again = daemon.paths
+        assert first.endswith("?after=-1")
+        assert second == third and second.endswith("?after=890")
+        assert again == "/v1/timeline"
+
+
+async def read_newer(url: str, survey: fleet.Survey, known: dict[str, tuple[int, int]]) -> None:
+    """Read what is new from one daemon."""
+    async with clients.connect(clients.Target([url])) as client:
+        await timeline_commands.read_newer(client, survey, known)
+
+
+class TestExports:
+    def test_trace_file_has_a_row_for_each_daemon_and_subject(self, tmp_path, snapshot):
+        path = tmp_path / "trace.json"
+        with run_daemons() as daemons:
+            words = ["--trace", str(path), "--daemon", daemons[0].listener.url]
+            commands.call("timeline", *words)
+        assert json.loads(path.read_text()) == snapshot
+
+    def test_plot_is_one_page_that_loads_nothing(self, tmp_path, snapshot):
+        path = tmp_path / "groups.html"
+        with run_daemons() as daemons:
+            words = ["--plot", str(path), "--daemon", daemons[0].listener.url]
+            commands.call("timeline", *words)
+        page = path.read_text()
+        assert "http" not in page.replace('xmlns="http://www.w3.org/2000/svg"', "")
+        assert page == snapshot
+
+
+class TestLatencies:
+    def test_quantiles_come_from_the_sum_and_not_from_an_average(self):
+        with run_daemons() as daemons:
+            ran = commands.call("latency", "--json", "--daemon", daemons[0].listener.url)
+        told = msgspec.json.decode(ran.stdout, type=operators.LatencyReport).latencies[0]
+        assert told.count == 105
+        assert told.p95_ms < 20  # 100 of 105 took at most 14 ms; an average would give 457 ms.
+        assert told.max_ms == pytest.approx(900, rel=0.02)
