--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -24,7 +24,15 @@
 from tanagerfork.front import callers, chat, operators, services
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
-from tanagerfork.groups import coordinator, directory, observer, presence
+from tanagerfork.groups import (
+    coordinator,
+    directory,
+    layout_follower,
+    lease,
+    observer,
+    presence,
+    sender,
+)
 from tanagerfork.platform import etcd, vms
 from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
@@ -35,6 +43,13 @@
 DRAIN_CHECK_MS = 20
 CLOSE_S = 1.0
 USAGE_STATUS = 2
+GROUP_EVENTS = {
+    presence.GroupState.FORMING: kinds.EventKind.GROUP_FORMED,
+    presence.GroupState.WHOLE: kinds.EventKind.GROUP_WHOLE,
+    presence.GroupState.BROKEN: kinds.EventKind.GROUP_BROKEN,
+    presence.GroupState.DRAINING: kinds.EventKind.GROUP_DRAINING,
+    presence.GroupState.DISSOLVED: kinds.EventKind.GROUP_DISSOLVED,
+}
 
 
 class Daemon:
@@ -106,6 +121,7 @@
             waited_ms += DRAIN_CHECK_MS
         for task in self._tasks:
             task.cancel()
+        await self._coordinator.stop()
         self._observer.stop()
         for runner in self._runners:
             await runner.cleanup()
@@ -169,22 +185,49 @@
         follow = follower.BundleFollower(
             self.store, self.bundles, self.clock, self.timeline, self.metrics
         )
-        coordinate = coordinator.Coordinator(
+        self._coordinator = self._make_coordinator()
+        follow_layout = layout_follower.LayoutFollower(
             self.settings.failure_domain,
+            self.settings.name,
             self.store,
-            self.bundles,
             self.groups,
-            self._engines,
             self.clock,
-            self.timeline,
-            self.metrics,
-            self.settings.groups.plan_interval_ms,
+            self._list_live_daemons,
+            self._rng,
         )
         self._start_task(follow.run())
         self._start_task(self._follow_vms())
-        self._start_task(coordinate.run())
+        self._start_task(follow_layout.run())
+        self._start_task(self._coordinator.run())
         self._start_task(self._follow_readiness())
 
+    def _make_coordinator(self) -> coordinator.Coordinator:
+        settings = self.settings
+        keeper = lease.LeaseKeeper(
+            settings.failure_domain,
+            settings.name,
+            self.store,
+            self.clock,
+            settings.groups.lease_ttl_ms,
+            self._list_live_daemons,
+        )
+        return coordinator.Coordinator(
+            settings.failure_domain,
+            self.store,
+            self.bundles,
+            self.groups,
+            keeper,
+            sender.OrderSender(self._engines, self.clock, self.timeline, self.metrics),
+            self.clock,
+            self.timeline,
+            self.metrics,
+            settings.groups,
+            settings.limits.drain_limit_ms,
+        )
+
+    def _list_live_daemons(self) -> list[str]:
+        return [self.settings.name]
+
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -197,8 +240,8 @@
                     for vm in listed.ok_value.vms
                     if vm.failure_domain == self.settings.failure_domain
                 ]
-                self.groups.take_vms(own)
-                self._observer.follow(own)
+                self.groups.take_vms(own, self.clock.monotonic_ms())
+                self._observer.follow(self.groups.vms)
             await self.clock.sleep_ms(self.settings.platform.vm_list_interval_ms)
 
     async def _follow_readiness(self) -> None:
@@ -222,8 +265,7 @@
         logs.log_event(self.timeline.record(kinds.EventKind.DAEMON_STATE, state))
 
     def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
-        is_whole = view.state == presence.GroupState.WHOLE
-        kind = kinds.EventKind.GROUP_WHOLE if is_whole else kinds.EventKind.GROUP_BROKEN
+        kind = GROUP_EVENTS[view.state]
         missing = ", ".join(view.missing)
         detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
         logs.log_event(self.timeline.record(kind, detail, group=view.record.group))
--- /dev/null
+++ b/src/tanagerfork/groups/away.py
@@ -0,0 +1,118 @@
+"""Repair while the key-value service is away; `substitution` gives the rules and their reasons."""
+
+import dataclasses
+from collections.abc import Iterator, Mapping
+
+from tanagerfork.generated import bundle, engine, layout
+from tanagerfork.groups import facts, orders, presence, substitution
+
+PATIENCE_MS = 30_000  # Time in which a substitution that another daemon began is left alone.
+
+
+@dataclasses.dataclass(slots=True)
+class AwaySituation:
+    """What a substitution rests on."""
+
+    now_ms: int
+    layout: layout.Layout
+    policy: bundle.PlacementPolicy
+    vms: Mapping[str, facts.VmFact]
+    views: Mapping[str, presence.GroupView]
+
+
+class Substituter:
+    """Chooses substitutions, and keeps to them until they are whole or no longer possible."""
+
+    __slots__ = ("_chosen", "_seen_since_ms")
+
+    def __init__(self) -> None:
+        self._chosen: dict[str, layout.GroupRecord] = {}
+        self._seen_since_ms: dict[tuple[str, int], int] = {}
+
+    def reset(self) -> None:
+        """Forget everything, as the service is back."""
+        self._chosen.clear()
+        self._seen_since_ms.clear()
+
+    def choose_orders(self, situation: AwaySituation) -> list[orders.VmOrder]:
+        """Return the orders of all substitutions that are to be made.
+
+        :param situation: what they rest on.
+        :return: orders, within the weight store's budget.
+        """
+        chosen = []
+        for record in situation.layout.groups:
+            roster = self._choose(situation, record)
+            if roster is not None:
+                chosen.append(roster)
+        frozen = situation.layout
+        rosters = layout.Layout(
+            failure_domain=frozen.failure_domain,
+            serial=frozen.serial,
+            fencing=frozen.fencing,
+            groups=chosen,
+        )
+        found = orders.choose_orders(rosters, situation.vms, situation.policy)
+        return [item for item in found if item.order.kind == "join"]
+
+    def _choose(
+        self, situation: AwaySituation, record: layout.GroupRecord
+    ) -> layout.GroupRecord | None:
+        own = [situation.vms[vm] for vm in _list_vms(record) if vm in situation.vms]
+        if not _may_substitute(situation, record, own):
+            self._chosen.pop(record.group, None)
+            return None
+        present = {fact.entry.vm for fact in own if fact.is_usable}
+        latest = _find_latest_generation(record, own)
+        kept = self._chosen.get(record.group)
+        if kept is not None and kept.generation >= latest and present.issuperset(kept.members):
+            return kept
+        if latest > record.generation and not self._is_stuck(record, latest, situation.now_ms):
+            return None
+        roster = substitution.choose_roster(record, present)
+        if roster is None or latest + 1 >= substitution.find_next_generation(record):
+            return None
+        self._chosen[record.group] = substitution.substitute(record, latest + 1, roster)
+        return self._chosen[record.group]
+
+    def _is_stuck(self, record: layout.GroupRecord, generation: int, now_ms: int) -> bool:
+        since_ms = self._seen_since_ms.setdefault((record.group, generation), now_ms)
+        return now_ms - since_ms >= PATIENCE_MS
+
+
+def _list_vms(record: layout.GroupRecord) -> Iterator[str]:
+    yield from record.members
+    yield from record.reserves
+
+
+def _may_substitute(
+    situation: AwaySituation, record: layout.GroupRecord, own: list[facts.VmFact]
+) -> bool:
+    """Return whether a group is down, for good as far as is known, and under the frozen layout."""
+    view = situation.views.get(record.group)
+    if view is None or record.draining:
+        return False
+    if view.state in (presence.GroupState.WHOLE, presence.GroupState.DRAINING):
+        return False
+    reports = [fact.report for fact in own if fact.report is not None]
+    if any(report.fencing > situation.layout.fencing for report in reports):
+        return False
+    members = [situation.vms.get(vm) for vm in record.members]
+    if any(fact is not None and fact.report is None and not fact.is_lost for fact in members):
+        return False
+    return not all(fact is not None and _is_under_way(fact, record) for fact in members)
+
+
+def _is_under_way(fact: facts.VmFact, record: layout.GroupRecord) -> bool:
+    return fact.report is not None and orders.is_under_way(fact.report, record)
+
+
+def _find_latest_generation(record: layout.GroupRecord, own: list[facts.VmFact]) -> int:
+    reports: list[engine.EngineReport] = [fact.report for fact in own if fact.report is not None]
+    generations = [report.generation for report in reports if report.group == record.group]
+    in_reach = [
+        generation
+        for generation in generations
+        if record.generation < generation < substitution.find_next_generation(record)
+    ]
+    return max(in_reach, default=record.generation)
--- a/src/tanagerfork/groups/coordinator.py
+++ b/src/tanagerfork/groups/coordinator.py
@@ -1,33 +1,60 @@
-"""Coordination: forms and repairs the groups of a failure domain and gives engine orders."""
+"""Coordination: keeps the layout of a failure domain in line with bundle and reports."""
 
+import dataclasses
 import uuid
 
+import msgspec
 import result
 
 from tanagerfork import clock as clocks
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import register
-from tanagerfork.generated import engine, layout
-from tanagerfork.groups import directory, formation, presence
+from tanagerfork.generated import bundle, layout
+from tanagerfork.generated import settings as settings_records
+from tanagerfork.groups import (
+    away,
+    directory,
+    facts,
+    layout_follower,
+    lease,
+    orders,
+    placement,
+    rollout,
+    sender,
+    stragglers,
+)
 from tanagerfork.platform import key_value, swap
 from tanagerfork.timeline import kinds, ring
-from tanagerfork.upstream import engine as engines
 
-LAYOUT_PREFIX = "layout/"
+AWAY_TTLS = 2  # Absence of the service, in lease TTLs, after which substitution begins.
+
+
+@dataclasses.dataclass(slots=True)
+class _Base:
+    """The layout that the next one is written over."""
+
+    layout: layout.Layout
+    revision: int
 
 
 class Coordinator:
-    """Keeps the layout of one failure domain in line with bundle and reports.
+    """Decides on the layout while it holds the lease, and on substitutions while nobody can.
+
+    Each step asks for little: the holder renews its lease, writes the layout only where it
+    changes, and reads it only after it took the lease or lost a race. All other daemons only
+    look at the lease, as far as they are candidates.
 
     :param failure_domain: failure domain.
     :param store: key-value service.
     :param bundles: bundle in force.
     :param groups: groups and VMs as this daemon knows them.
-    :param client: engine client.
+    :param keeper: lease of the failure domain.
+    :param order_sender: sender of engine orders.
     :param clock: clock to wait on.
     :param timeline: time line.
     :param metrics: counters.
-    :param interval_ms: time between two decisions, in milliseconds.
+    :param settings: times of observation and coordination.
+    :param drain_ms: time that requests in flight have at a drain, in milliseconds.
     """
 
     __slots__ = (
@@ -35,11 +62,21 @@
         "_store",
         "_bundles",
         "_groups",
-        "_client",
+        "_lease",
+        "_sender",
         "_clock",
         "_timeline",
         "_metrics",
-        "_interval_ms",
+        "_settings",
+        "_planner",
+        "_substituter",
+        "_stragglers",
+        "_base",
+        "_fencing",
+        "_listening_since_ms",
+        "_stepped_at_ms",
+        "_is_away",
+        "_drain_ms",
     )
 
     def __init__(
@@ -48,98 +85,186 @@
         store: key_value.KeyValue,
         bundles: register.BundleRegister,
         groups: directory.GroupDirectory,
-        client: engines.EngineClient,
+        keeper: lease.LeaseKeeper,
+        order_sender: sender.OrderSender,
         clock: clocks.Clock,
         timeline: ring.Timeline,
         metrics: metric.Metrics,
-        interval_ms: int,
+        settings: settings_records.GroupSettings,
+        drain_ms: int,
     ) -> None:
         self._failure_domain = failure_domain
         self._store = store
         self._bundles = bundles
         self._groups = groups
-        self._client = client
+        self._lease = keeper
+        self._sender = order_sender
         self._clock = clock
         self._timeline = timeline
         self._metrics = metrics
-        self._interval_ms = interval_ms
+        self._settings = settings
+        self._drain_ms = drain_ms
+        self._planner = self._make_planner()
+        self._substituter = away.Substituter()
+        self._stragglers = stragglers.StragglerWatch()
+        self._base: _Base | None = None
+        self._fencing = 0
+        self._listening_since_ms = clock.monotonic_ms()
+        self._stepped_at_ms = clock.monotonic_ms()
+        self._is_away = False
 
     async def run(self) -> None:
         """Decide and act until cancelled."""
         while True:
             await self.take_step()
-            await self._clock.sleep_ms(self._interval_ms)
+            await self._clock.sleep_ms(self._settings.plan_interval_ms)
+
+    async def stop(self) -> None:
+        """Give the lease back, so that another daemon can take over at once."""
+        await self._lease.give_back()
+        self._note_lease()
 
     async def take_step(self) -> None:
-        """Read the layout, change it where needed, and give the orders that follow from it."""
-        key = LAYOUT_PREFIX + self._failure_domain
-        found = await self._store.read(key)
-        if isinstance(found, result.Err) or self._bundles.current is None:
+        """Keep the lease, and act as it allows."""
+        self._note_pause()
+        in_force = self._bundles.current
+        if in_force is None:
+            return
+        await self._lease.take_step(self._find_fencing())
+        self._note_lease()
+        self._note_absence()
+        now_ms = self._clock.monotonic_ms()
+        vms = self._observe_vms(now_ms)
+        if self._lease.state.may_act(now_ms, 0):
+            await self._coordinate(in_force.bundle, vms)
+        elif self._is_away:
+            await self._substitute(in_force.bundle, vms)
+
+    async def _coordinate(self, wanted: bundle.Bundle, vms: dict[str, facts.VmFact]) -> None:
+        base = self._base or await self._read_base()
+        if base is None:
+            return
+        now_ms = self._clock.monotonic_ms()
+        views = {view.record.group: view for view in self._groups.views(now_ms)}
+        situation = facts.Situation(
+            now_ms=now_ms,
+            layout=base.layout,
+            bundle=wanted,
+            bundle_version=self._bundles.version,
+            fencing=self._lease.state.fencing,
+            vms=vms,
+            views=views,
+        )
+        plan = self._planner.plan(situation, uuid.uuid4().hex)
+        if plan is not None and not await self._write(plan, base, situation):
             return
+        current = plan.layout if plan else base.layout
+        if current.fencing == self._lease.state.fencing:
+            chosen = orders.choose_orders(current, vms, wanted.placement)
+            await self._sender.send_orders(chosen, vms, self._may_order)
+
+    async def _write(self, plan: placement.Plan, base: _Base, situation: facts.Situation) -> bool:
+        if not self._lease.state.may_act(self._clock.monotonic_ms(), 0):
+            return False
+        key = layout_follower.LAYOUT_PREFIX + self._failure_domain
+        written = await swap.swap_record(self._store, key, plan.layout, base.revision)
+        if isinstance(written, result.Err):
+            self._base = None
+            self._metrics.count("layout_writes_failed_total", kind=written.err_value.kind)
+            return False
+        self._base = _Base(plan.layout, written.ok_value)
+        self._groups.take_layout(plan.layout)
+        self._planner.note_written(plan.layout, situation)
+        self._metrics.count("layout_writes_total")
+        for note in plan.notes:
+            self._timeline.record(note.kind, note.detail, group=note.group)
+        return True
+
+    async def _read_base(self) -> _Base | None:
+        """Read the layout; one that is older than what is known here is written over."""
+        found = await self._store.read(layout_follower.LAYOUT_PREFIX + self._failure_domain)
+        if isinstance(found, result.Err):
+            return None
         entry = found.ok_value
-        current = layout.Layout(failure_domain=self._failure_domain, serial=0, fencing=0, groups=[])
         if entry is not None:
-            current = swap.decode_record(entry, layout.Layout)
-        self._groups.take_layout(current)
-        planned = self._plan(current)
-        if planned.groups != current.groups:
-            planned.token = uuid.uuid4().hex
-            revision = entry.revision if entry else key_value.ABSENT
-            written = await swap.swap_record(self._store, key, planned, revision)
-            if written.is_err():
-                return
-            self._groups.take_layout(planned)
-        await self._give_orders()
-
-    def _plan(self, current: layout.Layout) -> layout.Layout:
+            self._take_entry(entry)
+        known = self._groups.layout or layout.Layout(
+            failure_domain=self._failure_domain, serial=0, fencing=0, groups=[]
+        )
+        self._base = _Base(known, entry.revision if entry else key_value.ABSENT)
+        return self._base
+
+    def _take_entry(self, entry: key_value.Entry) -> None:
+        try:
+            self._groups.take_layout(swap.decode_record(entry, layout.Layout))
+        except msgspec.MsgspecError:
+            self._metrics.count("layouts_unreadable_total")
+
+    async def _substitute(self, wanted: bundle.Bundle, vms: dict[str, facts.VmFact]) -> None:
+        if self._groups.layout is None:
+            return
         now_ms = self._clock.monotonic_ms()
-        groups = []
-        for record in current.groups:
-            view = self._groups.presence.judge(record, now_ms)
-            lost = [vm for vm in view.missing if not self._groups.is_reporting(vm, now_ms)]
-            present = [vm for vm in record.reserves if self._groups.is_reporting(vm, now_ms)]
-            repaired = formation.replace_members(record, lost, present)
-            if repaired is not None:
-                self._timeline.record(
-                    kinds.EventKind.GROUP_REPAIRED,
-                    f"{', '.join(lost)} replaced out of the reserves",
-                    group=record.group,
-                )
-            groups.append(repaired or record)
-        repaired_layout = layout.Layout(
-            failure_domain=current.failure_domain,
-            serial=current.serial,
-            fencing=current.fencing,
-            groups=groups,
+        situation = away.AwaySituation(
+            now_ms=now_ms,
+            layout=self._groups.layout,
+            policy=wanted.placement,
+            vms=vms,
+            views={view.record.group: view for view in self._groups.views(now_ms)},
         )
-        bundle = self._bundles.current
-        models = bundle.bundle.models if bundle else []
-        reporting = [vm for vm in self._groups.vms if self._groups.is_reporting(vm.vm, now_ms)]
-        return formation.plan_layout(repaired_layout, models, reporting)
+        chosen = self._substituter.choose_orders(situation)
+        await self._sender.send_orders(chosen, vms, self._may_substitute)
+
+    def _may_order(self) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        return self._lease.state.may_act(now_ms, self._settings.order_timeout_ms)
+
+    def _may_substitute(self) -> bool:
+        return self._is_away
+
+    def _find_fencing(self) -> int:
+        """Return the highest fencing number in the layout and in the engines' reports."""
+        now_ms = self._clock.monotonic_ms()
+        found = [self._groups.presence.find_report(vm.vm, now_ms) for vm in self._groups.vms]
+        reported = max((heard.report.fencing for heard in found if heard is not None), default=0)
+        known = self._groups.layout.fencing if self._groups.layout else 0
+        return max(reported, known)
+
+    def _observe_vms(self, now_ms: int) -> dict[str, facts.VmFact]:
+        heard = [self._groups.presence.find_report(vm.vm, now_ms) for vm in self._groups.vms]
+        reports = [item.report for item in heard if item is not None]
+        slow = self._stragglers.find_stragglers(reports, now_ms)
+        return facts.observe_vms(self._groups, now_ms, self._listening_since_ms, slow)
 
-    async def _give_orders(self) -> None:
+    def _note_pause(self) -> None:
+        """Listen anew after a pause of this process, as all reports are old then."""
         now_ms = self._clock.monotonic_ms()
-        for view in self._groups.views(now_ms):
-            if view.state != presence.GroupState.BROKEN:
-                continue
-            for vm in view.missing:
-                heard = self._groups.presence.find_report(vm, now_ms)
-                entry = self._groups.find_vm(vm)
-                if heard is None or entry is None or _has_joined(heard.report, view.record):
-                    continue
-                order = engine.Order(
-                    kind="join",
-                    fencing=0,
-                    group=view.record.group,
-                    generation=view.record.generation,
-                    members=view.record.members,
-                    model=view.record.model,
-                    version=view.record.version,
-                    adapters=view.record.adapters,
-                )
-                await self._client.order(entry, order)
-                self._metrics.count("orders_sent_total", kind="join")
-
-
-def _has_joined(report: engine.EngineReport, record: layout.GroupRecord) -> bool:
-    return (report.group, report.generation) == (record.group, record.generation)
+        usual_ms = self._settings.plan_interval_ms + self._settings.presence_ttl_ms
+        if now_ms - self._stepped_at_ms > usual_ms:
+            self._listening_since_ms = now_ms
+        self._stepped_at_ms = now_ms
+
+    def _note_lease(self) -> None:
+        fencing = self._lease.state.fencing
+        if fencing == self._fencing:
+            return
+        self._fencing = fencing
+        self._base = None
+        self._planner = self._make_planner()
+        kind = kinds.EventKind.LEASE_TAKEN if fencing else kinds.EventKind.LEASE_LOST
+        self._timeline.record(kind, f"fencing number {fencing}" if fencing else "")
+
+    def _note_absence(self) -> None:
+        """Find out whether nobody can hold the lease, as the service is away for all we know."""
+        limit_ms = AWAY_TTLS * self._settings.lease_ttl_ms
+        limit_ms += self._lease.find_rank() * self._settings.lease_ttl_ms // 2
+        is_away = self._lease.measure_absence() > limit_ms
+        if is_away == self._is_away:
+            return
+        self._is_away = is_away
+        self._substituter.reset()
+        kind = kinds.EventKind.PLATFORM_AWAY if is_away else kinds.EventKind.PLATFORM_BACK
+        self._timeline.record(kind, "the layout is frozen" if is_away else "the layout may change")
+
+    def _make_planner(self) -> placement.Planner:
+        limits = rollout.RolloutLimits(self._drain_ms, self._settings.wave_limit_ms)
+        return placement.Planner(limits)
--- a/src/tanagerfork/groups/directory.py
+++ b/src/tanagerfork/groups/directory.py
@@ -1,9 +1,15 @@
 """The groups and VMs of a failure domain as one daemon knows them."""
 
+import dataclasses
 from collections.abc import Callable
 
+import msgspec
+
 from tanagerfork.generated import engine, layout
-from tanagerfork.groups import presence
+from tanagerfork.groups import lifecycle, presence
+
+UNLISTED_LIMIT_MS = 10_000  # Time after which a VM that left the list counts as leaving.
+UNLISTED_SHARE = 0.5  # A list that lost more than this share at once is not believed.
 
 ChangeListener = Callable[[presence.GroupView, presence.GroupState | None], None]
 
@@ -11,18 +17,34 @@
 class GroupDirectory:
     """Holds the layout and judges its groups.
 
+    The platform's list lags, so a VM that is not listed any more but reports itself is kept. It
+    counts as leaving after a while, unless most of the VMs left the list at once.
+
     :param known: reports of the members.
     """
 
-    __slots__ = ("presence", "layout", "vms", "_vms_by_name", "_states", "_listeners")
+    __slots__ = (
+        "presence",
+        "layout",
+        "vms",
+        "_vms_by_name",
+        "_unlisted_since_ms",
+        "_lives",
+        "_machine",
+        "_listeners",
+        "_judged",
+    )
 
     def __init__(self, known: presence.Presence) -> None:
         self.presence = known
         self.layout: layout.Layout | None = None
         self.vms: list[engine.VmEntry] = []
         self._vms_by_name: dict[str, engine.VmEntry] = {}
-        self._states: dict[str, presence.GroupState] = {}
+        self._unlisted_since_ms: dict[str, int] = {}
+        self._lives: dict[str, lifecycle.GroupLifecycle] = {}
+        self._machine = lifecycle.build_machine()
         self._listeners: list[ChangeListener] = []
+        self._judged: dict[str, presence.GroupView] = {}
 
     def subscribe(self, listener: ChangeListener) -> None:
         """Have every change of a group's state told.
@@ -31,21 +53,41 @@
         """
         self._listeners.append(listener)
 
-    def take_layout(self, newer: layout.Layout) -> None:
+    def take_layout(self, newer: layout.Layout) -> bool:
         """Take a layout in, unless a newer one is known.
 
         :param newer: layout of this failure domain.
+        :return: whether it is in force now.
         """
-        if self.layout is None or newer.serial >= self.layout.serial:
-            self.layout = newer
+        if self.layout is not None and find_age(newer) < find_age(self.layout):
+            return False
+        self.layout = newer
+        return True
 
-    def take_vms(self, vms: list[engine.VmEntry]) -> None:
+    def take_vms(self, vms: list[engine.VmEntry], now_ms: int = 0) -> None:
         """Take the platform's list in.
 
         :param vms: VMs of this failure domain.
+        :param now_ms: monotonic clock, in milliseconds.
         """
-        self.vms = vms
-        self._vms_by_name = {vm.vm: vm for vm in vms}
+        listed = {vm.vm: vm for vm in vms}
+        kept = [
+            vm
+            for name, vm in self._vms_by_name.items()
+            if name not in listed and self.is_reporting(name, now_ms)
+        ]
+        is_believed = len(kept) <= UNLISTED_SHARE * len(self._vms_by_name)
+        since_ms = {
+            vm.vm: self._unlisted_since_ms.get(vm.vm, now_ms) if is_believed else now_ms
+            for vm in kept
+        }
+        self._unlisted_since_ms = since_ms
+        for vm in kept:
+            if now_ms - since_ms[vm.vm] >= UNLISTED_LIMIT_MS:
+                vm = msgspec.structs.replace(vm, leaving=True)
+            listed[vm.vm] = vm
+        self._vms_by_name = listed
+        self.vms = list(listed.values())
 
     def find_vm(self, vm: str) -> engine.VmEntry | None:
         """Return a VM of the list, None where it is not in it.
@@ -62,6 +104,17 @@
         """
         return self.presence.find_report(vm, now_ms) is not None
 
+    def is_leaving(self, vm: str, now_ms: int) -> bool:
+        """Return whether a VM is about to go, by the list or by its own report.
+
+        :param vm: VM.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        entry = self._vms_by_name.get(vm)
+        heard = self.presence.find_report(vm, now_ms)
+        is_told = heard is not None and heard.report.state == "leaving"
+        return is_told or (entry is not None and entry.leaving)
+
     def views(self, now_ms: int) -> list[presence.GroupView]:
         """Judge all groups, and tell which changed their state.
 
@@ -69,13 +122,10 @@
         :return: the groups with their states.
         """
         records = self.layout.groups if self.layout else []
-        judged = self.presence.judge_all(records, now_ms)
-        for view in judged:
-            before = self._states.get(view.record.group)
-            if before != view.state:
-                self._states[view.record.group] = view.state
-                for listener in self._listeners:
-                    listener(view, before)
+        judged = [self._judge(record, now_ms) for record in records]
+        self._judged, before = {view.record.group: view for view in judged}, self._judged
+        for group in before.keys() - self._judged.keys():
+            self._dissolve(before[group])
         return judged
 
     def whole_groups(self, model: str, now_ms: int) -> list[presence.GroupView]:
@@ -90,3 +140,45 @@
             for view in self.views(now_ms)
             if view.state == presence.GroupState.WHOLE and view.record.model == model
         ]
+
+    def _judge(self, record: layout.GroupRecord, now_ms: int) -> presence.GroupView:
+        life = self._lives.get(record.group)
+        is_new = life is None
+        if life is None:
+            life = self._lives[record.group] = lifecycle.GroupLifecycle(record.group)
+            self._machine.add_model(life)
+        view = self.presence.judge(record, now_ms, life.evidence)
+        if view.state == presence.GroupState.WHOLE and self._loses_member(view.record, now_ms):
+            view = dataclasses.replace(view, state=presence.GroupState.DRAINING)
+        before = None if is_new else presence.GroupState(life.state)
+        has_changed = life.take_view(view, self._read_incarnations(view.record, now_ms), now_ms)
+        view = dataclasses.replace(view, state=presence.GroupState(life.state))
+        if is_new or has_changed:
+            self._tell(view, before)
+        return view
+
+    def _loses_member(self, record: layout.GroupRecord, now_ms: int) -> bool:
+        return any(self.is_leaving(vm, now_ms) for vm in record.members)
+
+    def _read_incarnations(self, record: layout.GroupRecord, now_ms: int) -> dict[str, str]:
+        found = {vm: self.presence.find_report(vm, now_ms) for vm in record.members}
+        return {vm: heard.report.incarnation for vm, heard in found.items() if heard is not None}
+
+    def _dissolve(self, view: presence.GroupView) -> None:
+        life = self._lives.pop(view.record.group)
+        before = presence.GroupState(life.state)
+        life.apply("dissolve")
+        self._machine.remove_model(life)
+        self._tell(dataclasses.replace(view, state=presence.GroupState.DISSOLVED), before)
+
+    def _tell(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
+        for listener in self._listeners:
+            listener(view, before)
+
+
+def find_age(record: layout.Layout) -> tuple[int, int]:
+    """Return the place of a layout among all of its failure domain; it only grows.
+
+    :param record: layout.
+    """
+    return (record.fencing, record.serial)
--- /dev/null
+++ b/src/tanagerfork/groups/draft.py
@@ -0,0 +1,248 @@
+"""Draft: a layout that is being changed, with the VMs that are free to be used."""
+
+from collections.abc import Collection, Iterable
+
+import msgspec
+
+from tanagerfork.generated import bundle, engine, layout
+from tanagerfork.groups import facts, substitution
+from tanagerfork.timeline import kinds
+
+
+class Draft:
+    """A changed copy of a layout in which no VM can be in two places.
+
+    :param situation: what the decision rests on.
+    """
+
+    __slots__ = ("situation", "groups", "notes", "stopped", "_serial", "_homes")
+
+    def __init__(self, situation: facts.Situation) -> None:
+        self.situation = situation
+        self.groups = {
+            record.group: msgspec.structs.replace(
+                record, members=list(record.members), reserves=list(record.reserves)
+            )
+            for record in situation.layout.groups
+        }
+        self.notes: list[facts.Note] = []
+        self.stopped = list(situation.layout.rollouts_stopped)
+        self._serial = _find_serial(situation)
+        self._homes = {
+            vm: record.group
+            for record in self.groups.values()
+            for vm in (*record.members, *record.reserves)
+        }
+
+    @property
+    def generation(self) -> int:
+        """Generation of every group that this draft changes."""
+        return self._serial * substitution.GENERATION_STEP
+
+    def note(self, kind: kinds.EventKind, group: str, detail: str) -> None:
+        """Add a change for the time line.
+
+        :param kind: kind of the event.
+        :param group: group concerned.
+        :param detail: what was decided and why.
+        """
+        self.notes.append(facts.Note(kind, group, detail))
+
+    def find_unusable(self, record: layout.GroupRecord) -> list[str]:
+        """Return the members that a group should not go on with.
+
+        :param record: group.
+        """
+        found = [(vm, self.situation.vms.get(vm)) for vm in record.members]
+        return [vm for vm, fact in found if fact is None or not fact.is_usable]
+
+    def find_lost(self, record: layout.GroupRecord) -> list[str]:
+        """Return the members that a group cannot go on with; a straggler is none of them.
+
+        :param record: group.
+        """
+        vms = self.situation.vms
+        return [
+            vm
+            for vm in self.find_unusable(record)
+            if vm not in vms or vms[vm].report is None or vms[vm].is_leaving
+        ]
+
+    def is_uncertain(self, record: layout.GroupRecord) -> bool:
+        """Return whether a member is silent, but not for long enough to be replaced.
+
+        :param record: group.
+        """
+        found = [self.situation.vms.get(vm) for vm in record.members]
+        return any(fact is not None and fact.report is None and not fact.is_lost for fact in found)
+
+    def find_spares(self, record: layout.GroupRecord, model: bundle.Model) -> list[str]:
+        """Return the VMs that a group may take, the best first.
+
+        :param record: group that needs members.
+        :param model: its model.
+        :return: own reserves, then VMs reserved to no group, then reserves of others; those that
+            have loaded what the group runs come first.
+        """
+        spares = [
+            vm
+            for vm, fact in self.situation.vms.items()
+            if fact.is_usable and self._is_spare(vm) and self._fits(fact.entry, record, model)
+        ]
+        return sorted(spares, key=lambda vm: self._rank_spare(vm, record))
+
+    def replace(
+        self, record: layout.GroupRecord, substitutes: dict[str, str], reason: str
+    ) -> layout.GroupRecord:
+        """Put a group into a new generation.
+
+        :param record: group.
+        :param substitutes: new member for each member that goes.
+        :param reason: why.
+        :return: the group in its new generation.
+        """
+        self.release(vm for vm in substitutes)
+        self._take(substitutes.values(), record.group)
+        changed = msgspec.structs.replace(
+            self.groups[record.group],
+            generation=self.generation,
+            members=[substitutes.get(vm, vm) for vm in record.members],
+            version=record.version,
+            adapters=record.adapters,
+            draining=False,
+        )
+        self.groups[record.group] = changed
+        self.note(kinds.EventKind.GROUP_REPAIRED, record.group, reason)
+        return changed
+
+    def form(
+        self, model: bundle.Model, fabric_domain: str, members: Iterable[str]
+    ) -> layout.GroupRecord:
+        """Add a group.
+
+        :param model: model that it runs.
+        :param fabric_domain: fabric domain of its members.
+        :param members: VMs in rank order.
+        :return: the group.
+        """
+        chosen = list(members)
+        name = self._name_group(model)
+        self._take(chosen, name)
+        record = layout.GroupRecord(
+            group=name,
+            model=model.name,
+            version=model.version,
+            adapters=list(model.adapters),
+            fabric_domain=fabric_domain,
+            generation=self.generation,
+            members=chosen,
+        )
+        self.groups[name] = record
+        self.note(kinds.EventKind.GROUP_FORMED, name, f"in {fabric_domain or 'any fabric domain'}")
+        return record
+
+    def dissolve(self, record: layout.GroupRecord, reason: str) -> None:
+        """Take a group out of the layout; its VMs are free.
+
+        :param record: group.
+        :param reason: why.
+        """
+        del self.groups[record.group]
+        self.release((*record.members, *record.reserves))
+        self.note(kinds.EventKind.GROUP_DISSOLVED, record.group, reason)
+
+    def release(self, vms: Iterable[str]) -> None:
+        """Free VMs.
+
+        :param vms: VMs.
+        """
+        for vm in vms:
+            home = self.groups.get(self._homes.pop(vm, ""))
+            if home is not None and vm in home.reserves:
+                home.reserves.remove(vm)
+
+    def reserve(self, vm: str, record: layout.GroupRecord) -> None:
+        """Reserve a free VM to a group.
+
+        :param vm: VM.
+        :param record: group.
+        """
+        self.release([vm])
+        self._homes[vm] = record.group
+        self.groups[record.group].reserves.append(vm)
+
+    def find_free(self) -> list[str]:
+        """Return the usable VMs that are neither a member nor a reserve."""
+        found = self.situation.vms.items()
+        return [vm for vm, fact in found if fact.is_usable and vm not in self._homes]
+
+    def may_serve(self, entry: engine.VmEntry, record: layout.GroupRecord) -> bool:
+        """Return whether a VM may be reserved to a group.
+
+        :param entry: VM.
+        :param record: group.
+        """
+        model = self.situation.find_model(record.model)
+        return model is not None and self._fits(entry, record, model)
+
+    def build(self, token: str) -> layout.Layout:
+        """Return the layout as drafted.
+
+        :param token: token of the write.
+        """
+        situation = self.situation
+        return layout.Layout(
+            failure_domain=situation.layout.failure_domain,
+            serial=self._serial,
+            fencing=situation.fencing,
+            bundle_version=situation.bundle_version,
+            token=token,
+            rollouts_stopped=self.stopped,
+            groups=list(self.groups.values()),
+        )
+
+    def has_changed(self) -> bool:
+        """Return whether the draft differs from the layout in force."""
+        before = self.situation.layout
+        return (
+            before.groups != list(self.groups.values())
+            or before.rollouts_stopped != self.stopped
+            or before.bundle_version != self.situation.bundle_version
+            or before.fencing != self.situation.fencing
+        )
+
+    def _is_spare(self, vm: str) -> bool:
+        home = self.groups.get(self._homes.get(vm, ""))
+        return home is None or vm in home.reserves
+
+    def _fits(self, entry: engine.VmEntry, record: layout.GroupRecord, model: bundle.Model) -> bool:
+        is_near = self.situation.bundle.placement.across_fabric_domains or (
+            entry.fabric_domain == record.fabric_domain
+        )
+        return is_near and model.vm_pool in ("", entry.pool)
+
+    def _rank_spare(self, vm: str, record: layout.GroupRecord) -> tuple[bool, bool, int, str]:
+        home = self.groups.get(self._homes.get(vm, ""))
+        is_own = home is not None and home.group == record.group
+        held = len(home.reserves) if home is not None and not is_own else 0
+        is_warm = self.situation.vms[vm].is_warm(record)
+        is_far = self.situation.vms[vm].entry.fabric_domain != record.fabric_domain
+        return (is_far, not is_warm, 0 if is_own or home is None else 1000 - held, vm)
+
+    def _take(self, vms: Collection[str], group: str) -> None:
+        self.release(vms)
+        for vm in vms:
+            self._homes[vm] = group
+
+    def _name_group(self, model: bundle.Model) -> str:
+        prefix = f"{self.situation.layout.failure_domain}/{model.name}/"
+        number = 0
+        while f"{prefix}{number}" in self.groups:
+            number += 1
+        return f"{prefix}{number}"
+
+
+def _find_serial(situation: facts.Situation) -> int:
+    reports = [fact.report for fact in situation.vms.values() if fact.report is not None]
+    reported = max((report.generation for report in reports), default=0)
+    return max(situation.layout.serial, reported // substitution.GENERATION_STEP) + 1
--- /dev/null
+++ b/src/tanagerfork/groups/layout_follower.py
@@ -0,0 +1,112 @@
+"""Following the layout: a few candidates watch it, all others read it now and then."""
+
+import asyncio
+import random
+
+import msgspec
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork.generated import layout
+from tanagerfork.groups import candidates, directory
+from tanagerfork.platform import key_value, swap
+
+LAYOUT_PREFIX = "layout/"
+READ_INTERVAL_MS = 1000  # Time between two reads by the daemons of a failure domain together.
+RETRY_MS = 500
+WATCH_AGE_MS = 30_000  # Age past which a watch is opened anew.
+
+
+class LayoutFollower:
+    """Keeps the layout of one failure domain in the directory.
+
+    :param failure_domain: failure domain.
+    :param daemon: name of this daemon.
+    :param store: key-value service.
+    :param groups: groups and VMs as this daemon knows them.
+    :param clock: clock to wait on.
+    :param live_daemons: names of the live daemons of the failure domain.
+    :param rng: random numbers.
+    """
+
+    __slots__ = (
+        "_key",
+        "_daemon",
+        "_store",
+        "_groups",
+        "_clock",
+        "_live_daemons",
+        "_rng",
+    )
+
+    def __init__(
+        self,
+        failure_domain: str,
+        daemon: str,
+        store: key_value.KeyValue,
+        groups: directory.GroupDirectory,
+        clock: clocks.Clock,
+        live_daemons: candidates.LiveDaemons,
+        rng: random.Random,
+    ) -> None:
+        self._key = LAYOUT_PREFIX + failure_domain
+        self._daemon = daemon
+        self._store = store
+        self._groups = groups
+        self._clock = clock
+        self._live_daemons = live_daemons
+        self._rng = rng
+
+    def is_watching(self) -> bool:
+        """Return whether this daemon is one of those that watch."""
+        names = self._live_daemons()
+        rank = candidates.find_rank(self._key, self._daemon, names)
+        return rank < candidates.CANDIDATES
+
+    async def run(self) -> None:
+        """Follow the layout until cancelled."""
+        while True:
+            entry = await self.read()
+            if entry is not None and self.is_watching():
+                await self._watch_for_a_while(entry.revision + 1)
+            await self._clock.sleep_ms(self._choose_wait())
+
+    async def read(self) -> key_value.Entry | None:
+        """Read the layout once.
+
+        :return: the entry, None where there is none or the service did not answer.
+        """
+        found = await self._store.read(self._key)
+        if isinstance(found, result.Err):
+            return None
+        if found.ok_value is not None:
+            self._take(found.ok_value)
+        return found.ok_value
+
+    async def _watch_for_a_while(self, revision: int) -> None:
+        """Watch until the watch ends, or is so old that its connection may have gone silent."""
+        watching = asyncio.create_task(self._watch(revision))
+        ageing = asyncio.create_task(self._clock.sleep_ms(WATCH_AGE_MS))
+        try:
+            await asyncio.wait({watching, ageing}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            watching.cancel()
+            ageing.cancel()
+
+    async def _watch(self, revision: int) -> None:
+        async for entry in self._store.watch(self._key, revision):
+            self._take(entry)
+            if not self.is_watching():
+                return
+
+    def _choose_wait(self) -> float:
+        if self.is_watching():
+            return RETRY_MS
+        wait_ms = READ_INTERVAL_MS * max(1, len(self._live_daemons()))
+        return wait_ms * self._rng.uniform(0.5, 1.5)
+
+    def _take(self, entry: key_value.Entry) -> None:
+        try:
+            self._groups.take_layout(swap.decode_record(entry, layout.Layout))
+        except msgspec.MsgspecError:
+            return
--- /dev/null
+++ b/src/tanagerfork/groups/lease.py
@@ -0,0 +1,309 @@
+"""The coordinator's lease: who may write the layout of a failure domain and give orders.
+
+The record in the key-value service changes by compare-and-swap only, and its fencing number only
+grows:
+
+* The holder counts its lease from before the renewing write was sent, on its own monotonic clock.
+* Another daemon takes the lease once it has seen the record unchanged, on its own clock, for the
+  whole time of the predecessor, counted from the answer that showed it. The predecessor's lease
+  began earlier, so it has ended by then.
+* A record that was deleted, or that an old state of the service brought back, names no valid
+  holder, yet one may be at work. The same wait follows, and the next fencing number exceeds every
+  number that was seen in records, in the layout and in the engines' reports.
+* Where no such number is known at all, there was no coordinator, and there is no wait.
+* A record given back at a planned stop names no holder, and there is no wait.
+"""
+
+import dataclasses
+import uuid
+
+import msgspec
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import errors
+from tanagerfork.generated import layout
+from tanagerfork.groups import candidates
+from tanagerfork.platform import key_value, swap
+
+LEASE_PREFIX = "lease/"
+DRIFT_DIVISOR = 20  # Share of a lease that clocks of different speed may use up.
+RENEWALS_PER_TTL = 3
+CHECKS_PER_TTL = 2
+STAGGER_DIVISOR = 4  # Share of a lease that each rank of candidates waits longer.
+
+
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    """A write of the lease and when it was sent."""
+
+    record: layout.LeaseRecord
+    sent_at_ms: int
+
+
+class LeaseState:
+    """What one daemon knows of the lease, and what follows from it.
+
+    :param daemon: name of this daemon.
+    :param ttl_ms: time this daemon may act without renewing, in milliseconds.
+    """
+
+    __slots__ = (
+        "_daemon",
+        "_ttl_ms",
+        "_record",
+        "_revision",
+        "_unchanged_since_ms",
+        "_checked_at_ms",
+        "_sent",
+        "_held",
+        "_highest_fencing",
+    )
+
+    def __init__(self, daemon: str, ttl_ms: int) -> None:
+        self._daemon = daemon
+        self._ttl_ms = ttl_ms
+        self._record: layout.LeaseRecord | None = None
+        self._revision = key_value.ABSENT
+        self._unchanged_since_ms: int | None = None
+        self._checked_at_ms: int | None = None
+        self._sent: _Sent | None = None
+        self._held: _Sent | None = None
+        self._highest_fencing = 0
+
+    @property
+    def revision(self) -> int:
+        """Revision of the record as last seen."""
+        return self._revision
+
+    @property
+    def fencing(self) -> int:
+        """Fencing number of this daemon's lease; 0 where it holds none."""
+        return self._held.record.fencing if self._held else 0
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the record as last seen is this daemon's, lapsed or not."""
+        return self._held is not None
+
+    def may_act(self, now_ms: int, duration_ms: int) -> bool:
+        """Return whether the lease covers an action from its start to its deadline.
+
+        :param now_ms: own monotonic clock, in milliseconds.
+        :param duration_ms: deadline of the action, in milliseconds.
+        """
+        if self._held is None:
+            return False
+        margin_ms = self._ttl_ms // DRIFT_DIVISOR
+        ends_at_ms = self._held.sent_at_ms + self._held.record.ttl_ms - margin_ms
+        return now_ms + duration_ms < ends_at_ms
+
+    def needs_check(self, now_ms: int) -> bool:
+        """Return whether the record should be read again.
+
+        :param now_ms: own monotonic clock, in milliseconds.
+        """
+        if self._checked_at_ms is None:
+            return True
+        if self._held is not None and self._sent is None:
+            return False
+        return now_ms - self._checked_at_ms >= self._ttl_ms // CHECKS_PER_TTL
+
+    def see(self, record: layout.LeaseRecord | None, revision: int, now_ms: int) -> None:
+        """Take in what a read of the record showed.
+
+        :param record: record, None where there is none.
+        :param revision: its revision.
+        :param now_ms: when the answer arrived, by the own monotonic clock.
+        """
+        is_first = self._checked_at_ms is None
+        if is_first or revision != self._revision or record != self._record:
+            self._unchanged_since_ms = now_ms
+        self._checked_at_ms = now_ms
+        self._record, self._revision = record, revision
+        if record is not None:
+            self._highest_fencing = max(self._highest_fencing, record.fencing)
+        if record is None or self._held is None or record.token != self._held.record.token:
+            self._held = None
+        if record is not None and self._sent and record.token == self._sent.record.token:
+            self._held = self._sent
+        self._sent = None
+
+    def plan_write(
+        self, now_ms: int, known_fencing: int = 0, extra_wait_ms: int = 0
+    ) -> layout.LeaseRecord | None:
+        """Return the write that renews or takes the lease, None where there is none to make.
+
+        :param now_ms: own monotonic clock, in milliseconds.
+        :param known_fencing: highest number in the layout and in the engines' reports.
+        :param extra_wait_ms: time to let other candidates go first, in milliseconds.
+        """
+        self._highest_fencing = max(self._highest_fencing, known_fencing)
+        if self._held is not None and self._highest_fencing > self._held.record.fencing:
+            self._held = None
+        if self._held is not None:
+            return self._plan_renewal(self._held, now_ms)
+        if self._unchanged_since_ms is None or self._sent is not None:
+            return None
+        unchanged_ms = now_ms - self._unchanged_since_ms
+        if unchanged_ms < self._find_wait() + extra_wait_ms:
+            return None
+        return layout.LeaseRecord(
+            holder=self._daemon,
+            fencing=self._highest_fencing + 1,
+            ttl_ms=self._ttl_ms,
+            token=uuid.uuid4().hex,
+        )
+
+    def plan_return(self) -> layout.LeaseRecord | None:
+        """Return the write that gives the lease back; it may not be acted on from now on."""
+        held, self._held = self._held, None
+        if held is None:
+            return None
+        return msgspec.structs.replace(held.record, holder="", token=uuid.uuid4().hex)
+
+    def note_sent(self, record: layout.LeaseRecord, now_ms: int) -> None:
+        """Note a write before it is sent.
+
+        :param record: record of the write.
+        :param now_ms: own monotonic clock, in milliseconds.
+        """
+        self._sent = _Sent(record, now_ms)
+
+    def note_written(self, revision: int) -> None:
+        """Note that the write sent last took effect.
+
+        :param revision: revision that it made.
+        """
+        if self._sent is None:
+            return
+        self._held, self._sent = self._sent, None
+        self._record, self._revision = self._held.record, revision
+        self._unchanged_since_ms = self._held.sent_at_ms
+        self._highest_fencing = max(self._highest_fencing, self._held.record.fencing)
+
+    def note_refused(self) -> None:
+        """Note that the write sent last took no effect, as another one came first."""
+        self._sent = self._held = None
+        self._checked_at_ms = None
+
+    def note_in_doubt(self) -> None:
+        """Note that the write sent last may have taken effect; the record is read again."""
+        self._checked_at_ms = None
+
+    def _plan_renewal(self, held: _Sent, now_ms: int) -> layout.LeaseRecord | None:
+        if self._sent is not None or now_ms - held.sent_at_ms < self._ttl_ms // RENEWALS_PER_TTL:
+            return None
+        return msgspec.structs.replace(
+            held.record,
+            ttl_ms=self._ttl_ms,
+            renewals=held.record.renewals + 1,
+            token=uuid.uuid4().hex,
+        )
+
+    def _find_wait(self) -> int:
+        if self._record is None:
+            return self._ttl_ms if self._highest_fencing else 0
+        return self._record.ttl_ms if self._record.holder else 0
+
+
+class LeaseKeeper:
+    """Keeps the lease of a failure domain in the key-value service.
+
+    :param failure_domain: failure domain.
+    :param daemon: name of this daemon.
+    :param store: key-value service.
+    :param clock: clock of this daemon.
+    :param ttl_ms: time the holder may act without renewing, in milliseconds.
+    :param live_daemons: names of the live daemons of the failure domain.
+    """
+
+    __slots__ = (
+        "_key",
+        "_daemon",
+        "_store",
+        "_clock",
+        "_ttl_ms",
+        "_live_daemons",
+        "_away_since_ms",
+        "state",
+    )
+
+    def __init__(
+        self,
+        failure_domain: str,
+        daemon: str,
+        store: key_value.KeyValue,
+        clock: clocks.Clock,
+        ttl_ms: int,
+        live_daemons: candidates.LiveDaemons,
+    ) -> None:
+        self._key = LEASE_PREFIX + failure_domain
+        self._daemon = daemon
+        self._store = store
+        self._clock = clock
+        self._ttl_ms = ttl_ms
+        self._live_daemons = live_daemons
+        self._away_since_ms: int | None = None
+        self.state = LeaseState(daemon, ttl_ms)
+
+    def measure_absence(self) -> int:
+        """Return for how long the service gave this daemon no answer, in milliseconds."""
+        if self._away_since_ms is None:
+            return 0
+        return self._clock.monotonic_ms() - self._away_since_ms
+
+    def find_rank(self) -> int:
+        """Return how many live daemons are preferred to this one as the coordinator."""
+        return candidates.find_rank(self._key, self._daemon, self._live_daemons())
+
+    async def take_step(self, known_fencing: int) -> None:
+        """Read, renew or take the lease where that is due.
+
+        :param known_fencing: highest number in the layout and in the engines' reports.
+        """
+        rank = self.find_rank()
+        if rank >= candidates.CANDIDATES and not self.state.is_held:
+            return
+        if self.state.needs_check(self._clock.monotonic_ms()):
+            self._note_answer(await self._check())
+        now_ms = self._clock.monotonic_ms()
+        extra_wait_ms = rank * self._ttl_ms // STAGGER_DIVISOR
+        record = self.state.plan_write(now_ms, known_fencing, extra_wait_ms)
+        if record is not None:
+            self._note_answer(await self._write(record, now_ms))
+
+    async def give_back(self) -> None:
+        """Give the lease back at a planned stop, so that the next holder need not wait."""
+        record = self.state.plan_return()
+        if record is not None:
+            await swap.swap_record(self._store, self._key, record, self.state.revision)
+
+    def _note_answer(self, is_answered: bool) -> None:
+        if is_answered:
+            self._away_since_ms = None
+        elif self._away_since_ms is None:
+            self._away_since_ms = self._clock.monotonic_ms()
+
+    async def _check(self) -> bool:
+        found = await self._store.read(self._key)
+        if isinstance(found, result.Err):
+            return False
+        entry = found.ok_value
+        record = swap.decode_record(entry, layout.LeaseRecord) if entry else None
+        revision = entry.revision if entry else key_value.ABSENT
+        self.state.see(record, revision, self._clock.monotonic_ms())
+        return True
+
+    async def _write(self, record: layout.LeaseRecord, now_ms: int) -> bool:
+        self.state.note_sent(record, now_ms)
+        written = await swap.swap_record(self._store, self._key, record, self.state.revision)
+        if isinstance(written, result.Ok):
+            self.state.note_written(written.ok_value)
+            return True
+        error = written.err_value
+        if isinstance(error, errors.Conflict):
+            self.state.note_refused()
+            return True
+        self.state.note_in_doubt()
+        return False
--- /dev/null
+++ b/src/tanagerfork/groups/placement.py
@@ -0,0 +1,100 @@
+"""Placement policy: the layout that follows from bundle, reports and the platform's list."""
+
+import dataclasses
+
+import msgspec
+
+from tanagerfork.generated import layout
+from tanagerfork.groups import draft as drafts
+from tanagerfork.groups import facts, repair, reserves, rollout
+from tanagerfork.timeline import kinds
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Plan:
+    """A layout to write, and what changes with it."""
+
+    layout: layout.Layout
+    notes: list[facts.Note]
+
+
+class Planner:
+    """Decides on the layout of one failure domain.
+
+    :param limits: bounds of drains and waves.
+    """
+
+    __slots__ = ("_rollout", "_incarnations", "_repairer")
+
+    def __init__(self, limits: rollout.RolloutLimits) -> None:
+        self._rollout = rollout.Rollout(limits)
+        self._incarnations = repair.Incarnations()
+        self._repairer = repair.Repairer(self._incarnations, self._rollout)
+
+    def plan(self, situation: facts.Situation, token: str) -> Plan | None:
+        """Decide on the next layout.
+
+        :param situation: what the decision rests on.
+        :param token: token of the write.
+        :return: the layout to write, None where the one in force stays.
+        """
+        if situation.bundle_version < situation.layout.bundle_version:
+            return None
+        draft = drafts.Draft(situation)
+        adopt_substitutions(draft)
+        reserves.release_unusable(draft)
+        self._rollout.mark_groups(draft)
+        drained = self._rollout.find_drained(draft)
+        _dissolve_drained(draft, drained)
+        lacking = self._repairer.repair_groups(draft, drained)
+        reserves.form_groups(draft, lacking)
+        reserves.distribute_reserves(draft)
+        if not draft.has_changed():
+            return None
+        return Plan(draft.build(token), draft.notes)
+
+    def note_written(self, written: layout.Layout, situation: facts.Situation) -> None:
+        """Take in that a layout is in force.
+
+        :param written: layout as written.
+        :param situation: what it was decided on.
+        """
+        self._incarnations.note_written(written, situation.vms)
+
+
+def adopt_substitutions(draft: drafts.Draft) -> None:
+    """Take rosters that became whole while the key-value service was away into the layout.
+
+    :param draft: layout to change.
+    """
+    for record in list(draft.groups.values()):
+        view = draft.situation.views.get(record.group)
+        if view is None or not draft.situation.is_up(record.group):
+            continue
+        if view.record.generation == record.generation:
+            continue
+        gone = [vm for vm in record.members if vm not in view.record.members]
+        draft.release(gone)
+        draft.groups[record.group] = msgspec.structs.replace(
+            record,
+            generation=view.record.generation,
+            members=list(view.record.members),
+            reserves=[vm for vm in record.reserves if vm not in view.record.members],
+        )
+        detail = f"its substitution of {', '.join(gone) or 'no member'} is adopted"
+        draft.note(kinds.EventKind.GROUP_REPAIRED, record.group, detail)
+
+
+def _dissolve_drained(draft: drafts.Draft, drained: set[str]) -> None:
+    excess = rollout.find_excess(draft)
+    for record in list(draft.groups.values()):
+        if record.group not in drained:
+            continue
+        model = draft.situation.find_model(record.model)
+        if model is None or record.group in excess:
+            draft.dissolve(record, rollout.DrainReason.EXCESS.value)
+        elif len(record.members) != model.members_per_group:
+            draft.dissolve(record, rollout.DrainReason.OUTDATED.value)
+        else:
+            continue
+        drained.discard(record.group)
--- a/src/tanagerfork/groups/presence.py
+++ b/src/tanagerfork/groups/presence.py
@@ -2,9 +2,12 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from tanagerfork.generated import engine, layout
+from tanagerfork.groups import substitution
+
+RETIRED_INCARNATIONS = 4  # Earlier incarnations remembered for each VM.
 
 
 class GroupState(enum.StrEnum):
@@ -14,6 +17,7 @@
     WHOLE = "whole"
     BROKEN = "broken"
     DRAINING = "draining"
+    DISSOLVED = "dissolved"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,27 +44,60 @@
         return self.record.members[0]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Evidence:
+    """What a daemon asks of the reports of a group beyond their age.
+
+    :param not_before_ms: reports made earlier do not count, as the group was seen broken since.
+    :param generation: generation in which the group was seen whole.
+    :param pins: incarnation of each member at that time; no other counts in that generation.
+    """
+
+    not_before_ms: int = 0
+    generation: int = 0
+    pins: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+NO_EVIDENCE = Evidence()
+
+
 class Presence:
     """Keeps the last report of every VM and judges groups by them.
 
+    A report is dropped if a newer one of its incarnation is known, or if its incarnation was
+    followed by another one whose reports still count. A report that is told again does not get
+    younger by that.
+
     :param ttl_ms: age past which a report no longer counts, in milliseconds.
     """
 
-    __slots__ = ("_ttl_ms", "_heard")
+    __slots__ = ("_ttl_ms", "_heard", "_retired")
 
     def __init__(self, ttl_ms: int) -> None:
         self._ttl_ms = ttl_ms
         self._heard: dict[str, HeardReport] = {}
+        self._retired: dict[str, list[str]] = {}
+
+    @property
+    def ttl_ms(self) -> int:
+        """Age past which a report no longer counts, in milliseconds."""
+        return self._ttl_ms
 
     def hear(self, report: engine.EngineReport, made_at_ms: int) -> None:
-        """Take a report in, unless a newer one of the same incarnation is known.
+        """Take a report in, unless a newer one is known.
 
         :param report: what the member's engine says.
         :param made_at_ms: when it was asked, by this daemon's monotonic clock.
         """
         known = self._heard.get(report.vm)
-        if known is not None and _is_older(report, made_at_ms, known):
-            return
+        if known is not None:
+            if report.incarnation == known.report.incarnation:
+                if report.sequence <= known.report.sequence:
+                    return
+            elif self._is_outdated(report, made_at_ms, known):
+                return
+            else:
+                self._retire(report.vm, known.report.incarnation)
         self._heard[report.vm] = HeardReport(report, made_at_ms)
 
     def forget(self, vm: str) -> None:
@@ -69,6 +106,7 @@
         :param vm: VM.
         """
         self._heard.pop(vm, None)
+        self._retired.pop(vm, None)
 
     def find_report(self, vm: str, now_ms: int) -> HeardReport | None:
         """Return a VM's last report.
@@ -82,18 +120,36 @@
             return None
         return heard
 
-    def judge(self, record: layout.GroupRecord, now_ms: int) -> GroupView:
-        """Judge one group.
+    def measure_silence(self, vm: str, now_ms: int, since_ms: int) -> int:
+        """Return for how long a VM made no report, in milliseconds.
+
+        :param vm: VM.
+        :param now_ms: monotonic clock, in milliseconds.
+        :param since_ms: when this daemon began to listen for the VM.
+        """
+        heard = self._heard.get(vm)
+        return now_ms - max(since_ms, heard.made_at_ms if heard else since_ms)
+
+    def judge(
+        self, record: layout.GroupRecord, now_ms: int, evidence: Evidence = NO_EVIDENCE
+    ) -> GroupView:
+        """Judge one group, by the layout's record or a substitution that its members report.
 
         :param record: group as the layout names it.
         :param now_ms: monotonic clock, in milliseconds.
+        :param evidence: what is asked of the reports beyond their age.
         :return: the group with its state.
         """
-        missing = tuple(vm for vm in record.members if not self._is_present(vm, record, now_ms))
+        missing = self._find_missing(record, now_ms, evidence)
+        if missing:
+            for substituted in self._find_rosters(record, now_ms):
+                if not self._find_missing(substituted, now_ms, evidence):
+                    record, missing = substituted, ()
+                    break
         heard = self.find_report(record.members[0], now_ms)
         age_ms = now_ms - heard.made_at_ms if heard else 0
         state = GroupState.BROKEN if missing else GroupState.WHOLE
-        if not missing and record.draining:
+        if not missing and (record.draining or self._has_leaving(record, now_ms)):
             state = GroupState.DRAINING
         return GroupView(record, state, missing, heard.report if heard else None, age_ms)
 
@@ -106,20 +162,68 @@
         """
         return [self.judge(record, now_ms) for record in records]
 
-    def _is_present(self, vm: str, record: layout.GroupRecord, now_ms: int) -> bool:
+    def find_group_reports(
+        self, record: layout.GroupRecord, now_ms: int
+    ) -> list[engine.EngineReport]:
+        """Return the reports that count of a group's members and reserves.
+
+        :param record: group as the layout names it.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        found = [self.find_report(vm, now_ms) for vm in (*record.members, *record.reserves)]
+        return [heard.report for heard in found if heard is not None]
+
+    def _find_rosters(self, record: layout.GroupRecord, now_ms: int) -> list[layout.GroupRecord]:
+        return substitution.find_rosters(record, self.find_group_reports(record, now_ms))
+
+    def _has_leaving(self, record: layout.GroupRecord, now_ms: int) -> bool:
+        found = [self.find_report(vm, now_ms) for vm in record.members]
+        return any(heard is not None and heard.report.state == "leaving" for heard in found)
+
+    def _find_missing(
+        self, record: layout.GroupRecord, now_ms: int, evidence: Evidence
+    ) -> tuple[str, ...]:
+        return tuple(
+            vm for vm in record.members if not self._is_present(vm, record, now_ms, evidence)
+        )
+
+    def _is_present(
+        self, vm: str, record: layout.GroupRecord, now_ms: int, evidence: Evidence
+    ) -> bool:
         heard = self.find_report(vm, now_ms)
-        if heard is None:
+        if heard is None or heard.made_at_ms < evidence.not_before_ms:
             return False
-        report = heard.report
-        return (
-            report.state == "ready"
-            and report.group == record.group
-            and report.generation == record.generation
-            and report.members == record.members
-        )
+        pinned = evidence.pins.get(vm) if evidence.generation == record.generation else None
+        if pinned is not None and pinned != heard.report.incarnation:
+            return False
+        return is_joined(heard.report, record)
 
+    def _is_outdated(
+        self, report: engine.EngineReport, made_at_ms: int, known: HeardReport
+    ) -> bool:
+        if made_at_ms <= known.made_at_ms:
+            return True
+        is_retired = report.incarnation in self._retired.get(report.vm, ())
+        return is_retired and made_at_ms - known.made_at_ms <= self._ttl_ms
 
-def _is_older(report: engine.EngineReport, made_at_ms: int, known: HeardReport) -> bool:
-    if report.incarnation == known.report.incarnation:
-        return report.sequence < known.report.sequence
-    return made_at_ms <= known.made_at_ms
+    def _retire(self, vm: str, incarnation: str) -> None:
+        retired = self._retired.setdefault(vm, [])
+        retired.append(incarnation)
+        del retired[:-RETIRED_INCARNATIONS]
+
+
+def is_joined(report: engine.EngineReport, record: layout.GroupRecord) -> bool:
+    """Return whether a member says that it is ready in this very group.
+
+    :param report: report of the member.
+    :param record: group with generation and members.
+    """
+    return (
+        report.state in ("ready", "leaving")
+        and report.group == record.group
+        and report.generation == record.generation
+        and report.members == record.members
+        and report.model == record.model
+        and report.version == record.version
+        and report.adapters == record.adapters
+    )
--- /dev/null
+++ b/src/tanagerfork/groups/repair.py
@@ -0,0 +1,180 @@
+"""Repair: replaces members of groups that are down, and merges groups that cannot be repaired."""
+
+import dataclasses
+from collections.abc import Mapping
+
+import msgspec
+
+from tanagerfork.generated import bundle, layout
+from tanagerfork.groups import draft as drafts
+from tanagerfork.groups import facts, rollout
+
+
+class Incarnations:
+    """Remembers for which incarnations of its members a generation was written.
+
+    A member that restarted joins in a new generation only, so that no daemon takes its report for
+    one of the earlier incarnation.
+    """
+
+    __slots__ = ("_known",)
+
+    def __init__(self) -> None:
+        self._known: dict[str, tuple[int, dict[str, str]]] = {}
+
+    def note_written(self, written: layout.Layout, vms: Mapping[str, facts.VmFact]) -> None:
+        """Remember the incarnations of all groups whose generation is new.
+
+        :param written: layout as written.
+        :param vms: facts that it was decided on.
+        """
+        names = {record.group for record in written.groups}
+        for group in self._known.keys() - names:
+            del self._known[group]
+        for record in written.groups:
+            if self._known.get(record.group, (0, {}))[0] != record.generation:
+                self._known[record.group] = (record.generation, _read_incarnations(record, vms))
+
+    def is_changed(self, record: layout.GroupRecord, vms: Mapping[str, facts.VmFact]) -> bool:
+        """Return whether a group that is down needs a new generation.
+
+        :param record: group.
+        :param vms: facts by VM.
+        """
+        generation, known = self._known.get(record.group, (0, {}))
+        if generation != record.generation:
+            return True
+        found = _read_incarnations(record, vms)
+        return any(known.get(vm, incarnation) != incarnation for vm, incarnation in found.items())
+
+
+@dataclasses.dataclass(slots=True)
+class _Repair:
+    """A group that is down and what it needs."""
+
+    record: layout.GroupRecord
+    model: bundle.Model
+    unusable: list[str]
+
+
+class Repairer:
+    """Repairs the groups of one failure domain.
+
+    :param incarnations: incarnations that generations were written for.
+    :param rollouts: waves that a change of version is part of.
+    """
+
+    __slots__ = ("_incarnations", "_rollouts")
+
+    def __init__(self, incarnations: Incarnations, rollouts: rollout.Rollout) -> None:
+        self._incarnations = incarnations
+        self._rollouts = rollouts
+
+    def repair_groups(self, draft: drafts.Draft, drained: set[str]) -> set[str]:
+        """Put groups that are down into a new generation where that helps.
+
+        :param draft: layout to change.
+        :param drained: groups where nothing runs any more.
+        :return: groups that lack members which no VM can replace.
+        """
+        waiting = self._find_repairs(draft, drained)
+        waiting.sort(key=lambda item: _rank_repair(draft, item))
+        lacking = [item for item in waiting if not self._repair(draft, item)]
+        while (donor := _find_donor(draft, lacking)) is not None:
+            lacking.remove(donor)
+            draft.dissolve(donor.record, "its members complete other groups")
+            lacking = [item for item in lacking if not self._repair(draft, item)]
+        return {item.record.group for item in lacking}
+
+    def _find_repairs(self, draft: drafts.Draft, drained: set[str]) -> list[_Repair]:
+        found = []
+        for record in draft.groups.values():
+            model = draft.situation.find_model(record.model)
+            is_down = record.group in drained or not draft.situation.is_up(record.group)
+            if model is None or not is_down or draft.is_uncertain(record):
+                continue
+            found.append(_Repair(record, model, draft.find_unusable(record)))
+        return found
+
+    def _repair(self, draft: drafts.Draft, item: _Repair) -> bool:
+        spares = draft.find_spares(item.record, item.model)
+        if len(spares) < len(item.unusable):
+            item.unusable = draft.find_lost(item.record)
+        if len(spares) < len(item.unusable):
+            return False
+        record = _update_version(draft, item)
+        substitutes = dict(zip(item.unusable, spares, strict=False))
+        is_new_version = record is not item.record
+        vms = draft.situation.vms
+        is_changed = bool(substitutes) or is_new_version or item.record.draining
+        if not is_changed and not self._incarnations.is_changed(item.record, vms):
+            return True
+        changed = draft.replace(record, substitutes, _describe(substitutes, is_new_version))
+        if is_new_version:
+            self._rollouts.note_wave(changed)
+        return True
+
+
+def _find_donor(draft: drafts.Draft, lacking: list[_Repair]) -> _Repair | None:
+    """Return the group that is given up, where that completes another one."""
+    by_usable = sorted(lacking, key=lambda item: (-len(item.unusable), item.record.group))
+    for donor in by_usable:
+        freed = [vm for vm in donor.record.members if vm not in donor.unusable]
+        for other in lacking:
+            if other is donor or not _can_give(draft, donor, other):
+                continue
+            offered = len(freed) + len(draft.find_spares(other.record, other.model))
+            pooled = offered + _count_usable(draft, lacking, donor, other)
+            if pooled >= len(other.unusable):
+                return donor
+    return None
+
+
+def _count_usable(
+    draft: drafts.Draft, lacking: list[_Repair], donor: _Repair, taker: _Repair
+) -> int:
+    """Count what further groups of the same place could give, as fewer are broken by then."""
+    return sum(
+        len(item.record.members) - len(item.unusable)
+        for item in lacking
+        if item is not donor and item is not taker and _can_give(draft, item, taker)
+    )
+
+
+def _can_give(draft: drafts.Draft, donor: _Repair, taker: _Repair) -> bool:
+    usable = [vm for vm in donor.record.members if vm not in donor.unusable]
+    facts_found = [draft.situation.vms[vm] for vm in usable]
+    return bool(usable) and all(draft.may_serve(fact.entry, taker.record) for fact in facts_found)
+
+
+def _rank_repair(draft: drafts.Draft, item: _Repair) -> tuple[float, str]:
+    """Rank by what a whole group is worth to the users, for each VM that must load first."""
+    policy = draft.situation.bundle.placement
+    vms = draft.situation.vms
+    found = [vms[vm] for vm in item.record.members if vm in vms]
+    accelerators = sum(fact.entry.accelerators for fact in found)
+    worth = policy.group_downtime_weight + policy.stranded_accelerator_weight * accelerators
+    cold = sum(1 for fact in found if not fact.is_warm(item.record))
+    return (-worth / (1 + cold + len(item.unusable)), item.record.group)
+
+
+def _update_version(draft: drafts.Draft, item: _Repair) -> layout.GroupRecord:
+    is_current = not rollout.is_outdated(item.record, item.model)
+    if is_current or item.model.name in draft.stopped:
+        return item.record
+    return msgspec.structs.replace(
+        item.record, version=item.model.version, adapters=list(item.model.adapters)
+    )
+
+
+def _describe(substitutes: Mapping[str, str], is_new_version: bool) -> str:
+    if substitutes:
+        return ", ".join(f"{lost} replaced by {vm}" for lost, vm in substitutes.items())
+    return "changes what it runs" if is_new_version else "its members join anew"
+
+
+def _read_incarnations(
+    record: layout.GroupRecord, vms: Mapping[str, facts.VmFact]
+) -> dict[str, str]:
+    found = {vm: vms[vm].report for vm in record.members if vm in vms}
+    return {vm: report.incarnation for vm, report in found.items() if report is not None}
--- /dev/null
+++ b/src/tanagerfork/groups/reserves.py
@@ -0,0 +1,147 @@
+"""Reserves: how many VMs stay outside of groups, and which group each one is reserved to."""
+
+import collections
+from collections.abc import Iterator
+
+from tanagerfork.generated import bundle, layout
+from tanagerfork.groups import draft as drafts
+
+
+def release_unusable(draft: drafts.Draft) -> None:
+    """Free the reserves that are lost, leave or straggle.
+
+    :param draft: layout to change.
+    """
+    for record in list(draft.groups.values()):
+        for vm in list(record.reserves):
+            fact = draft.situation.vms.get(vm)
+            if fact is None or fact.is_lost or fact.is_leaving or fact.is_straggling:
+                draft.release([vm])
+
+
+def form_groups(draft: drafts.Draft, lacking: set[str]) -> None:
+    """Form the groups that the bundle wants, and the surplus that the policy prefers to reserves.
+
+    A group that lacks members gives its place to one that another fabric domain can hold.
+
+    :param draft: layout to change.
+    :param lacking: groups that lack members which no VM can replace.
+    """
+    for model in draft.situation.bundle.models:
+        wanted, surplus = draft.situation.count_groups(model)
+        while _count(draft, model, lacking) < wanted and _form_group(draft, model, 0):
+            _give_up_lacking(draft, model, lacking, wanted + surplus)
+        while _count(draft, model, set()) < wanted + surplus:
+            if not _form_group(draft, model, _count_reserves_wanted(draft)):
+                break
+
+
+def distribute_reserves(draft: drafts.Draft) -> None:
+    """Reserve every free VM to one group of its fabric domain, evenly.
+
+    :param draft: layout to change.
+    """
+    for vm in draft.find_free():
+        entry = draft.situation.vms[vm].entry
+        served = [record for record in draft.groups.values() if draft.may_serve(entry, record)]
+        if served:
+            domain = entry.fabric_domain
+            best = min(
+                served,
+                key=lambda record: (
+                    record.fabric_domain != domain,
+                    len(record.reserves),
+                    record.group,
+                ),
+            )
+            draft.reserve(vm, best)
+    for _, records in _group_by_place(draft):
+        _level(draft, records)
+
+
+def _level(draft: drafts.Draft, records: list[layout.GroupRecord]) -> None:
+    while True:
+        records.sort(key=lambda record: (len(record.reserves), record.group))
+        fewest, most = records[0], records[-1]
+        if len(most.reserves) - len(fewest.reserves) < 2:
+            return
+        draft.reserve(most.reserves[-1], fewest)
+
+
+def _group_by_place(
+    draft: drafts.Draft,
+) -> Iterator[tuple[tuple[str, str], list[layout.GroupRecord]]]:
+    places: dict[tuple[str, str], list[layout.GroupRecord]] = collections.defaultdict(list)
+    for record in draft.groups.values():
+        places[(record.fabric_domain, record.model)].append(record)
+    return iter(sorted(places.items()))
+
+
+def _count(draft: drafts.Draft, model: bundle.Model, lacking: set[str]) -> int:
+    return sum(
+        1
+        for record in draft.groups.values()
+        if record.model == model.name and record.group not in lacking
+    )
+
+
+def _give_up_lacking(
+    draft: drafts.Draft, model: bundle.Model, lacking: set[str], allowed: int
+) -> None:
+    names = sorted(group for group in lacking if group in draft.groups)
+    for group in names:
+        if draft.groups[group].model != model.name or _count(draft, model, set()) <= allowed:
+            continue
+        draft.dissolve(draft.groups[group], "another fabric domain holds its place")
+        lacking.discard(group)
+
+
+def _count_reserves_wanted(draft: drafts.Draft) -> float:
+    """Return the reserves wanted for each group, by the weights of the two measures."""
+    policy = draft.situation.bundle.placement
+    total = policy.group_downtime_weight + policy.stranded_accelerator_weight
+    return policy.group_downtime_weight / total if total else 0.0
+
+
+def _form_group(draft: drafts.Draft, model: bundle.Model, reserves_per_group: float) -> bool:
+    """Form a group where the most VMs are left over.
+
+    :param draft: layout to change.
+    :param model: model that the group runs.
+    :param reserves_per_group: reserves that must remain for each group of the fabric domain.
+    :return: whether there was a place for it.
+    """
+    best: list[str] = []
+    place = ""
+    for domain in sorted({fact.entry.fabric_domain for fact in draft.situation.vms.values()}):
+        spares = _find_spares(draft, model, domain)
+        kept = _count_kept(draft, domain, reserves_per_group)
+        if len(spares) - kept >= model.members_per_group and len(spares) > len(best):
+            best, place = spares, domain
+    if not best and draft.situation.bundle.placement.across_fabric_domains:
+        best = _find_spares(draft, model, "")
+    if len(best) < model.members_per_group:
+        return False
+    draft.form(model, place, best[: model.members_per_group])
+    return True
+
+
+def _find_spares(draft: drafts.Draft, model: bundle.Model, domain: str) -> list[str]:
+    template = layout.GroupRecord(
+        group="-",
+        model=model.name,
+        version=model.version,
+        adapters=model.adapters,
+        generation=1,
+        fabric_domain=domain,
+        members=[],
+    )
+    spares = draft.find_spares(template, model)
+    if not domain:
+        return spares
+    return [vm for vm in spares if draft.situation.vms[vm].entry.fabric_domain == domain]
+
+
+def _count_kept(draft: drafts.Draft, domain: str, reserves_per_group: float) -> int:
+    groups = sum(1 for record in draft.groups.values() if record.fabric_domain == domain)
+    return round(reserves_per_group * (groups + 1)) if reserves_per_group else 0
--- /dev/null
+++ b/src/tanagerfork/groups/rollout.py
@@ -0,0 +1,207 @@
+"""Rollout: which groups are drained, in waves, and when a drain has ended.
+
+Each group is compared with the bundle in force at that time, so a bundle that comes in the middle
+of a rollout changes what the next step aims at and nothing else: a group that is draining goes on
+to the newest version, one whose change was undone takes requests again, and one that is still
+loading is ordered anew.
+"""
+
+import dataclasses
+import enum
+
+import msgspec
+
+from tanagerfork.generated import bundle, layout
+from tanagerfork.groups import draft as drafts
+from tanagerfork.timeline import kinds
+
+DRAIN_GRACE_MS = 3000  # Time until every daemon has learned that a group drains.
+
+
+class DrainReason(enum.StrEnum):
+    """Why a group gets no new requests."""
+
+    EXCESS = "the bundle asks for fewer groups"
+    LEAVING = "a member is leaving"
+    STRAGGLER = "a member straggles"
+    OUTDATED = "the bundle changes what it runs"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RolloutLimits:
+    """Bounds of drains and waves, in milliseconds."""
+
+    drain_ms: int = 120_000
+    wave_ms: int = 600_000
+
+
+class Rollout:
+    """Keeps the times of drains and waves of one failure domain.
+
+    :param limits: bounds.
+    """
+
+    __slots__ = ("_limits", "_draining_since_ms", "_waves", "_down_since_ms")
+
+    def __init__(self, limits: RolloutLimits) -> None:
+        self._limits = limits
+        self._draining_since_ms: dict[str, int] = {}
+        self._waves: dict[str, int] = {}
+        self._down_since_ms: dict[tuple[str, int], int] = {}
+
+    def mark_groups(self, draft: drafts.Draft) -> None:
+        """Start and end drains, within the limits of unavailability.
+
+        :param draft: layout to change.
+        """
+        if draft.situation.bundle_version > draft.situation.layout.bundle_version:
+            draft.stopped = []
+        excess = find_excess(draft)
+        for record in list(draft.groups.values()):
+            reason = find_reason(draft, record, excess)
+            if reason is None and record.draining:
+                _set_draining(draft, record, False)
+            if reason in (DrainReason.EXCESS, DrainReason.LEAVING):
+                self._start_drain(draft, record, reason)
+        for model in draft.situation.bundle.models:
+            self._stop_failed(draft, model)
+            self._start_wave(draft, model, excess)
+
+    def find_drained(self, draft: drafts.Draft) -> set[str]:
+        """Return the groups that may be changed, as nothing runs there any more.
+
+        :param draft: layout with its drains marked.
+        """
+        situation = draft.situation
+        marked = {record.group for record in situation.layout.groups if record.draining}
+        for group in self._draining_since_ms.keys() - marked:
+            del self._draining_since_ms[group]
+        for group in marked:
+            self._draining_since_ms.setdefault(group, situation.now_ms)
+        return {
+            record.group
+            for record in draft.groups.values()
+            if record.draining and self._is_drained(draft, record)
+        }
+
+    def note_wave(self, record: layout.GroupRecord) -> None:
+        """Note that a group was put to another version.
+
+        :param record: group in its new generation.
+        """
+        self._waves[record.group] = record.generation
+
+    def _start_drain(
+        self, draft: drafts.Draft, record: layout.GroupRecord, reason: DrainReason
+    ) -> None:
+        if not record.draining:
+            _set_draining(draft, record, True)
+            draft.note(kinds.EventKind.GROUP_DRAINING, record.group, reason.value)
+
+    def _start_wave(self, draft: drafts.Draft, model: bundle.Model, excess: set[str]) -> None:
+        records = [record for record in draft.groups.values() if record.model == model.name]
+        unavailable = sum(1 for record in records if _is_unavailable(draft, record))
+        for record in records:
+            reason = find_reason(draft, record, excess)
+            is_up = draft.situation.is_up(record.group)
+            if record.draining or not is_up or unavailable >= model.max_unavailable:
+                continue
+            if reason in (DrainReason.OUTDATED, DrainReason.STRAGGLER):
+                unavailable += 1
+                self._start_drain(draft, record, reason)
+                if reason == DrainReason.OUTDATED:
+                    detail = f"{record.version} to {model.version}"
+                    draft.note(kinds.EventKind.ROLLOUT_WAVE, record.group, detail)
+
+    def _stop_failed(self, draft: drafts.Draft, model: bundle.Model) -> None:
+        records = [record for record in draft.groups.values() if record.model == model.name]
+        is_under_way = any(is_outdated(record, model) for record in records)
+        for record in records:
+            is_loading = (
+                (is_under_way or self._waves.get(record.group) == record.generation)
+                and not draft.situation.is_up(record.group)
+                and not draft.find_lost(record)
+            )
+            key = (record.group, record.generation)
+            if not is_loading or is_outdated(record, model):
+                self._down_since_ms.pop(key, None)
+                continue
+            since_ms = self._down_since_ms.setdefault(key, draft.situation.now_ms)
+            is_late = draft.situation.now_ms - since_ms >= self._limits.wave_ms
+            if is_late and model.name not in draft.stopped:
+                draft.stopped.append(model.name)
+                detail = f"{model.name} {model.version} did not become whole; roll another bundle"
+                draft.note(kinds.EventKind.ROLLOUT_STOPPED, record.group, detail)
+
+    def _is_drained(self, draft: drafts.Draft, record: layout.GroupRecord) -> bool:
+        situation = draft.situation
+        if not situation.is_up(record.group):
+            return True
+        since_ms = self._draining_since_ms.get(record.group)
+        if since_ms is None:
+            return False
+        if situation.now_ms - since_ms >= self._limits.drain_ms:
+            return True
+        view = situation.views[record.group]
+        if view.report is None or view.report.running + view.report.waiting > 0:
+            return False
+        return situation.now_ms - view.report_age_ms >= since_ms + DRAIN_GRACE_MS
+
+
+def find_reason(
+    draft: drafts.Draft, record: layout.GroupRecord, excess: set[str]
+) -> DrainReason | None:
+    """Return why a group should be drained, None where it should not.
+
+    :param draft: layout that is being changed.
+    :param record: group.
+    :param excess: groups that the bundle does not ask for.
+    """
+    model = draft.situation.find_model(record.model)
+    if model is None or record.group in excess:
+        return DrainReason.EXCESS
+    found = [draft.situation.vms.get(vm) for vm in record.members]
+    if any(fact is not None and fact.is_leaving for fact in found):
+        return DrainReason.LEAVING
+    if is_outdated(record, model) and model.name not in draft.stopped:
+        return DrainReason.OUTDATED
+    is_slow = any(fact is not None and fact.is_straggling for fact in found)
+    if is_slow and len(draft.find_unusable(record)) <= len(draft.find_spares(record, model)):
+        return DrainReason.STRAGGLER
+    return None
+
+
+def is_outdated(record: layout.GroupRecord, model: bundle.Model) -> bool:
+    """Return whether a group runs something else than the bundle asks for.
+
+    :param record: group.
+    :param model: its model in the bundle in force.
+    """
+    return (record.version, record.adapters, len(record.members)) != (
+        model.version,
+        model.adapters,
+        model.members_per_group,
+    )
+
+
+def find_excess(draft: drafts.Draft) -> set[str]:
+    """Return the groups beyond those that the bundle asks for or allows.
+
+    :param draft: layout that is being changed.
+    """
+    excess = set()
+    for model in draft.situation.bundle.models:
+        records = [record for record in draft.groups.values() if record.model == model.name]
+        records.sort(key=lambda record: (not draft.situation.is_up(record.group), record.group))
+        excess |= {record.group for record in records[sum(draft.situation.count_groups(model)) :]}
+    return excess
+
+
+def _is_unavailable(draft: drafts.Draft, record: layout.GroupRecord) -> bool:
+    is_down = not draft.situation.is_up(record.group)
+    return record.draining or (is_down and not draft.find_lost(record))
+
+
+def _set_draining(draft: drafts.Draft, record: layout.GroupRecord, draining: bool) -> None:
+    changed = msgspec.structs.replace(record, draining=draining)
+    draft.groups[record.group] = changed
--- /dev/null
+++ b/src/tanagerfork/groups/sender.py
@@ -0,0 +1,119 @@
+"""Sending of engine orders."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Mapping, Sequence
+
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import metrics as metric
+from tanagerfork.generated import engine
+from tanagerfork.groups import facts, orders
+from tanagerfork.timeline import kinds, ring
+from tanagerfork.upstream import engine as engines
+
+ORDERS_AT_ONCE = 16
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Given:
+    """The order that an engine accepted last."""
+
+    order: engine.Order
+    incarnation: str
+    sequence: int
+
+
+class OrderSender:
+    """Sends orders to engines, each one only while the sender may give orders.
+
+    An order that an engine accepted is sent again only once a later report shows that it was not
+    carried out.
+
+    :param client: engine client.
+    :param clock: clock of this daemon.
+    :param timeline: time line.
+    :param metrics: counters.
+    """
+
+    __slots__ = ("_client", "_clock", "_timeline", "_metrics", "_given", "_refused")
+
+    def __init__(
+        self,
+        client: engines.EngineClient,
+        clock: clocks.Clock,
+        timeline: ring.Timeline,
+        metrics: metric.Metrics,
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._timeline = timeline
+        self._metrics = metrics
+        self._given: dict[str, _Given] = {}
+        self._refused: dict[str, engine.Order] = {}
+
+    async def send_orders(
+        self,
+        chosen: Sequence[orders.VmOrder],
+        vms: Mapping[str, facts.VmFact],
+        may_order: Callable[[], bool],
+    ) -> None:
+        """Send orders, several at once.
+
+        :param chosen: orders, in the order of sending.
+        :param vms: facts that they were chosen by.
+        :param may_order: asked right before each order.
+        """
+        for vm in self._given.keys() - vms.keys():
+            del self._given[vm]
+        waiting = [item for item in chosen if not self._is_under_way(item, vms)]
+        for start in range(0, len(waiting), ORDERS_AT_ONCE):
+            batch = waiting[start : start + ORDERS_AT_ONCE]
+            await asyncio.gather(*(self._send(item, vms, may_order) for item in batch))
+
+    def _is_under_way(self, item: orders.VmOrder, vms: Mapping[str, facts.VmFact]) -> bool:
+        given = self._given.get(item.entry.vm)
+        fact = vms.get(item.entry.vm)
+        if given is None or fact is None or fact.report is None or given.order != item.order:
+            return False
+        report = fact.report
+        return report.incarnation == given.incarnation and report.sequence <= given.sequence
+
+    async def _send(
+        self,
+        item: orders.VmOrder,
+        vms: Mapping[str, facts.VmFact],
+        may_order: Callable[[], bool],
+    ) -> None:
+        if not may_order():
+            self._metrics.count("orders_withheld_total")
+            return
+        answer = await self._client.order(item.entry, item.order)
+        self._metrics.count("orders_sent_total", kind=item.order.kind)
+        if isinstance(answer, result.Err):
+            self._metrics.count("orders_unanswered_total")
+            return
+        if answer.ok_value.accepted:
+            self._note_given(item, vms)
+        else:
+            self._note_refused(item, answer.ok_value.reason)
+
+    def _note_given(self, item: orders.VmOrder, vms: Mapping[str, facts.VmFact]) -> None:
+        vm = item.entry.vm
+        self._refused.pop(vm, None)
+        fact = vms.get(vm)
+        if fact is not None and fact.report is not None:
+            report = fact.report
+            self._given[vm] = _Given(item.order, report.incarnation, report.sequence)
+        self._record(kinds.EventKind.ORDER_SENT, item, item.order.kind)
+
+    def _note_refused(self, item: orders.VmOrder, reason: str) -> None:
+        self._metrics.count("orders_refused_total")
+        self._given.pop(item.entry.vm, None)
+        if self._refused.get(item.entry.vm) != item.order:
+            self._refused[item.entry.vm] = item.order
+            self._record(kinds.EventKind.ORDER_REFUSED, item, f"{item.order.kind}: {reason}")
+
+    def _record(self, kind: kinds.EventKind, item: orders.VmOrder, detail: str) -> None:
+        self._timeline.record(kind, detail, vm=item.entry.vm, group=item.order.group)
--- a/src/tanagerfork_standins/engine.py
+++ b/src/tanagerfork_standins/engine.py
@@ -253,7 +253,7 @@
         if order.kind == "leave":
             self.cut_all()
             report.group, report.generation, report.members = "", 0, []
-            report.state = "idle"
+            report.state = "idle" if report.state != "loading" else "loading"
             return
         has_weights = (report.model, report.version, report.adapters) == (
             order.model,
@@ -261,14 +261,14 @@
             order.adapters,
         )
         is_same_group = (report.group, report.generation) == (order.group, order.generation)
-        if not is_same_group:
-            self.cut_all()
-        report.group, report.generation = order.group, order.generation
-        report.members = list(order.members)
-        if has_weights and report.state in ("ready", "idle"):
-            report.state = "ready"
-            return
-        if is_same_group and report.state == "loading":
+        if order.kind == "join":
+            if not is_same_group:
+                self.cut_all()
+            report.group, report.generation = order.group, order.generation
+            report.members = list(order.members)
+        if has_weights:
+            if report.state == "idle" and order.kind == "join":
+                report.state = "ready"
             return
         report.state = "loading"
         report.model, report.version = order.model, order.version
@@ -279,7 +279,7 @@
 
     async def _load(self) -> None:
         await self._store.load()
-        self.report.state = "ready"
+        self.report.state = "ready" if self.report.group else "idle"
 
     async def _serve_cancel(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         await self._resumes.wait()
