Send every upstream call once, and close the connection of every answer

Cause: aiohttp sends GET, PUT, DELETE and others a second time where the connection broke before an answer, even if that connection was new. POST was never repeated. Ruled out: redirects (not followed), force_close (the library does not look whether the connection was reused). Answers get connections of their own, since the library pools a connection at the end of its bytes, before the answer was checked. Silence is judged against the stream's own mean gap, and time in which a slow caller reads does not count as silence. An end marker without a finish is no whole answer.

--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -28,6 +28,7 @@
 from tanagerfork.platform import etcd, vms
 from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
+from tanagerfork.upstream import connections
 from tanagerfork.upstream import engine as engines
 from tanagerfork.upstream import service as service_clients
 
@@ -67,10 +68,8 @@
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
             timeout=aiohttp.ClientTimeout(total=None),
         )
-        self._single_use_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            timeout=aiohttp.ClientTimeout(total=None),
-        )
+        self._single_use_session = connections.open_session(single_use=True)
+        self._pool = connections.Pool(asyncio.get_running_loop().time)
         self.store = etcd.EtcdKeyValue(
             self._session,
             settings.platform.key_value_url,
@@ -80,7 +79,9 @@
         self._vm_directory = vms.HttpVmDirectory(
             self._session, settings.platform.vm_list_url, settings.platform.key_value_timeout_ms
         )
-        self._engines = engines.HttpEngineClient(self._session, settings.groups.order_timeout_ms)
+        self._engines = engines.HttpEngineClient(
+            self._pool, self._single_use_session, settings.groups.order_timeout_ms
+        )
         self._observer = observer.Observer(
             self._engines,
             self.groups.presence,
@@ -111,6 +112,7 @@
             await runner.cleanup()
         await self._session.close()
         await self._single_use_session.close()
+        await self._pool.close()
         self.lifecycle.apply("stop")
 
     def hasten(self) -> None:
--- a/src/tanagerfork/upstream/engine.py
+++ b/src/tanagerfork/upstream/engine.py
@@ -10,7 +10,7 @@
 
 from tanagerfork import errors
 from tanagerfork.generated import engine
-from tanagerfork.upstream import stream
+from tanagerfork.upstream import connections, stream
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 REQUEST_HEADER = "X-Request-Id"
@@ -23,7 +23,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Attempt:
-    """One attempt to have a request answered."""
+    """One attempt to have a request answered.
+
+    Assumed of the engine: it leaves out the first `resume_offset` tokens of the answer and gives
+    the ones that follow, the same on each VM of the same version and adapter for the same request
+    id and body. Where an engine needs the generated text for that, this record carries it.
+    """
 
     attempt_id: str
     request_id: str
@@ -43,8 +48,12 @@
         :return: checked events, or why the answer cannot be completed by this exchange.
         """
 
+    @property
+    def mean_gap_ms(self) -> float:
+        """Mean time between two chunks so far; 0 where it is not known."""
+
     async def close(self) -> None:
-        """Give the exchange up; its connection is closed unless the answer is whole."""
+        """End the exchange and close its connection."""
 
 
 class EngineClient(Protocol):
@@ -104,7 +113,7 @@
     :param attempt: attempt that was sent.
     """
 
-    __slots__ = ("_response", "_attempt", "_parser", "_chunks", "_silence", "_is_whole")
+    __slots__ = ("_response", "_attempt", "_parser", "_chunks", "_silence")
 
     def __init__(self, response: aiohttp.ClientResponse, attempt: Attempt) -> None:
         self._response = response
@@ -114,17 +123,22 @@
         self._silence = stream.SilenceTimer(
             response.close, attempt.first_token_timeout_ms, attempt.silence_timeout_ms
         )
-        self._is_whole = False
+
+    @property
+    def mean_gap_ms(self) -> float:
+        """Mean time between two chunks; see `Exchange.mean_gap_ms`."""
+        return self._silence.mean_gap_ms
 
     async def next_batch(self) -> result.Result[stream.Batch, errors.UpstreamError]:
         """Wait for the next events; see `Exchange.next_batch`."""
+        self._silence.wait()
         try:
             async for chunk in self._chunks:
                 self._silence.hear()
                 parsed = self._parser.feed(chunk)
                 if isinstance(parsed, result.Err) or parsed.ok_value.data or parsed.ok_value.is_end:
-                    self._is_whole = parsed.is_ok() and parsed.unwrap().is_end
                     return parsed
+                self._silence.wait()
         except (aiohttp.ClientError, OSError) as error:
             return result.Err(self._describe_loss(repr(error)))
         return result.Err(self._describe_loss("the answer ended without its end marker"))
@@ -132,10 +146,7 @@
     async def close(self) -> None:
         """Give the exchange up; see `Exchange.close`."""
         self._silence.stop()
-        if self._is_whole:
-            self._response.release()
-        else:
-            self._response.close()
+        self._response.close()
 
     def _describe_loss(self, reason: str) -> errors.UpstreamError:
         if self._silence.is_silent:
@@ -146,13 +157,20 @@
 class HttpEngineClient:
     """Model engines over HTTP.
 
-    :param session: HTTP session, closed by its owner.
+    Each answer has a connection of its own: one that went silent or was given up can hold up no
+    other request, and a late answer has nowhere to come in. Short calls share a pool.
+
+    :param pool: connections of reports, orders, cache events and cancels.
+    :param session: session of single-use connections for answers.
     :param call_timeout_ms: deadline of reports and orders, in milliseconds.
     """
 
-    __slots__ = ("_session", "_call_timeout_s")
+    __slots__ = ("_pool", "_session", "_call_timeout_s")
 
-    def __init__(self, session: aiohttp.ClientSession, call_timeout_ms: int) -> None:
+    def __init__(
+        self, pool: connections.Pool, session: aiohttp.ClientSession, call_timeout_ms: int
+    ) -> None:
+        self._pool = pool
         self._session = session
         self._call_timeout_s = call_timeout_ms / 1000
 
@@ -180,10 +198,11 @@
         """Tell an engine that an attempt was given up; see `EngineClient.cancel`."""
         try:
             async with asyncio.timeout(self._call_timeout_s):
+                session = await self._pool.session()
                 headers = {ATTEMPT_HEADER: attempt_id}
-                async with self._session.post(vm.url + "/cancel", headers=headers):
+                async with session.post(vm.url + "/cancel", headers=headers, allow_redirects=False):
                     pass
-        except (aiohttp.ClientError, TimeoutError):
+        except (aiohttp.ClientError, OSError):
             return
 
     async def open(
@@ -205,12 +224,8 @@
                     headers=headers,
                     allow_redirects=False,
                 )
-        except aiohttp.ClientConnectorError:
-            return result.Err(errors.UpstreamUnreachable(f"{vm.vm} takes no connection; go on"))
-        except TimeoutError:
-            return result.Err(errors.UpstreamSilent(f"{vm.vm} gave no first token; go elsewhere"))
         except (aiohttp.ClientError, OSError) as error:
-            return result.Err(errors.UpstreamLost(f"{vm.vm} broke off ({error!r}); go elsewhere"))
+            return result.Err(connections.describe_failure(vm.vm, error))
         refusal = _check_head(vm, response, attempt)
         if refusal is not None:
             response.close()
@@ -222,17 +237,18 @@
     ) -> result.Result[RecordT, errors.UpstreamError]:
         try:
             async with asyncio.timeout(self._call_timeout_s):
-                async with self._session.request(
+                session = await self._pool.session()
+                async with session.request(
                     method, url, data=body, allow_redirects=False
                 ) as response:
                     answer = await response.read()
             if response.status != 200:
                 return result.Err(errors.UpstreamRefused(f"{url} said {response.status}; go on"))
             return result.Ok(msgspec.json.decode(answer, type=answer_type))
-        except aiohttp.ClientConnectorError as error:
-            return result.Err(errors.UpstreamUnreachable(f"{url} takes no connection: {error}"))
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
-            return result.Err(errors.UpstreamLost(f"{url} gave no answer ({error!r}); ask again"))
+        except msgspec.MsgspecError as error:
+            return result.Err(errors.UpstreamConfused(f"{url} gave no valid record: {error}"))
+        except (aiohttp.ClientError, OSError) as error:
+            return result.Err(connections.describe_failure(url, error))
 
 
 def _check_head(
--- a/src/tanagerfork/upstream/service.py
+++ b/src/tanagerfork/upstream/service.py
@@ -9,6 +9,7 @@
 
 from tanagerfork import errors
 from tanagerfork.generated import bundle
+from tanagerfork.upstream import connections
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 NOT_RUN_HEADER = "X-Not-Run"
@@ -54,10 +55,9 @@
 class HttpServiceClient:
     """Plain services over HTTP; each call has a connection of its own.
 
-    A pooled connection may break on the first byte, and then nobody knows whether the call ran;
-    the HTTP library would even send some methods again.
+    A pooled connection may break on the first byte, and then nobody knows whether the call ran.
 
-    :param session: HTTP session whose connector closes each connection after use.
+    :param session: session of single-use connections that never sends a call again by itself.
     :param answer_limit_bytes: largest answer.
     """
 
@@ -89,13 +89,8 @@
                         body += await response.content.read(self._answer_limit_bytes + 1)
                         if len(body) > self._answer_limit_bytes:
                             break
-        except aiohttp.ClientConnectorError as error:
-            message = f"{upstream.name} takes no connection ({error}); go elsewhere"
-            return result.Err(errors.UpstreamUnreachable(message))
-        except TimeoutError:
-            return result.Err(errors.UpstreamSilent(f"{upstream.name} gave no answer in time"))
         except (aiohttp.ClientError, OSError) as error:
-            return result.Err(errors.UpstreamLost(f"{upstream.name} broke off ({error!r})"))
+            return result.Err(connections.describe_failure(upstream.name, error))
         return self._check(upstream, call, response, body)
 
     def _check(
--- a/src/tanagerfork/upstream/stream.py
+++ b/src/tanagerfork/upstream/stream.py
@@ -12,6 +12,7 @@
 END_MARKER = b"data: [DONE]\n\n"
 UNFINISHED = b'"finish_reason":null'
 MAX_EVENT_BYTES = 1024 * 1024
+SILENT_GAPS = 30
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -30,7 +31,9 @@
     """Cuts a stream into events and checks whose they are.
 
     The event that finishes the answer is held back until the end marker came, so that an answer
-    that breaks between the two can still be resumed.
+    that breaks between the two can still be resumed. Assumed of the engine: events are
+    `data: {"id":"ATTEMPT",...}` with an empty line after each, one token an event, a
+    `finish_reason` in the last one, then `data: [DONE]`; it sends no comments.
 
     :param attempt_id: id that the engine must echo.
     :param request_id: id that the caller gets.
@@ -76,6 +79,8 @@
             message = "the answer belongs to another attempt or is no answer; ask elsewhere"
             return result.Err(errors.UpstreamConfused(message))
         tokens = events.count(UNFINISHED)
+        if is_end and not self._held and tokens == count:
+            return result.Err(errors.UpstreamConfused("the end marker came before the finish"))
         return result.Ok(self._hold_finish(events, count, tokens, is_end))
 
     def _hold_finish(self, events: bytes, count: int, tokens: int, is_end: bool) -> Batch:
@@ -90,40 +95,75 @@
 class SilenceTimer:
     """Notices a silent stream with one timer per stream.
 
+    After the first bytes the silence allowed grows with the stream's own mean gap, so that a slow
+    upstream is not taken for a silent one. Time in which nobody waits for bytes does not count.
+
     :param on_silence: called once when the stream was silent for too long.
     :param first_ms: silence allowed before the first bytes, in milliseconds.
-    :param later_ms: silence allowed after them, in milliseconds.
+    :param later_ms: least silence allowed after them, in milliseconds.
     """
 
-    __slots__ = ("is_silent", "_on_silence", "_allowed_s", "_later_s", "_heard_at", "_handle")
+    __slots__ = (
+        "is_silent",
+        "_on_silence",
+        "_first_s",
+        "_later_s",
+        "_loop",
+        "_heard_at",
+        "_first_at",
+        "_chunks",
+        "_is_waiting",
+        "_handle",
+    )
 
     def __init__(self, on_silence: Callable[[], None], first_ms: int, later_ms: int) -> None:
         self.is_silent = False
         self._on_silence = on_silence
-        self._allowed_s = first_ms / 1000
+        self._first_s = first_ms / 1000
         self._later_s = later_ms / 1000
-        loop = asyncio.get_running_loop()
-        self._heard_at = loop.time()
-        self._handle = loop.call_later(self._allowed_s, self._check)
+        self._loop = asyncio.get_running_loop()
+        self._heard_at = self._first_at = self._loop.time()
+        self._chunks = 0
+        self._is_waiting = False
+        self._handle = self._loop.call_later(min(self._first_s, self._later_s), self._check)
+
+    @property
+    def mean_gap_ms(self) -> float:
+        """Mean time between two chunks so far; 0 before the second."""
+        if self._chunks < 2:
+            return 0.0
+        return (self._heard_at - self._first_at) * 1000 / (self._chunks - 1)
+
+    def wait(self) -> None:
+        """Note that somebody waits for bytes from now on."""
+        self._is_waiting = True
+        if self._chunks:
+            self._heard_at = max(self._heard_at, self._loop.time())
 
     def hear(self) -> None:
         """Note that bytes came."""
-        loop = asyncio.get_running_loop()
-        self._heard_at = loop.time()
-        if self._allowed_s != self._later_s:
-            self._allowed_s = self._later_s
-            self._handle.cancel()
-            self._handle = loop.call_later(self._allowed_s, self._check)
+        self._heard_at = self._loop.time()
+        self._is_waiting = False
+        if not self._chunks:
+            self._first_at = self._heard_at
+        self._chunks += 1
 
     def stop(self) -> None:
         """End the timer."""
         self._handle.cancel()
 
+    def _allowed_s(self) -> float:
+        if not self._chunks:
+            return self._first_s
+        return max(self._later_s, SILENT_GAPS * self.mean_gap_ms / 1000)
+
     def _check(self) -> None:
-        loop = asyncio.get_running_loop()
-        due = self._heard_at + self._allowed_s
-        if loop.time() < due:
-            self._handle = loop.call_at(due, self._check)
+        now = self._loop.time()
+        due = self._heard_at + self._allowed_s()
+        if not self._is_waiting:
+            due = now + self._later_s
+        if now < due:
+            self._handle = self._loop.call_at(due, self._check)
             return
         self.is_silent = True
         self._on_silence()
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,46 @@
+"""Contract tests of the plain service client: for each fault, what comes and whether it ran."""
+
+import pytest
+import result
+
+from tanagerfork.generated import bundle
+from tanagerfork.upstream import connections, service
+from tests import upstreams
+from tests.upstreams import CUT, SILENT
+
+HEAD = upstreams.head()
+LENGTH = upstreams.head(extra="Content-Length: 4\r\n")
+METHODS = ["GET", "POST", "PUT", "DELETE", "PATCH"]
+
+FAULTS = [
+    ("whole", [LENGTH, b"good"], None),
+    ("crash before the head", [CUT], "upstream_lost"),
+    ("closed before the head", [], "upstream_lost"),
+    ("cut inside the body", [LENGTH, b"go", CUT], "upstream_lost"),
+    ("silent before the head", [SILENT], "upstream_silent"),
+    ("silent inside the body", [LENGTH, b"go", SILENT], "upstream_silent"),
+    ("another attempt", [upstreams.head("b"), b"good"], "upstream_confused"),
+    ("refused before running", [upstreams.head(extra="X-Not-Run: 1\r\n")], "upstream_refused"),
+    ("garbage", [b"\x00\xff nonsense\r\n\r\n"], "upstream_lost"),
+    ("too large", [HEAD, b"x" * 2000], "upstream_lost"),
+]
+
+
+class TestFaults:
+    @pytest.mark.parametrize(("name", "script", "kind"), FAULTS)
+    @pytest.mark.parametrize("method", METHODS)
+    async def test_call_is_sent_once_and_its_outcome_is_told(self, name, script, kind, method):
+        call = service.ServiceCall("a1", "r1", method, "releases", "", "", b"{}", 200)
+        async with upstreams.run_upstream(script) as upstream:
+            target = bundle.ServiceUpstream(name="s", failure_domain="d", url=upstream.entry.url)
+            session = connections.open_session(single_use=True)
+            client = service.HttpServiceClient(session, answer_limit_bytes=1000)
+            called = await client.call(target, call)
+            await session.close()
+            if kind is None:
+                assert called.unwrap().body == b"good"
+            else:
+                assert isinstance(called, result.Err) and called.err_value.kind == kind
+                ran = "no" if kind == "upstream_refused" else "unknown"
+                assert called.err_value.ran == ran
+            assert len(upstream.requests) == 1
--- /dev/null
+++ b/tests/upstreams.py
@@ -0,0 +1,78 @@
+"""Upstreams that follow a script, for contract tests of the clients."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from tanagerfork.generated import engine
+
+CUT = b"<cut>"
+SILENT = b"<silent>"
+ATTEMPT = "a1"
+REQUEST = "r1"
+
+
+def head(attempt: str = ATTEMPT, status: str = "200 OK", extra: str = "") -> bytes:
+    """Return the head of an answer that ends with its connection."""
+    return (
+        f"HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\nConnection: close\r\n{extra}\r\n"
+    ).encode()
+
+
+def event(word: str, attempt: str = ATTEMPT, finish: str = "null") -> bytes:
+    """Return one event of a streamed answer."""
+    return (
+        f'data: {{"id":"{attempt}","choices":[{{"index":0,"delta":{{"content":"{word}"}},'
+        f'"finish_reason":{finish}}}]}}\n\n'
+    ).encode()
+
+
+FINISH = event("", finish='"stop"')
+END = b"data: [DONE]\n\n"
+
+
+class ScriptedUpstream:
+    """Answers every connection by a script and notes what came in.
+
+    :param script: pieces to send; `CUT` breaks the connection, `SILENT` keeps it open.
+    """
+
+    def __init__(self, script: list[bytes]) -> None:
+        self.script = script
+        self.requests: list[bytes] = []
+        self.closed_by_client = 0
+        self.entry = engine.VmEntry(vm="vm0", url="", failure_domain="d", fabric_domain="f")
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        try:
+            text = await reader.readuntil(b"\r\n\r\n")
+            self.requests.append(text.split(b"\r\n")[0])
+            for piece in self.script:
+                if piece == CUT:
+                    writer.transport.abort()
+                    return
+                if piece == SILENT:
+                    while await reader.read(65536):
+                        pass
+                    self.closed_by_client += 1
+                    return
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.close()
+
+
+@contextlib.asynccontextmanager
+async def run_upstream(script: list[bytes]) -> AsyncIterator[ScriptedUpstream]:
+    """Run a scripted upstream on a port from the system."""
+    upstream = ScriptedUpstream(script)
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    upstream.entry.url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    try:
+        yield upstream
+    finally:
+        server.close()
