--- /dev/null
+++ b/src/tanagerfork/peers/dissemination.py
@@ -0,0 +1,68 @@
+"""Dissemination: which changes are still to be told, each a bounded number of times."""
+
+import dataclasses
+import math
+
+SENDS_PER_DOUBLING = 3
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    size_bytes: int
+    sends: int = 0
+
+
+class DeltaQueue:
+    """Holds the keys of changes that peers may not have heard yet."""
+
+    __slots__ = ("_pending",)
+
+    def __init__(self) -> None:
+        self._pending: dict[str, _Pending] = {}
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def offer(self, key: str, size_bytes: int) -> None:
+        """Have a change told; one that is still being told starts anew.
+
+        :param key: names the change; its content is looked up when it is sent.
+        :param size_bytes: size of the content when sent.
+        """
+        self._pending[key] = _Pending(size_bytes)
+
+    def drop(self, key: str) -> None:
+        """Tell a change no more.
+
+        :param key: names the change.
+        """
+        self._pending.pop(key, None)
+
+    def take(self, budget_bytes: int, peers: int) -> list[str]:
+        """Choose what the next message tells, what was told least first.
+
+        :param budget_bytes: room in the message; the first change may exceed it.
+        :param peers: peers that should hear it.
+        :return: keys; each is counted as told once more.
+        """
+        chosen: list[str] = []
+        limit = count_sends(peers)
+        for key, pending in sorted(self._pending.items(), key=lambda item: item[1].sends):
+            if pending.size_bytes > budget_bytes and chosen:
+                continue
+            chosen.append(key)
+            budget_bytes -= pending.size_bytes
+            pending.sends += 1
+            if pending.sends >= limit:
+                del self._pending[key]
+            if budget_bytes <= 0:
+                break
+        return chosen
+
+
+def count_sends(peers: int) -> int:
+    """Return how often a change is told so that all peers hear it.
+
+    :param peers: peers that should hear it.
+    """
+    return SENDS_PER_DOUBLING * math.ceil(math.log2(peers + 2))
--- /dev/null
+++ b/src/tanagerfork/peers/rendezvous.py
@@ -0,0 +1,82 @@
+"""Rendezvous hashing: who does what, without asking anyone."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+OBSERVERS_PER_GROUP = 2
+WATCHERS = 2
+COORDINATOR_CANDIDATES = 3
+BRIDGES = 2
+
+OBSERVER = "observer/"
+WATCHER = "watcher"
+CLAIM_SHARD = "claims/"
+COORDINATOR = "coordinator"
+BRIDGE = "bridge"
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Order names by how well they fit a key.
+
+    :param key: what has to be done.
+    :param names: daemons that could do it.
+    :return: best first; the order of two names does not depend on the others.
+    """
+    return sorted(
+        names, key=lambda name: (-xxhash.xxh64_intdigest(f"{key}\n{name}".encode()), name)
+    )
+
+
+def choose(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Choose who does something.
+
+    :param key: what has to be done.
+    :param names: daemons that could do it.
+    :param count: how many are needed.
+    :return: at most so many, best first.
+    """
+    return rank(key, names)[:count]
+
+
+def choose_observers(group: str, names: Iterable[str]) -> list[str]:
+    """Choose the observers of a group.
+
+    :param group: group.
+    :param names: live daemons of the failure domain.
+    """
+    return choose(OBSERVER + group, names, OBSERVERS_PER_GROUP)
+
+
+def choose_watchers(names: Iterable[str]) -> list[str]:
+    """Choose the watchers of the head.
+
+    :param names: live daemons of the failure domain.
+    """
+    return choose(WATCHER, names, WATCHERS)
+
+
+def choose_shard_owners(shard: int, names: Iterable[str], count: int = 1) -> list[str]:
+    """Choose the preferred owners of a shard of claims.
+
+    :param shard: number of the shard.
+    :param names: live daemons of the failure domain.
+    :param count: owners wanted.
+    """
+    return choose(f"{CLAIM_SHARD}{shard}", names, count)
+
+
+def choose_coordinator_candidates(names: Iterable[str]) -> list[str]:
+    """Choose who asks for the coordinator's lease.
+
+    :param names: live daemons of the failure domain.
+    """
+    return choose(COORDINATOR, names, COORDINATOR_CANDIDATES)
+
+
+def choose_bridges(names: Iterable[str]) -> list[str]:
+    """Choose who talks to the other failure domains.
+
+    :param names: live daemons of the failure domain.
+    """
+    return choose(BRIDGE, names, BRIDGES)
--- /dev/null
+++ b/src/tanagerfork/peers/ring.py
@@ -0,0 +1,54 @@
+"""The ring: whom a daemon talks to, and over which tree sums are formed."""
+
+from collections.abc import Sequence
+
+import xxhash
+
+RING = "ring/"
+
+
+class Ring:
+    """The live daemons of a failure domain in an order that all of them work out alike.
+
+    A daemon's partners stand 1, 2, 4, ... places after it, so that each has as many partners as
+    it is a partner of, and news crosses the ring in as many steps as its size has doublings.
+
+    :param names: live daemons.
+    :param own: this daemon, one of them.
+    """
+
+    __slots__ = ("_order", "_place", "_size")
+
+    def __init__(self, names: Sequence[str], own: str) -> None:
+        self._order = sorted(
+            names, key=lambda name: (xxhash.xxh64_intdigest((RING + name).encode()), name)
+        )
+        self._size = len(self._order)
+        self._place = self._order.index(own)
+
+    def partners(self) -> list[str]:
+        """Return whom this daemon talks to of its own accord, nearest first."""
+        found: list[str] = []
+        step = 1
+        while step < self._size:
+            found.append(self._order[(self._place + step) % self._size])
+            step *= 2
+        return found
+
+    def parent(self) -> str:
+        """Return the daemon to report sums to; empty at the root.
+
+        It has this daemon among its partners.
+        """
+        lowest_bit = self._place & -self._place
+        return self._order[self._place - lowest_bit] if self._place else ""
+
+    def children(self) -> list[str]:
+        """Return the daemons that report sums here, all of them partners."""
+        lowest_bit = self._place & -self._place if self._place else self._size
+        found: list[str] = []
+        step = 1
+        while step < lowest_bit and self._place + step < self._size:
+            found.append(self._order[self._place + step])
+            step *= 2
+        return found
--- a/src/tanagerfork/record.py
+++ b/src/tanagerfork/record.py
@@ -9,3 +9,7 @@
 
 class StrictRecord(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """A record that people write; an unknown field is an error."""
+
+
+class CompactRecord(msgspec.Struct, kw_only=True, array_like=True):
+    """A record whose encoding names no fields; a later version may only append some."""
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -10,7 +10,11 @@
 
 SOURCE = pathlib.Path(__file__).parent.parent / "src" / "tanagerfork"
 LINE_CHARS = 100
-STRICT_SCHEMAS = ("bundle", "settings")  # People write these; unknown fields are errors.
+BASE_CLASSES = {  # People write bundles and settings; peers pay for each byte.
+    "bundle": "StrictRecord",
+    "settings": "StrictRecord",
+    "peers": "CompactRecord",
+}
 HEADER = '"""Generated from schema/{name}.json by `make generate`; do not edit."""'
 
 
@@ -35,7 +39,7 @@
     :param schema_path: JSON Schema file.
     :param target_path: Python module to write.
     """
-    base_class = "StrictRecord" if schema_path.stem in STRICT_SCHEMAS else "Record"
+    base_class = BASE_CLASSES.get(schema_path.stem, "Record")
     datamodel_code_generator.generate(
         read_schema(schema_path),
         input_filename=schema_path.name,
