--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -25,6 +25,7 @@
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import coordinator, directory, observer, presence
+from tanagerfork.peers import service as peer_services
 from tanagerfork.platform import etcd, vms
 from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
@@ -54,6 +55,16 @@
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
         self.groups.subscribe(self._note_group)
         self._rng = random.Random(settings.seed or None)
+        self.peers = peer_services.PeerService(
+            settings,
+            settings_files.read_peer_keys(settings.peers),
+            clock,
+            self._rng,
+            self.timeline,
+            self.metrics,
+            self.bundles,
+            self.groups,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[aiohttp.web.AppRunner] = []
         self._hasten = asyncio.Event()
@@ -87,8 +98,14 @@
             self.clock,
             self.metrics,
             settings.groups.observe_interval_ms,
+            self.peers.is_observed_here,
+            self.peers.note_report,
         )
         await self._open_listeners()
+        self.peers.start(
+            f"http://{settings.callers.host}:{self.callers_port}",
+            f"http://{settings.operators.host}:{self.operators_port}",
+        )
         self.lifecycle.apply("listen")
         self._start_tasks()
 
@@ -104,6 +121,7 @@
         ):
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
             waited_ms += DRAIN_CHECK_MS
+        await self.peers.stop()
         for task in self._tasks:
             task.cancel()
         self._observer.stop()
@@ -199,6 +217,7 @@
                 ]
                 self.groups.take_vms(own)
                 self._observer.follow(own)
+                self.peers.observations.keep([vm.vm for vm in own])
             await self.clock.sleep_ms(self.settings.platform.vm_list_interval_ms)
 
     async def _follow_readiness(self) -> None:
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -256,3 +256,30 @@
     kind = "peer_message_invalid"
     status = 400
     ran = NOT_RUN
+
+
+class PeerError(TanagerforkError):
+    """Another daemon did not answer."""
+
+    kind = "peer"
+    status = 503
+
+
+class PeerUnreachable(PeerError):
+    """The ask certainly was not handled."""
+
+    kind = "peer_unreachable"
+    ran = NOT_RUN
+
+
+class PeerRefused(PeerError):
+    """The peer says that it cannot answer."""
+
+    kind = "peer_refused"
+    ran = NOT_RUN
+
+
+class PeerSilent(PeerError):
+    """The ask may have been handled; no answer came in time."""
+
+    kind = "peer_silent"
--- a/src/tanagerfork/groups/observer.py
+++ b/src/tanagerfork/groups/observer.py
@@ -1,6 +1,7 @@
 """Observation: asks the engines for their reports."""
 
 import asyncio
+from collections.abc import Callable
 
 import result
 
@@ -19,9 +20,20 @@
     :param clock: clock to wait on.
     :param metrics: counters.
     :param interval_ms: time between two reads, in milliseconds.
+    :param is_due: returns whether this daemon reads a VM now; peers read it otherwise.
+    :param on_report: called with each report and when it was asked for.
     """
 
-    __slots__ = ("_client", "_known", "_clock", "_metrics", "_interval_ms", "_tasks")
+    __slots__ = (
+        "_client",
+        "_known",
+        "_clock",
+        "_metrics",
+        "_interval_ms",
+        "_is_due",
+        "_on_report",
+        "_tasks",
+    )
 
     def __init__(
         self,
@@ -30,12 +42,16 @@
         clock: clocks.Clock,
         metrics: metric.Metrics,
         interval_ms: int,
+        is_due: Callable[[str], bool] = lambda vm: True,
+        on_report: Callable[[engine.EngineReport, int], None] = lambda report, made_at_ms: None,
     ) -> None:
         self._client = client
         self._known = known
         self._clock = clock
         self._metrics = metrics
         self._interval_ms = interval_ms
+        self._is_due = is_due
+        self._on_report = on_report
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def follow(self, vms: list[engine.VmEntry]) -> None:
@@ -60,10 +76,14 @@
 
     async def _observe(self, vm: engine.VmEntry) -> None:
         while True:
+            if not self._is_due(vm.vm):
+                await self._clock.sleep_ms(self._interval_ms)
+                continue
             asked_at_ms = self._clock.monotonic_ms()
             answer = await self._client.report(vm)
             if isinstance(answer, result.Ok) and answer.ok_value.vm == vm.vm:
                 self._known.hear(answer.ok_value, asked_at_ms)
+                self._on_report(answer.ok_value, asked_at_ms)
             else:
                 self._metrics.count("reports_missed_total")
             await self._clock.sleep_ms(self._interval_ms)
--- a/src/tanagerfork/groups/presence.py
+++ b/src/tanagerfork/groups/presence.py
@@ -63,6 +63,19 @@
             return
         self._heard[report.vm] = HeardReport(report, made_at_ms)
 
+    def confirm(self, report: engine.EngineReport, made_at_ms: int) -> None:
+        """Take in that a member said the same again later, its load aside.
+
+        :param report: report as heard before, with the load of the later one.
+        :param made_at_ms: when the later one was made, by this daemon's clock.
+        """
+        known = self._heard.get(report.vm)
+        if known is None or made_at_ms <= known.made_at_ms:
+            return
+        told = (report.incarnation, report.sequence)
+        if told == (known.report.incarnation, known.report.sequence):
+            self._heard[report.vm] = HeardReport(report, made_at_ms)
+
     def forget(self, vm: str) -> None:
         """Drop what is known of a VM.
 
--- a/src/tanagerfork/peers/dissemination.py
+++ b/src/tanagerfork/peers/dissemination.py
@@ -13,11 +13,15 @@
 
 
 class DeltaQueue:
-    """Holds the keys of changes that peers may not have heard yet."""
+    """Holds the keys of changes that peers may not have heard yet.
 
-    __slots__ = ("_pending",)
+    :param sends_per_doubling: how often a change is told for each doubling of the peers.
+    """
+
+    __slots__ = ("_sends_per_doubling", "_pending")
 
-    def __init__(self) -> None:
+    def __init__(self, sends_per_doubling: int = SENDS_PER_DOUBLING) -> None:
+        self._sends_per_doubling = sends_per_doubling
         self._pending: dict[str, _Pending] = {}
 
     def __len__(self) -> int:
@@ -46,7 +50,7 @@
         :return: keys; each is counted as told once more.
         """
         chosen: list[str] = []
-        limit = count_sends(peers)
+        limit = self._sends_per_doubling * count_doublings(peers)
         for key, pending in sorted(self._pending.items(), key=lambda item: item[1].sends):
             if pending.size_bytes > budget_bytes and chosen:
                 continue
@@ -60,9 +64,9 @@
         return chosen
 
 
-def count_sends(peers: int) -> int:
-    """Return how often a change is told so that all peers hear it.
+def count_doublings(peers: int) -> int:
+    """Return in how many steps of doubling all peers hear a change; at least one.
 
     :param peers: peers that should hear it.
     """
-    return SENDS_PER_DOUBLING * math.ceil(math.log2(peers + 2))
+    return math.ceil(math.log2(peers + 2))
--- /dev/null
+++ b/src/tanagerfork/peers/domains.py
@@ -0,0 +1,187 @@
+"""Domains: what the failure domains tell each other through their bridges."""
+
+import dataclasses
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from tanagerfork.generated import peers
+from tanagerfork.peers import dissemination
+from tanagerfork.peers import topic as topic_interfaces
+
+RENEW_INTERVAL_MS = 5000
+TTL_MS = 30_000
+SUMMARY_BYTES = 20
+SENDS_PER_DOUBLING = 1
+DOMAINS_KEPT = 256
+URLS_TOLD = 3
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CapacityElsewhere:
+    """Free slots of a model in another failure domain."""
+
+    failure_domain: str
+    region: str
+    free_slots: int
+    callers_urls: tuple[str, ...]
+    age_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OwnDomain:
+    """What a bridge says of its own failure domain."""
+
+    bridges: Sequence[str]
+    callers_urls: Sequence[str]
+    capacity: Sequence[peers.ModelCapacity]
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    summary: peers.DomainSummary
+    made_at_ms: int
+    told_at_ms: int = 0
+
+
+class DomainTopic:
+    """Keeps the summaries of the failure domains.
+
+    Bridges tell each other all of them; within a failure domain those of the same region are told,
+    as only they are near enough to send requests to.
+
+    :param failure_domain: failure domain of this daemon.
+    :param region: its region.
+    :param read_own: returns what this daemon, if it is a bridge, says of its failure domain.
+    """
+
+    __slots__ = ("peers", "_failure_domain", "_region", "_read_own", "_known", "_deltas")
+
+    def __init__(
+        self, failure_domain: str, region: str, read_own: Callable[[int], OwnDomain | None]
+    ) -> None:
+        self.peers = 1
+        self._failure_domain = failure_domain
+        self._region = region
+        self._read_own = read_own
+        self._known: dict[str, _Known] = {}
+        self._deltas = dissemination.DeltaQueue(SENDS_PER_DOUBLING)
+
+    def bridges_elsewhere(self, now_ms: int) -> list[str]:
+        """Return addresses of the bridges of other failure domains.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        return [
+            address
+            for name, known in self._known.items()
+            if name != self._failure_domain and now_ms - known.made_at_ms <= TTL_MS
+            for address in known.summary.bridges
+        ]
+
+    def bridges_here(self, now_ms: int) -> list[str]:
+        """Return addresses of bridges of this failure domain, as others tell them.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        known = self._known.get(self._failure_domain)
+        if known is None or now_ms - known.made_at_ms > TTL_MS:
+            return []
+        return list(known.summary.bridges)
+
+    def capacity_elsewhere(self, model: str, now_ms: int) -> list[CapacityElsewhere]:
+        """Return where else a model has free slots, the most first.
+
+        :param model: model.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        found = [
+            CapacityElsewhere(
+                name,
+                known.summary.region,
+                item.free_slots,
+                tuple(known.summary.callers_urls),
+                now_ms - known.made_at_ms,
+            )
+            for name, known in self._known.items()
+            if name != self._failure_domain and now_ms - known.made_at_ms <= TTL_MS
+            for item in known.summary.capacity
+            if item.model == model and item.free_slots > 0
+        ]
+        return sorted(found, key=lambda item: (-item.free_slots, item.failure_domain))
+
+    def renew(self, now_ms: int) -> None:
+        """Say anew what this daemon knows of its own failure domain, if that is due.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        known = self._known.get(self._failure_domain)
+        if known is not None and now_ms - known.made_at_ms < RENEW_INTERVAL_MS:
+            return
+        own = self._read_own(now_ms)
+        if own is None:
+            return
+        summary = peers.DomainSummary(
+            failure_domain=self._failure_domain,
+            age_ms=0,
+            region=self._region,
+            bridges=list(own.bridges),
+            callers_urls=list(own.callers_urls)[:URLS_TOLD],
+            capacity=list(own.capacity),
+        )
+        self._keep(summary, now_ms)
+
+    def fill(
+        self,
+        message: peers.PeerMessage,
+        receiver: topic_interfaces.Receiver,
+        room_bytes: int,
+        now_ms: int,
+    ) -> int:
+        """Put summaries on a message; see `Topic.fill`."""
+        if receiver.is_foreign:
+            names = sorted(self._known, key=lambda name: self._known[name].told_at_ms)
+        elif receiver.wants_all:
+            names = list(self._known)
+            room_bytes = max(room_bytes, sum(_measure(self._known[name]) for name in names))
+        elif room_bytes > 0:
+            names = self._deltas.take(room_bytes, self.peers)
+        else:
+            return 0
+        used_bytes = 0
+        for name in names:
+            known = self._known.get(name)
+            if known is None or now_ms - known.made_at_ms > TTL_MS:
+                continue
+            if used_bytes and used_bytes + _measure(known) > room_bytes:
+                break
+            if receiver.is_foreign:
+                known.told_at_ms = now_ms
+            age_ms = now_ms - known.made_at_ms
+            message.domains.append(msgspec.structs.replace(known.summary, age_ms=age_ms))
+            used_bytes += _measure(known)
+        return used_bytes
+
+    def take(self, message: peers.PeerMessage, delay_ms: int, now_ms: int) -> None:
+        """Take summaries in; see `Topic.take`."""
+        for summary in message.domains:
+            made_at_ms = now_ms - delay_ms - summary.age_ms
+            known = self._known.get(summary.failure_domain)
+            is_newer = known is None or made_at_ms >= known.made_at_ms + RENEW_INTERVAL_MS // 2
+            has_room = known is not None or len(self._known) < DOMAINS_KEPT
+            if is_newer and has_room and now_ms - made_at_ms <= TTL_MS:
+                self._keep(summary, made_at_ms)
+
+    def _keep(self, summary: peers.DomainSummary, made_at_ms: int) -> None:
+        name = summary.failure_domain
+        known = _Known(summary, made_at_ms)
+        self._known[name] = known
+        if name != self._failure_domain and summary.region == self._region:
+            self._deltas.offer(name, _measure(known))
+
+
+def _measure(known: _Known) -> int:
+    summary = known.summary
+    texts = (*summary.bridges, *summary.callers_urls, summary.region, summary.failure_domain)
+    models = sum(len(item.model) + 4 for item in summary.capacity)
+    return SUMMARY_BYTES + sum(len(text) + 1 for text in texts) + models
--- /dev/null
+++ b/src/tanagerfork/peers/duty.py
@@ -0,0 +1,59 @@
+"""Duty: which VMs this daemon observes itself."""
+
+from tanagerfork.generated import layout
+from tanagerfork.peers import gossip, observations, rendezvous
+
+STALE_SHARE = 0.7  # Part of the TTL past which a daemon observes a VM that no one else reports.
+
+
+class ObserverDuty:
+    """Chooses by rendezvous hashing; what goes stale is observed by everyone who needs it.
+
+    :param own: name of this daemon.
+    :param known: what is known of the VMs.
+    :param ttl_ms: age past which a report no longer counts, in milliseconds.
+    """
+
+    __slots__ = ("_own", "_known", "_ttl_ms", "_names", "_groups", "_mine", "_is_candidate")
+
+    def __init__(self, own: str, known: observations.ObservationTopic, ttl_ms: int) -> None:
+        self._own = own
+        self._known = known
+        self._ttl_ms = ttl_ms
+        self._names: list[str] = [own]
+        self._groups: list[str] = []
+        self._mine: set[int] = set()
+        self._is_candidate = True
+
+    def update(self, decisions: gossip.Gossip, current: layout.Layout | None, now_ms: int) -> None:
+        """Choose anew where daemons or groups changed.
+
+        :param decisions: which daemons are up.
+        :param current: layout in force, None where none is known.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        names = decisions.live(now_ms)
+        groups = [group.group for group in current.groups] if current else []
+        if names == self._names and groups == self._groups:
+            return
+        self._names, self._groups = names, groups
+        self._mine = {
+            index
+            for index, group in enumerate(groups)
+            if self._own in rendezvous.choose_observers(group, names)
+        }
+        self._is_candidate = self._own in rendezvous.choose_coordinator_candidates(names)
+
+    def is_due(self, vm: str, now_ms: int) -> bool:
+        """Return whether this daemon should read a VM's report now.
+
+        :param vm: VM.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        index = self._known.find_group(vm)
+        if index is None:
+            return self._is_candidate
+        if index in self._mine or len(self._names) <= 1:
+            return True
+        age_ms = self._known.measure_age(vm, now_ms)
+        return age_ms is None or age_ms > self._ttl_ms * STALE_SHARE
--- a/src/tanagerfork/peers/gossip.py
+++ b/src/tanagerfork/peers/gossip.py
@@ -7,7 +7,6 @@
 from tanagerfork.generated import peers
 from tanagerfork.peers import composer, freshness, membership, rendezvous
 from tanagerfork.peers import contact as contacts
-from tanagerfork.peers import ring as rings
 from tanagerfork.peers import topic as topic_interfaces
 
 HELPERS = 3
@@ -85,6 +84,7 @@
     ) -> None:
         self.members = membership.Membership(own, settings.suspicion_ms, now_ms)
         self.bridges_elsewhere: Callable[[int], Sequence[str]] = lambda now_ms: ()
+        self.bridges_here: Callable[[int], Sequence[str]] = lambda now_ms: ()
         self._settings = settings
         self._rng = rng
         self._topics = topics
@@ -183,7 +183,7 @@
         :param now_ms: monotonic clock, in milliseconds.
         :return: messages to send.
         """
-        partners = self._ring().partners()
+        partners = self.members.ring().partners()
         self.members.leave(now_ms)
         outgoing = []
         for name in partners:
@@ -221,9 +221,6 @@
         replies += self._vouch(message.sender, now_ms - delay_ms, now_ms)
         return Received(delay_ms=delay_ms, replies=replies)
 
-    def _ring(self) -> rings.Ring:
-        return rings.Ring(self.members.up(), self.name)
-
     def _is_up(self, name: str) -> bool:
         member = self.members.find(name)
         return member is not None and member.is_up
@@ -246,7 +243,7 @@
             self._digest, self._settled_at_ms = digest, now_ms + SETTLED_MS
 
     def _choose_partners(self) -> list[str]:
-        partners = self._ring().partners()
+        partners = self.members.ring().partners()
         self._queue = [name for name in self._queue if name in partners]
         if len(self._queue) < self._settings.fanout:
             rest = [name for name in partners if name not in self._queue]
@@ -294,6 +291,7 @@
         self._retry_at_ms = now_ms + RETRY_INTERVAL_MS // 2 + jitter_ms
         up = {self.find_address(name) for name in self.members.up()}
         lost = [member.entry.address for member in self.members.gone()]
+        lost += self.bridges_here(now_ms)
         lost += [seed for seed in self._settings.seeds if seed not in self._foreign_addresses]
         return self._contact_one([address for address in lost if address not in up], now_ms)
 
@@ -390,6 +388,10 @@
         if message.kind == "hello":
             gossip = self.composer.compose("gossip", message.sender, now_ms, room_bytes, differs)
             return [composer.Outgoing(address, gossip)]
+        if message.kind == "ack" and message.wanted:
+            return [
+                composer.Outgoing(address, self.composer.compose("ack", message.sender, now_ms))
+            ]
         if message.kind == "relay" and self._is_up(message.subject):
             relay = _Relay(message.sender, now_ms)
             self._relays.setdefault(message.subject, []).append(relay)
--- a/src/tanagerfork/peers/membership.py
+++ b/src/tanagerfork/peers/membership.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from tanagerfork.generated import peers
+from tanagerfork.peers import ring as rings
 
 State = Literal["alive", "suspect", "dead", "left"]
 
@@ -42,7 +43,7 @@
     :param now_ms: monotonic clock, in milliseconds.
     """
 
-    __slots__ = ("own", "members", "_suspicion_ms", "_digest", "_up")
+    __slots__ = ("own", "members", "_suspicion_ms", "_digest", "_up", "_ring")
 
     def __init__(self, own: peers.PeerEntry, suspicion_ms: int, now_ms: int) -> None:
         self.own = own
@@ -50,6 +51,7 @@
         self._suspicion_ms = suspicion_ms
         self._digest: int | None = None
         self._up: list[str] | None = None
+        self._ring: rings.Ring | None = None
 
     def up(self) -> list[str]:
         """Return the names of all daemons that count as running, this one included, in order."""
@@ -61,6 +63,12 @@
         """Return the names of the other daemons that count as running."""
         return [name for name in self.up() if name != self.own.name]
 
+    def ring(self) -> rings.Ring:
+        """Return the ring of the daemons that count as running."""
+        if self._ring is None:
+            self._ring = rings.Ring(self.up(), self.own.name)
+        return self._ring
+
     def gone(self) -> list[Member]:
         """Return the dead ones, which may come back after a partition."""
         return [member for member in self.members.values() if member.entry.state == DEAD]
@@ -196,6 +204,7 @@
     def _note_change(self) -> None:
         self._digest = None
         self._up = None
+        self._ring = None
 
 
 def _is_newer(entry: peers.PeerEntry, known: peers.PeerEntry) -> bool:
--- a/src/tanagerfork/peers/ring.py
+++ b/src/tanagerfork/peers/ring.py
@@ -24,7 +24,7 @@
             names, key=lambda name: (xxhash.xxh64_intdigest((RING + name).encode()), name)
         )
         self._size = len(self._order)
-        self._place = self._order.index(own)
+        self._place = self._order.index(own) if own in self._order else 0
 
     def partners(self) -> list[str]:
         """Return whom this daemon talks to of its own accord, nearest first."""
--- a/src/tanagerfork/settings.py
+++ b/src/tanagerfork/settings.py
@@ -45,6 +45,21 @@
     return convert_record(decode_json(read_text(path), str(path)), str(path), record_type)
 
 
+def read_peer_keys(peers: records.PeerSettings) -> list[str]:
+    """Return the keys of the peer protocol, the one to send with first.
+
+    :param peers: settings of the peer protocol.
+    :raises SettingsError: the key file cannot be read or is empty.
+    """
+    key = peers.shared_key
+    if peers.shared_key_path:
+        key = read_text(pathlib.Path(peers.shared_key_path)).strip()
+    if not key:
+        message = f"peers.shared_key_path: {peers.shared_key_path!r} is empty; write a key into it"
+        raise errors.SettingsError(message)
+    return [key, *peers.former_keys]
+
+
 def read_text(path: pathlib.Path) -> str:
     """Read a text file.
 
@@ -109,6 +124,10 @@
         _check_address(path, f"peers.seeds[{number}]", host)
         if not port.isdigit() or not 0 < int(port) < 65536:
             _refuse(path, f"peers.seeds[{number}]", f"{seed!r} has no port", "write IP:port")
+    if not settings.peers.shared_key and not settings.peers.shared_key_path:
+        _refuse(path, "peers.shared_key_path", "is empty", "name a file with the daemons' key")
+    if settings.peers.suspicion_ms >= settings.peers.heard_ttl_ms:
+        _refuse(path, "peers.suspicion_ms", "exceeds peers.heard_ttl_ms", "keep it under the TTL")
     if settings.limits.default_deadline_ms > settings.limits.max_deadline_ms:
         _refuse(
             path,
