--- a/bench/peer_network.py
+++ b/bench/peer_network.py
@@ -46,7 +46,7 @@
         self.address = address or name + ":1"
         self.settings = settings
         self.topics = topics
-        self.versions = composer.Versions()
+        self.marks = composer.Marks()
         self.traffic = Traffic()
         self.is_running = True
         self.is_paused = False
@@ -62,7 +62,7 @@
             callers_url=f"http://{self.address}",
         )
         self.gossip = gossip.Gossip(
-            settings, own, network.rng, topics, lambda: self.versions, self.now_ms
+            settings, own, network.rng, topics, lambda: self.marks, self.now_ms
         )
 
     @property
--- a/src/tanagerfork/peers/composer.py
+++ b/src/tanagerfork/peers/composer.py
@@ -9,7 +9,7 @@
 from tanagerfork.peers import dissemination, freshness, membership
 from tanagerfork.peers import topic as topic_interfaces
 
-HEADER_BYTES = 60
+HEADER_BYTES = 88
 ENTRY_BYTES = 110
 CHANGE_BYTES = 30
 FOREIGN_ROOM = 4  # Messages to another failure domain are rarer and may be larger by this factor.
@@ -26,11 +26,13 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Versions:
-    """Versions that ride on every message."""
+class Marks:
+    """Marks and hybrid time that ride on every message."""
 
-    bundle: int = 0
+    bundle_version: int = 0
     layout_serial: int = 0
+    wall_ms: int = 0
+    wall_counter: int = 0
 
 
 class Composer:
@@ -42,7 +44,7 @@
     :param known: contacts.
     :param stamps: stamps of this daemon.
     :param topics: contents besides membership, the most urgent first.
-    :param read_versions: returns the versions that this daemon has.
+    :param read_marks: returns the versions and the hybrid time of this daemon.
     """
 
     __slots__ = (
@@ -52,7 +54,7 @@
         "_contacts",
         "_stamps",
         "_topics",
-        "_read_versions",
+        "_read_marks",
         "_deltas",
         "_sequence",
     )
@@ -65,7 +67,7 @@
         known: contacts.ContactBook,
         stamps: freshness.Stamps,
         topics: Sequence[topic_interfaces.Topic],
-        read_versions: Callable[[], Versions],
+        read_marks: Callable[[], Marks],
     ) -> None:
         self._failure_domain = failure_domain
         self._message_bytes = message_bytes
@@ -73,7 +75,7 @@
         self._contacts = known
         self._stamps = stamps
         self._topics = topics
-        self._read_versions = read_versions
+        self._read_marks = read_marks
         self._deltas = dissemination.DeltaQueue()
         self._sequence = 0
 
@@ -124,7 +126,7 @@
         self, kind: Kind, contact: contacts.Contact | None, now_ms: int
     ) -> peers.PeerMessage:
         echo_ms, held_ms = contact.clock.echo(now_ms) if contact else (-1, 0)
-        versions = self._read_versions()
+        marks = self._read_marks()
         own = self._members.own
         self._sequence += 1
         message = peers.PeerMessage(
@@ -136,8 +138,10 @@
             sent_ms=self._stamps.take(now_ms),
             echo_ms=echo_ms,
             echo_held_ms=held_ms,
-            bundle_version=versions.bundle,
-            layout_serial=versions.layout_serial,
+            bundle_version=marks.bundle_version,
+            layout_serial=marks.layout_serial,
+            wall_ms=marks.wall_ms,
+            wall_counter=marks.wall_counter,
             digest=self._members.digest(),
             body=b"",
         )
--- a/src/tanagerfork/peers/gossip.py
+++ b/src/tanagerfork/peers/gossip.py
@@ -69,7 +69,7 @@
     :param own: entry of this daemon.
     :param rng: source of the random choices.
     :param topics: contents besides membership, the most urgent first.
-    :param read_versions: returns the versions that this daemon has.
+    :param read_marks: returns the versions and the hybrid time of this daemon.
     :param now_ms: monotonic clock, in milliseconds.
     """
 
@@ -79,7 +79,7 @@
         own: peers.PeerEntry,
         rng: random.Random,
         topics: Sequence[topic_interfaces.Topic],
-        read_versions: Callable[[], composer.Versions],
+        read_marks: Callable[[], composer.Marks],
         now_ms: int,
     ) -> None:
         self.members = membership.Membership(own, settings.suspicion_ms, now_ms)
@@ -97,7 +97,7 @@
             self._contacts,
             self._stamps,
             topics,
-            read_versions,
+            read_marks,
         )
         self._relays: dict[str, list[_Relay]] = {}
         self._foreign_addresses: set[str] = set()
--- a/src/tanagerfork/peers/service.py
+++ b/src/tanagerfork/peers/service.py
@@ -129,7 +129,7 @@
             own,
             self._rng,
             (self.notices, self._usage, self.observations, self._domains),
-            self._read_versions,
+            self._read_marks,
             self._clock.monotonic_ms(),
         )
         self.gossip.bridges_elsewhere = self._domains.bridges_elsewhere
@@ -284,8 +284,11 @@
             self._spread_at_ms = now_ms + SPREAD_INTERVAL_MS
             self._send(self.gossip.spread(now_ms))
 
-    def _read_versions(self) -> composer.Versions:
-        return composer.Versions(self._register.version, self._layouts.serial)
+    def _read_marks(self) -> composer.Marks:
+        stamp = self._timeline.stamp()
+        return composer.Marks(
+            self._register.version, self._layouts.serial, stamp.wall_ms, stamp.counter
+        )
 
     def _describe_domain(self, now_ms: int) -> domains.OwnDomain | None:
         if not self.gossip.is_bridge(now_ms):
@@ -320,6 +323,7 @@
         if received.dropped:
             self._metrics.count("peer_messages_dropped_total", reason=received.dropped)
             return
+        self._timeline.observe(message.wall_ms, message.wall_counter)
         self._links.note_heard(self.gossip.find_address(message.sender))
         self._exchange.take(message, received.delay_ms)
         self._note_states()
