--- a/tests/sites.py
+++ b/tests/sites.py
@@ -207,6 +207,7 @@
     for domain in failure_domains:
         for number in range(1, daemons_per_domain + 1):
             settings = make_settings(stand_ins, key, f"{domain}-{number}", domain)
+            settings.peers.seeds = [daemon.peers.address for daemon in running.values()]
             running[settings.name] = daemons.Daemon(settings, clocks.SystemClock())
             await running[settings.name].start()
     operator = embedding.EmbeddedSite(stand_ins, make_bundle(stand_ins, groups), key)
