--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -34,6 +34,7 @@
     presence,
     sender,
 )
+from tanagerfork.peers import service as peer_services
 from tanagerfork.platform import etcd, vms
 from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
@@ -72,6 +73,16 @@
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
         self.groups.subscribe(self._note_group)
         self._rng = random.Random(settings.seed or None)
+        self.peers = peer_services.PeerService(
+            settings,
+            settings_files.read_peer_keys(settings.peers),
+            clock,
+            self._rng,
+            self.timeline,
+            self.metrics,
+            self.bundles,
+            self.groups,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[listener.Listener] = []
         self.measures = measure.Measures()
@@ -108,8 +119,14 @@
             self.clock,
             self.metrics,
             settings.groups.observe_interval_ms,
+            self.peers.is_observed_here,
+            self.peers.note_report,
         )
         await self._open_listeners()
+        self.peers.start(
+            f"http://{settings.callers.host}:{self.callers_port}",
+            f"http://{settings.operators.host}:{self.operators_port}",
+        )
         self.lifecycle.apply("listen")
         self._start_tasks()
 
@@ -125,6 +142,7 @@
         ):
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
             waited_ms += DRAIN_CHECK_MS
+        await self.peers.stop()
         for task in self._tasks:
             task.cancel()
         await self._coordinator.stop()
@@ -239,7 +257,7 @@
         )
 
     def _list_live_daemons(self) -> list[str]:
-        return [self.settings.name]
+        return self.peers.live()
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
@@ -255,6 +273,7 @@
                 ]
                 self.groups.take_vms(own, self.clock.monotonic_ms())
                 self._observer.follow(self.groups.vms)
+                self.peers.observations.keep([vm.vm for vm in self.groups.vms])
             await self.clock.sleep_ms(self.settings.platform.vm_list_interval_ms)
 
     async def _follow_readiness(self) -> None:
