--- a/tests/sites.py
+++ b/tests/sites.py
@@ -155,12 +155,20 @@
 
 
 @contextlib.asynccontextmanager
-async def run_site(groups: int = 2, vms: int = 9) -> AsyncIterator[RunningSite]:
+async def run_site(
+    groups: int = 2,
+    vms: int = 9,
+    presence_ttl_ms: int = 500,
+    operators_token_sha256: str = "",
+) -> AsyncIterator[RunningSite]:
     """Run stand-ins and one daemon until its groups are whole."""
     stand_ins = site.Site(make_plan(vms))
     await stand_ins.start()
     key = ed25519.Ed25519PrivateKey.generate()
-    daemon = daemons.Daemon(make_settings(stand_ins, key), clocks.SystemClock())
+    settings = make_settings(stand_ins, key)
+    settings.groups.presence_ttl_ms = presence_ttl_ms
+    settings.operators.token_sha256 = operators_token_sha256
+    daemon = daemons.Daemon(settings, clocks.SystemClock())
     await daemon.start()
     operator = embedding.EmbeddedSite(stand_ins, make_bundle(stand_ins, groups), key)
     async with aiohttp.ClientSession() as session:
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,231 @@
+"""Tests of the HTTP listeners: TLS, renewal of certificates, bounds, tokens."""
+
+import asyncio
+import contextlib
+import datetime
+import hashlib
+import ipaddress
+import os
+import pathlib
+import ssl
+
+import aiohttp
+import aiohttp.web
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from tanagerfork import clock as clocks
+from tanagerfork import errors, settings
+from tanagerfork import metrics as metric
+from tanagerfork.front import listener, teams
+from tanagerfork.generated import bundle
+from tanagerfork.timeline import ring
+from tests import sites
+
+EMBEDDED = pathlib.Path(__file__).parent.parent / "examples" / "press" / "embedded.json5"
+TOKEN_SHA256 = hashlib.sha256(b"operators-token").hexdigest()
+
+
+def write_certificate(folder: pathlib.Path, serial: int) -> tuple[pathlib.Path, pathlib.Path]:
+    """Write a self-signed certificate for loopback, and its key."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, "tanagerfork test")])
+    today = datetime.datetime.now(datetime.UTC)
+    address = x509.IPAddress(ipaddress.ip_address(sites.HOST))
+    certificate = (
+        x509.CertificateBuilder(name, name, key.public_key(), serial)
+        .not_valid_before(today - datetime.timedelta(days=1))
+        .not_valid_after(today + datetime.timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([address]), False)
+        .add_extension(x509.BasicConstraints(True, None), True)
+        .sign(key, hashes.SHA256())
+    )
+    paths = folder / "certificate.pem", folder / "key.pem"
+    paths[0].write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    paths[1].write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    for path in paths:
+        os.utime(path, ns=(serial, serial))
+    return paths
+
+
+async def read_serial(port: int, trusted: pathlib.Path) -> int:
+    """Connect and return the serial number of the certificate that is served."""
+    context = ssl.create_default_context(cafile=trusted)
+    _, writer = await asyncio.open_connection(sites.HOST, port, ssl=context)
+    encoded = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
+    writer.close()
+    return x509.load_der_x509_certificate(encoded).serial_number
+
+
+@contextlib.asynccontextmanager
+async def run_listener(max_connections: int = 10, certificate=None):
+    """Run a listener that answers ok."""
+
+    async def answer(request):
+        return aiohttp.web.Response(text="ok")
+
+    app = aiohttp.web.Application()
+    app.router.add_get("/", answer)
+    metrics = metric.Metrics()
+    opened = listener.Listener(app, sites.HOST, 0, max_connections, metrics, certificate)
+    port = await opened.start()
+    try:
+        yield port, metrics
+    finally:
+        await opened.stop()
+
+
+class TestCertificates:
+    async def test_renewed_certificate_is_served_without_a_restart(self, tmp_path):
+        paths = write_certificate(tmp_path, 1)
+        certificate = listener.Certificate(*map(str, paths))
+        clock, metrics = clocks.ManualClock(), metric.Metrics()
+        timeline = ring.Timeline("a", clock, 10)
+        following = asyncio.create_task(
+            listener.follow_certificate(certificate, clock, timeline, metrics)
+        )
+        async with run_listener(certificate=certificate) as (port, _):
+            assert await read_serial(port, paths[0]) == 1
+            write_certificate(tmp_path, 2)
+            await wake(clock)
+            assert await read_serial(port, paths[0]) == 2
+        following.cancel()
+        assert metrics.counted("certificate_reloads_total") == 1
+
+    async def test_half_renewed_pair_leaves_the_old_one_in_use(self, tmp_path):
+        paths = write_certificate(tmp_path, 1)
+        trusted = tmp_path / "trusted.pem"
+        trusted.write_bytes(paths[0].read_bytes())
+        certificate = listener.Certificate(*map(str, paths))
+        clock, metrics = clocks.ManualClock(), metric.Metrics()
+        timeline = ring.Timeline("a", clock, 10)
+        following = asyncio.create_task(
+            listener.follow_certificate(certificate, clock, timeline, metrics)
+        )
+        async with run_listener(certificate=certificate) as (port, _):
+            old_key = paths[1].read_bytes()
+            write_certificate(tmp_path, 2)
+            new_key = paths[1].read_bytes()
+            paths[1].write_bytes(old_key)
+            for _ in range(2):
+                await wake(clock)
+            assert await read_serial(port, trusted) == 1
+            paths[1].write_bytes(new_key)
+            await wake(clock)
+            assert await read_serial(port, paths[0]) == 2
+        following.cancel()
+        assert metrics.counted("certificate_reloads_failed_total") == 2
+        kinds = [event.kind for event in timeline.read().events]
+        assert kinds == ["certificate.refused", "certificate.renewed"]
+
+    def test_pair_that_does_not_fit_is_refused_at_start(self, tmp_path):
+        paths = write_certificate(tmp_path, 1)
+        paths[1].write_text("no key")
+        with pytest.raises(errors.SettingsError, match="private key"):
+            listener.Certificate(*map(str, paths))
+
+
+async def wake(clock: clocks.ManualClock) -> None:
+    """Let the follower look at the files once."""
+    await asyncio.sleep(0)
+    clock.advance(listener.CERTIFICATE_CHECK_MS)
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+class TestBounds:
+    async def test_connections_past_the_limit_are_closed_and_counted(self):
+        async with run_listener(max_connections=2) as (port, metrics):
+            held = [await asyncio.open_connection(sites.HOST, port) for _ in range(2)]
+            for _, writer in held:
+                writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert b"200" in await held[0][0].readline()
+            assert b"200" in await held[1][0].readline()
+            reader, refused = await asyncio.open_connection(sites.HOST, port)
+            assert await reader.read() == b""
+            assert metrics.counted("connections_refused_total") == 1
+            for _, writer in [*held, (reader, refused)]:
+                writer.close()
+
+    @pytest.mark.parametrize("length", [listener.MAX_HEADER_BYTES * 2, 1_000_000])
+    async def test_header_past_the_limit_is_refused(self, length):
+        async with run_listener() as (port, _):
+            reader, writer = await asyncio.open_connection(sites.HOST, port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * length + b"\r\n\r\n")
+            assert b"400" in await reader.readline()
+            writer.close()
+
+
+class TestTokens:
+    @pytest.mark.parametrize("token", ["", "wrong", "tést", "\udcff", "x" * 5000])
+    def test_wrong_token_of_any_bytes_belongs_to_no_team(self, token):
+        team = bundle.Team(name="growers", token_sha256=[TOKEN_SHA256])
+        known = bundle.Bundle(name="b", models=[], services=[], teams=[team])
+        found = teams.find_team(known, f"Bearer {token}")
+        assert isinstance(found.unwrap_err(), errors.Unauthorized)
+        assert teams.find_team(known, "Bearer operators-token").unwrap() is team
+
+    def test_every_known_token_is_compared_whichever_matches(self, monkeypatch):
+        listed = [
+            bundle.Team(name=str(n), token_sha256=[hashlib.sha256(f"t{n}".encode()).hexdigest()])
+            for n in range(5)
+        ]
+        known = bundle.Bundle(name="b", models=[], services=[], teams=listed)
+        counts = []
+        for wanted in ("t0", "t4", "none"):
+            compared = []
+            real = teams.is_token
+            monkeypatch.setattr(
+                teams,
+                "is_token",
+                lambda *pair, kept=compared, real=real: kept.append(1) or real(*pair),
+            )
+            teams.find_team(known, f"Bearer {wanted}")
+            monkeypatch.undo()
+            counts.append(len(compared))
+        assert counts == [5, 5, 5]
+
+    async def test_operators_listener_asks_for_its_token(self):
+        async with sites.run_site(groups=1, vms=4, operators_token_sha256=TOKEN_SHA256) as running:
+            table = [({}, 401), ({"Authorization": "Bearer wrong"}, 401)]
+            table.append(({"Authorization": "Bearer operators-token"}, 200))
+            for headers, status in table:
+                url = running.operators_url + "/v1/status"
+                async with running.session.get(url, headers=headers) as response:
+                    assert response.status == status
+            async with running.session.get(running.operators_url + "/readyz") as response:
+                assert response.status == 200
+
+
+class TestSettings:
+    @pytest.mark.parametrize(
+        ("overrides", "field"),
+        [
+            (["operators.host=10.0.0.5"], "operators.token_sha256"),
+            (["operators.host='::'"], "operators.token_sha256"),
+            (["operators.token_sha256=abc"], "operators.token_sha256"),
+            (["callers.certificate_path=/nowhere.pem"], "callers.private_key_path"),
+            (["operators.private_key_path=/nowhere.pem"], "operators.certificate_path"),
+            (
+                ["callers.certificate_path=/nowhere.pem", "callers.private_key_path=/nowhere.pem"],
+                "callers.certificate_path",
+            ),
+        ],
+    )
+    def test_unsafe_listener_is_refused_with_its_remedy(self, overrides, field):
+        with pytest.raises(errors.SettingsError) as caught:
+            settings.load_settings(EMBEDDED, overrides)
+        assert field in caught.value.message and ";" in caught.value.message
+
+    def test_operators_listener_for_others_is_good_with_a_token(self):
+        overrides = ["operators.host=10.0.0.5", f"operators.token_sha256='{TOKEN_SHA256}'"]
+        assert settings.load_settings(EMBEDDED, overrides).operators.token_sha256 == TOKEN_SHA256
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,108 @@
+"""Tests of the structured logs."""
+
+import asyncio
+import json
+import logging
+import sys
+
+import aiohttp
+import pytest
+from absl import logging as absl_logging
+
+from tanagerfork import clock as clocks
+from tanagerfork import logs
+from tanagerfork.generated import settings as settings_records
+from tanagerfork.timeline import kinds, ring
+from tests import sites
+
+REQUESTS = 1000
+AT_ONCE = 50
+
+
+class Lines(logging.Handler):
+    """Keeps the lines that the log's formatter makes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.kept: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.kept.append(logs.JsonFormatter().format(record))
+
+
+@pytest.fixture
+def lines():
+    kept = Lines()
+    logger = absl_logging.get_absl_logger()
+    former = logger.level
+    absl_logging.set_verbosity("info")
+    logger.addHandler(kept)
+    yield kept.kept
+    logger.removeHandler(kept)
+    logger.setLevel(former)
+
+
+class TestLines:
+    def test_event_is_structured(self, lines):
+        timeline = ring.Timeline("ipoh-a-1", clocks.ManualClock(), 10)
+        event = timeline.record(kinds.EventKind.GROUP_BROKEN, "missing: vm-1", group="g1")
+        logs.log_event(event)
+        line = json.loads(lines[0])
+        assert line["level"] == "info"
+        assert line["timestamp"].endswith("+00:00")
+        assert line["message"] == "group.broken g1 missing: vm-1"
+        assert line["event"]["group"] == "g1" and line["event"]["daemon"] == "ipoh-a-1"
+
+    def test_failure_is_one_line_with_its_trace_inside(self, lines):
+        try:
+            raise ValueError("x")
+        except ValueError:
+            absl_logging.get_absl_logger().exception("it failed")
+        assert "ValueError: x" in json.loads(lines[0])["error"]
+        assert "\n" not in lines[0]
+
+    @pytest.mark.parametrize("form", ["json", "text"])
+    def test_lines_go_to_the_error_output_only(self, form, capsys):
+        logs.configure_logs(settings_records.LogSettings(format=form))
+        handler = absl_logging.get_absl_handler().python_handler
+        former = handler.stream
+        handler.stream = sys.stderr
+        absl_logging.get_absl_logger().info("told")
+        handler.stream = former
+        told = capsys.readouterr()
+        assert told.out == "" and "told" in told.err
+
+
+class TestGoodRequests:
+    async def test_1000_good_requests_add_no_line_to_log_and_time_line(self, lines):
+        async with sites.run_site(presence_ttl_ms=20_000) as running:
+            before = len(running.daemon.timeline.read().events), len(lines)
+            gate = asyncio.Semaphore(AT_ONCE)
+
+            async def ask(number: int) -> int:
+                async with gate:
+                    return await send(running, number)
+
+            statuses = await asyncio.gather(*(ask(number) for number in range(REQUESTS)))
+            assert set(statuses) <= {200, 201}
+            assert (len(running.daemon.timeline.read().events), len(lines)) == before
+            answered = running.daemon.metrics.counted(
+                "requests_ended_total", team="shift-leads", outcome="answered"
+            )
+            assert answered == REQUESTS
+
+
+async def send(running: sites.RunningSite, number: int) -> int:
+    """Send a request for a model, or every fourth time one for a plain service."""
+    url = f"{running.url}/services/{sites.SERVICE}/pressings"
+    body: dict = {"lot": str(number)}
+    headers = {**running.headers, "Idempotency-Key": f"lot-{number}"}
+    if number % 4:
+        url = f"{running.url}/v1/chat/completions"
+        message = {"role": "user", "content": "draft the rota"}
+        body = {"model": sites.MODEL, "stream": bool(number % 2), "messages": [message]}
+        headers = running.headers
+    timeout = aiohttp.ClientTimeout(total=60)
+    async with running.session.post(url, json=body, headers=headers, timeout=timeout) as response:
+        await response.read()
+        return response.status
