--- a/src/tanagerfork/cli/status_commands.py
+++ b/src/tanagerfork/cli/status_commands.py
@@ -166,6 +166,8 @@
             f"{domain.stranded_accelerators}/{domain.accelerators}",
             output.format_duration(domain.group_downtime_ms),
             output.format_duration(domain.stranded_accelerator_ms),
+            domain.coordinator or "unknown",
+            "reached" if domain.key_value_reachable else "away",
             domain.seen_by,
         )
         for domain in told.domains
@@ -179,6 +181,8 @@
         "stranded",
         "group downtime",
         "stranded time",
+        "coordinator",
+        "key-value",
         "seen by",
     )
     output.print_table(columns, rows)
--- a/src/tanagerfork/cli/summary.py
+++ b/src/tanagerfork/cli/summary.py
@@ -47,4 +47,6 @@
         stranded_accelerators=seen_by.stranded_accelerators,
         stranded_accelerator_ms=seen_by.stranded_accelerator_ms,
         group_downtime_ms=seen_by.group_downtime_ms,
+        coordinator=seen_by.coordinator,
+        key_value_reachable=any(status.key_value_reachable for status in daemons),
     )
--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -65,7 +65,9 @@
         self.settings = settings
         self.clock = clock
         self.metrics = metric.Metrics()
-        self.timeline = ring.Timeline(settings.name, clock, settings.timeline_events)
+        self.timeline = ring.Timeline(
+            settings.name, clock, settings.timeline_events, on_event=logs.log_event
+        )
         self.lifecycle = lifecycle.Lifecycle(self._note_state)
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
@@ -214,7 +216,7 @@
 
     def _make_coordinator(self) -> coordinator.Coordinator:
         settings = self.settings
-        keeper = lease.LeaseKeeper(
+        self._lease = lease.LeaseKeeper(
             settings.failure_domain,
             settings.name,
             self.store,
@@ -227,7 +229,7 @@
             self.store,
             self.bundles,
             self.groups,
-            keeper,
+            self._lease,
             sender.OrderSender(self._engines, self.clock, self.timeline, self.metrics),
             self.clock,
             self.timeline,
@@ -283,7 +285,7 @@
         metrics.set_counter("timeline_jumps_refused_total", self.timeline.time.refused_jumps)
 
     def _read_status(self) -> operator_records.DaemonStatus:
-        return statuses.describe_daemon(
+        status = statuses.describe_daemon(
             self.settings,
             self.lifecycle.state,
             self.bundles,
@@ -292,15 +294,18 @@
             self.callers.open_requests,
             self.clock.monotonic_ms(),
         )
+        status.coordinator = self._lease.state.holder
+        status.key_value_reachable = self._lease.measure_absence() == 0
+        return status
 
     def _note_state(self, state: str) -> None:
-        logs.log_event(self.timeline.record(kinds.EventKind.DAEMON_STATE, state))
+        self.timeline.record(kinds.EventKind.DAEMON_STATE, state)
 
     def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
         kind = GROUP_EVENTS[view.state]
         missing = ", ".join(view.missing)
         detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
-        logs.log_event(self.timeline.record(kind, detail, group=view.record.group))
+        self.timeline.record(kind, detail, group=view.record.group)
 
 
 async def serve(settings: settings_records.Settings, embedded: pathlib.Path | None) -> None:
--- a/src/tanagerfork/front/listener.py
+++ b/src/tanagerfork/front/listener.py
@@ -7,7 +7,7 @@
 import aiohttp.web
 
 from tanagerfork import clock as clocks
-from tanagerfork import errors, logs
+from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.timeline import kinds, ring
 
@@ -160,10 +160,9 @@
         except errors.SettingsError as error:
             metrics.count("certificate_reloads_failed_total")
             if not was_refused:
-                event = timeline.record(kinds.EventKind.CERTIFICATE_REFUSED, error.message)
-                logs.log_event(event)
+                timeline.record(kinds.EventKind.CERTIFICATE_REFUSED, error.message)
             was_refused = True
             continue
         was_refused = False
         metrics.count("certificate_reloads_total")
-        logs.log_event(timeline.record(kinds.EventKind.CERTIFICATE_RENEWED))
+        timeline.record(kinds.EventKind.CERTIFICATE_RENEWED)
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -8,7 +8,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors, logs
+from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork import status as statuses
 from tanagerfork.bundles import head as heads
@@ -201,12 +201,11 @@
         rolled = await heads.roll_head(self._store, signed, rolled_by, at_ms)
         if isinstance(rolled, result.Ok):
             version = rolled.ok_value.version
-            event = self._timeline.record(
+            self._timeline.record(
                 kinds.EventKind.BUNDLE_ROLLED,
                 f"signed off by {call.operator}, rolled by {rolled_by}",
                 bundle_version=version,
             )
-            logs.log_event(event)
         return rolled
 
 
--- a/src/tanagerfork/groups/lease.py
+++ b/src/tanagerfork/groups/lease.py
@@ -81,6 +81,11 @@
         """Fencing number of this daemon's lease; 0 where it holds none."""
         return self._held.record.fencing if self._held else 0
 
+    @property
+    def holder(self) -> str:
+        """Daemon that the record names as last seen; empty for none."""
+        return self._record.holder if self._record else ""
+
     @property
     def is_held(self) -> bool:
         """Whether the record as last seen is this daemon's, lapsed or not."""
--- a/src/tanagerfork/logs.py
+++ b/src/tanagerfork/logs.py
@@ -10,6 +10,21 @@
 from tanagerfork.generated import settings as settings_records
 
 EVENT_FIELD = "timeline_event"
+STATE_SUBJECTS = frozenset(
+    (
+        "daemon",
+        "bundle",
+        "group",
+        "lease",
+        "fingerprint",
+        "vm",
+        "peer",
+        "rollout",
+        "platform",
+        "certificate",
+    )
+)
+QUIET_LIBRARIES = ("transitions", "aiohttp", "asyncio")  # They log what is no change of state.
 
 
 class LogLine(msgspec.Struct, omit_defaults=True):
@@ -63,15 +78,19 @@
     logging.use_absl_handler()
     logging.set_verbosity(settings.level)
     logging.set_stderrthreshold(settings.level)
+    for library in QUIET_LIBRARIES:
+        standard_logging.getLogger(library).setLevel(standard_logging.WARNING)
     formatter = JsonFormatter() if settings.format == "json" else TextFormatter()
     logging.get_absl_handler().setFormatter(formatter)
 
 
 def log_event(event: events.Event) -> None:
-    """Write an event of the time line to the log.
+    """Write an event of the time line to the log if it is a change of state.
 
-    :param event: event that is a change of state.
+    :param event: event.
     """
+    if event.kind.partition(".")[0] not in STATE_SUBJECTS:
+        return
     subject = event.group or event.vm or event.request
     message = " ".join(part for part in (event.kind, subject, event.detail) if part)
     logging.get_absl_logger().info("%s", message, extra={EVENT_FIELD: event})
--- a/src/tanagerfork/timeline/ring.py
+++ b/src/tanagerfork/timeline/ring.py
@@ -1,6 +1,7 @@
 """The events that one daemon keeps in memory."""
 
 import collections
+from collections.abc import Callable
 
 from tanagerfork import clock as clocks
 from tanagerfork.generated import events
@@ -10,6 +11,8 @@
 MAX_DETAIL_CHARS = 500
 MAX_BYTES = 2 * 1024 * 1024
 
+Listener = Callable[[events.Event], None]
+
 
 class Timeline:
     """Records events in a ring that drops the oldest ones.
@@ -18,6 +21,7 @@
     :param clock: clock that stamps the events.
     :param size: events kept.
     :param max_bytes: memory of the events kept, as estimated by their texts.
+    :param on_event: called with each event, such as to log it; None for nothing.
     """
 
     __slots__ = (
@@ -29,10 +33,16 @@
         "_held_bytes",
         "_next_sequence",
         "_started_ms",
+        "_on_event",
     )
 
     def __init__(
-        self, daemon: str, clock: clocks.Clock, size: int, max_bytes: int = MAX_BYTES
+        self,
+        daemon: str,
+        clock: clocks.Clock,
+        size: int,
+        max_bytes: int = MAX_BYTES,
+        on_event: Listener | None = None,
     ) -> None:
         self.time = hybrid.HybridClock(clock)
         self._daemon = daemon
@@ -42,6 +52,7 @@
         self._held_bytes = 0
         self._next_sequence = 0
         self._started_ms = clock.wall_ms()
+        self._on_event = on_event
 
     def record(
         self,
@@ -81,6 +92,8 @@
         self._held_bytes += estimate_bytes(event)
         while len(self._events) > self._size or self._held_bytes > self._max_bytes:
             self._held_bytes -= estimate_bytes(self._events.popleft())
+        if self._on_event is not None:
+            self._on_event(event)
         return event
 
     def observe(self, wall_ms: int, counter: int) -> bool:
--- a/tests/test_cli_reads.py
+++ b/tests/test_cli_reads.py
@@ -62,8 +62,8 @@
     )  # fmt: skip
     first = operators.DaemonStatus(
         name="ipoh-a-1", failure_domain="ipoh-a", state="serving", bundle_version=4,
-        bundle_name="night shift", accelerators=40, stranded_accelerators=8,
-        stranded_accelerator_ms=96_500, groups=[whole],
+        bundle_name="night shift", coordinator="ipoh-a-1", key_value_reachable=True,
+        accelerators=40, stranded_accelerators=8, stranded_accelerator_ms=96_500, groups=[whole],
     )  # fmt: skip
     second = operators.DaemonStatus(
         name="taiping-1", failure_domain="taiping", state="not_ready", reason="key-value away",
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -33,13 +33,14 @@
 @pytest.fixture
 def lines():
     kept = Lines()
-    logger = absl_logging.get_absl_logger()
-    former = logger.level
-    absl_logging.set_verbosity("info")
-    logger.addHandler(kept)
+    root = logging.getLogger()
+    former = root.level, root.handlers[:]
+    logs.configure_logs(settings_records.LogSettings())
+    root.addHandler(kept)
     yield kept.kept
-    logger.removeHandler(kept)
-    logger.setLevel(former)
+    root.handlers[:] = former[1]
+    root.setLevel(former[0])
+    absl_logging.get_absl_logger().setLevel(logging.NOTSET)
 
 
 class TestLines:
@@ -73,9 +74,18 @@
         assert told.out == "" and "told" in told.err
 
 
+class TestStates:
+    @pytest.mark.parametrize("kind", list(kinds.EventKind))
+    def test_only_changes_of_state_are_logged(self, lines, kind):
+        timeline = ring.Timeline("a", clocks.ManualClock(), 10, on_event=logs.log_event)
+        timeline.record(kind)
+        is_state = kind.partition(".")[0] not in ("request", "order", "claim")
+        assert len(lines) == is_state
+
+
 class TestGoodRequests:
     async def test_1000_good_requests_add_no_line_to_log_and_time_line(self, lines):
-        async with sites.run_site(presence_ttl_ms=20_000) as running:
+        async with sites.run_site(vms=8, presence_ttl_ms=20_000) as running:
             before = len(running.daemon.timeline.read().events), len(lines)
             gate = asyncio.Semaphore(AT_ONCE)
 
@@ -85,7 +95,9 @@
 
             statuses = await asyncio.gather(*(ask(number) for number in range(REQUESTS)))
             assert set(statuses) <= {200, 201}
-            assert (len(running.daemon.timeline.read().events), len(lines)) == before
+            added = running.daemon.timeline.read().events[before[0] :]
+            assert [(event.kind, event.detail, event.vm) for event in added] == []
+            assert lines[before[1] :] == []
             answered = running.daemon.metrics.counted(
                 "requests_ended_total", team="shift-leads", outcome="answered"
             )
