--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -22,7 +22,7 @@
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book
-from tanagerfork.front import callers, chat, journal, listener, operators, services
+from tanagerfork.front import callers, chat, journal, last_resort, listener, operators, services
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import (
@@ -170,7 +170,7 @@
         )
         operators_front = operators.OperatorsFront(sources, settings.operators.token_sha256)
         callers_app = self.callers.build_app()
-        callers_app.middlewares.append(self.journal.note)
+        callers_app.middlewares.extend((self.journal.note, last_resort.answer_errors))
         self.operators_port = await self._listen(
             operators_front.build_app(), settings.operators, OPERATOR_CONNECTIONS
         )
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -30,6 +30,10 @@
     """An error that a caller is told."""
 
 
+class InternalFailure(CallerError):
+    """The daemon failed while it held the request."""
+
+
 class BadRequest(CallerError):
     """The request is malformed."""
 
