--- a/src/tanagerfork/cli/fleet.py
+++ b/src/tanagerfork/cli/fleet.py
@@ -29,10 +29,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Survey:
-    """The daemons that answered, by address, and those that did not."""
+    """The daemons that answered, by address, those that did not, and the domains seen in full."""
 
     answered: dict[str, operators.DaemonStatus] = dataclasses.field(default_factory=dict)
     unreachable: list[operators.UnreachableDaemon] = dataclasses.field(default_factory=list)
+    read_fully: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,22 +59,26 @@
     survey = Survey()
     pending = {url: KnownDaemon(url) for url in urls}
     seen: set[str] = set()
+    tried_domains: set[str] = set()
     last_error: errors.OperatorError | None = None
     while pending:
-        wave = _choose_wave(pending.values(), survey)
+        wave = _choose_wave(pending.values(), survey.read_fully, tried_domains)
+        tried_domains.update(known.failure_domain for known, _ in wave)
         seen.update(known.url for known, _ in wave)
         paths = [BRIEF_PATH if is_brief else STATUS_PATH for _, is_brief in wave]
         asked = [
             client.read(known.url, path, operators.DaemonStatus)
             for (known, _), path in zip(wave, paths, strict=True)
         ]
-        for (known, _), read in zip(wave, await asyncio.gather(*asked), strict=True):
+        for (known, is_brief), read in zip(wave, await asyncio.gather(*asked), strict=True):
             del pending[known.url]
             if isinstance(read, result.Err):
                 last_error = read.err_value
                 survey.unreachable.append(_describe_unreachable(known, read.err_value))
-            else:
-                survey.answered[known.url] = read.ok_value
+                continue
+            survey.answered[known.url] = read.ok_value
+            if not is_brief:
+                survey.read_fully.add(read.ok_value.failure_domain)
         pending.update(_find_new(survey, seen, pending))
     if not survey.answered and last_error is not None:
         return result.Err(last_error)
@@ -108,16 +113,23 @@
 
 
 def _choose_wave(
-    pending: Iterable[KnownDaemon], survey: Survey
+    pending: Iterable[KnownDaemon], read_fully: set[str], tried_domains: set[str]
 ) -> Sequence[tuple[KnownDaemon, bool]]:
-    read_fully = {status.failure_domain for status in survey.answered.values() if status.peers}
-    read_fully |= {status.failure_domain for status in survey.answered.values() if status.groups}
+    """Choose whom to ask next, and whom of them briefly.
+
+    The first daemon of a failure domain is asked alone, so that the others can answer briefly. If
+    it does not answer, all others are asked for everything, as waiting for each in turn would take
+    a time-out for each daemon of a domain that is cut off.
+    """
     wave = []
+    chosen: set[str] = set()
     for known in pending:
-        is_brief = bool(known.failure_domain) and known.failure_domain in read_fully
-        wave.append((known, is_brief))
-        if known.failure_domain:
-            read_fully.add(known.failure_domain)
+        domain = known.failure_domain
+        if domain in read_fully:
+            wave.append((known, True))
+        elif not domain or domain in tried_domains or domain not in chosen:
+            chosen.add(domain)
+            wave.append((known, False))
     return wave
 
 
--- a/src/tanagerfork/front/journal.py
+++ b/src/tanagerfork/front/journal.py
@@ -1,5 +1,6 @@
 """The requests that one daemon ended last, kept in memory for operators' questions."""
 
+import asyncio
 import collections
 from collections.abc import Awaitable, Callable
 
@@ -9,7 +10,7 @@
 from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.generated import events
-from tanagerfork.timeline import ring
+from tanagerfork.timeline import refusals, ring
 
 KEPT_REQUESTS = 2048
 MAX_PATH_CHARS = 200
@@ -35,7 +36,7 @@
     :param size: requests kept.
     """
 
-    __slots__ = ("_daemon", "_clock", "_timeline", "_metrics", "_traces")
+    __slots__ = ("refusals", "_daemon", "_clock", "_timeline", "_metrics", "_traces")
 
     def __init__(
         self,
@@ -45,6 +46,7 @@
         metrics: metric.Metrics,
         size: int = KEPT_REQUESTS,
     ) -> None:
+        self.refusals = refusals.Refusals(timeline)
         self._daemon = daemon
         self._clock = clock
         self._timeline = timeline
@@ -70,23 +72,28 @@
         """
         began_ms = self._clock.monotonic_ms()
         response: aiohttp.web.StreamResponse | None = None
+        broken = errors.TanagerforkError.kind
         try:
             response = await handler(request)
             return response
+        except (asyncio.CancelledError, ConnectionError):
+            broken = GONE
+            raise
         finally:
-            self._keep(request, response, self._clock.monotonic_ms() - began_ms)
+            self._keep(request, response, broken, self._clock.monotonic_ms() - began_ms)
 
     def _keep(
         self,
         request: aiohttp.web.Request,
         response: aiohttp.web.StreamResponse | None,
+        broken: str,
         duration_ms: int,
     ) -> None:
         error = request.get(ERROR)
         team = request.get(TEAM, "")
         outcome = error.kind if error else ANSWERED
         if response is None:
-            outcome = GONE
+            outcome = broken
         stamp = self._timeline.stamp()
         self._traces.append(
             events.RequestTrace(
@@ -104,6 +111,8 @@
             )
         )
         ended = ANSWERED if outcome == ANSWERED else REFUSED
+        if ended == REFUSED:
+            self.refusals.note(team, outcome)
         self._metrics.count("requests_ended_total", team=team, outcome=ended)
         model = request.get(MODEL)
         if model is not None and outcome == ANSWERED:
--- a/src/tanagerfork/front/listener.py
+++ b/src/tanagerfork/front/listener.py
@@ -3,6 +3,8 @@
 import asyncio
 import pathlib
 import ssl
+import weakref
+from collections.abc import Awaitable, Callable
 
 import aiohttp.web
 
@@ -15,9 +17,12 @@
 MAX_LINE_BYTES = 8192
 MAX_HEADER_BYTES = 16384
 HANDSHAKE_S = 10.0
+FIRST_REQUEST_S = 30.0  # Time in which the first request's headers must be there.
 BACKLOG = 512
 CERTIFICATE_CHECK_MS = 10_000
 
+Handler = Callable[[aiohttp.web.Request], Awaitable[aiohttp.web.StreamResponse]]
+
 
 class Certificate:
     """A certificate with its private key, read again when the files change.
@@ -76,7 +81,16 @@
     :param certificate: certificate; None serves plain text.
     """
 
-    __slots__ = ("_runner", "_host", "_port", "_limit", "_metrics", "_certificate", "_server")
+    __slots__ = (
+        "_runner",
+        "_host",
+        "_port",
+        "_limit",
+        "_metrics",
+        "_certificate",
+        "_server",
+        "_used",
+    )
 
     def __init__(
         self,
@@ -87,6 +101,8 @@
         metrics: metric.Metrics,
         certificate: Certificate | None = None,
     ) -> None:
+        app.middlewares.insert(0, self._note_request)
+        self._used: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
         self._runner = aiohttp.web.AppRunner(
             app,
             access_log=None,
@@ -129,7 +145,23 @@
         if server is None or len(server.connections) >= self._limit:
             self._metrics.count("connections_refused_total")
             return _Refusal()
-        return server()
+        handler = server()
+        asyncio.get_running_loop().call_later(FIRST_REQUEST_S, self._drop_unused, handler)
+        return handler
+
+    def _drop_unused(self, handler: aiohttp.web.RequestHandler) -> None:
+        transport = handler.transport
+        if transport is not None and transport not in self._used:
+            self._metrics.count("connections_unused_total")
+            transport.abort()
+
+    @aiohttp.web.middleware
+    async def _note_request(
+        self, request: aiohttp.web.Request, handler: Handler
+    ) -> aiohttp.web.StreamResponse:
+        if request.transport is not None:
+            self._used.add(request.transport)
+        return await handler(request)
 
 
 class _Refusal(asyncio.Protocol):
--- a/tests/test_cli_reads.py
+++ b/tests/test_cli_reads.py
@@ -176,6 +176,26 @@
         await timeline_commands.read_newer(client, survey, known)
 
 
+class TestDiscovery:
+    def test_domain_whose_first_daemon_is_away_is_still_seen_in_full(self):
+        with run_daemons() as daemons:
+            away = operators.PeerStatus(
+                name="taiping-0", state="alive", failure_domain="taiping", operators_url=NOWHERE
+            )
+            daemons[0].status.peers.insert(0, away)
+            ran = commands.call("status", "--json", "--daemon", daemons[0].listener.url, status=3)
+        told = msgspec.json.decode(ran.stdout, type=operators.FleetStatus)
+        assert [domain.seen_by for domain in told.domains] == ["ipoh-a-1", "taiping-1"]
+        assert daemons[1].paths == ["/v1/status"]
+
+    def test_only_one_daemon_of_a_domain_is_asked_for_everything(self):
+        with run_daemons() as daemons:
+            daemons[1].status.failure_domain = "ipoh-a"
+            daemons[0].status.peers[0].failure_domain = "ipoh-a"
+            commands.call("status", "--daemon", daemons[0].listener.url)
+        assert daemons[1].paths == ["/v1/status?brief=1"]
+
+
 class TestExports:
     def test_trace_file_has_a_row_for_each_daemon_and_subject(self, tmp_path, snapshot):
         path = tmp_path / "trace.json"
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -156,6 +156,17 @@
             for _, writer in [*held, (reader, refused)]:
                 writer.close()
 
+    @pytest.mark.parametrize("sent", [b"", b"GET / HTTP/1.1\r\nHost: a\r\n"])
+    async def test_connection_without_a_whole_first_request_is_dropped(self, sent, monkeypatch):
+        monkeypatch.setattr(listener, "FIRST_REQUEST_S", 0.02)
+        async with run_listener() as (port, metrics):
+            reader, writer = await asyncio.open_connection(sites.HOST, port)
+            writer.write(sent)
+            with contextlib.suppress(ConnectionResetError):
+                assert await reader.read() == b""
+            assert metrics.counted("connections_unused_total") == 1
+            writer.close()
+
     @pytest.mark.parametrize("length", [listener.MAX_HEADER_BYTES * 2, 1_000_000])
     async def test_header_past_the_limit_is_refused(self, length):
         async with run_listener() as (port, _):
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tanagerfork import clock as clocks
-from tanagerfork.timeline import hybrid, kinds, merge, ring
+from tanagerfork.timeline import hybrid, kinds, merge, refusals, ring
 
 START_MS = 1_800_000_000_000
 KIND = kinds.EventKind.DAEMON_STATE
@@ -93,6 +93,21 @@
         assert held <= max_bytes
 
 
+class TestRefusals:
+    def test_many_refusals_are_one_event(self):
+        timeline = ring.Timeline("a", SkewedClock(0), 10)
+        counted = refusals.Refusals(timeline)
+        for number in range(1000):
+            counted.note(
+                "growers" if number % 4 else "", "not_run" if number % 4 else "unauthorized"
+            )
+            counted.tell(number)
+        counted.tell(refusals.INTERVAL_MS)
+        counted.tell(3 * refusals.INTERVAL_MS)
+        details = [event.detail for event in timeline.read().events]
+        assert details == ["750 of growers as not_run, 250 of no team as unauthorized"]
+
+
 class TestFilter:
     @pytest.mark.parametrize(
         ("wanted", "found"),
