--- a/src/tanagerfork/timeline/trace.py
+++ b/src/tanagerfork/timeline/trace.py
@@ -5,9 +5,13 @@
 import msgspec
 
 from tanagerfork.generated import events
+from tanagerfork.timeline import plot
 
 US_PER_MS = 1000
 INSTANT = "i"
+SPAN = "X"
+GROUPS = "groups"
+GROUPS_PID = 0
 NAME = "M"
 DAEMON_SCOPE = "p"
 
@@ -30,6 +34,7 @@
     pid: int
     tid: int
     ts: int
+    dur: int = 0
     s: str = ""
     cat: str = ""
     args: TraceArguments | None = None
@@ -43,7 +48,9 @@
 
 
 def export_trace(ordered: list[events.Event]) -> bytes:
-    """Return a trace file: a process for each daemon, and a row for each subject in it.
+    """Return a trace file: the groups' states as spans, then a process for each daemon.
+
+    In a daemon's process there is a row for each group and each other subject.
 
     :param ordered: events in the order of the merged time line.
     :return: JSON in the Chrome trace event format.
@@ -78,9 +85,29 @@
                 ),
             )
         )
+    traced.extend(_trace_groups(ordered, origin_ms))
     return msgspec.json.encode(TraceFile(traced))
 
 
+def _trace_groups(ordered: list[events.Event], origin_ms: int) -> Iterable[TraceEvent]:
+    spans = plot.find_spans(ordered)
+    rows = _number(span.group for span in spans)
+    yield TraceEvent("process_name", NAME, GROUPS_PID, 0, 0, args=TraceArguments(name=GROUPS))
+    for group, row in rows.items():
+        arguments = TraceArguments(name=group)
+        yield TraceEvent("thread_name", NAME, GROUPS_PID, row, 0, args=arguments)
+    for span in spans:
+        yield TraceEvent(
+            name=span.state,
+            ph=SPAN,
+            pid=GROUPS_PID,
+            tid=rows[span.group],
+            ts=(span.from_ms - origin_ms) * US_PER_MS,
+            dur=(span.to_ms - span.from_ms) * US_PER_MS,
+            cat=GROUPS,
+        )
+
+
 def _name_row(event: events.Event) -> str:
     return event.group or event.kind.partition(".")[0]
 
--- a/tests/commands.py
+++ b/tests/commands.py
@@ -43,8 +43,9 @@
 class OfficeSite:
     """Stand-ins and one daemon that knows two offices' keys, without a bundle in force."""
 
-    def __init__(self, loop: LoopThread) -> None:
+    def __init__(self, loop: LoopThread, certificate: tuple[str, str]) -> None:
         self.loop = loop
+        self.certificate = certificate
         self.stand_ins = site.Site(sites.make_plan())
         self.keys = {name: ed25519.Ed25519PrivateKey.generate() for name in OFFICES}
         self.daemon: daemons.Daemon | None = None
@@ -62,6 +63,7 @@
             settings_records.OperatorKey(operator=name, public_key=signature.encode_public_key(key))
             for name, key in self.keys.items()
         ]
+        settings.operators.certificate_path, settings.operators.private_key_path = self.certificate
         self.daemon = daemons.Daemon(settings, clocks.SystemClock())
         await self.daemon.start()
 
@@ -93,10 +95,10 @@
 
 
 @contextlib.contextmanager
-def run_offices() -> Iterator[OfficeSite]:
-    """Run a site of two offices."""
+def run_offices(certificate: tuple[str, str] = ("", "")) -> Iterator[OfficeSite]:
+    """Run a site of two offices, whose operators' listener has a certificate or not."""
     with run_loop() as loop:
-        running = OfficeSite(loop)
+        running = OfficeSite(loop, certificate)
         loop.run(running.start())
         try:
             yield running
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import datetime
 import hashlib
 import ipaddress
@@ -23,7 +24,7 @@
 from tanagerfork.front import listener, teams
 from tanagerfork.generated import bundle
 from tanagerfork.timeline import ring
-from tests import sites
+from tests import commands, sites
 
 EMBEDDED = pathlib.Path(__file__).parent.parent / "examples" / "press" / "embedded.json5"
 TOKEN_SHA256 = hashlib.sha256(b"operators-token").hexdigest()
@@ -84,47 +85,57 @@
         await opened.stop()
 
 
+@dataclasses.dataclass
+class RenewingListener:
+    """A listener whose certificate is followed."""
+
+    port: int
+    clock: clocks.ManualClock
+    metrics: metric.Metrics
+    timeline: ring.Timeline
+
+
+@contextlib.asynccontextmanager
+async def run_renewing_listener(paths: tuple[pathlib.Path, pathlib.Path]):
+    """Run a listener that takes renewed certificates."""
+    certificate = listener.Certificate(*map(str, paths))
+    clock = clocks.ManualClock()
+    async with run_listener(certificate=certificate) as (port, metrics):
+        running = RenewingListener(port, clock, metrics, ring.Timeline("a", clock, 10))
+        following = asyncio.create_task(
+            listener.follow_certificate(certificate, clock, running.timeline, metrics)
+        )
+        yield running
+        following.cancel()
+
+
 class TestCertificates:
     async def test_renewed_certificate_is_served_without_a_restart(self, tmp_path):
         paths = write_certificate(tmp_path, 1)
-        certificate = listener.Certificate(*map(str, paths))
-        clock, metrics = clocks.ManualClock(), metric.Metrics()
-        timeline = ring.Timeline("a", clock, 10)
-        following = asyncio.create_task(
-            listener.follow_certificate(certificate, clock, timeline, metrics)
-        )
-        async with run_listener(certificate=certificate) as (port, _):
-            assert await read_serial(port, paths[0]) == 1
+        async with run_renewing_listener(paths) as running:
+            assert await read_serial(running.port, paths[0]) == 1
             write_certificate(tmp_path, 2)
-            await wake(clock)
-            assert await read_serial(port, paths[0]) == 2
-        following.cancel()
-        assert metrics.counted("certificate_reloads_total") == 1
+            await wake(running.clock)
+            assert await read_serial(running.port, paths[0]) == 2
+        assert running.metrics.counted("certificate_reloads_total") == 1
 
     async def test_half_renewed_pair_leaves_the_old_one_in_use(self, tmp_path):
         paths = write_certificate(tmp_path, 1)
         trusted = tmp_path / "trusted.pem"
         trusted.write_bytes(paths[0].read_bytes())
-        certificate = listener.Certificate(*map(str, paths))
-        clock, metrics = clocks.ManualClock(), metric.Metrics()
-        timeline = ring.Timeline("a", clock, 10)
-        following = asyncio.create_task(
-            listener.follow_certificate(certificate, clock, timeline, metrics)
-        )
-        async with run_listener(certificate=certificate) as (port, _):
+        async with run_renewing_listener(paths) as running:
             old_key = paths[1].read_bytes()
             write_certificate(tmp_path, 2)
             new_key = paths[1].read_bytes()
             paths[1].write_bytes(old_key)
             for _ in range(2):
-                await wake(clock)
-            assert await read_serial(port, trusted) == 1
+                await wake(running.clock)
+            assert await read_serial(running.port, trusted) == 1
             paths[1].write_bytes(new_key)
-            await wake(clock)
-            assert await read_serial(port, paths[0]) == 2
-        following.cancel()
-        assert metrics.counted("certificate_reloads_failed_total") == 2
-        kinds = [event.kind for event in timeline.read().events]
+            await wake(running.clock)
+            assert await read_serial(running.port, paths[0]) == 2
+        assert running.metrics.counted("certificate_reloads_failed_total") == 2
+        kinds = [event.kind for event in running.timeline.read().events]
         assert kinds == ["certificate.refused", "certificate.renewed"]
 
     def test_pair_that_does_not_fit_is_refused_at_start(self, tmp_path):
@@ -142,6 +153,21 @@
         await asyncio.sleep(0)
 
 
+class TestTlsFromEndToEnd:
+    def test_tool_checks_the_daemon_against_the_given_authority(self, tmp_path):
+        certificate, key = write_certificate(tmp_path, 7)
+        other = tmp_path / "other"
+        other.mkdir()
+        stranger, _ = write_certificate(other, 8)
+        with commands.run_offices(certificate=(str(certificate), str(key))) as site:
+            url = site.at[1].replace("http:", "https:")
+            at = ["--daemon", url, "--ca-file"]
+            told = commands.call("bundle", "show", *at, str(certificate))
+            assert "no bundle is in force" in told.stdout
+            refused = commands.call("bundle", "show", *at, str(stranger), status=1)
+            commands.assert_one_line(refused, "certificate verify failed")
+
+
 class TestBounds:
     async def test_connections_past_the_limit_are_closed_and_counted(self):
         async with run_listener(max_connections=2) as (port, metrics):
