--- a/bench/timeline.py
+++ b/bench/timeline.py
@@ -6,13 +6,18 @@
 Run: python -m bench.timeline [SEED]
 """
 
+import contextlib
 import dataclasses
 import random
 import sys
 import time
 import tracemalloc
 
+from aiohttp import test_utils, web
+
 from tanagerfork import clock as clocks
+from tanagerfork import metrics
+from tanagerfork.front import journal
 from tanagerfork.timeline import kinds, merge, ring
 
 SKEWS_MS = (1, 10, 100, 250)
@@ -98,6 +103,47 @@
     return event_us, stamp_us, memory_bytes
 
 
+def measure_request() -> tuple[float, float]:
+    """Return processor time of noting a request, in µs, and the memory of a note, in bytes."""
+    clock = clocks.SystemClock()
+    timeline = ring.Timeline("d0", clock, 10)
+    notes = journal.Journal("d0", clock, timeline, metrics.Metrics())
+    response = web.Response(headers={journal.REQUEST_ID_HEADER: "x"})
+    requests = []
+    for number in range(journal.KEPT_REQUESTS):
+        headers = {journal.REQUEST_ID_HEADER: f"request-{number:032}"}
+        request = test_utils.make_mocked_request("POST", "/v1/chat/completions", headers)
+        request[journal.TEAM], request[journal.MODEL] = "growers", "rota-writer"
+        requests.append(request)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for request in requests:
+        note(notes, request, None)
+    memory_bytes = (tracemalloc.get_traced_memory()[0] - before) / len(requests)
+    tracemalloc.stop()
+    began = time.process_time()
+    for request in requests:
+        note(notes, request, response)
+    return (time.process_time() - began) / len(requests) * 1e6, memory_bytes
+
+
+def note(notes: journal.Journal, request: web.Request, response: web.Response | None) -> None:
+    """Have the journal note one request.
+
+    :param notes: journal.
+    :param request: request.
+    :param response: its answer; None where the caller went away.
+    """
+
+    async def answer(_: web.Request) -> web.StreamResponse:
+        if response is None:
+            raise ConnectionResetError
+        return response
+
+    with contextlib.suppress(StopIteration, ConnectionResetError):
+        notes.note(request, answer).send(None)
+
+
 def main() -> None:
     """Print shares of misordered pairs and costs."""
     seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
@@ -109,6 +155,8 @@
         hybrid = sum(pair.hybrid_cause > pair.hybrid_effect for pair in pairs) / len(pairs)
         print(f"{skew_ms:7}  {plain:17.1%}  {hybrid:21.1%}")
     event_us, stamp_us, memory_bytes = measure_cost()
+    request_us, note_bytes = measure_request()
+    print(f"noting a request costs {request_us:.1f} us, a note takes {note_bytes:.0f} bytes")
     print(
         f"an event costs {event_us:.1f} us and {memory_bytes:.0f} bytes, a stamp {stamp_us:.1f} us"
     )
