--- a/src/tanagerfork/cli/timeline_commands.py
+++ b/src/tanagerfork/cli/timeline_commands.py
@@ -16,6 +16,8 @@
 from tanagerfork.timeline import merge, plot, trace
 
 FOLLOW_INTERVAL_S = 1.0
+BEFORE_REFUSAL_MS = 30_000
+ANSWERED = "answered"
 MS_PER_S = 1000
 TIMELINE_PATH = "/v1/timeline"
 
@@ -91,7 +93,8 @@
 ) -> events.Explanation:
     """Put together what is known of a request.
 
-    Beside its own events, those of the groups that it met while it ran tell why.
+    Beside its own events, those of the groups that it met while it ran tell why. Where it met none
+    and was refused, the changes of all groups that the refusing daemon saw shortly before do.
 
     :param request_id: request.
     :param traces: how it ended, at each daemon that took it.
@@ -102,8 +105,14 @@
     groups = {event.group for event in own if event.group}
     began_ms = min((trace.wall_ms - trace.duration_ms for trace in traces), default=0)
     ended_ms = max((trace.wall_ms for trace in traces), default=0)
-    related = merge.merge_pages(pages, merge.EventFilter(since_ms=began_ms, until_ms=ended_ms))
-    met = [event for event in related if event.group in groups and not event.request]
+    refusing = {trace.daemon for trace in traces if trace.outcome != ANSWERED and not groups}
+    since_ms = began_ms - BEFORE_REFUSAL_MS if refusing else began_ms
+    related = merge.merge_pages(pages, merge.EventFilter(since_ms=since_ms, until_ms=ended_ms))
+    met = [
+        event
+        for event in related
+        if event.group and not event.request and (event.group in groups or event.daemon in refusing)
+    ]
     return events.Explanation(
         request=request_id,
         traces=sorted(traces, key=lambda trace: (trace.wall_ms, trace.counter, trace.daemon)),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,6 +1,7 @@
 """Tests of the operators' tool: keys, bundles, errors."""
 
 import os
+import pathlib
 import stat
 
 import aiohttp.web
@@ -16,6 +17,8 @@
 from tanagerfork_standins import listener
 from tests import commands
 
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
 
 class TestKeys:
     def test_new_key_is_private_and_only_its_public_half_is_printed(self, tmp_path):
@@ -92,6 +95,10 @@
             assert "in force at 1 of 1 daemons" in watched.stdout
             assert '"first bundle"' in commands.call("bundle", "show", *site.at).stdout
 
+    @pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*/bundle.json5")), ids=str)
+    def test_example_bundles_are_good(self, path):
+        assert "good; 1 models" in commands.call("bundle", "check", str(path)).stdout
+
     def test_two_offices_race_and_the_loser_is_told_whose_bundle_is_in_force(self, tmp_path):
         with commands.run_offices() as site:
             for office in commands.OFFICES:
--- a/tests/test_cli_reads.py
+++ b/tests/test_cli_reads.py
@@ -176,6 +176,31 @@
         await timeline_commands.read_newer(client, survey, known)
 
 
+class TestExplanation:
+    @pytest.mark.parametrize(
+        ("outcome", "kinds"),
+        [("answered", []), ("not_run", ["group.whole", "group.broken"])],
+    )
+    def test_refusal_without_a_group_shows_what_befell_the_groups_before(self, outcome, kinds):
+        trace = events.RequestTrace(
+            daemon="taiping-1", request="rota-8", wall_ms=START_MS + 1000, outcome=outcome
+        )
+        pages = [daemon.page for daemon in make_daemons()]
+        told = timeline_commands.explain_request("rota-8", [trace], pages)
+        assert [event.kind for event in told.events] == kinds
+        assert all(event.daemon == "taiping-1" for event in told.events)
+
+
+class TestTerminal:
+    def test_colours_and_tables_stand_on_a_terminal_only(self):
+        with run_daemons() as daemons:
+            words = ["teams", "--daemon", daemons[0].listener.url]
+            plain = commands.call(*words)
+            coloured = commands.call(*words, env={"FORCE_COLOR": "1", "COLUMNS": "120"})
+        assert "\x1b[" not in plain.stdout
+        assert "\x1b[1m" in coloured.stdout
+
+
 class TestDiscovery:
     def test_domain_whose_first_daemon_is_away_is_still_seen_in_full(self):
         with run_daemons() as daemons:
