Refuse digits outside ASCII, and answer failures of the operators' listener by typed errors

A deadline or sequence of a superscript digit passed isdigit() and failed in int(): the caller got status 500 and 'unknown' for a request that never ran.

--- a/src/tanagerfork/front/callers.py
+++ b/src/tanagerfork/front/callers.py
@@ -208,7 +208,10 @@
         text = request.headers.get(DEADLINE_HEADER)
         if text is None:
             return self._limits.default_deadline_ms
-        if not text.isdigit() or not 0 < int(text) <= self._limits.max_deadline_ms:
+        if (
+            not (text.isascii() and text.isdigit())
+            or not 0 < int(text) <= self._limits.max_deadline_ms
+        ):
             limit = self._limits.max_deadline_ms
             raise errors.BadRequest(f"{DEADLINE_HEADER} must be 1 to {limit} milliseconds")
         return int(text)
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import dataclasses
+import re
 from collections.abc import Awaitable, Callable
 
 import aiohttp.web
 import msgspec
 import result
+from absl import logging
 
 from tanagerfork import errors
 from tanagerfork import metrics as metric
@@ -26,6 +28,7 @@
 CALL_TIMEOUT_S = 60.0
 FULL_RETRY_MS = 1000
 OPEN_PATHS = ("/healthz", "/readyz")
+SEQUENCE_FORM = re.compile(r"-?[0-9]{1,18}")
 
 StatusReader = Callable[[], operators.DaemonStatus]
 Handler = Callable[[aiohttp.web.Request], Awaitable[aiohttp.web.StreamResponse]]
@@ -112,6 +115,11 @@
         except aiohttp.web.HTTPRequestEntityTooLarge:
             message = f"the body exceeds {BODY_LIMIT_BYTES} bytes; split the bundle"
             return _refuse(errors.BodyTooLarge(message))
+        except aiohttp.web.HTTPException:
+            raise
+        except Exception as failure:
+            logging.exception("an operator's call failed: %s", type(failure).__name__)
+            return _refuse(errors.InternalFailure("the daemon failed; see its log"))
         finally:
             self._open_calls -= 1
 
@@ -154,7 +162,7 @@
 
     async def _serve_timeline(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         text = request.query.get("after", "-1")
-        if not text.lstrip("-").isdigit():
+        if not SEQUENCE_FORM.fullmatch(text):
             return _refuse(errors.BadRequest("after must be a sequence number"))
         return _answer(self._timeline.read(int(text)))
 
--- a/src/tanagerfork/settings.py
+++ b/src/tanagerfork/settings.py
@@ -108,7 +108,7 @@
     for number, seed in enumerate(settings.peers.seeds):
         host, _, port = seed.rpartition(":")
         _check_address(path, f"peers.seeds[{number}]", host)
-        if not port.isdigit() or not 0 < int(port) < 65536:
+        if not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
             _refuse(path, f"peers.seeds[{number}]", f"{seed!r} has no port", "write IP:port")
     _check_operators_listener(path, settings.operators)
     for section, certificate_path, private_key_path in (
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -57,6 +57,7 @@
             ({}, {}, 401, "unauthorized"),
             ({"X-Request-Id": "a b"}, {}, 400, "bad_request"),
             ({"X-Deadline-Ms": "0"}, {"model": sites.MODEL}, 400, "bad_request"),
+            ({"X-Deadline-Ms": "²"}, {"model": sites.MODEL}, 400, "bad_request"),
         ]
         async with sites.run_site(groups=1, vms=4) as running:
             for headers, body, status, kind in table:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -23,6 +23,7 @@
             ("callers.port=x", "callers.port"),
             ("callers.host=localhost", "callers.host"),
             ("peers.seeds=['10.0.0.1']", "peers.seeds[0]"),
+            ("peers.seeds=['10.0.0.1:²']", "peers.seeds[0]"),
             ("groups.order_timeout_ms=4000", "groups.order_timeout_ms"),
             ("limits.default_deadline_ms=900000", "limits.default_deadline_ms"),
         ],
