--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -53,11 +53,12 @@
 
 class TestRefusals:
     async def test_errors_name_kind_remedy_and_whether_the_request_ran(self):
+        good = {"model": sites.MODEL, "messages": [{"role": "user", "content": "x"}]}
         table = [
             ({}, {}, 401, "unauthorized"),
             ({"X-Request-Id": "a b"}, {}, 400, "bad_request"),
-            ({"X-Deadline-Ms": "0"}, {"model": sites.MODEL}, 400, "bad_request"),
-            ({"X-Deadline-Ms": "²"}, {"model": sites.MODEL}, 400, "bad_request"),
+            ({"X-Deadline-Ms": "0"}, good, 400, "bad_request"),
+            ({"X-Deadline-Ms": "²"}, good, 400, "bad_request"),
         ]
         async with sites.run_site(groups=1, vms=4) as running:
             for headers, body, status, kind in table:
