--- a/src/tanagerfork/cli/timeline_commands.py
+++ b/src/tanagerfork/cli/timeline_commands.py
@@ -1,6 +1,7 @@
 """Commands that look back: the merged time line, and one request's story."""
 
 import asyncio
+import dataclasses
 import datetime
 import pathlib
 from collections.abc import Sequence
@@ -12,6 +13,7 @@
 from tanagerfork import errors
 from tanagerfork.cli import client as clients
 from tanagerfork.cli import drafts, fleet, options, outcome, output, status_commands
+from tanagerfork.front import journal
 from tanagerfork.generated import events, operators
 from tanagerfork.timeline import merge, plot, trace
 
@@ -21,6 +23,15 @@
 MS_PER_S = 1000
 TIMELINE_PATH = "/v1/timeline"
 
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Place:
+    """How far a daemon's ring was read; a ring that began anew has another start."""
+
+    started_ms: int = 0
+    next_sequence: int = 0
+
+
 Moment = Annotated[str, typer.Option(metavar="TIME", help="ISO 8601, UTC where no zone is given.")]
 
 
@@ -184,7 +195,7 @@
     if not told.traces:
         output.print_line(
             "no daemon remembers how the request ended: it never came, is still running, "
-            "or ended longer ago than the last 2,048 requests of its daemon"
+            f"or ended longer ago than the last {journal.KEPT_REQUESTS} requests of its daemon"
         )
     print_events(told.events, False)
     if told.traces and not told.events:
@@ -212,38 +223,40 @@
 
 
 async def _follow(target: clients.Target, wanted: merge.EventFilter, as_lines: bool) -> None:
-    known: dict[str, tuple[int, int]] = {}
+    places: dict[str, Place] = {}
     async with clients.connect(target) as client:
         while True:
             survey = outcome.take(await fleet.survey_fleet(client, target.urls))
-            pages = await read_newer(client, survey, known)
+            pages = await read_newer(client, survey, places)
             print_events(merge.merge_pages(pages, wanted), as_lines)
             await asyncio.sleep(FOLLOW_INTERVAL_S)
 
 
 async def read_newer(
-    client: clients.OperatorsClient, survey: fleet.Survey, known: dict[str, tuple[int, int]]
+    client: clients.OperatorsClient, survey: fleet.Survey, places: dict[str, Place]
 ) -> list[events.EventPage]:
     """Read the events that were recorded since the last call.
 
     :param client: client.
     :param survey: daemons.
-    :param known: start and next sequence of each daemon's ring; kept up to date.
-    :return: the new events of each daemon.
+    :param places: place in the ring of each daemon by address; kept up to date.
+    :return: the new events of each daemon that answered.
     """
-
-    async def read_one(url: str) -> events.EventPage | None:
-        started_ms, next_sequence = known.get(url, (0, 0))
-        path = f"{TIMELINE_PATH}?after={next_sequence - 1}"
-        page = (await client.read(url, path, events.EventPage)).unwrap_or(None)
-        if page is not None and page.started_ms != started_ms and next_sequence:
-            page = (await client.read(url, TIMELINE_PATH, events.EventPage)).unwrap_or(None)
-        if page is not None:
-            known[url] = page.started_ms, page.next_sequence
-        return page
-
-    pages = await asyncio.gather(*(read_one(url) for url in survey.answered))
-    return [page for page in pages if page is not None]
+    asked = [_read_page(client, url, places) for url in survey.answered]
+    return [page for page in await asyncio.gather(*asked) if page is not None]
+
+
+async def _read_page(
+    client: clients.OperatorsClient, url: str, places: dict[str, Place]
+) -> events.EventPage | None:
+    place = places.get(url, Place())
+    path = f"{TIMELINE_PATH}?after={place.next_sequence - 1}"
+    page = (await client.read(url, path, events.EventPage)).unwrap_or(None)
+    if page is not None and place.next_sequence and page.started_ms != place.started_ms:
+        page = (await client.read(url, TIMELINE_PATH, events.EventPage)).unwrap_or(None)
+    if page is not None:
+        places[url] = Place(page.started_ms, page.next_sequence)
+    return page
 
 
 def register(app: typer.Typer) -> None:
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -205,14 +205,15 @@
         if isinstance(published, result.Err):
             return published
         rolled_by = call.rolled_by or call.operator
-        at_ms = self._timeline.stamp().ceiling_ms
-        rolled = await heads.roll_head(self._store, signed, rolled_by, at_ms)
+        at = self._timeline.stamp()
+        rolled = await heads.roll_head(self._store, signed, rolled_by, at.ceiling_ms)
         if isinstance(rolled, result.Ok):
             version = rolled.ok_value.version
             self._timeline.record(
                 kinds.EventKind.BUNDLE_ROLLED,
                 f"signed off by {call.operator}, rolled by {rolled_by}",
                 bundle_version=version,
+                at=at,
             )
         return rolled
 
--- a/src/tanagerfork/timeline/ring.py
+++ b/src/tanagerfork/timeline/ring.py
@@ -63,6 +63,7 @@
         vm: str = "",
         request: str = "",
         bundle_version: int = 0,
+        at: hybrid.HybridTime | None = None,
     ) -> events.Event:
         """Add an event.
 
@@ -72,9 +73,10 @@
         :param vm: VM concerned.
         :param request: request concerned.
         :param bundle_version: bundle concerned.
+        :param at: stamp taken before what the event tells of could be seen elsewhere; None for now.
         :return: the event as recorded.
         """
-        stamp = self.time.tick()
+        stamp = at or self.time.tick()
         event = events.Event(
             daemon=self._daemon,
             sequence=self._next_sequence,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -91,6 +91,9 @@
                 rolled = commands.call("bundle", "roll", f"{draft}.signed.json", *site.at)
                 assert "version 1 is accepted" in rolled.stdout
                 site.wait_for_version(1)
+            told = commands.call("timeline", "--kind", "bundle", "--jsonl", *site.at).stdout
+            kinds = [msgspec.json.decode(line)["kind"] for line in told.splitlines()]
+            assert kinds == ["bundle.rolled", "bundle.accepted"]
             watched = commands.call("rollout", "watch", "--limit-s", "20", *site.at)
             assert "in force at 1 of 1 daemons" in watched.stdout
             assert '"first bundle"' in commands.call("bundle", "show", *site.at).stdout
--- a/tests/test_cli_reads.py
+++ b/tests/test_cli_reads.py
@@ -160,20 +160,22 @@
         with run_daemons() as daemons, commands.run_loop() as loop:
             daemon = daemons[1]
             survey = fleet.Survey({daemon.listener.url: daemon.status})
-            known: dict[str, tuple[int, int]] = {}
+            places: dict[str, timeline_commands.Place] = {}
             for started_ms in (5, 5, 6):
                 daemon.page.started_ms = started_ms
-                loop.run(read_newer(daemon.listener.url, survey, known))
+                loop.run(read_newer(daemon.listener.url, survey, places))
         first, second, third, again = daemon.paths
         assert first.endswith("?after=-1")
         assert second == third and second.endswith("?after=890")
         assert again == "/v1/timeline"
 
 
-async def read_newer(url: str, survey: fleet.Survey, known: dict[str, tuple[int, int]]) -> None:
+async def read_newer(
+    url: str, survey: fleet.Survey, places: dict[str, timeline_commands.Place]
+) -> None:
     """Read what is new from one daemon."""
     async with clients.connect(clients.Target([url])) as client:
-        await timeline_commands.read_newer(client, survey, known)
+        await timeline_commands.read_newer(client, survey, places)
 
 
 class TestExplanation:
