--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -22,7 +22,7 @@
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book
-from tanagerfork.front import callers, chat, journal, listener, operators, services
+from tanagerfork.front import callers, chat, journal, last_resort, listener, operators, services
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import (
@@ -67,7 +67,9 @@
         self.settings = settings
         self.clock = clock
         self.metrics = metric.Metrics()
-        self.timeline = ring.Timeline(settings.name, clock, settings.timeline_events)
+        self.timeline = ring.Timeline(
+            settings.name, clock, settings.timeline_events, on_event=logs.log_event
+        )
         self.lifecycle = lifecycle.Lifecycle(self._note_state)
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
@@ -186,7 +188,7 @@
         )
         operators_front = operators.OperatorsFront(sources, settings.operators.token_sha256)
         callers_app = self.callers.build_app()
-        callers_app.middlewares.append(self.journal.note)
+        callers_app.middlewares.extend((self.journal.note, last_resort.answer_errors))
         self.operators_port = await self._listen(
             operators_front.build_app(), settings.operators, OPERATOR_CONNECTIONS
         )
@@ -234,7 +236,7 @@
 
     def _make_coordinator(self) -> coordinator.Coordinator:
         settings = self.settings
-        keeper = lease.LeaseKeeper(
+        self._lease = lease.LeaseKeeper(
             settings.failure_domain,
             settings.name,
             self.store,
@@ -247,7 +249,7 @@
             self.store,
             self.bundles,
             self.groups,
-            keeper,
+            self._lease,
             sender.OrderSender(self._engines, self.clock, self.timeline, self.metrics),
             self.clock,
             self.timeline,
@@ -281,6 +283,7 @@
             is_ready = self.bundles.current is not None
             self.lifecycle.apply("become_ready" if is_ready else "lose_readiness")
             self._take_measures()
+            self.journal.refusals.tell(self.clock.monotonic_ms())
             await self.clock.sleep_ms(READY_CHECK_MS)
 
     def _take_measures(self) -> None:
@@ -304,7 +307,7 @@
         metrics.set_counter("timeline_jumps_refused_total", self.timeline.time.refused_jumps)
 
     def _read_status(self) -> operator_records.DaemonStatus:
-        return statuses.describe_daemon(
+        status = statuses.describe_daemon(
             self.settings,
             self.lifecycle.state,
             self.bundles,
@@ -313,15 +316,18 @@
             self.callers.open_requests,
             self.clock.monotonic_ms(),
         )
+        status.coordinator = self._lease.state.holder
+        status.key_value_reachable = self._lease.measure_absence() == 0
+        return status
 
     def _note_state(self, state: str) -> None:
-        logs.log_event(self.timeline.record(kinds.EventKind.DAEMON_STATE, state))
+        self.timeline.record(kinds.EventKind.DAEMON_STATE, state)
 
     def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
         kind = GROUP_EVENTS[view.state]
         missing = ", ".join(view.missing)
         detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
-        logs.log_event(self.timeline.record(kind, detail, group=view.record.group))
+        self.timeline.record(kind, detail, group=view.record.group)
 
 
 async def serve(settings: settings_records.Settings, embedded: pathlib.Path | None) -> None:
