--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,317 @@
+"""A failure domain of engines on explicit time, driven by the real decision code."""
+
+import dataclasses
+
+import msgspec
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import errors, metrics
+from tanagerfork.generated import bundle as bundle_records
+from tanagerfork.generated import engine, settings
+from tanagerfork.groups import coordinator, directory, lease, presence, sender
+from tanagerfork.timeline import ring
+
+FAILURE_DOMAIN = "ipoh-a"
+MODEL = "rota-writer"
+STEP_MS = 500
+USUAL_STEP_MS = 33.0
+
+
+@dataclasses.dataclass(slots=True)
+class EngineModel:
+    """One VM with its engine."""
+
+    entry: engine.VmEntry
+    report: engine.EngineReport
+    is_alive: bool = True
+    is_paused: bool = False
+    slowdown: float = 1.0
+    loaded_at_ms: int = 0
+    restarts: int = 0
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the engine answers."""
+        return self.is_alive and not self.is_paused
+
+
+class Fleet:
+    """Engines of one failure domain and the weight store that they load from.
+
+    :param domains: VMs by fabric domain.
+    :param load_ms: time that one VM's weights take, in milliseconds.
+    :param loads_at_once: VMs that the weight store serves at once.
+    :param checks_fencing: whether engines refuse old fencing numbers.
+    """
+
+    def __init__(
+        self,
+        domains: dict[str, int],
+        load_ms: int = 1000,
+        loads_at_once: int = 4,
+        checks_fencing: bool = True,
+    ) -> None:
+        self.load_ms = load_ms
+        self.loads_at_once = loads_at_once
+        self.now_ms = 0
+        self.engines: dict[str, EngineModel] = {}
+        self.unlisted: set[str] = set()
+        self.holds_orders = False
+        self.held: list[tuple[str, engine.Order]] = []
+        self.broken_versions: set[str] = set()
+        self._queue: list[str] = []
+        for domain, count in domains.items():
+            for number in range(count):
+                name = f"{domain}-vm{number}"
+                entry = engine.VmEntry(
+                    vm=name,
+                    url="",
+                    failure_domain=FAILURE_DOMAIN,
+                    fabric_domain=domain,
+                    checks_fencing=checks_fencing,
+                )
+                self.engines[name] = EngineModel(entry, _make_empty_report(name, 0))
+
+    def list_vms(self) -> list[engine.VmEntry]:
+        """Return the platform's list."""
+        return [item.entry for name, item in self.engines.items() if name not in self.unlisted]
+
+    def advance(self, now_ms: int) -> None:
+        """Move the time on, and the loads with it."""
+        self.now_ms = now_ms
+        for name in list(self._queue[: self.loads_at_once]):
+            model = self.engines[name]
+            if model.loaded_at_ms == 0:
+                model.loaded_at_ms = now_ms + self.load_ms
+            elif now_ms >= model.loaded_at_ms and model.is_reachable:
+                self._finish_load(model)
+        for name in self._queue[: self.loads_at_once]:
+            if self.engines[name].loaded_at_ms == 0:
+                self.engines[name].loaded_at_ms = now_ms + self.load_ms
+
+    def is_loading(self) -> bool:
+        """Return whether any VM loads."""
+        return bool(self._queue)
+
+    def die(self, name: str) -> None:
+        """Lose a VM."""
+        self.engines[name].is_alive = False
+        self._leave_queue(name)
+
+    def come_back(self, name: str, as_if_nothing_happened: bool = False) -> None:
+        """Start a VM again, empty or as if nothing happened."""
+        model = self.engines[name]
+        model.is_alive = True
+        if not as_if_nothing_happened:
+            model.restarts += 1
+            model.report = _make_empty_report(name, model.restarts)
+
+    def read_report(self, name: str) -> engine.EngineReport | None:
+        """Return a VM's report, None where it gives none."""
+        model = self.engines[name]
+        if not model.is_reachable:
+            return None
+        model.report.sequence += 1
+        return msgspec.structs.replace(
+            model.report,
+            members=[vm for vm in model.report.members if self._is_connected(vm, model.report)],
+            step_ms=USUAL_STEP_MS * model.slowdown,
+        )
+
+    def take_order(self, name: str, order: engine.Order) -> engine.OrderAnswer:
+        """Have an engine carry an order out, or refuse it."""
+        model = self.engines[name]
+        if model.entry.checks_fencing and order.fencing < model.report.fencing:
+            return engine.OrderAnswer(accepted=False, reason="old fencing number")
+        model.report.fencing = max(model.report.fencing, order.fencing)
+        self._carry_out(model, order)
+        return engine.OrderAnswer(accepted=True, fencing=model.report.fencing)
+
+    def deliver_held(self) -> None:
+        """Deliver the orders that were held back on their way."""
+        held, self.held = self.held, []
+        for name, order in held:
+            if self.engines[name].is_reachable:
+                self.take_order(name, order)
+
+    async def order(
+        self, vm: engine.VmEntry, order: engine.Order
+    ) -> result.Result[engine.OrderAnswer, errors.UpstreamError]:
+        """Give an engine an order; see `EngineClient.order`."""
+        if self.holds_orders:
+            self.held.append((vm.vm, order))
+            return result.Err(errors.UpstreamLost("no answer in time"))
+        if not self.engines[vm.vm].is_reachable:
+            return result.Err(errors.UpstreamUnreachable("takes no connection"))
+        return result.Ok(self.take_order(vm.vm, order))
+
+    def is_truly_whole(self, members: list[str]) -> bool:
+        """Return whether VMs are alive, ready and connected in one group and generation."""
+        reports = [self.engines[vm].report for vm in members]
+        rosters = {(item.group, item.generation, tuple(item.members)) for item in reports}
+        return (
+            len(rosters) == 1
+            and all(self.engines[vm].is_reachable for vm in members)
+            and all(item.state in ("ready", "leaving") for item in reports)
+        )
+
+    def _is_connected(self, vm: str, report: engine.EngineReport) -> bool:
+        other = self.engines[vm]
+        return vm == report.vm or (
+            other.is_reachable
+            and (other.report.group, other.report.generation) == (report.group, report.generation)
+        )
+
+    def _carry_out(self, model: EngineModel, order: engine.Order) -> None:
+        report = model.report
+        if order.kind == "leave":
+            report.group, report.generation, report.members = "", 0, []
+            report.state = "idle" if report.state != "loading" else "loading"
+            return
+        if order.kind == "join":
+            report.group, report.generation = order.group, order.generation
+            report.members = list(order.members)
+        loaded = (report.model, report.version, report.adapters)
+        if loaded == (order.model, order.version, order.adapters):
+            if report.state == "idle" and order.kind == "join":
+                report.state = "ready"
+            return
+        report.model, report.version = order.model, order.version
+        report.adapters = list(order.adapters)
+        report.state = "loading"
+        self._leave_queue(report.vm)
+        self._queue.append(report.vm)
+
+    def _finish_load(self, model: EngineModel) -> None:
+        if model.report.version in self.broken_versions:
+            return
+        model.report.state = "ready" if model.report.group else "idle"
+        self._leave_queue(model.report.vm)
+
+    def _leave_queue(self, name: str) -> None:
+        self.engines[name].loaded_at_ms = 0
+        if name in self._queue:
+            self._queue.remove(name)
+
+
+@dataclasses.dataclass(slots=True)
+class InForce:
+    """A bundle in force, as the coordinator reads it."""
+
+    bundle: bundle_records.Bundle
+
+
+@dataclasses.dataclass(slots=True)
+class BundleSource:
+    """The bundle in force and its version."""
+
+    current: InForce
+    version: int = 1
+
+
+class FleetDaemon:
+    """One daemon's part in the groups: what it hears and decides.
+
+    :param name: name of the daemon.
+    :param fleet: engines.
+    :param store: key-value service.
+    :param clock: clock of the daemon.
+    :param bundles: bundle in force.
+    :param group_settings: times of observation and coordination.
+    :param names: live daemons.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        fleet: Fleet,
+        store,
+        clock: clocks.ManualClock,
+        bundles: BundleSource,
+        group_settings: settings.GroupSettings | None = None,
+        names: tuple[str, ...] = (),
+    ) -> None:
+        self.fleet = fleet
+        self.clock = clock
+        self.settings = group_settings or settings.GroupSettings()
+        self.groups = directory.GroupDirectory(presence.Presence(self.settings.presence_ttl_ms))
+        self.timeline = ring.Timeline(name, clock, 10_000)
+        self.metrics = metrics.Metrics()
+        self.keeper = lease.LeaseKeeper(
+            FAILURE_DOMAIN,
+            name,
+            store,
+            clock,
+            self.settings.lease_ttl_ms,
+            lambda: names or (name,),
+        )
+        self.coordinator = coordinator.Coordinator(
+            FAILURE_DOMAIN,
+            store,
+            bundles,
+            self.groups,
+            self.keeper,
+            sender.OrderSender(fleet, clock, self.timeline, self.metrics),
+            clock,
+            self.timeline,
+            self.metrics,
+            self.settings,
+            drain_ms=120_000,
+        )
+
+    def observe(self) -> None:
+        """Hear every VM's report."""
+        now_ms = self.clock.monotonic_ms()
+        self.groups.take_vms(self.fleet.list_vms(), now_ms)
+        for name in self.fleet.engines:
+            report = self.fleet.read_report(name)
+            if report is not None:
+                self.groups.presence.hear(report, now_ms)
+
+    async def step(self) -> None:
+        """Observe, decide and act once."""
+        self.observe()
+        await self.coordinator.take_step()
+
+    def views(self) -> list[presence.GroupView]:
+        """Return the groups as the daemon sees them now."""
+        return self.groups.views(self.clock.monotonic_ms())
+
+    def whole(self) -> list[presence.GroupView]:
+        """Return the groups that the daemon would send requests to."""
+        return self.groups.whole_groups(MODEL, self.clock.monotonic_ms())
+
+
+def make_bundle(
+    groups: int,
+    surplus: int = 0,
+    downtime_weight: float = 1.0,
+    stranded_weight: float = 1.0,
+    version: str = "1",
+    loads_at_once: int = 4,
+    max_unavailable: int = 1,
+) -> bundle_records.Bundle:
+    """Return a bundle of one model in the failure domain."""
+    placed = bundle_records.GroupCount(
+        failure_domain=FAILURE_DOMAIN, groups=groups, surplus_groups=surplus
+    )
+    model = bundle_records.Model(
+        name=MODEL,
+        version=version,
+        members_per_group=4,
+        placement=[placed],
+        max_unavailable=max_unavailable,
+    )
+    policy = bundle_records.PlacementPolicy(
+        group_downtime_weight=downtime_weight,
+        stranded_accelerator_weight=stranded_weight,
+        loads_at_once=loads_at_once,
+    )
+    return bundle_records.Bundle(
+        name="bench", models=[model], services=[], teams=[], placement=policy
+    )
+
+
+def _make_empty_report(name: str, restarts: int) -> engine.EngineReport:
+    return engine.EngineReport(vm=name, incarnation=f"{name}#{restarts}", sequence=0, slots=16)
--- /dev/null
+++ b/tests/groups/test_lease.py
@@ -0,0 +1,198 @@
+"""Tests of the coordinator's lease."""
+
+import pytest
+
+from tanagerfork import clock as clocks
+from tanagerfork.generated import layout
+from tanagerfork.groups import lease
+from tests import fakes
+
+TTL_MS = 5000
+
+
+def make_record(holder: str = "b", fencing: int = 3, ttl_ms: int = TTL_MS) -> layout.LeaseRecord:
+    return layout.LeaseRecord(
+        holder=holder, fencing=fencing, ttl_ms=ttl_ms, token=f"{holder}-token"
+    )
+
+
+def take(state: lease.LeaseState, now_ms: int, revision: int = 2) -> layout.LeaseRecord:
+    record = state.plan_write(now_ms)
+    assert record is not None
+    state.note_sent(record, now_ms)
+    state.note_written(revision)
+    return record
+
+
+class TestWait:
+    @pytest.mark.parametrize(
+        ("record", "known_fencing", "wait_ms", "fencing"),
+        [
+            (None, 0, 0, 1),  # No coordinator was ever there.
+            (None, 7, TTL_MS, 8),  # The record was deleted; the layout names a coordinator.
+            (make_record(), 0, TTL_MS, 4),
+            (make_record(ttl_ms=9000), 0, 9000, 4),  # The predecessor's time counts.
+            (make_record(holder=""), 0, 0, 4),  # It was given back.
+            (make_record(fencing=3), 9, TTL_MS, 10),  # An old state of the service came back.
+        ],
+    )
+    def test_successor_waits_and_counts_on(self, record, known_fencing, wait_ms, fencing):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(record, 5, 1000)
+        if wait_ms:
+            assert state.plan_write(1000 + wait_ms - 1, known_fencing) is None
+        planned = state.plan_write(1000 + wait_ms, known_fencing)
+        assert planned is not None and (planned.holder, planned.fencing) == ("a", fencing)
+
+    def test_renewal_starts_the_wait_again(self):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(make_record(), 5, 0)
+        state.see(make_record(), 6, 3000)
+        assert state.plan_write(TTL_MS) is None
+        assert state.plan_write(3000 + TTL_MS) is not None
+
+    def test_restarted_daemon_of_the_same_name_waits_for_itself(self):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(make_record(holder="a"), 5, 0)
+        assert not state.may_act(0, 0) and state.plan_write(TTL_MS - 1) is None
+
+    def test_later_candidates_wait_longer(self):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(make_record(), 5, 0)
+        assert state.plan_write(TTL_MS, extra_wait_ms=1000) is None
+
+
+class TestHolding:
+    def test_lease_counts_from_before_the_write_was_sent(self):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(None, 0, 0)
+        record = state.plan_write(0)
+        state.note_sent(record, 0)
+        state.note_written(2)  # The answer took until 4,000 ms.
+        assert state.may_act(4000, 500)
+        assert not state.may_act(4000, 1000)
+        assert not state.may_act(TTL_MS, 0)
+
+    def test_successors_wait_outlasts_every_action_of_the_holder(self):
+        holder, successor = lease.LeaseState("a", TTL_MS), lease.LeaseState("b", TTL_MS)
+        holder.see(None, 0, 0)
+        record = take(holder, 0)
+        successor.see(record, 2, 1)  # It cannot see the record before the write was sent.
+        for now_ms in range(0, 3 * TTL_MS, 10):
+            planned = successor.plan_write(now_ms)
+            assert not (planned is not None and holder.may_act(now_ms, 0))
+
+    @pytest.mark.parametrize(
+        ("record", "revision"),
+        [(None, 0), (make_record(fencing=2), 9), (make_record(holder="", fencing=4), 9)],
+    )
+    def test_record_of_another_ends_the_lease_at_once(self, record, revision):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(make_record(holder=""), 1, 0)
+        assert take(state, 0).fencing == 4
+        state.see(record, revision, 100)
+        assert not state.may_act(100, 0)
+
+    def test_higher_number_elsewhere_ends_the_lease_and_is_exceeded(self):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(None, 0, 0)
+        take(state, 0)
+        assert state.plan_write(1, known_fencing=6) is None and not state.may_act(1, 0)
+        assert state.plan_write(TTL_MS, known_fencing=6).fencing == 7
+
+    def test_renewal_keeps_the_number(self):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(None, 0, 0)
+        first = take(state, 0)
+        assert state.plan_write(100) is None
+        second = take(state, 2000, revision=3)
+        assert second.fencing == first.fencing and second.token != first.token
+        assert state.may_act(6000, 0)
+
+    def test_renewal_in_doubt_extends_nothing_until_it_is_read_back(self):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(None, 0, 0)
+        take(state, 0)
+        renewal = state.plan_write(2000)
+        state.note_sent(renewal, 2000)
+        state.note_in_doubt()
+        assert state.may_act(4000, 0) and not state.may_act(5500, 0)
+        state.see(renewal, 3, 5600)
+        assert state.may_act(5600, 0) and not state.may_act(7000, 0)
+
+    def test_given_back_lease_is_not_acted_on(self):
+        state = lease.LeaseState("a", TTL_MS)
+        state.see(None, 0, 0)
+        take(state, 0)
+        assert state.plan_return().holder == "" and not state.may_act(1, 0)
+        assert state.plan_return() is None
+
+
+class TestKeeper:
+    @staticmethod
+    def make_keeper(store, clock, name, names=()):
+        return lease.LeaseKeeper("ipoh-a", name, store, clock, TTL_MS, lambda: names or (name,))
+
+    async def test_lost_answers_neither_lose_nor_double_the_lease(self):
+        store, clock = fakes.MemoryKeyValue(), clocks.ManualClock()
+        first, second = (self.make_keeper(store, clock, name) for name in "ab")
+        store.lost_answers = 1
+        for _ in range(40):
+            await first.take_step(0)
+            await second.take_step(0)
+            holders = [
+                keeper
+                for keeper in (first, second)
+                if keeper.state.may_act(clock.monotonic_ms(), 0)
+            ]
+            assert holders == [first]
+            store.lost_answers += clock.monotonic_ms() % 2000 == 0
+            clock.advance(500)
+
+    async def test_service_away_ends_the_lease_and_gives_it_to_nobody(self):
+        store, clock = fakes.MemoryKeyValue(), clocks.ManualClock()
+        first, second = (self.make_keeper(store, clock, name) for name in "ab")
+        await first.take_step(0)
+        await second.take_step(0)
+        store.is_away = True
+        for _ in range(20):
+            clock.advance(500)
+            await first.take_step(0)
+            await second.take_step(0)
+        assert not first.state.may_act(clock.monotonic_ms(), 0)
+        assert not second.state.may_act(clock.monotonic_ms(), 0)
+        assert first.measure_absence() >= 7000
+        store.is_away = False
+        await first.take_step(0)
+        assert first.measure_absence() == 0
+
+    async def test_paused_holder_wakes_up_without_the_lease(self):
+        store, clock = fakes.MemoryKeyValue(), clocks.ManualClock()
+        first, second = (self.make_keeper(store, clock, name) for name in "ab")
+        await first.take_step(0)
+        for _ in range(12):
+            await second.take_step(0)
+            clock.advance(500)
+        assert second.state.may_act(clock.monotonic_ms(), 0) and second.state.fencing == 2
+        assert not first.state.may_act(clock.monotonic_ms(), 0)
+        await first.take_step(0)
+        assert not first.state.is_held
+
+    async def test_lease_given_back_is_taken_without_waiting(self):
+        store, clock = fakes.MemoryKeyValue(), clocks.ManualClock()
+        first, second = (self.make_keeper(store, clock, name) for name in "ab")
+        await first.take_step(0)
+        await first.give_back()
+        await second.take_step(0)
+        assert second.state.may_act(clock.monotonic_ms(), 0) and second.state.fencing == 2
+
+    @pytest.mark.parametrize("daemons", [6, 20, 70])
+    async def test_calls_do_not_grow_with_daemons(self, daemons):
+        store, clock = fakes.MemoryKeyValue(), clocks.ManualClock()
+        names = tuple(f"d{number}" for number in range(daemons))
+        keepers = [self.make_keeper(store, clock, name, names) for name in names]
+        for _ in range(200):
+            for keeper in keepers:
+                await keeper.take_step(0)
+            clock.advance(500)
+        assert (store.reads + store.writes) / 100 < 2  # Calls a second.
