Test groups under each fault, and free the load budget of loads that are replaced

A next bundle after a failed rollout never started: the VMs that load the broken version kept the whole budget of the weight store.

--- a/src/tanagerfork/groups/orders.py
+++ b/src/tanagerfork/groups/orders.py
@@ -40,8 +40,7 @@
     :param policy: placement policy of the bundle in force.
     :return: orders, in the order of sending.
     """
-    loading = sum(1 for fact in vms.values() if fact.report and fact.report.state == "loading")
-    budget = _LoadBudget(policy.loads_at_once - loading)
+    budget = _LoadBudget(policy.loads_at_once - _count_loading(current, vms))
     orders = list(_choose_leaves(current, vms))
     pending = [(record, _find_unjoined(record, vms)) for record in current.groups]
     pending.sort(key=lambda item: (_count_cold(item[0], vms), item[0].group))
@@ -99,6 +98,13 @@
     )
 
 
+def _count_loading(current: layout.Layout, vms: Mapping[str, facts.VmFact]) -> int:
+    """Count the loads under way, but for those that an order is about to replace."""
+    homes = {vm: item for item in current.groups for vm in (*item.members, *item.reserves)}
+    loading = [vm for vm, fact in vms.items() if fact.report and fact.report.state == "loading"]
+    return sum(1 for vm in loading if vm not in homes or vms[vm].is_warm(homes[vm]))
+
+
 def _count_cold(record: layout.GroupRecord, vms: Mapping[str, facts.VmFact]) -> int:
     found = [vms.get(vm) for vm in record.members]
     return sum(1 for fact in found if fact is None or not fact.is_warm(record))
@@ -116,7 +122,7 @@
         wanted += [(warm + rank, record.group, fact, record) for rank, fact in enumerate(cold)]
     wanted.sort(key=lambda item: item[:2])
     for _, _, fact, record in wanted:
-        if fact.report is None or fact.report.state != "idle" or not budget.take():
+        if fact.report is None or fact.report.group or not budget.take():
             continue
         order = engine.Order(
             kind="load",
--- /dev/null
+++ b/tests/groups/scenes.py
@@ -0,0 +1,79 @@
+"""A failure domain with daemons on explicit time."""
+
+from bench import fleet as fleets
+
+from tanagerfork import clock as clocks
+from tanagerfork.groups import presence
+from tests import fakes
+
+
+class Scene:
+    """Engines, the key-value service and daemons that observe and coordinate."""
+
+    def __init__(
+        self,
+        domains: dict[str, int],
+        groups: int,
+        daemons: int = 1,
+        checks_fencing: bool = True,
+        load_ms: int = 1000,
+        **bundle,
+    ) -> None:
+        self.fleet = fleets.Fleet(domains, load_ms=load_ms, checks_fencing=checks_fencing)
+        self.store = fakes.MemoryKeyValue()
+        self.clock = clocks.ManualClock()
+        self.bundles = fleets.BundleSource(fleets.InForce(fleets.make_bundle(groups, **bundle)))
+        names = [f"d{number}" for number in range(daemons)]
+        self.daemons = [
+            fleets.FleetDaemon(name, self.fleet, self.store, self.clock, self.bundles)
+            for name in names
+        ]
+        self.paused: set[int] = set()
+
+    async def run(self, duration_ms: int) -> None:
+        """Let time pass; every group that a daemon would route to must be whole in truth."""
+        for _ in range(duration_ms // fleets.STEP_MS):
+            self.clock.advance(fleets.STEP_MS)
+            self.fleet.advance(self.clock.monotonic_ms())
+            for number, daemon in enumerate(self.daemons):
+                if number not in self.paused:
+                    await daemon.step()
+                    self.share_layout(daemon)
+            self.check_exclusive()
+
+    def share_layout(self, daemon: fleets.FleetDaemon) -> None:
+        """Have a daemon's watch tell it of the layout, as far as the service answers."""
+        entry = None if self.store.is_away else self.store.entries.get("layout/ipoh-a")
+        if entry is not None:
+            daemon.coordinator._take_entry(entry)
+
+    def check_exclusive(self) -> None:
+        """Check that no VM serves in two groups, at whatever daemon."""
+        homes: dict[str, tuple] = {}
+        for number, daemon in enumerate(self.daemons):
+            if number in self.paused:
+                continue
+            for view in daemon.whole():
+                if not self.fleet.is_truly_whole(view.record.members):
+                    continue  # Seen whole until its last reports are past their TTL.
+                for vm in view.record.members:
+                    home = (view.record.group, view.record.generation, *view.record.members)
+                    assert homes.setdefault(vm, home) == home
+
+    def roll(self, groups: int, **bundle) -> None:
+        """Put a next bundle in force."""
+        self.bundles.current = fleets.InForce(fleets.make_bundle(groups, **bundle))
+        self.bundles.version += 1
+
+    def whole(self, daemon: int = 0) -> list[presence.GroupView]:
+        """Return the groups that a daemon routes to."""
+        return self.daemons[daemon].whole()
+
+    @property
+    def layout(self):
+        """Layout as the first daemon knows it."""
+        return self.daemons[0].groups.layout
+
+    def kinds(self, daemon: int = 0) -> list[str]:
+        """Return the kinds of a daemon's events."""
+        return [event.kind for event in self.daemons[daemon].timeline.read().events]
--- /dev/null
+++ b/tests/groups/test_presence.py
@@ -0,0 +1,259 @@
+"""Tests of what makes a group whole."""
+
+import msgspec
+import pytest
+
+from tanagerfork.generated import engine, layout
+from tanagerfork.groups import directory, presence
+
+TTL_MS = 2000
+MEMBERS = ["a", "b", "c", "d"]
+RECORD = layout.GroupRecord(
+    group="g", model="m", version="1", generation=5000, members=MEMBERS, reserves=["r", "s"]
+)
+LAYOUT = layout.Layout(failure_domain="ipoh-a", serial=5, fencing=1, groups=[RECORD])
+
+
+def make_report(vm: str, sequence: int = 1, **changes) -> engine.EngineReport:
+    report = engine.EngineReport(
+        vm=vm,
+        incarnation=f"{vm}-1",
+        sequence=sequence,
+        group="g",
+        generation=5000,
+        members=list(MEMBERS),
+        model="m",
+        version="1",
+        state="ready",
+    )
+    return msgspec.structs.replace(report, **changes)
+
+
+def make_directory(now_ms: int = 0) -> directory.GroupDirectory:
+    known = directory.GroupDirectory(presence.Presence(TTL_MS))
+    known.take_layout(LAYOUT)
+    hear_all(known, now_ms, 1)
+    return known
+
+
+def hear_all(known, now_ms, sequence, vms=MEMBERS, **changes):
+    for vm in vms:
+        known.presence.hear(make_report(vm, sequence, **changes), now_ms)
+
+
+def is_whole(known: directory.GroupDirectory, now_ms: int) -> bool:
+    return len(known.whole_groups("m", now_ms)) == 1
+
+
+class TestWhole:
+    def test_all_reports_within_the_ttl(self):
+        known = make_directory()
+        assert is_whole(known, TTL_MS) and not is_whole(known, TTL_MS + 1)
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"group": "h"},
+            {"generation": 4000},
+            {"generation": 6000},
+            {"members": ["a", "b", "c"]},
+            {"members": ["b", "a", "c", "d"]},
+            {"members": []},
+            {"state": "loading"},
+            {"state": "idle"},
+            {"version": "2"},
+            {"adapters": ["x"]},
+            {"model": "n"},
+        ],
+    )
+    @pytest.mark.parametrize("vm", ["a", "d"])
+    def test_one_differing_report_breaks_the_group(self, vm, changes):
+        known = make_directory()
+        known.presence.hear(make_report(vm, 2, **changes), 10)
+        assert not is_whole(known, 10)
+
+    def test_group_with_no_report_of_a_member_was_never_whole(self):
+        known = directory.GroupDirectory(presence.Presence(TTL_MS))
+        known.take_layout(LAYOUT)
+        hear_all(known, 0, 1, vms=MEMBERS[:3])
+        assert not is_whole(known, 0)
+        assert known.views(0)[0].state == presence.GroupState.FORMING
+        assert known.views(0)[0].missing == ("d",)
+
+
+class TestMembersThatReturn:
+    @pytest.mark.parametrize(
+        ("told", "is_taken"),
+        [
+            (make_report("d", 1, state="loading"), False),  # Crossed: an old sequence.
+            (make_report("d", 2, state="loading"), False),  # Told again.
+            (make_report("d", 3, state="loading"), True),
+            (make_report("d", 9, incarnation="d-0", state="loading"), False),  # Asked earlier.
+        ],
+    )
+    def test_crossed_reports_are_dropped(self, told, is_taken):
+        known = make_directory()
+        hear_all(known, 100, 2)
+        known.presence.hear(told, 50 if told.incarnation == "d-0" else 200)
+        assert is_whole(known, 200) != is_taken
+
+    def test_report_told_again_gets_no_younger(self):
+        known = make_directory()
+        hear_all(known, TTL_MS, 2, vms=MEMBERS[:3])
+        known.presence.hear(make_report("d", 1), TTL_MS)
+        assert not is_whole(known, TTL_MS + 1)
+
+    def test_earlier_incarnation_does_not_come_back_over_a_later_one(self):
+        known = make_directory()
+        known.presence.hear(make_report("d", 1, incarnation="d-2", state="idle"), 100)
+        known.presence.hear(make_report("d", 7), 150)  # A peer's late word of the earlier one.
+        assert known.presence.find_report("d", 150).report.incarnation == "d-2"
+
+    def test_incarnation_taken_for_earlier_by_mistake_is_heard_after_a_ttl(self):
+        known = make_directory()
+        known.presence.hear(make_report("d", 1, incarnation="d-2"), 100)
+        known.presence.hear(make_report("d", 8), 101 + TTL_MS)
+        assert known.presence.find_report("d", 101 + TTL_MS).report.incarnation == "d-1"
+
+    def test_other_incarnation_in_the_same_generation_never_counts(self):
+        known = make_directory()
+        assert is_whole(known, 0)
+        for now_ms in range(500, 5000, 500):
+            hear_all(known, now_ms, 1 + now_ms, vms=MEMBERS[:3])
+            known.presence.hear(make_report("d", now_ms, incarnation="d-2"), now_ms)
+            assert not is_whole(known, now_ms)
+
+    def test_other_incarnation_counts_in_a_new_generation(self):
+        known = make_directory()
+        assert is_whole(known, 0)
+        record = msgspec.structs.replace(RECORD, generation=6000)
+        known.take_layout(msgspec.structs.replace(LAYOUT, serial=6, groups=[record]))
+        assert not is_whole(known, 10)
+        hear_all(known, 20, 9, vms=MEMBERS[:3], generation=6000)
+        known.presence.hear(make_report("d", 1, incarnation="d-2", generation=6000), 20)
+        assert is_whole(known, 20)
+
+    def test_after_a_break_all_members_must_report_anew(self):
+        known = make_directory()
+        assert is_whole(known, 0)
+        known.presence.hear(make_report("a", 2, members=["a", "b", "c"]), 500)  # d is away.
+        assert not is_whole(known, 500)
+        hear_all(known, 900, 3, vms=["a", "d"])  # d is back as if nothing happened.
+        assert not is_whole(known, 900)  # b and c last reported before the break.
+        hear_all(known, 950, 4, vms=["b", "c"])
+        assert is_whole(known, 950)
+
+    def test_paused_member_breaks_the_group_until_all_report_anew(self):
+        known = make_directory()
+        hear_all(known, 2000, 2, vms=MEMBERS[:3])
+        assert is_whole(known, 2000) and not is_whole(known, 2001)
+        known.presence.hear(make_report("d", 2), 2100)
+        assert not is_whole(known, 2100)
+        hear_all(known, 2200, 3)
+        assert is_whole(known, 2200)
+
+
+class TestLifecycle:
+    def test_states_in_order(self):
+        told = []
+        known = directory.GroupDirectory(presence.Presence(TTL_MS))
+        known.subscribe(lambda view, before: told.append((before, view.state)))
+        known.take_layout(LAYOUT)
+        known.views(0)
+        hear_all(known, 10, 1)
+        known.views(10)
+        known.views(3000)
+        hear_all(known, 3100, 2)
+        known.views(3100)
+        draining = msgspec.structs.replace(RECORD, draining=True)
+        known.take_layout(msgspec.structs.replace(LAYOUT, serial=6, groups=[draining]))
+        known.views(3200)
+        formed = msgspec.structs.replace(RECORD, generation=7000)
+        known.take_layout(msgspec.structs.replace(LAYOUT, serial=7, groups=[formed]))
+        known.views(3300)
+        known.take_layout(msgspec.structs.replace(LAYOUT, serial=8, groups=[]))
+        known.views(3400)
+        states = ["forming", "whole", "broken", "whole", "draining", "forming", "dissolved"]
+        assert [state for _, state in told] == states
+        assert [before for before, _ in told] == [None, *states[:-1]]
+
+    def test_leaving_member_drains_the_group_and_breaks_nothing(self):
+        for by_list in (True, False):
+            known = make_directory()
+            if by_list:
+                known.take_vms([make_entry("d", leaving=True)])
+            else:
+                known.presence.hear(make_report("d", 2, state="leaving"), 10)
+            assert known.views(10)[0].state == presence.GroupState.DRAINING
+            assert not is_whole(known, 10)
+
+
+def make_entry(vm: str, leaving: bool = False) -> engine.VmEntry:
+    return engine.VmEntry(
+        vm=vm, url="", failure_domain="ipoh-a", fabric_domain="f", leaving=leaving
+    )
+
+
+class TestList:
+    def test_unlisted_vm_that_reports_is_kept_and_counts_as_leaving_later(self):
+        known = make_directory()
+        known.take_vms([make_entry(vm) for vm in MEMBERS], 0)
+        for now_ms in range(1000, directory.UNLISTED_LIMIT_MS + 1000, 1000):
+            hear_all(known, now_ms, now_ms)
+            known.take_vms([make_entry(vm) for vm in MEMBERS[:3]], now_ms)
+            assert is_whole(known, now_ms)
+        hear_all(known, 12_000, 12_000)
+        known.take_vms([make_entry(vm) for vm in MEMBERS[:3]], 12_000)
+        assert not is_whole(known, 12_000) and known.is_leaving("d", 12_000)
+
+    def test_unlisted_vm_that_is_silent_is_gone(self):
+        known = make_directory()
+        known.take_vms([make_entry(vm) for vm in MEMBERS], 0)
+        known.take_vms([make_entry(vm) for vm in MEMBERS[:3]], TTL_MS + 1)
+        assert known.find_vm("d") is None
+
+    def test_list_that_lost_most_vms_is_not_believed(self):
+        known = make_directory()
+        known.take_vms([make_entry(vm) for vm in MEMBERS], 0)
+        for now_ms in range(1000, 60_000, 1000):
+            hear_all(known, now_ms, now_ms)
+            known.take_vms([], now_ms)
+            assert is_whole(known, now_ms)
+
+
+class TestLayouts:
+    @pytest.mark.parametrize(
+        ("fencing", "serial", "is_taken"),
+        [(1, 4, False), (0, 9, False), (2, 1, True), (1, 6, True)],
+    )
+    def test_older_layout_is_not_taken(self, fencing, serial, is_taken):
+        known = make_directory()
+        told = msgspec.structs.replace(LAYOUT, fencing=fencing, serial=serial, groups=[])
+        assert known.take_layout(told) == is_taken
+        assert bool(known.layout.groups) != is_taken
+
+
+class TestSubstitutedRosters:
+    @pytest.mark.parametrize(
+        ("roster", "generation", "counts"),
+        [
+            (["a", "b", "c", "r"], 5001, True),
+            (["a", "r", "c", "s"], 5001, True),  # Half, with the first member.
+            (["r", "b", "c", "s"], 5002, False),  # Half, without it.
+            (["r", "s", "c", "d"], 5001, False),
+            (["a", "b", "c", "x"], 5001, False),  # No reserve of the group.
+            (["a", "b", "c", "c"], 5001, False),
+            (["a", "b", "c"], 5001, False),
+            (["a", "b", "c", "r"], 6000, False),  # A generation of the coordinator's.
+            (["a", "b", "c", "r"], 4999, False),
+            (["a", "b", "c", "d"], 5001, True),  # A member that returned, taken in again.
+        ],
+    )
+    def test_roster_counts_only_if_it_cannot_conflict(self, roster, generation, counts):
+        known = make_directory()
+        known.take_layout(LAYOUT)
+        hear_all(known, 10, 2, vms=set(roster), members=roster, generation=generation)
+        found = known.whole_groups("m", 10 + TTL_MS - 1)
+        assert bool(found) == counts
+        if counts:
+            assert found[0].record.members == roster and found[0].leader == roster[0]
