--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,77 @@
+"""Simple policies that the placement policy is compared with."""
+
+from tanagerfork.generated import layout
+from tanagerfork.groups import draft as drafts
+from tanagerfork.groups import facts, placement
+
+
+class _Baseline:
+    """What both baselines share: the same interface as `placement.Planner`."""
+
+    def plan(self, situation: facts.Situation, token: str) -> placement.Plan | None:
+        """Decide on the next layout; see `placement.Planner.plan`."""
+        draft = drafts.Draft(situation)
+        if not draft.groups:
+            form_in_order(draft)
+        self.change(draft)
+        return placement.Plan(draft.build(token), draft.notes) if draft.has_changed() else None
+
+    def change(self, draft: drafts.Draft) -> None:
+        """Change what the policy changes."""
+        raise NotImplementedError
+
+    def note_written(self, written: layout.Layout, situation: facts.Situation) -> None:
+        """Take in that a layout is in force."""
+
+
+class WaitForReturn(_Baseline):
+    """No reserves; a group is repaired only by the return of its dead member."""
+
+    def __init__(self) -> None:
+        self._incarnations: dict[str, tuple[str, ...]] = {}
+
+    def change(self, draft: drafts.Draft) -> None:
+        """Have members that returned join in a new generation."""
+        for record in list(draft.groups.values()):
+            found = [draft.situation.vms.get(vm) for vm in record.members]
+            if any(fact is None or fact.report is None for fact in found):
+                continue
+            incarnations = tuple(fact.report.incarnation for fact in found)
+            known = self._incarnations.setdefault(record.group, incarnations)
+            if incarnations != known:
+                self._incarnations[record.group] = incarnations
+                draft.replace(record, {}, "its members join anew")
+
+
+class ReformAtEveryFailure(_Baseline):
+    """No reserves; every failure and every return re-forms all groups, in the order of names."""
+
+    def __init__(self) -> None:
+        self._present: set[tuple[str, str]] = set()
+
+    def change(self, draft: drafts.Draft) -> None:
+        """Form all groups again where the VMs that are present changed."""
+        vms = draft.situation.vms
+        present = {(vm, fact.report.incarnation) for vm, fact in vms.items() if fact.is_usable}
+        if any(fact.report is None and not fact.is_lost for fact in vms.values()):
+            return
+        if self._present and present != self._present:
+            for record in list(draft.groups.values()):
+                draft.dissolve(record, "a failure")
+            form_in_order(draft)
+        self._present = present
+
+
+def form_in_order(draft: drafts.Draft) -> None:
+    """Form as many groups as are wanted, in the order of fabric domains and names."""
+    for model in draft.situation.bundle.models:
+        missing = sum(draft.situation.count_groups(model))
+        free = draft.find_free()
+        for domain in sorted({fact.entry.fabric_domain for fact in draft.situation.vms.values()}):
+            here = sorted(
+                vm for vm in free if draft.situation.vms[vm].entry.fabric_domain == domain
+            )
+            size = model.members_per_group
+            while missing and len(here) >= size:
+                draft.form(model, domain, here[:size])
+                here, missing = here[size:], missing - 1
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,6 +1,8 @@
 """A failure domain of engines on explicit time, driven by the real decision code."""
 
 import dataclasses
+import random
+from collections.abc import Callable
 
 import msgspec
 import result
@@ -9,7 +11,15 @@
 from tanagerfork import errors, metrics
 from tanagerfork.generated import bundle as bundle_records
 from tanagerfork.generated import engine, settings
-from tanagerfork.groups import coordinator, directory, lease, presence, sender
+from tanagerfork.groups import (
+    coordinator,
+    directory,
+    lease,
+    placement,
+    presence,
+    rollout,
+    sender,
+)
 from tanagerfork.timeline import ring
 
 FAILURE_DOMAIN = "ipoh-a"
@@ -220,6 +230,7 @@
     :param bundles: bundle in force.
     :param group_settings: times of observation and coordination.
     :param names: live daemons.
+    :param make_policy: makes another placement policy than the product's.
     """
 
     def __init__(
@@ -231,6 +242,7 @@
         bundles: BundleSource,
         group_settings: settings.GroupSettings | None = None,
         names: tuple[str, ...] = (),
+        make_policy: Callable[[], placement.LayoutPolicy] | None = None,
     ) -> None:
         self.fleet = fleet
         self.clock = clock
@@ -257,7 +269,7 @@
             self.timeline,
             self.metrics,
             self.settings,
-            drain_ms=120_000,
+            make_policy or make_planner,
         )
 
     def observe(self) -> None:
@@ -283,6 +295,11 @@
         return self.groups.whole_groups(MODEL, self.clock.monotonic_ms())
 
 
+def make_planner() -> placement.Planner:
+    """Return the product's placement policy."""
+    return placement.Planner(rollout.RolloutLimits())
+
+
 def make_bundle(
     groups: int,
     surplus: int = 0,
@@ -315,3 +332,8 @@
 
 def _make_empty_report(name: str, restarts: int) -> engine.EngineReport:
     return engine.EngineReport(vm=name, incarnation=f"{name}#{restarts}", sequence=0, slots=16)
+
+
+def make_random(seed: int) -> random.Random:
+    """Return random numbers of a seed."""
+    return random.Random(seed)
--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -31,7 +31,9 @@
     layout_follower,
     lease,
     observer,
+    placement,
     presence,
+    rollout,
     sender,
 )
 from tanagerfork.platform import etcd, vms
@@ -235,7 +237,13 @@
             self.timeline,
             self.metrics,
             settings.groups,
-            settings.limits.drain_limit_ms,
+            self._make_policy,
+        )
+
+    def _make_policy(self) -> placement.Planner:
+        drain_ms = self.settings.limits.drain_limit_ms
+        return placement.Planner(
+            rollout.RolloutLimits(drain_ms, self.settings.groups.wave_limit_ms)
         )
 
     def _list_live_daemons(self) -> list[str]:
--- a/src/tanagerfork/groups/coordinator.py
+++ b/src/tanagerfork/groups/coordinator.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import uuid
+from collections.abc import Callable
 
 import msgspec
 import result
@@ -19,7 +20,6 @@
     lease,
     orders,
     placement,
-    rollout,
     sender,
     stragglers,
 )
@@ -54,7 +54,7 @@
     :param timeline: time line.
     :param metrics: counters.
     :param settings: times of observation and coordination.
-    :param drain_ms: time that requests in flight have at a drain, in milliseconds.
+    :param make_policy: makes the placement policy that a new holder of the lease begins with.
     """
 
     __slots__ = (
@@ -68,7 +68,7 @@
         "_timeline",
         "_metrics",
         "_settings",
-        "_planner",
+        "_policy",
         "_substituter",
         "_stragglers",
         "_base",
@@ -76,7 +76,7 @@
         "_listening_since_ms",
         "_stepped_at_ms",
         "_is_away",
-        "_drain_ms",
+        "_make_policy",
     )
 
     def __init__(
@@ -91,7 +91,7 @@
         timeline: ring.Timeline,
         metrics: metric.Metrics,
         settings: settings_records.GroupSettings,
-        drain_ms: int,
+        make_policy: Callable[[], placement.LayoutPolicy],
     ) -> None:
         self._failure_domain = failure_domain
         self._store = store
@@ -103,8 +103,8 @@
         self._timeline = timeline
         self._metrics = metrics
         self._settings = settings
-        self._drain_ms = drain_ms
-        self._planner = self._make_planner()
+        self._make_policy = make_policy
+        self._policy = make_policy()
         self._substituter = away.Substituter()
         self._stragglers = stragglers.StragglerWatch()
         self._base: _Base | None = None
@@ -155,7 +155,7 @@
             vms=vms,
             views=views,
         )
-        plan = self._planner.plan(situation, uuid.uuid4().hex)
+        plan = self._policy.plan(situation, uuid.uuid4().hex)
         if plan is not None and not await self._write(plan, base, situation):
             return
         current = plan.layout if plan else base.layout
@@ -174,7 +174,7 @@
             return False
         self._base = _Base(plan.layout, written.ok_value)
         self._groups.take_layout(plan.layout)
-        self._planner.note_written(plan.layout, situation)
+        self._policy.note_written(plan.layout, situation)
         self._metrics.count("layout_writes_total")
         for note in plan.notes:
             self._timeline.record(note.kind, note.detail, group=note.group)
@@ -249,7 +249,7 @@
             return
         self._fencing = fencing
         self._base = None
-        self._planner = self._make_planner()
+        self._policy = self._make_policy()
         kind = kinds.EventKind.LEASE_TAKEN if fencing else kinds.EventKind.LEASE_LOST
         self._timeline.record(kind, f"fencing number {fencing}" if fencing else "")
 
@@ -264,7 +264,3 @@
         self._substituter.reset()
         kind = kinds.EventKind.PLATFORM_AWAY if is_away else kinds.EventKind.PLATFORM_BACK
         self._timeline.record(kind, "the layout is frozen" if is_away else "the layout may change")
-
-    def _make_planner(self) -> placement.Planner:
-        limits = rollout.RolloutLimits(self._drain_ms, self._settings.wave_limit_ms)
-        return placement.Planner(limits)
--- a/src/tanagerfork/groups/directory.py
+++ b/src/tanagerfork/groups/directory.py
@@ -151,8 +151,10 @@
         if view.state == presence.GroupState.WHOLE and self._loses_member(view.record, now_ms):
             view = dataclasses.replace(view, state=presence.GroupState.DRAINING)
         before = None if is_new else presence.GroupState(life.state)
-        has_changed = life.take_view(view, self._read_incarnations(view.record, now_ms), now_ms)
-        view = dataclasses.replace(view, state=presence.GroupState(life.state))
+        pins = self._read_incarnations(view.record, now_ms) if life.needs_pins(view) else {}
+        has_changed = life.take_view(view, pins, now_ms)
+        if view.state != life.state:
+            view = dataclasses.replace(view, state=presence.GroupState(life.state))
         if is_new or has_changed:
             self._tell(view, before)
         return view
--- a/src/tanagerfork/groups/lifecycle.py
+++ b/src/tanagerfork/groups/lifecycle.py
@@ -37,17 +37,27 @@
         self.evidence = presence.NO_EVIDENCE
         self._generation = 0
 
+    def needs_pins(self, view: presence.GroupView) -> bool:
+        """Return whether a group is whole in a generation whose incarnations are not pinned yet.
+
+        :param view: group as judged.
+        """
+        is_present = view.state != presence.GroupState.BROKEN
+        return is_present and view.record.generation != self.evidence.generation
+
     def take_view(
         self, view: presence.GroupView, incarnations: dict[str, str], now_ms: int
     ) -> bool:
         """Take in how the group was judged.
 
         :param view: group as judged.
-        :param incarnations: incarnation of each member as last heard.
+        :param incarnations: incarnation of each member as last heard, where these are needed.
         :param now_ms: monotonic clock, in milliseconds.
         :return: whether the state changed.
         """
         before = self.state
+        if view.state == before and view.record.generation == self._generation:
+            return False
         if view.state == presence.GroupState.BROKEN:
             self._note_missing(view.record.generation, now_ms)
         else:
--- a/src/tanagerfork/groups/placement.py
+++ b/src/tanagerfork/groups/placement.py
@@ -1,6 +1,7 @@
 """Placement policy: the layout that follows from bundle, reports and the platform's list."""
 
 import dataclasses
+from typing import Protocol
 
 import msgspec
 
@@ -18,6 +19,25 @@
     notes: list[facts.Note]
 
 
+class LayoutPolicy(Protocol):
+    """What the coordinator needs of a policy."""
+
+    def plan(self, situation: facts.Situation, token: str) -> Plan | None:
+        """Decide on the next layout.
+
+        :param situation: what the decision rests on.
+        :param token: token of the write.
+        :return: the layout to write, None where the one in force stays.
+        """
+
+    def note_written(self, written: layout.Layout, situation: facts.Situation) -> None:
+        """Take in that a layout is in force.
+
+        :param written: layout as written.
+        :param situation: what it was decided on.
+        """
+
+
 class Planner:
     """Decides on the layout of one failure domain.
 
@@ -32,12 +52,7 @@
         self._repairer = repair.Repairer(self._incarnations, self._rollout)
 
     def plan(self, situation: facts.Situation, token: str) -> Plan | None:
-        """Decide on the next layout.
-
-        :param situation: what the decision rests on.
-        :param token: token of the write.
-        :return: the layout to write, None where the one in force stays.
-        """
+        """Decide on the next layout; see `LayoutPolicy.plan`."""
         if situation.bundle_version < situation.layout.bundle_version:
             return None
         draft = drafts.Draft(situation)
@@ -54,11 +69,7 @@
         return Plan(draft.build(token), draft.notes)
 
     def note_written(self, written: layout.Layout, situation: facts.Situation) -> None:
-        """Take in that a layout is in force.
-
-        :param written: layout as written.
-        :param situation: what it was decided on.
-        """
+        """Take in that a layout is in force; see `LayoutPolicy.note_written`."""
         self._incarnations.note_written(written, situation.vms)
 
 
--- a/src/tanagerfork/groups/reserves.py
+++ b/src/tanagerfork/groups/reserves.py
@@ -30,7 +30,8 @@
     for model in draft.situation.bundle.models:
         wanted, surplus = draft.situation.count_groups(model)
         while _count(draft, model, lacking) < wanted and _form_group(draft, model, 0):
-            _give_up_lacking(draft, model, lacking, wanted + surplus)
+            pass
+        _give_up_lacking(draft, model, lacking, wanted)
         while _count(draft, model, set()) < wanted + surplus:
             if not _form_group(draft, model, _count_reserves_wanted(draft)):
                 break
@@ -92,7 +93,7 @@
     for group in names:
         if draft.groups[group].model != model.name or _count(draft, model, set()) <= allowed:
             continue
-        draft.dissolve(draft.groups[group], "another fabric domain holds its place")
+        draft.dissolve(draft.groups[group], "it lacks members, and enough other groups are there")
         lacking.discard(group)
 
 
