--- a/src/tanagerfork/groups/coordinator.py
+++ b/src/tanagerfork/groups/coordinator.py
@@ -26,6 +26,7 @@
 from tanagerfork.platform import key_value, swap
 from tanagerfork.timeline import kinds, ring
 
+ABSTENTION_MS = 30_000  # Time for which a daemon that reaches no VM leaves the lease to others.
 AWAY_TTLS = 2  # Absence of the service, in lease TTLs, after which substitution begins.
 
 
@@ -71,6 +72,8 @@
         "_policy",
         "_substituter",
         "_stragglers",
+        "_isolation",
+        "_abstains_until_ms",
         "_base",
         "_fencing",
         "_listening_since_ms",
@@ -107,6 +110,8 @@
         self._policy = make_policy()
         self._substituter = away.Substituter()
         self._stragglers = stragglers.StragglerWatch()
+        self._isolation = stragglers.IsolationWatch()
+        self._abstains_until_ms = clock.monotonic_ms()
         self._base: _Base | None = None
         self._fencing = 0
         self._listening_since_ms = clock.monotonic_ms()
@@ -130,17 +135,21 @@
         in_force = self._bundles.current
         if in_force is None:
             return
+        if self._clock.monotonic_ms() < self._abstains_until_ms:
+            return
         await self._lease.take_step(self._find_fencing())
         self._note_lease()
         self._note_absence()
         now_ms = self._clock.monotonic_ms()
-        vms = self._observe_vms(now_ms)
         if self._lease.state.may_act(now_ms, 0):
-            await self._coordinate(in_force.bundle, vms)
+            await self._coordinate(in_force.bundle, self._observe_vms(now_ms))
         elif self._is_away:
-            await self._substitute(in_force.bundle, vms)
+            await self._substitute(in_force.bundle, self._observe_vms(now_ms))
 
     async def _coordinate(self, wanted: bundle.Bundle, vms: dict[str, facts.VmFact]) -> None:
+        if vms and all(fact.is_lost for fact in vms.values()):
+            await self._abstain()
+            return
         base = self._base or await self._read_base()
         if base is None:
             return
@@ -163,6 +172,12 @@
             chosen = orders.choose_orders(current, vms, wanted.placement)
             await self._sender.send_orders(chosen, vms, self._may_order)
 
+    async def _abstain(self) -> None:
+        """Leave coordination to a daemon that may reach the VMs, as this one reaches none."""
+        self._abstains_until_ms = self._clock.monotonic_ms() + ABSTENTION_MS
+        await self._lease.give_back()
+        self._note_lease()
+
     async def _write(self, plan: placement.Plan, base: _Base, situation: facts.Situation) -> bool:
         if not self._lease.state.may_act(self._clock.monotonic_ms(), 0):
             return False
@@ -233,6 +248,9 @@
         heard = [self._groups.presence.find_report(vm.vm, now_ms) for vm in self._groups.vms]
         reports = [item.report for item in heard if item is not None]
         slow = self._stragglers.find_stragglers(reports, now_ms)
+        records = self._groups.layout.groups if self._groups.layout else []
+        by_vm = {report.vm: report for report in reports}
+        slow |= self._isolation.find_isolated(records, by_vm, now_ms)
         return facts.observe_vms(self._groups, now_ms, self._listening_since_ms, slow)
 
     def _note_pause(self) -> None:
--- a/src/tanagerfork/groups/stragglers.py
+++ b/src/tanagerfork/groups/stragglers.py
@@ -1,15 +1,16 @@
-"""Stragglers: VMs whose decoding steps are much slower than those of their peers."""
+"""Stragglers: VMs that are much slower than their peers, or that their peers cannot reach."""
 
 import collections
 import statistics
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
-from tanagerfork.generated import engine
+from tanagerfork.generated import engine, layout
 
 REPORTS_NEEDED = 5  # Reports in a row that must show a VM to be slow.
 SLOW_RATIO = 2.0  # Step time, as a multiple of the peers' median, that counts as slow.
 PEERS_NEEDED = 3  # Peers without which there is nothing to compare with.
 HOLD_MS = 600_000  # Time for which a straggler is used in no group.
+ISOLATED_AFTER_MS = 10_000  # Time for which the other members miss a VM that reports itself.
 
 
 class StragglerWatch:
@@ -67,3 +68,56 @@
 def _is_slowest(report: engine.EngineReport, slow: list[engine.EngineReport]) -> bool:
     others = [other for other in slow if other.group == report.group and other.vm != report.vm]
     return all(report.step_ms >= SLOW_RATIO * other.step_ms for other in others)
+
+
+class IsolationWatch:
+    """Finds members that report themselves but that the other members of their group miss."""
+
+    __slots__ = ("_missed_since_ms", "_held_until_ms")
+
+    def __init__(self) -> None:
+        self._missed_since_ms: dict[str, int] = {}
+        self._held_until_ms: dict[str, int] = {}
+
+    def find_isolated(
+        self,
+        records: Iterable[layout.GroupRecord],
+        reports: Mapping[str, engine.EngineReport],
+        now_ms: int,
+    ) -> set[str]:
+        """Return the VMs that groups should go on without.
+
+        :param records: groups as the layout names them.
+        :param reports: last report of each VM.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        missed = {vm for record in records if (vm := _find_most_missed(record, reports))}
+        kept = self._missed_since_ms
+        self._missed_since_ms = {vm: kept.get(vm, now_ms) for vm in missed}
+        for vm, since_ms in self._missed_since_ms.items():
+            if now_ms - since_ms >= ISOLATED_AFTER_MS:
+                self._held_until_ms[vm] = now_ms + HOLD_MS
+        held = self._held_until_ms.items()
+        self._held_until_ms = {vm: until_ms for vm, until_ms in held if until_ms > now_ms}
+        return set(self._held_until_ms)
+
+
+def _find_most_missed(
+    record: layout.GroupRecord, reports: Mapping[str, engine.EngineReport]
+) -> str:
+    """Return the member that most others miss, empty where all see each other or do not report."""
+    found = [reports[vm] for vm in record.members if vm in reports]
+    is_joined = all(
+        (report.group, report.generation) == (record.group, record.generation)
+        and report.state == "ready"
+        for report in found
+    )
+    if len(found) < len(record.members) or not is_joined:
+        return ""
+    missed = collections.Counter(
+        vm for report in found for vm in record.members if vm not in report.members
+    )
+    if not missed:
+        return ""
+    vm, count = max(missed.items(), key=lambda item: (item[1], item[0]))
+    return vm if 2 * count >= len(record.members) - 1 else ""
--- a/tests/groups/test_coordinator.py
+++ b/tests/groups/test_coordinator.py
@@ -248,3 +248,71 @@
         scene.paused.clear()
         await scene.run(10_000)
         assert scene.layout.groups == before and len(scene.whole()) == 4
+
+    async def test_holder_that_reaches_no_vm_leaves_the_lease_to_another(self):
+        scene = await settle()
+        blind = scene.daemons[0]
+        blind.observe = lambda: blind.groups.take_vms(scene.fleet.list_vms(), 0)
+        scene.fleet.die(scene.layout.groups[0].members[1])
+        await scene.run(20_000)
+        assert len(scene.whole(1)) == 4 and scene.daemons[1].keeper.state.fencing == 2
+
+
+class TestIsolation:
+    async def test_member_that_the_others_cannot_reach_is_replaced(self):
+        scene = await settle()
+        record = scene.layout.groups[0]
+        isolated = record.members[1]
+        is_connected = scene.fleet._is_connected
+
+        def cut(vm, report):
+            return vm == report.vm or (is_connected(vm, report) and isolated not in (vm, report.vm))
+
+        scene.fleet._is_connected = cut
+        await scene.run(3000)
+        assert len(scene.whole()) == 3
+        await scene.run(20_000)
+        assert len(scene.whole()) == 4 and isolated not in scene.layout.groups[0].members
+
+
+def bring_about(scene: scenes.Scene, record, fault: str) -> None:
+    """Bring one fault about in a group or at its coordinator."""
+    engines = scene.fleet.engines
+    actions = {
+        "death": lambda: scene.fleet.die(record.members[1]),
+        "pause as if nothing happened": lambda: scene.fleet.die(record.members[1]),
+        "death in the same group": lambda: scene.fleet.die(record.members[3]),
+        "death of the substitute": lambda: scene.fleet.die(record.reserves[0]),
+        "leaving": lambda: setattr(engines[record.members[2]].entry, "leaving", True),
+        "straggler": lambda: setattr(engines[record.members[2]], "slowdown", 4.0),
+        "holder lost": lambda: scene.paused.add(0),
+        "lost answers": lambda: setattr(scene.store, "lost_answers", 3),
+    }
+    actions[fault]()
+
+
+class TestTwoFaultsAtOnce:
+    @pytest.mark.parametrize(
+        "faults",
+        [
+            ("death", "death in the same group"),
+            ("death", "holder lost"),
+            ("death", "lost answers"),
+            ("leaving", "death in the same group"),
+            ("leaving", "holder lost"),
+            ("straggler", "death in the same group"),
+            ("holder lost", "lost answers"),
+            ("death", "death of the substitute"),
+            ("pause as if nothing happened", "death in the same group"),
+        ],
+    )
+    async def test_all_groups_are_whole_again(self, faults):
+        scene = await settle(domains={"f1": 11, "f2": 11})
+        record = scene.layout.groups[0]
+        for fault in faults:
+            bring_about(scene, record, fault)
+        await scene.run(3000)
+        if "pause as if nothing happened" in faults:
+            scene.fleet.come_back(record.members[1], as_if_nothing_happened=True)
+        await scene.run(30_000)
+        assert len(scene.whole(1)) == 4
