Heal after random faults: slow VMs as a last resort, stuck loads, frozen layouts

Substitution stops where the layout changes meanwhile, and a daemon that is no candidate does not take the service for away.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -113,6 +113,8 @@
         """Start a VM again, empty or as if nothing happened."""
         model = self.engines[name]
         model.is_alive = True
+        if as_if_nothing_happened and model.report.state == "loading":
+            self._queue.append(name)
         if not as_if_nothing_happened:
             model.restarts += 1
             model.report = _make_empty_report(name, model.restarts)
--- a/src/tanagerfork/groups/coordinator.py
+++ b/src/tanagerfork/groups/coordinator.py
@@ -79,6 +79,7 @@
         "_listening_since_ms",
         "_stepped_at_ms",
         "_is_away",
+        "_frozen_layout",
         "_make_policy",
     )
 
@@ -110,13 +111,14 @@
         self._policy = make_policy()
         self._substituter = away.Substituter()
         self._stragglers = stragglers.StragglerWatch()
-        self._isolation = stragglers.IsolationWatch()
+        self._isolation = stragglers.IsolationWatch(settings.wave_limit_ms)
         self._abstains_until_ms = clock.monotonic_ms()
         self._base: _Base | None = None
         self._fencing = 0
         self._listening_since_ms = clock.monotonic_ms()
         self._stepped_at_ms = clock.monotonic_ms()
         self._is_away = False
+        self._frozen_layout: layout.Layout | None = None
 
     async def run(self) -> None:
         """Decide and act until cancelled."""
@@ -272,10 +274,17 @@
         self._timeline.record(kind, f"fencing number {fencing}" if fencing else "")
 
     def _note_absence(self) -> None:
-        """Find out whether nobody can hold the lease, as the service is away for all we know."""
+        """Find out whether nobody can hold the lease.
+
+        A layout that changed meanwhile, told by a peer, shows that the service is not away for all.
+        """
+        absence_ms = self._lease.measure_absence()
+        if absence_ms == 0:
+            self._frozen_layout = self._groups.layout
         limit_ms = AWAY_TTLS * self._settings.lease_ttl_ms
         limit_ms += self._lease.find_rank() * self._settings.lease_ttl_ms // 2
-        is_away = self._lease.measure_absence() > limit_ms
+        is_frozen = self._groups.layout == self._frozen_layout
+        is_away = absence_ms > limit_ms and is_frozen
         if is_away == self._is_away:
             return
         self._is_away = is_away
--- a/src/tanagerfork/groups/draft.py
+++ b/src/tanagerfork/groups/draft.py
@@ -62,11 +62,7 @@
         :param record: group.
         """
         vms = self.situation.vms
-        return [
-            vm
-            for vm in self.find_unusable(record)
-            if vm not in vms or vms[vm].report is None or vms[vm].is_leaving
-        ]
+        return [vm for vm in record.members if vm not in vms or not vms[vm].is_running]
 
     def is_uncertain(self, record: layout.GroupRecord) -> bool:
         """Return whether a member is silent, but not for long enough to be replaced.
@@ -76,18 +72,23 @@
         found = [self.situation.vms.get(vm) for vm in record.members]
         return any(fact is not None and fact.report is None and not fact.is_lost for fact in found)
 
-    def find_spares(self, record: layout.GroupRecord, model: bundle.Model) -> list[str]:
+    def find_spares(
+        self, record: layout.GroupRecord, model: bundle.Model, with_slow: bool = False
+    ) -> list[str]:
         """Return the VMs that a group may take, the best first.
 
         :param record: group that needs members.
         :param model: its model.
+        :param with_slow: whether stragglers count, as the last ones.
         :return: own reserves, then VMs reserved to no group, then reserves of others; those that
             have loaded what the group runs come first.
         """
         spares = [
             vm
             for vm, fact in self.situation.vms.items()
-            if fact.is_usable and self._is_spare(vm) and self._fits(fact.entry, record, model)
+            if (fact.is_usable or (with_slow and fact.is_running))
+            and self._is_spare(vm)
+            and self._fits(fact.entry, record, model)
         ]
         return sorted(spares, key=lambda vm: self._rank_spare(vm, record))
 
@@ -221,13 +222,14 @@
         )
         return is_near and model.vm_pool in ("", entry.pool)
 
-    def _rank_spare(self, vm: str, record: layout.GroupRecord) -> tuple[bool, bool, int, str]:
+    def _rank_spare(self, vm: str, record: layout.GroupRecord) -> tuple[bool, bool, bool, int, str]:
         home = self.groups.get(self._homes.get(vm, ""))
         is_own = home is not None and home.group == record.group
         held = len(home.reserves) if home is not None and not is_own else 0
         is_warm = self.situation.vms[vm].is_warm(record)
         is_far = self.situation.vms[vm].entry.fabric_domain != record.fabric_domain
-        return (is_far, not is_warm, 0 if is_own or home is None else 1000 - held, vm)
+        is_slow = self.situation.vms[vm].is_straggling
+        return (is_slow, is_far, not is_warm, 0 if is_own or home is None else 1000 - held, vm)
 
     def _take(self, vms: Collection[str], group: str) -> None:
         self.release(vms)
--- a/src/tanagerfork/groups/facts.py
+++ b/src/tanagerfork/groups/facts.py
@@ -29,10 +29,15 @@
     is_leaving: bool = False
     is_straggling: bool = False
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the VM reports itself and stays."""
+        return self.report is not None and not self.is_leaving
+
     @property
     def is_usable(self) -> bool:
-        """Whether a group may take the VM as a member."""
-        return self.report is not None and not self.is_leaving and not self.is_straggling
+        """Whether a group should take the VM as a member."""
+        return self.is_running and not self.is_straggling
 
     def is_warm(self, record: layout.GroupRecord) -> bool:
         """Return whether the VM has loaded what a group runs.
--- a/src/tanagerfork/groups/lease.py
+++ b/src/tanagerfork/groups/lease.py
@@ -264,6 +264,7 @@
         """
         rank = self.find_rank()
         if rank >= candidates.CANDIDATES and not self.state.is_held:
+            self._away_since_ms = None
             return
         if self.state.needs_check(self._clock.monotonic_ms()):
             self._note_answer(await self._check())
--- a/src/tanagerfork/groups/repair.py
+++ b/src/tanagerfork/groups/repair.py
@@ -100,6 +100,7 @@
         spares = draft.find_spares(item.record, item.model)
         if len(spares) < len(item.unusable):
             item.unusable = draft.find_lost(item.record)
+            spares = draft.find_spares(item.record, item.model, with_slow=True)
         if len(spares) < len(item.unusable):
             return False
         record = _update_version(draft, item)
--- a/src/tanagerfork/groups/reserves.py
+++ b/src/tanagerfork/groups/reserves.py
@@ -29,8 +29,9 @@
     """
     for model in draft.situation.bundle.models:
         wanted, surplus = draft.situation.count_groups(model)
-        while _count(draft, model, lacking) < wanted and _form_group(draft, model, 0):
-            pass
+        while _count(draft, model, lacking) < wanted:
+            if not (_form_group(draft, model, 0) or _form_group(draft, model, 0, with_slow=True)):
+                break
         _give_up_lacking(draft, model, lacking, wanted)
         while _count(draft, model, set()) < wanted + surplus:
             if not _form_group(draft, model, _count_reserves_wanted(draft)):
@@ -104,30 +105,35 @@
     return policy.group_downtime_weight / total if total else 0.0
 
 
-def _form_group(draft: drafts.Draft, model: bundle.Model, reserves_per_group: float) -> bool:
+def _form_group(
+    draft: drafts.Draft, model: bundle.Model, reserves_per_group: float, with_slow: bool = False
+) -> bool:
     """Form a group where the most VMs are left over.
 
     :param draft: layout to change.
     :param model: model that the group runs.
     :param reserves_per_group: reserves that must remain for each group of the fabric domain.
+    :param with_slow: whether stragglers count, as a slow group is better than none.
     :return: whether there was a place for it.
     """
     best: list[str] = []
     place = ""
     for domain in sorted({fact.entry.fabric_domain for fact in draft.situation.vms.values()}):
-        spares = _find_spares(draft, model, domain)
+        spares = _find_spares(draft, model, domain, with_slow)
         kept = _count_kept(draft, domain, reserves_per_group)
         if len(spares) - kept >= model.members_per_group and len(spares) > len(best):
             best, place = spares, domain
     if not best and draft.situation.bundle.placement.across_fabric_domains:
-        best = _find_spares(draft, model, "")
+        best = _find_spares(draft, model, "", with_slow)
     if len(best) < model.members_per_group:
         return False
     draft.form(model, place, best[: model.members_per_group])
     return True
 
 
-def _find_spares(draft: drafts.Draft, model: bundle.Model, domain: str) -> list[str]:
+def _find_spares(
+    draft: drafts.Draft, model: bundle.Model, domain: str, with_slow: bool
+) -> list[str]:
     template = layout.GroupRecord(
         group="-",
         model=model.name,
@@ -137,7 +143,7 @@
         fabric_domain=domain,
         members=[],
     )
-    spares = draft.find_spares(template, model)
+    spares = draft.find_spares(template, model, with_slow)
     if not domain:
         return spares
     return [vm for vm in spares if draft.situation.vms[vm].entry.fabric_domain == domain]
--- a/src/tanagerfork/groups/stragglers.py
+++ b/src/tanagerfork/groups/stragglers.py
@@ -20,11 +20,11 @@
     one. Where several members of a group are slow, only one that is slow against these too counts.
     """
 
-    __slots__ = ("_sequences", "_slow_reports", "_held_until_ms")
+    __slots__ = ("_sequences", "_changed_reports", "_held_until_ms")
 
     def __init__(self) -> None:
         self._sequences: dict[str, tuple[str, int]] = {}
-        self._slow_reports: collections.Counter[str] = collections.Counter()
+        self._changed_reports: collections.Counter[str] = collections.Counter()
         self._held_until_ms: dict[str, int] = {}
 
     def find_stragglers(self, reports: Iterable[engine.EngineReport], now_ms: int) -> set[str]:
@@ -41,8 +41,8 @@
         for peers in by_model.values():
             self._compare(peers, now_ms)
         seen = {report.vm for report in running}
-        for vm in self._slow_reports.keys() - seen:
-            del self._slow_reports[vm]
+        for vm in self._changed_reports.keys() - seen:
+            del self._changed_reports[vm]
         held = self._held_until_ms.items()
         self._held_until_ms = {vm: until_ms for vm, until_ms in held if until_ms > now_ms}
         return set(self._held_until_ms)
@@ -57,12 +57,22 @@
             if self._sequences.get(report.vm) == (report.incarnation, report.sequence):
                 continue
             self._sequences[report.vm] = (report.incarnation, report.sequence)
-            if report.vm not in singled_out:
-                self._slow_reports.pop(report.vm, None)
-                continue
-            self._slow_reports[report.vm] += 1
-            if self._slow_reports[report.vm] >= REPORTS_NEEDED:
-                self._held_until_ms[report.vm] = now_ms + HOLD_MS
+            self._count_report(report.vm, report.vm in singled_out, now_ms)
+
+    def _count_report(self, vm: str, is_slow: bool, now_ms: int) -> None:
+        """Count reports in a row: of a straggler the usual ones, of all others the slow ones."""
+        is_held = vm in self._held_until_ms
+        if is_slow == is_held:
+            self._changed_reports.pop(vm, None)
+            return
+        self._changed_reports[vm] += 1
+        if self._changed_reports[vm] < REPORTS_NEEDED:
+            return
+        del self._changed_reports[vm]
+        if is_held:
+            del self._held_until_ms[vm]
+        else:
+            self._held_until_ms[vm] = now_ms + HOLD_MS
 
 
 def _is_slowest(report: engine.EngineReport, slow: list[engine.EngineReport]) -> bool:
@@ -71,12 +81,20 @@
 
 
 class IsolationWatch:
-    """Finds members that report themselves but that the other members of their group miss."""
+    """Finds members that report themselves but keep their group from becoming whole.
 
-    __slots__ = ("_missed_since_ms", "_held_until_ms")
+    These are members that the others miss, and members that still load long after others of their
+    group are ready.
 
-    def __init__(self) -> None:
+    :param load_limit_ms: time that a member has to load after the first one was ready.
+    """
+
+    __slots__ = ("_load_limit_ms", "_missed_since_ms", "_loading_since_ms", "_held_until_ms")
+
+    def __init__(self, load_limit_ms: int) -> None:
+        self._load_limit_ms = load_limit_ms
         self._missed_since_ms: dict[str, int] = {}
+        self._loading_since_ms: dict[str, int] = {}
         self._held_until_ms: dict[str, int] = {}
 
     def find_isolated(
@@ -91,31 +109,54 @@
         :param reports: last report of each VM.
         :param now_ms: monotonic clock, in milliseconds.
         """
-        missed = {vm for record in records if (vm := _find_most_missed(record, reports))}
-        kept = self._missed_since_ms
-        self._missed_since_ms = {vm: kept.get(vm, now_ms) for vm in missed}
-        for vm, since_ms in self._missed_since_ms.items():
-            if now_ms - since_ms >= ISOLATED_AFTER_MS:
-                self._held_until_ms[vm] = now_ms + HOLD_MS
+        missed = set()
+        loading: set[str] = set()
+        for record in records:
+            joined = _find_joined(record, reports)
+            missed.add(_find_most_missed(record, joined))
+            loading |= _find_loading(joined)
+        missed.discard("")
+        self._missed_since_ms = _keep_since(self._missed_since_ms, missed, now_ms)
+        self._loading_since_ms = _keep_since(self._loading_since_ms, loading, now_ms)
+        self._hold(self._missed_since_ms, ISOLATED_AFTER_MS, now_ms)
+        self._hold(self._loading_since_ms, self._load_limit_ms, now_ms)
         held = self._held_until_ms.items()
         self._held_until_ms = {vm: until_ms for vm, until_ms in held if until_ms > now_ms}
         return set(self._held_until_ms)
 
+    def _hold(self, since_ms: Mapping[str, int], limit_ms: int, now_ms: int) -> None:
+        for vm, first_ms in since_ms.items():
+            if now_ms - first_ms >= limit_ms:
+                self._held_until_ms[vm] = now_ms + HOLD_MS
 
-def _find_most_missed(
+
+def _keep_since(known: Mapping[str, int], vms: Iterable[str], now_ms: int) -> dict[str, int]:
+    return {vm: known.get(vm, now_ms) for vm in vms}
+
+
+def _find_joined(
     record: layout.GroupRecord, reports: Mapping[str, engine.EngineReport]
-) -> str:
-    """Return the member that most others miss, empty where all see each other or do not report."""
+) -> list[engine.EngineReport]:
+    """Return the reports of a group's members, none unless all are in its generation."""
     found = [reports[vm] for vm in record.members if vm in reports]
-    is_joined = all(
-        (report.group, report.generation) == (record.group, record.generation)
-        and report.state == "ready"
-        for report in found
-    )
-    if len(found) < len(record.members) or not is_joined:
-        return ""
+    place = (record.group, record.generation)
+    is_complete = len(found) == len(record.members)
+    is_joined = all((report.group, report.generation) == place for report in found)
+    return found if is_complete and is_joined else []
+
+
+def _find_loading(joined: Iterable[engine.EngineReport]) -> set[str]:
+    """Return the members that load while another one is ready."""
+    by_state = collections.defaultdict(set)
+    for report in joined:
+        by_state[report.state].add(report.vm)
+    return by_state["loading"] if by_state["ready"] else set()
+
+
+def _find_most_missed(record: layout.GroupRecord, joined: Iterable[engine.EngineReport]) -> str:
+    """Return the member that most others miss, empty where all see each other."""
     missed = collections.Counter(
-        vm for report in found for vm in record.members if vm not in report.members
+        vm for report in joined for vm in record.members if vm not in report.members
     )
     if not missed:
         return ""
--- a/tests/groups/scenes.py
+++ b/tests/groups/scenes.py
@@ -29,6 +29,7 @@
             for name in names
         ]
         self.paused: set[int] = set()
+        self._untrue_since_ms: dict[tuple[int, str], int] = {}
 
     async def run(self, duration_ms: int) -> None:
         """Let time pass; every group that a daemon would route to must be whole in truth."""
@@ -48,17 +49,21 @@
             daemon.coordinator._take_entry(entry)
 
     def check_exclusive(self) -> None:
-        """Check that no VM serves in two groups, at whatever daemon."""
+        """Check that no VM serves in two groups, and that no group is seen whole for long."""
         homes: dict[str, tuple] = {}
+        untrue = {}
+        now_ms = self.clock.monotonic_ms()
         for number, daemon in enumerate(self.daemons):
-            if number in self.paused:
-                continue
-            for view in daemon.whole():
+            for view in [] if number in self.paused else daemon.whole():
                 if not self.fleet.is_truly_whole(view.record.members):
-                    continue  # Seen whole until its last reports are past their TTL.
+                    key = (number, view.record.group)
+                    untrue[key] = self._untrue_since_ms.get(key, now_ms)
+                    assert now_ms - untrue[key] <= daemon.settings.presence_ttl_ms
+                    continue
                 for vm in view.record.members:
                     home = (view.record.group, view.record.generation, *view.record.members)
                     assert homes.setdefault(vm, home) == home
+        self._untrue_since_ms = untrue
 
     def roll(self, groups: int, **bundle) -> None:
         """Put a next bundle in force."""
--- a/tests/groups/test_coordinator.py
+++ b/tests/groups/test_coordinator.py
@@ -275,6 +275,26 @@
         assert len(scene.whole()) == 4 and isolated not in scene.layout.groups[0].members
 
 
+class TestStuckLoad:
+    async def test_member_whose_load_never_ends_is_replaced(self):
+        scene = await settle()
+        record = scene.layout.groups[0]
+        stuck = record.members[1]
+        scene.fleet.die(stuck)
+        scene.fleet.die(record.reserves[0])
+        await scene.run(6000)
+        scene.fleet.load_ms = 10**12
+        scene.fleet.come_back(stuck)
+        await scene.run(2000)
+        assert scene.fleet.engines[stuck].report.state == "loading"
+        scene.fleet.load_ms = 1000
+        scene.fleet.come_back(record.reserves[0])
+        await scene.run(580_000)
+        assert len(scene.whole()) == 3
+        await scene.run(40_000)
+        assert len(scene.whole()) == 4 and stuck not in scene.layout.groups[0].members
+
+
 def bring_about(scene: scenes.Scene, record, fault: str) -> None:
     """Bring one fault about in a group or at its coordinator."""
     engines = scene.fleet.engines
--- /dev/null
+++ b/tests/groups/test_random_faults.py
@@ -0,0 +1,114 @@
+"""Random faults under fixed seeds: nothing forbidden is seen, and all heals afterwards."""
+
+import random
+
+import pytest
+
+from tests.groups import scenes
+
+FAULTS = 40
+BETWEEN_MS = (500, 1000, 3000, 8000)
+HEALED_MS = 240_000
+GROUPS = 4
+DAEMONS = 3
+
+
+class Faults:
+    """Brings random faults about in a scene.
+
+    :param scene: scene.
+    :param rng: random numbers.
+    """
+
+    def __init__(self, scene: scenes.Scene, rng: random.Random) -> None:
+        self.scene = scene
+        self.rng = rng
+        self.version = 1
+
+    def choose_vm(self):
+        """Return any VM."""
+        return self.rng.choice(list(self.scene.fleet.engines.values()))
+
+    def bring_about(self) -> None:
+        """Bring one fault about, or end one."""
+        names = [name for name in dir(self) if name.startswith("do_")]
+        getattr(self, self.rng.choice(names))()
+
+    def do_die(self) -> None:
+        self.scene.fleet.die(self.choose_vm().entry.vm)
+
+    def do_return(self) -> None:
+        for model in self.scene.fleet.engines.values():
+            if not model.is_alive:
+                is_same = self.rng.random() < 0.5
+                self.scene.fleet.come_back(model.entry.vm, as_if_nothing_happened=is_same)
+                return
+
+    def do_pause(self) -> None:
+        model = self.choose_vm()
+        model.is_paused = not model.is_paused
+
+    def do_slow(self) -> None:
+        model = self.choose_vm()
+        model.slowdown = 5.0 - model.slowdown
+
+    def do_leave(self) -> None:
+        entry = self.choose_vm().entry
+        entry.leaving = not entry.leaving
+
+    def do_unlist(self) -> None:
+        self.scene.fleet.unlisted ^= {self.choose_vm().entry.vm}
+
+    def do_pause_daemon(self) -> None:
+        self.scene.paused ^= {self.rng.randrange(DAEMONS)}
+
+    def do_service(self) -> None:
+        self.scene.store.is_away = not self.scene.store.is_away
+
+    def do_lose_answers(self) -> None:
+        self.scene.store.lost_answers += 1
+
+    def do_lose_calls(self) -> None:
+        self.scene.store.lost_calls += 1
+
+    def do_hold_orders(self) -> None:
+        self.scene.fleet.holds_orders = not self.scene.fleet.holds_orders
+
+    def do_deliver(self) -> None:
+        self.scene.fleet.deliver_held()
+
+    def do_roll(self) -> None:
+        self.version += 1
+        self.scene.roll(GROUPS, version=str(self.version))
+
+    def heal(self) -> None:
+        """End all faults."""
+        scene = self.scene
+        scene.paused.clear()
+        scene.store.is_away = scene.fleet.holds_orders = False
+        scene.store.lost_answers = scene.store.lost_calls = 0
+        scene.fleet.unlisted.clear()
+        scene.fleet.deliver_held()
+        for model in scene.fleet.engines.values():
+            model.is_paused, model.slowdown, model.entry.leaving = False, 1.0, False
+            if not model.is_alive:
+                scene.fleet.come_back(model.entry.vm)
+
+
+class TestRandomFaults:
+    @pytest.mark.parametrize("seed", range(24))
+    async def test_promises_hold_and_all_heals(self, seed):
+        rng = random.Random(seed)
+        scene = scenes.Scene(
+            {"f1": 10, "f2": 10}, GROUPS, daemons=DAEMONS, checks_fencing=seed % 2 == 0
+        )
+        faults = Faults(scene, rng)
+        await scene.run(10_000)
+        for _ in range(FAULTS):
+            faults.bring_about()
+            await scene.run(rng.choice(BETWEEN_MS))
+        faults.heal()
+        await scene.run(HEALED_MS)
+        for daemon in range(DAEMONS):
+            versions = [view.record.version for view in scene.whole(daemon)]
+            assert versions == [str(faults.version)] * GROUPS
