Claim keys at most once through grouped writes, and prove it over all interleavings

Cause: the first book of claims told outcome_unknown where nothing had run, cut off a claimed call when its caller went away, never forgot a claim and wrote twice per claim.

--- a/src/tanagerfork/claims/book.py
+++ b/src/tanagerfork/claims/book.py
@@ -1,29 +1,51 @@
-"""Claims kept in the key-value service, by compare-and-swap on hash-sharded values."""
+"""Claims of one daemon: takes them before a request runs, and records what became of it."""
 
+import asyncio
 import base64
 import dataclasses
-import uuid
-from collections.abc import Callable
 from typing import Protocol
 
-import msgspec
 import result
 
 from tanagerfork import clock as clocks
 from tanagerfork import errors
-from tanagerfork.claims import decision
+from tanagerfork import metrics as metric
+from tanagerfork.claims import decision, keys, mark, owner, writer
 from tanagerfork.generated import claims
-from tanagerfork.platform import key_value, swap
 
-SHARD_PREFIX = "claims/"
-SHARDS = 64
-CONFLICT_TRIES = 20
-BUSY_RETRY_MS = 1000
+RETRY_MS = 1_000
+POLL_FIRST_MS = 25
+POLL_LAST_MS = 1_000
+CLOCK_MARGIN_MS = 1_000  # Daemons' wall clocks differ by less, or a waiter gives up early or late.
+SETTLE_FIRST_MS = 200
+SETTLE_LAST_MS = 5_000
+SETTLE_LIMIT_MS = 3_600_000
+UNSETTLED_LIMIT = 10_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClaimWish:
+    """What is to be claimed."""
+
+    team: str
+    key: str
+    request_hash: str
+    attempt: str
+    runs_for_ms: int
+    deadline_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Granted:
+    """A claim that is known to be in force; its attempt, and no other, may run."""
+
+    shard: str
+    record: claims.ClaimRecord
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Outcome:
-    """What became of a claimed attempt."""
+    """What became of an attempt."""
 
     state: str
     status: int = 0
@@ -34,121 +56,210 @@
 class Claims(Protocol):
     """What callers' requests need of the claims."""
 
-    async def claim(
-        self, wish: decision.ClaimWish
-    ) -> result.Result[decision.Granted | Outcome, errors.CallerError]:
+    @property
+    def unsettled(self) -> int:
+        """Outcomes that are not recorded yet; a planned stop waits for them."""
+
+    async def claim(self, wish: ClaimWish) -> result.Result[Granted | Outcome, errors.CallerError]:
         """Claim a key before the first byte of its request goes out.
 
         :param wish: what is to be claimed.
-        :return: the grant, or the recorded outcome, or why the request may not run.
+        :return: the grant, or the recorded answer, or why the request was not run now.
         """
 
-    async def settle(
-        self, granted: decision.Granted, outcome: Outcome
-    ) -> result.Result[None, errors.PlatformError]:
-        """Record what became of a granted attempt.
+    def settle(self, granted: Granted, outcome: Outcome) -> None:
+        """Record what became of a granted attempt, in the background until it is recorded.
 
         :param granted: grant.
         :param outcome: what became of it.
-        :return: nothing, or why it could not be recorded.
         """
 
+    def close(self) -> None:
+        """Give up the outcomes that are not recorded yet; their claims stay `claimed`."""
+
 
 class ClaimBook:
-    """Claims with one write each.
+    """Claims through the preferred writers of their shards.
 
-    :param store: key-value service.
-    :param clock: clock whose wall time stamps the claims.
+    :param name: name of this daemon.
+    :param clock: clock to wait on, whose wall time stamps the claims.
+    :param metrics: counters.
+    :param shards: writer of this daemon.
+    :param watermark: keeper of the mark.
+    :param peers: way to the other daemons' writers.
     """
 
-    __slots__ = ("_store", "_clock")
+    __slots__ = ("_name", "_clock", "_metrics", "_writer", "_mark", "_peers", "_settling")
 
-    def __init__(self, store: key_value.KeyValue, clock: clocks.Clock) -> None:
-        self._store = store
+    def __init__(
+        self,
+        name: str,
+        clock: clocks.Clock,
+        metrics: metric.Metrics,
+        shards: writer.ShardWriter,
+        watermark: mark.MarkKeeper,
+        peers: owner.ClaimPeers,
+    ) -> None:
+        self._name = name
         self._clock = clock
+        self._metrics = metrics
+        self._writer = shards
+        self._mark = watermark
+        self._peers = peers
+        self._settling: set[asyncio.Task[None]] = set()
+
+    @property
+    def unsettled(self) -> int:
+        """Outcomes that are not recorded yet; see `Claims.unsettled`."""
+        return len(self._settling)
 
-    async def claim(
-        self, wish: decision.ClaimWish
-    ) -> result.Result[decision.Granted | Outcome, errors.CallerError]:
+    async def claim(self, wish: ClaimWish) -> result.Result[Granted | Outcome, errors.CallerError]:
         """Claim a key; see `Claims.claim`."""
-        decided: list[decision.Decision] = []
-
-        def change(shard: claims.ClaimShard) -> bool:
-            known = decision.find_claim(shard, wish.key_sha256)
-            if known is not None and known.attempt == wish.attempt:
-                return False
-            decided[:] = [decision.decide_claim(shard, wish, self._clock.wall_ms())]
-            if isinstance(decided[0], decision.Granted):
-                decision.put_claim(shard, decided[0].record)
-                return True
-            return False
-
-        written = await self._change_shard(wish.key_sha256, change)
-        if isinstance(written, result.Err):
-            if isinstance(written.err_value, errors.AnswerLost):
-                message = "the claim may be taken; send the same key again to learn the outcome"
-                return result.Err(errors.OutcomeUnknown(message, BUSY_RETRY_MS))
-            message = "the key-value service is away; send the same key again later"
-            return result.Err(errors.NotRun(message, BUSY_RETRY_MS))
-        return _conclude(decided[0])
-
-    async def settle(
-        self, granted: decision.Granted, outcome: Outcome
-    ) -> result.Result[None, errors.PlatformError]:
+        place = keys.place_key(wish.team, wish.key)
+        deadline_at_ms = self._clock.monotonic_ms() + wish.deadline_ms
+        while True:
+            checked = await self._mark.check(place)
+            if isinstance(checked, result.Err):
+                return checked
+            asked = self._make_record(place, wish)
+            replied = await self._submit(claims.ClaimCall(shard=place.shard, record=asked))
+            if isinstance(replied, result.Err):
+                return self._give_up(Granted(place.shard, asked), replied.err_value)
+            reply = replied.ok_value
+            if reply.verdict == "granted":
+                return await self._confirm(place, Granted(place.shard, reply.record))
+            if reply.verdict != "taken":
+                return result.Err(_describe_refusal(reply))
+            record = await self._wait_for_outcome(place.shard, reply.record, deadline_at_ms)
+            if record.state != "not_run":
+                return self._conclude(record)
+            if self._clock.monotonic_ms() >= deadline_at_ms:
+                message = "the attempt under this key did not run; send the same key again"
+                return result.Err(errors.NotRun(message, RETRY_MS))
+
+    def settle(self, granted: Granted, outcome: Outcome) -> None:
         """Record an outcome; see `Claims.settle`."""
-        record = msgspec.structs.replace(
-            granted.record,
-            state=outcome.state,
-            status=outcome.status,
-            content_type=outcome.content_type,
-            answer=base64.b64encode(outcome.body).decode(),
+        if len(self._settling) >= UNSETTLED_LIMIT:
+            self._metrics.count("claims_left_unsettled_total")
+            return
+        record = decision.make_outcome(
+            granted.record, outcome.state, outcome.status, outcome.content_type, outcome.body
         )
+        call = claims.ClaimCall(shard=granted.shard, record=record)
+        task = asyncio.create_task(self._settle_until_recorded(call))
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+
+    def close(self) -> None:
+        """Give up the outcomes that are not recorded yet; their claims stay `claimed`."""
+        for task in self._settling:
+            task.cancel()
+
+    async def serve(self, call: claims.ClaimCall) -> writer.Reply:
+        """Write a record for another daemon.
 
-        def change(shard: claims.ClaimShard) -> bool:
-            known = decision.find_claim(shard, record.key_sha256)
-            if known is None or known.attempt != record.attempt or known == record:
-                return False
-            decision.put_claim(shard, record)
-            return True
-
-        return await self._change_shard(record.key_sha256, change)
-
-    async def _change_shard(
-        self, key_sha256: str, change: Callable[[claims.ClaimShard], bool]
-    ) -> result.Result[None, errors.PlatformError]:
-        number = decision.find_shard(key_sha256, SHARDS)
-        key = f"{SHARD_PREFIX}{number}"
-        for _ in range(CONFLICT_TRIES):
-            found = await self._store.read(key)
-            if isinstance(found, result.Err):
-                return found
-            entry = found.ok_value
-            shard = claims.ClaimShard(shard=number, claims=[])
-            if entry is not None:
-                shard = swap.decode_record(entry, claims.ClaimShard)
-            if not change(shard):
-                return result.Ok(None)
-            shard.token = uuid.uuid4().hex
-            revision = entry.revision if entry else key_value.ABSENT
-            written = await swap.swap_record(self._store, key, shard, revision)
-            if written.is_ok():
-                return result.Ok(None)
-            if not isinstance(written.unwrap_err(), errors.Conflict):
-                return written.map(lambda _: None)
-        return result.Err(errors.PlatformUnavailable("the shard is busy; try again"))
-
-
-def _conclude(
-    decided: decision.Decision,
-) -> result.Result[decision.Granted | Outcome, errors.CallerError]:
-    if isinstance(decided, decision.Granted):
-        return result.Ok(decided)
-    if isinstance(decided, decision.Reused):
-        message = "the Idempotency-Key was used with another request; take a new key"
-        return result.Err(errors.KeyReused(message))
-    record = decided.record
-    if record.state == "answered":
-        body = base64.b64decode(record.answer)
-        return result.Ok(Outcome(record.state, record.status, record.content_type, body))
-    message = "an earlier attempt under this key may have run; look for its record before a new key"
-    return result.Err(errors.OutcomeUnknown(message, BUSY_RETRY_MS))
+        :param call: what is to be written.
+        :return: the reply.
+        """
+        return await self._writer.submit(call)
+
+    def _make_record(self, place: keys.KeyPlace, wish: ClaimWish) -> claims.ClaimRecord:
+        now_ms = self._clock.wall_ms()
+        return claims.ClaimRecord(
+            key_hash=place.key_hash,
+            request_hash=wish.request_hash,
+            attempt=wish.attempt,
+            claimed_at_ms=now_ms,
+            until_ms=now_ms + wish.runs_for_ms,
+            state="claimed",
+        )
+
+    async def _submit(self, call: claims.ClaimCall) -> writer.Reply:
+        chosen = owner.choose_owner(call.shard, self._peers.list_live())
+        if chosen is not None and chosen != self._name:
+            sent = await self._peers.send(chosen, call)
+            if sent.is_ok():
+                return sent
+            # The call may have been written all the same; the attempt in the record tells.
+            self._metrics.count("claims_forwarded_in_vain_total")
+        return await self._writer.submit(call)
+
+    async def _confirm(
+        self, place: keys.KeyPlace, granted: Granted
+    ) -> result.Result[Granted | Outcome, errors.CallerError]:
+        checked = await self._mark.check(place)
+        if isinstance(checked, result.Ok):
+            return result.Ok(granted)
+        is_expired = checked.err_value.ran != errors.NOT_RUN
+        self.settle(granted, Outcome("unknown" if is_expired else "not_run"))
+        return checked
+
+    def _give_up(
+        self, granted: Granted, error: errors.PlatformError
+    ) -> result.Result[Granted | Outcome, errors.CallerError]:
+        self._metrics.count("claims_given_up_total", kind=error.kind)
+        if not isinstance(error, errors.PlatformUnavailable):
+            # Its write may take effect yet; the outcome says that the attempt never ran.
+            self.settle(granted, Outcome("not_run"))
+        message = "the key-value service did not confirm the claim; send the same key again later"
+        return result.Err(errors.NotRun(message, RETRY_MS))
+
+    async def _wait_for_outcome(
+        self, shard: str, record: claims.ClaimRecord, deadline_at_ms: int
+    ) -> claims.ClaimRecord:
+        pause_ms = POLL_FIRST_MS
+        while record.state == "claimed" and self._is_under_way(record):
+            left_ms = deadline_at_ms - self._clock.monotonic_ms()
+            if left_ms <= 0:
+                break
+            await self._clock.sleep_ms(min(pause_ms, left_ms))
+            pause_ms = min(2 * pause_ms, POLL_LAST_MS)
+            found = await self._writer.read(shard, record.key_hash)
+            if isinstance(found, result.Ok) and found.ok_value is not None:
+                record = found.ok_value
+        return record
+
+    def _is_under_way(self, record: claims.ClaimRecord) -> bool:
+        return self._clock.wall_ms() < record.until_ms + CLOCK_MARGIN_MS
+
+    def _conclude(
+        self, record: claims.ClaimRecord
+    ) -> result.Result[Granted | Outcome, errors.CallerError]:
+        if record.state == "answered":
+            if not decision.is_answer_kept(record):
+                message = (
+                    f"the request ran and was answered with status {record.status}; its body of "
+                    f"{record.answer_bytes} bytes is not kept: look up what it recorded"
+                )
+                return result.Err(errors.AnswerNotKept(message))
+            body = base64.b64decode(record.answer)
+            return result.Ok(Outcome(record.state, record.status, record.content_type, body))
+        if record.state == "claimed" and self._is_under_way(record):
+            left_ms = record.until_ms + CLOCK_MARGIN_MS - self._clock.wall_ms()
+            message = "an attempt under this key is under way; send the same key again later"
+            return result.Err(errors.OutcomeUnknown(message, left_ms))
+        message = "an attempt under this key may have run; look for its record before a new key"
+        return result.Err(errors.OutcomeUnknown(message))
+
+    async def _settle_until_recorded(self, call: claims.ClaimCall) -> None:
+        pause_ms = SETTLE_FIRST_MS
+        give_up_at_ms = self._clock.monotonic_ms() + SETTLE_LIMIT_MS
+        while self._clock.monotonic_ms() < give_up_at_ms:
+            replied = await self._submit(call)
+            if isinstance(replied, result.Ok):
+                self._metrics.count("claims_settled_total", state=call.record.state)
+                return
+            self._metrics.count("claims_settled_late_total")
+            await self._clock.sleep_ms(pause_ms)
+            pause_ms = min(2 * pause_ms, SETTLE_LAST_MS)
+        self._metrics.count("claims_left_unsettled_total")
+
+
+def _describe_refusal(reply: claims.ClaimReply) -> errors.CallerError:
+    if reply.verdict == "full":
+        message = "too many claims with keys of this kind; nothing ran: send with a new key, " + (
+            "made as a time-ordered UUID (version 7)"
+        )
+        return errors.NotRun(message, RETRY_MS)
+    message = "the Idempotency-Key was used with another request; take a new key"
+    return errors.KeyReused(message)
--- a/src/tanagerfork/claims/decision.py
+++ b/src/tanagerfork/claims/decision.py
@@ -1,112 +1,159 @@
-"""Decisions on claims, without I/O: one Idempotency-Key, at most one attempt."""
+"""Decisions on claims, without I/O: one Idempotency-Key, at most one attempt.
 
-import dataclasses
-import hashlib
+A record starts as `claimed` and is settled once, by its own attempt. Only a record that says
+`not_run` may be claimed again; one that stays `claimed` because its daemon died never is.
+"""
 
-from tanagerfork.generated import claims
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ClaimWish:
-    """What a daemon wants to claim."""
+import base64
+from typing import Literal
 
-    key_sha256: str
-    body_sha256: str
-    attempt: str
+import msgspec
 
+from tanagerfork.generated import claims
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Granted:
-    """The claim is to be written; the attempt may run once the write is known to be in force."""
+Verdict = Literal["granted", "taken", "reused", "full", "settled", "superseded"]
 
-    record: claims.ClaimRecord
+RECORD_BYTES = 320  # A record without the body of its answer, at most.
+BODY_LIMIT_BYTES = 600_000  # Bodies are kept while the shard is smaller.
+CLAIM_LIMIT_BYTES = 800_000  # Claims are taken while the shard is smaller.
+ANSWER_LIMIT_BYTES = 4_096
+TYPE_LIMIT_CHARS = 80
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Taken:
-    """The key was claimed before, with the same request."""
+class Shard:
+    """The claims of one shard, by the hash of their key.
 
-    record: claims.ClaimRecord
+    :param records: claims as stored.
+    """
 
+    __slots__ = ("records", "size_bytes")
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Reused:
-    """The key was claimed before, with another request."""
+    def __init__(self, records: list[claims.ClaimRecord]) -> None:
+        self.records = {record.key_hash: record for record in records}
+        self.size_bytes = sum(map(measure_record, records))
 
-    record: claims.ClaimRecord
+    def copy(self) -> "Shard":
+        """Return a shard that can be changed apart."""
+        twin = Shard([])
+        twin.records = dict(self.records)
+        twin.size_bytes = self.size_bytes
+        return twin
 
+    def put(self, record: claims.ClaimRecord) -> None:
+        """Add or replace a claim.
 
-Decision = Granted | Taken | Reused
+        :param record: claim.
+        """
+        known = self.records.get(record.key_hash)
+        self.size_bytes += measure_record(record) - (measure_record(known) if known else 0)
+        self.records[record.key_hash] = record
 
 
-def hash_key(team: str, key: str) -> str:
-    """Return the hash under which a key is claimed.
+def measure_record(record: claims.ClaimRecord) -> int:
+    """Return the most bytes that a record takes in its shard.
 
-    :param team: team, so that two teams' keys never meet.
-    :param key: Idempotency-Key.
-    :return: SHA-256, hexadecimal.
+    :param record: claim.
     """
-    return hashlib.sha256(f"{team}\0{key}".encode()).hexdigest()
+    return RECORD_BYTES + len(record.answer)
 
 
-def hash_request(method: str, path: str, body: bytes) -> str:
-    """Return the hash that tells whether two requests are the same.
+def apply_record(shard: Shard, record: claims.ClaimRecord) -> claims.ClaimReply:
+    """Apply a claim or an outcome to a shard.
 
-    :param method: HTTP method.
-    :param path: path with its query.
-    :param body: body.
-    :return: SHA-256, hexadecimal.
+    :param shard: shard as read; changed where the record is to be written.
+    :param record: a claim where its state is `claimed`, else an outcome.
+    :return: what became of it once the shard is written, or at once where it is unchanged.
     """
-    return hashlib.sha256(f"{method}\0{path}\0".encode() + body).hexdigest()
+    if record.state == "claimed":
+        return apply_claim(shard, record)
+    return apply_outcome(shard, record)
 
 
-def find_shard(key_sha256: str, shards: int) -> int:
-    """Return the shard that a key belongs to.
+def apply_claim(shard: Shard, wish: claims.ClaimRecord) -> claims.ClaimReply:
+    """Apply a claim to a shard.
 
-    :param key_sha256: hash of the key.
-    :param shards: number of shards.
-    :return: number of the shard.
+    :param shard: shard as read; changed where the claim is granted.
+    :param wish: claim.
+    :return: verdict with the record in force.
     """
-    return int(key_sha256[:8], 16) % shards
+    known = shard.records.get(wish.key_hash)
+    if known is None:
+        if shard.size_bytes > CLAIM_LIMIT_BYTES:
+            return claims.ClaimReply(verdict="full", record=wish)
+        return _grant(shard, wish)
+    if known.attempt == wish.attempt:
+        is_in_force = known.state == "claimed"
+        return claims.ClaimReply(verdict="granted" if is_in_force else "taken", record=known)
+    if known.request_hash != wish.request_hash:
+        return claims.ClaimReply(verdict="reused", record=known)
+    if known.state == "not_run":
+        return _grant(shard, wish)
+    return claims.ClaimReply(verdict="taken", record=known)
+
+
+def apply_outcome(shard: Shard, outcome: claims.ClaimRecord) -> claims.ClaimReply:
+    """Apply the outcome of an attempt to a shard.
+
+    An outcome whose claim is missing is written too: its claim's write may still be under way, and
+    is kept from taking effect by the new revision.
+
+    :param shard: shard as read; changed where the outcome is new.
+    :param outcome: record with the outcome.
+    :return: verdict with the record in force.
+    """
+    known = shard.records.get(outcome.key_hash)
+    if known is not None and known.attempt != outcome.attempt:
+        return claims.ClaimReply(verdict="superseded", record=known)
+    if known is not None and known.state != "claimed":
+        return claims.ClaimReply(verdict="settled", record=known)
+    if shard.size_bytes + len(outcome.answer) > BODY_LIMIT_BYTES:
+        outcome = msgspec.structs.replace(outcome, answer="")
+    shard.put(outcome)
+    return claims.ClaimReply(verdict="settled", record=outcome)
+
+
+def make_outcome(
+    claim: claims.ClaimRecord, state: str, status: int, content_type: str, body: bytes
+) -> claims.ClaimRecord:
+    """Return the record of an outcome.
+
+    :param claim: claim of the attempt.
+    :param state: `answered`, `not_run` or `unknown`.
+    :param status: HTTP status of the answer.
+    :param content_type: type of the answer.
+    :param body: body of the answer; kept up to `ANSWER_LIMIT_BYTES`.
+    :return: the record.
+    """
+    is_kept = len(body) <= ANSWER_LIMIT_BYTES and len(content_type) <= TYPE_LIMIT_CHARS
+    return msgspec.structs.replace(
+        claim,
+        state=state,
+        status=status,
+        content_type=content_type[:TYPE_LIMIT_CHARS],
+        answer_bytes=len(body),
+        answer=base64.b64encode(body).decode() if is_kept else "",
+    )
 
 
-def decide_claim(shard: claims.ClaimShard, wish: ClaimWish, wall_ms: int) -> Decision:
-    """Decide on a claim.
+def is_answer_kept(record: claims.ClaimRecord) -> bool:
+    """Return whether the whole answer can be given again.
 
-    :param shard: claims of the key's shard as read.
-    :param wish: what is to be claimed.
-    :param wall_ms: wall clock, since the epoch.
-    :return: what may be done.
-    """
-    known = find_claim(shard, wish.key_sha256)
-    if known is None or known.state == "not_run" and known.body_sha256 == wish.body_sha256:
-        record = claims.ClaimRecord(
-            key_sha256=wish.key_sha256,
-            body_sha256=wish.body_sha256,
-            attempt=wish.attempt,
-            claimed_at_ms=wall_ms,
-            state="claimed",
-        )
-        return Granted(record)
-    if known.body_sha256 != wish.body_sha256:
-        return Reused(known)
-    return Taken(known)
-
-
-def find_claim(shard: claims.ClaimShard, key_sha256: str) -> claims.ClaimRecord | None:
-    """Return the claim on a key, None where there is none.
-
-    :param shard: claims of the key's shard.
-    :param key_sha256: hash of the key.
+    :param record: record of an answered attempt.
     """
-    return next((item for item in shard.claims if item.key_sha256 == key_sha256), None)
+    return bool(record.answer) or not record.answer_bytes
 
 
-def put_claim(shard: claims.ClaimShard, record: claims.ClaimRecord) -> None:
-    """Add or replace the claim on a key.
+def drop_bodies(shard: Shard, before_ms: int) -> None:
+    """Drop the bodies of old answers; that the attempts ran stays known.
 
-    :param shard: claims of the key's shard; changed.
-    :param record: claim.
+    :param shard: shard; changed.
+    :param before_ms: wall clock; bodies of claims before it are dropped.
     """
-    shard.claims = [item for item in shard.claims if item.key_sha256 != record.key_sha256]
-    shard.claims.append(record)
+    for record in list(shard.records.values()):
+        if record.answer and record.claimed_at_ms < before_ms:
+            shard.put(msgspec.structs.replace(record, answer=""))
+
+
+def _grant(shard: Shard, wish: claims.ClaimRecord) -> claims.ClaimReply:
+    shard.put(wish)
+    return claims.ClaimReply(verdict="granted", record=wish)
--- /dev/null
+++ b/src/tanagerfork/claims/sweeper.py
@@ -0,0 +1,65 @@
+"""Forgets claims on time-ordered keys after their retention; see `mark` for why this is safe."""
+
+from collections.abc import Callable
+
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import errors
+from tanagerfork import metrics as metric
+from tanagerfork.claims import keys, mark
+from tanagerfork.platform import key_value
+
+SWEEP_INTERVAL_MS = 10 * 60_000
+
+
+class ClaimSweeper:
+    """Raises the mark, waits, and deletes what lies before it.
+
+    :param store: key-value service.
+    :param clock: clock to wait on.
+    :param metrics: counters.
+    :param watermark: keeper of the mark.
+    :param is_sweeper: whether this daemon is the one to sweep; several may, at the price of calls.
+    :param retention_ms: age at which claims are forgotten.
+    """
+
+    __slots__ = ("_store", "_clock", "_metrics", "_mark", "_is_sweeper", "_retention_ms")
+
+    def __init__(
+        self,
+        store: key_value.KeyValue,
+        clock: clocks.Clock,
+        metrics: metric.Metrics,
+        watermark: mark.MarkKeeper,
+        is_sweeper: Callable[[], bool],
+        retention_ms: int = mark.RETENTION_MS,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._mark = watermark
+        self._is_sweeper = is_sweeper
+        self._retention_ms = retention_ms
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await self._clock.sleep_ms(SWEEP_INTERVAL_MS)
+            if self._is_sweeper():
+                await self.sweep()
+
+    async def sweep(self) -> result.Result[None, errors.PlatformError]:
+        """Sweep once.
+
+        :return: nothing, or why the service did not do it; the next sweep makes up for it.
+        """
+        raised = await self._mark.raise_to(self._clock.wall_ms() - self._retention_ms)
+        if isinstance(raised, result.Err):
+            return raised
+        await self._clock.sleep_ms(mark.SWEEP_WAIT_MS)
+        deleted = await self._store.delete_range(
+            keys.name_bucket(0), keys.name_bucket(raised.ok_value)
+        )
+        self._metrics.count("claim_sweeps_total", outcome="done" if deleted.is_ok() else "failed")
+        return deleted.map(lambda _: None)
--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -20,7 +20,7 @@
 from tanagerfork import settings as settings_files
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
-from tanagerfork.claims import book
+from tanagerfork.claims import book, mark, owner, sweeper, writer
 from tanagerfork.front import callers, chat, operators, services
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
@@ -98,7 +98,7 @@
         self.callers.is_accepting = False
         waited_ms = 0
         while (
-            self.callers.open_requests
+            (self.callers.open_requests or self._services.unfinished)
             and waited_ms < self.settings.limits.drain_limit_ms
             and not self._hasten.is_set()
         ):
@@ -106,6 +106,7 @@
             waited_ms += DRAIN_CHECK_MS
         for task in self._tasks:
             task.cancel()
+        self._services.close()
         self._observer.stop()
         for runner in self._runners:
             await runner.cleanup()
@@ -127,18 +128,27 @@
             self.timeline,
             self.metrics,
         )
-        plain_services = services.ServiceRunner(
+        self._claim_mark = mark.MarkKeeper(self.store, self.clock, self.metrics)
+        self.claims = book.ClaimBook(
+            settings.name,
+            self.clock,
+            self.metrics,
+            writer.ShardWriter(self.store, self.clock, self.metrics, self._claim_mark),
+            self._claim_mark,
+            owner.NoPeers(),
+        )
+        self._services = services.ServiceRunner(
             settings.failure_domain,
             service_clients.HttpServiceClient(
                 self._single_use_session, settings.limits.answer_body_bytes
             ),
-            book.ClaimBook(self.store, self.clock),
+            self.claims,
             self._rng,
             self.timeline,
             self.metrics,
         )
         self.callers = callers.CallersFront(
-            self.bundles, chats, plain_services, settings.limits, self.clock, self.metrics
+            self.bundles, chats, self._services, settings.limits, self.clock, self.metrics
         )
         operators_front = operators.OperatorsFront(
             self._read_status,
@@ -180,6 +190,10 @@
             self.metrics,
             self.settings.groups.plan_interval_ms,
         )
+        sweep = sweeper.ClaimSweeper(
+            self.store, self.clock, self.metrics, self._claim_mark, is_sweeper=lambda: True
+        )
+        self._start_task(sweep.run())
         self._start_task(follow.run())
         self._start_task(self._follow_vms())
         self._start_task(coordinate.run())
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -87,11 +87,19 @@
 
 
 class KeyExpired(CallerError):
-    """The Idempotency-Key is older than the claims that are kept."""
+    """This send was not run; an earlier one under the same old key may have run."""
 
     kind = "key_expired"
     status = 409
-    ran = NOT_RUN
+    ran = MAY_HAVE_RUN
+
+
+class AnswerNotKept(CallerError):
+    """The request ran under this key before; its answer was too large to be kept."""
+
+    kind = "answer_not_kept"
+    status = 409
+    ran = RAN
 
 
 class NotRun(CallerError):
--- a/src/tanagerfork/front/services.py
+++ b/src/tanagerfork/front/services.py
@@ -1,5 +1,6 @@
 """Requests for plain services: repeatable ones are retried, all others run at most once."""
 
+import asyncio
 import dataclasses
 import random
 import uuid
@@ -8,13 +9,15 @@
 
 from tanagerfork import errors
 from tanagerfork import metrics as metric
-from tanagerfork.claims import book, decision
+from tanagerfork.claims import book, keys
 from tanagerfork.generated import bundle
 from tanagerfork.timeline import kinds, ring
 from tanagerfork.upstream import service as services
 
 RETRY_MS = 1000
 
+ServiceResult = result.Result[services.ServiceAnswer, errors.CallerError]
+
 
 @dataclasses.dataclass(slots=True)
 class ServiceRequest:
@@ -43,7 +46,15 @@
     :param metrics: counters.
     """
 
-    __slots__ = ("_failure_domain", "_client", "_claims", "_rng", "_timeline", "_metrics")
+    __slots__ = (
+        "_failure_domain",
+        "_client",
+        "_claims",
+        "_rng",
+        "_timeline",
+        "_metrics",
+        "_claimed_calls",
+    )
 
     def __init__(
         self,
@@ -60,6 +71,18 @@
         self._rng = rng
         self._timeline = timeline
         self._metrics = metrics
+        self._claimed_calls: set[asyncio.Task[ServiceResult]] = set()
+
+    @property
+    def unfinished(self) -> int:
+        """Claimed calls under way and outcomes not recorded yet; a planned stop waits for them."""
+        return len(self._claimed_calls) + self._claims.unsettled
+
+    def close(self) -> None:
+        """Give up what is unfinished; the claims keep it from running again."""
+        for call in self._claimed_calls:
+            call.cancel()
+        self._claims.close()
 
     async def run(
         self, request: ServiceRequest
@@ -73,19 +96,20 @@
             return await self._call_until_answered(request)
         if not request.idempotency_key:
             return await self._call_once(request, uuid.uuid4().hex)
-        return await self._call_claimed(request)
+        # A caller that goes away must not cut off a call that may have begun to run.
+        call = asyncio.create_task(self._call_claimed(request))
+        self._claimed_calls.add(call)
+        call.add_done_callback(self._claimed_calls.discard)
+        return await asyncio.shield(call)
 
     async def _call_claimed(
         self, request: ServiceRequest
     ) -> result.Result[services.ServiceAnswer, errors.CallerError]:
-        path = f"{request.service.name}/{request.path}?{request.query}"
-        wish = decision.ClaimWish(
-            key_sha256=decision.hash_key(request.team.name, request.idempotency_key),
-            body_sha256=decision.hash_request(request.method, path, request.body),
-            attempt=uuid.uuid4().hex,
-        )
+        wish = _make_wish(request)
         claimed = await self._claims.claim(wish)
         if isinstance(claimed, result.Err):
+            if claimed.err_value.ran == errors.MAY_HAVE_RUN:
+                self._note_doubt(request, claimed.err_value)
             return claimed
         if isinstance(claimed.ok_value, book.Outcome):
             recorded = claimed.ok_value
@@ -93,15 +117,16 @@
             answer = services.ServiceAnswer(recorded.status, recorded.content_type, recorded.body)
             return result.Ok(answer)
         called = await self._call_once(request, wish.attempt)
-        settled = await self._claims.settle(claimed.ok_value, _to_outcome(called))
-        if settled.is_err():
-            self._timeline.record(
-                kinds.EventKind.CLAIM_IN_DOUBT,
-                "the outcome could not be recorded",
-                request=request.request_id,
-            )
+        self._claims.settle(claimed.ok_value, _to_outcome(called))
+        if isinstance(called, result.Err) and called.err_value.ran == errors.MAY_HAVE_RUN:
+            self._note_doubt(request, called.err_value)
         return called
 
+    def _note_doubt(self, request: ServiceRequest, error: errors.CallerError) -> None:
+        self._timeline.record(
+            kinds.EventKind.CLAIM_IN_DOUBT, error.message, request=request.request_id
+        )
+
     async def _call_until_answered(
         self, request: ServiceRequest
     ) -> result.Result[services.ServiceAnswer, errors.CallerError]:
@@ -144,6 +169,19 @@
     )
 
 
+def _make_wish(request: ServiceRequest) -> book.ClaimWish:
+    path = f"{request.service.name}/{request.path}?{request.query}"
+    call_ms = min(request.timeout_ms, request.service.timeout_ms)
+    return book.ClaimWish(
+        team=request.team.name,
+        key=request.idempotency_key,
+        request_hash=keys.hash_request(request.method, path, request.body),
+        attempt=uuid.uuid4().hex,
+        runs_for_ms=call_ms * max(1, len(request.service.upstreams)),
+        deadline_ms=request.timeout_ms,
+    )
+
+
 def _to_call(request: ServiceRequest, attempt_id: str) -> services.ServiceCall:
     return services.ServiceCall(
         attempt_id=attempt_id,
--- a/src/tanagerfork/platform/etcd.py
+++ b/src/tanagerfork/platform/etcd.py
@@ -42,6 +42,12 @@
     succeeded: bool = False
 
 
+class _DeleteAnswer(msgspec.Struct):
+    """Answer to a deleterange call."""
+
+    deleted: str = "0"
+
+
 class _Event(msgspec.Struct):
     """One event of a watch."""
 
@@ -164,6 +170,14 @@
             return result.Err(errors.Conflict(f"{key} was written by another; read it again"))
         return result.Ok(int(answer.ok_value.header.revision))
 
+    async def delete_range(
+        self, first: str, after_last: str
+    ) -> result.Result[int, errors.PlatformError]:
+        """Delete all keys of a range; see `key_value.KeyValue.delete_range`."""
+        call = _RangeCall(key=self._encode_key(first), range_end=self._encode_key(after_last))
+        answer = await self._call("/v3/kv/deleterange", call, _DeleteAnswer)
+        return answer.map(lambda found: int(found.deleted))
+
     async def watch(self, key: str, revision: int) -> AsyncIterator[key_value.Entry]:
         """Follow one key; see `key_value.KeyValue.watch`."""
         call = _WatchCall(_WatchCreate(key=self._encode_key(key), start_revision=str(revision)))
--- a/src/tanagerfork/platform/key_value.py
+++ b/src/tanagerfork/platform/key_value.py
@@ -49,6 +49,16 @@
             if the write certainly took no effect, `AnswerLost` if it may have.
         """
 
+    async def delete_range(
+        self, first: str, after_last: str
+    ) -> result.Result[int, errors.PlatformError]:
+        """Delete all keys of a range.
+
+        :param first: first key, without the fleet's prefix.
+        :param after_last: key after the last one, without the fleet's prefix.
+        :return: how many were deleted, or why that is not known.
+        """
+
     def watch(self, key: str, revision: int) -> AsyncIterator[Entry]:
         """Follow one key.
 
--- a/src/tanagerfork_standins/key_value.py
+++ b/src/tanagerfork_standins/key_value.py
@@ -43,6 +43,13 @@
     count: str
 
 
+class DeleteAnswer(msgspec.Struct):
+    """Answer to a deleterange call."""
+
+    header: Header
+    deleted: str
+
+
 class PutCall(msgspec.Struct):
     """A put call."""
 
@@ -159,6 +166,7 @@
         self.listener.app.router.add_post("/v3/kv/range", self._range)
         self.listener.app.router.add_post("/v3/kv/put", self._put)
         self.listener.app.router.add_post("/v3/kv/txn", self._txn)
+        self.listener.app.router.add_post("/v3/kv/deleterange", self._delete_range)
         self.listener.app.router.add_post("/v3/watch", self._watch)
 
     def forget(self, key: str) -> None:
@@ -209,6 +217,18 @@
             self._lose_answer(request)
         return _answer(TxnAnswer(self._header(), succeeded))
 
+    async def _delete_range(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        call = msgspec.json.decode(await request.read(), type=RangeCall)
+        self.faults.writes += 1
+        await self._suffer()
+        first, last = base64.b64decode(call.key), base64.b64decode(call.range_end)
+        found = [key for key in self.keys if first <= key < last]
+        self.revision += bool(found)
+        for key in found:
+            del self.keys[key]
+        self._lose_answer(request)
+        return _answer(DeleteAnswer(self._header(), str(len(found))))
+
     async def _watch(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
         call = msgspec.json.decode(await request.read(), type=WatchCall).create_request
         await self._suffer()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -70,6 +70,20 @@
             return result.Err(errors.AnswerLost("lost; read back"))
         return result.Ok(self.revision)
 
+    async def delete_range(
+        self, first: str, after_last: str
+    ) -> result.Result[int, errors.PlatformError]:
+        """Delete all keys of a range."""
+        self.writes += 1
+        await asyncio.sleep(0)
+        if self.is_away:
+            return result.Err(errors.PlatformUnavailable("away; wait"))
+        found = [key for key in self.entries if first <= key < after_last]
+        for key in found:
+            del self.entries[key]
+        self.revision += bool(found)
+        return result.Ok(len(found))
+
     async def watch(self, key: str, revision: int) -> AsyncIterator[key_value.Entry]:
         """Follow one key."""
         seen = revision - 1
--- /dev/null
+++ b/tests/test_claims_model.py
@@ -0,0 +1,149 @@
+"""At most once over all interleavings of two daemons, one key, lost answers and crashes."""
+
+import asyncio
+import random
+
+import pytest
+import result
+
+from tanagerfork import errors
+from tanagerfork import metrics as metric
+from tanagerfork.claims import book, decision, mark, owner, writer
+from tanagerfork.front import services
+from tanagerfork.generated import bundle
+from tanagerfork.timeline import ring
+from tanagerfork.upstream import service as upstream
+from tests import fakes, stepping
+
+LIMIT_MS = 40
+MAX_PLAYS = 6_000
+TEAM = bundle.Team(name="press-floor", token_sha256=[])
+SERVICE = bundle.Service(
+    name="batch-ledger",
+    upstreams=[bundle.ServiceUpstream(name="ledger", failure_domain="ipoh-a", url="http://x")],
+    timeout_ms=LIMIT_MS,
+)
+
+
+class SteppedService:
+    """An upstream whose run is a step; keeps what ran."""
+
+    def __init__(self, world: stepping.SteppedWorld, daemon: str, runs: list[str]) -> None:
+        self._world = world
+        self._daemon = daemon
+        self._runs = runs
+
+    async def call(self, chosen: bundle.ServiceUpstream, call: upstream.ServiceCall):
+        """Run a call once it is picked."""
+
+        async def run() -> result.Result[upstream.ServiceAnswer, errors.UpstreamError]:
+            self._runs.append(call.attempt_id)
+            return result.Ok(upstream.ServiceAnswer(201, "text/plain", call.attempt_id.encode()))
+
+        refusal = result.Err(errors.UpstreamRefused("refused"))
+        return await self._world.call(self._daemon, "runs", run, refusal=refusal)
+
+
+class RunsBeforeClaim(services.ServiceRunner):
+    """A mutated runner that claims after the dispatch."""
+
+    async def _call_claimed(self, request):
+        called = await self._call_once(request, "early")
+        claimed = await self._claims.claim(services._make_wish(request))
+        if claimed.is_ok() and isinstance(claimed.ok_value, book.Granted):
+            self._claims.settle(claimed.ok_value, services._to_outcome(called))
+        return called
+
+
+def make_runner(
+    world: stepping.SteppedWorld, name: str, runs: list[str], runner_type: type
+) -> services.ServiceRunner:
+    metrics = metric.Metrics()
+    watermark = mark.MarkKeeper(fakes.MemoryKeyValue(), world.clock, metrics)
+    store = stepping.SteppedStore(world, name)
+    shards = writer.ShardWriter(store, world.clock, metrics, watermark)
+    claims = book.ClaimBook(name, world.clock, metrics, shards, watermark, owner.NoPeers())
+    timeline = ring.Timeline(name, world.clock, 100)
+    client = SteppedService(world, name, runs)
+    return runner_type("ipoh-a", client, claims, random.Random(1), timeline, metrics)
+
+
+def make_request(name: str) -> services.ServiceRequest:
+    return services.ServiceRequest(
+        request_id=name,
+        team=TEAM,
+        service=SERVICE,
+        method="POST",
+        path="pressings",
+        query="",
+        content_type="",
+        body=b"lot 7",
+        idempotency_key="lot-7",
+        timeout_ms=LIMIT_MS,
+    )
+
+
+async def play_case(
+    choices: list[int], faults: int, at_once: bool, runner_type: type
+) -> stepping.SteppedWorld:
+    """Have two daemons sent one key, at once or in turn, and the key sent again at the end."""
+    world = stepping.SteppedWorld(choices, faults)
+    runs: list[str] = []
+    runners = {name: make_runner(world, name, runs, runner_type) for name in ("a", "b", "c")}
+    tasks = []
+    for names in (("a", "b"), ("c",)) if at_once else (("a",), ("b",)):
+        sent = [world.start(name, runners[name].run(make_request(name))) for name in names]
+        await world.run(sent)
+        tasks += sent
+    told = [task.result() for task in tasks if not task.cancelled() and task.exception() is None]
+    check_promise(told, runs, world)
+    for runner in runners.values():
+        runner.close()
+    for task in asyncio.all_tasks() - {asyncio.current_task()}:
+        task.cancel()
+    return world
+
+
+def check_promise(told: list, runs: list[str], world: stepping.SteppedWorld) -> None:
+    """Check what callers were told against what ran."""
+    assert len(runs) <= 1, f"ran twice: {world.told}"
+    for answer in told:
+        if isinstance(answer, result.Ok):
+            assert answer.ok_value.body.decode() == runs[0], f"not the answer: {world.told}"
+        else:
+            assert answer.err_value.kind in ("not_run", "outcome_unknown"), world.told
+    if told and all(item.is_err() and item.err_value.kind == "not_run" for item in told):
+        assert not runs or world.crashed, f"ran, and all were told that it did not: {world.told}"
+
+
+def explore_case(faults: int, at_once: bool, runner_type: type = services.ServiceRunner) -> int:
+    def play(choices: list[int]) -> list[tuple[int, int]]:
+        return asyncio.run(play_case(choices, faults, at_once, runner_type)).taken
+
+    return stepping.explore(play, MAX_PLAYS)
+
+
+def reclaim_claimed(shard: decision.Shard, wish):
+    """Claim again what is still claimed: a mutated rule."""
+    known = shard.records.get(wish.key_hash)
+    if known is not None and known.state == "claimed" and known.attempt != wish.attempt:
+        return decision._grant(shard, wish)
+    return GOOD_RULE(shard, wish)
+
+
+GOOD_RULE = decision.apply_claim
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize(("faults", "at_once"), [(0, True), (1, True), (2, False)])
+    def test_no_interleaving_runs_a_key_twice(self, faults, at_once):
+        assert explore_case(faults, at_once) > 30
+
+    def test_claim_after_dispatch_is_found(self):
+        with pytest.raises(AssertionError, match="ran twice"):
+            explore_case(0, True, RunsBeforeClaim)
+
+    def test_second_claim_on_a_claimed_key_is_found(self, monkeypatch):
+        monkeypatch.setattr(decision, "apply_claim", reclaim_claimed)
+        with pytest.raises(AssertionError, match="ran twice"):
+            explore_case(0, True)
