--- /dev/null
+++ b/tests/test_claims_keys.py
@@ -0,0 +1,35 @@
+"""Tests of where claims are kept."""
+
+import uuid
+
+import pytest
+
+from tanagerfork.claims import keys, owner
+
+
+class TestPlaceKey:
+    def test_time_ordered_key_names_its_time(self):
+        key = keys.make_timed_key(1_800_000_000_123, (1 << 74) - 1)
+        assert uuid.UUID(key).version == 7
+        assert keys.read_time(key) == 1_800_000_000_123
+        assert keys.read_time(key.upper()) == 1_800_000_000_123
+
+    @pytest.mark.parametrize("key", ["lot-7", "", "é", str(uuid.UUID(int=4 << 76)), "9" * 256])
+    def test_other_key_has_no_time(self, key):
+        assert keys.read_time(key) is None
+        assert keys.place_key("team", key).shard.startswith(keys.PLAIN_PREFIX)
+
+    def test_buckets_sort_by_time(self):
+        names = [keys.name_bucket(time_ms) for time_ms in (0, 1_999, 2_000, 1 << 47)]
+        assert names == sorted(names) and names[0] == names[1] != names[2]
+
+
+class TestChooseOwner:
+    def test_only_the_shards_of_a_lost_daemon_move(self):
+        names = [f"daemon-{number}" for number in range(20)]
+        shards = [f"shard-{number}" for number in range(400)]
+        before = {shard: owner.choose_owner(shard, names) for shard in shards}
+        after = {shard: owner.choose_owner(shard, names[1:]) for shard in shards}
+        assert all(after[shard] == before[shard] for shard in shards if before[shard] != names[0])
+        assert len(set(before.values())) == 20
+        assert owner.choose_owner("shard", []) is None
--- /dev/null
+++ b/tests/test_front_services.py
@@ -0,0 +1,88 @@
+"""Claimed calls of plain services through a running daemon."""
+
+import asyncio
+
+import pytest
+
+from tests import sites
+
+
+async def record(running: sites.RunningSite, key: str) -> tuple[int, dict]:
+    """Record a pressing under a key."""
+    headers = {**running.headers, "Idempotency-Key": key}
+    url = f"{running.url}/services/{sites.SERVICE}/pressings"
+    async with running.session.post(url, json={"lot": key}, headers=headers) as response:
+        return response.status, await response.json()
+
+
+def list_records(running: sites.RunningSite) -> list:
+    return running.stand_ins.records[sites.SERVICE].records
+
+
+def count_calls(running: sites.RunningSite) -> int:
+    return sum(upstream.calls for upstream in running.stand_ins.services.values())
+
+
+class TestClaimedCall:
+    async def test_caller_that_goes_away_finds_the_answer_later(self):
+        async with sites.run_site(groups=1, vms=4) as running:
+            for upstream in running.stand_ins.services.values():
+                upstream.faults.delay_ms = 200
+            call = asyncio.create_task(record(running, "lot-7"))
+            await sites.wait_until(lambda: count_calls(running) == 1)
+            call.cancel()
+            await sites.wait_until(lambda: not running.daemon.callers.open_requests)
+            status, body = await record(running, "lot-7")
+            assert (status, body["entry"]) == (201, {"lot": "lot-7"})
+            assert len(list_records(running)) == 1
+
+    async def test_planned_stop_waits_for_a_call_whose_caller_went_away(self):
+        async with sites.run_site(groups=1, vms=4) as running:
+            for upstream in running.stand_ins.services.values():
+                upstream.faults.delay_ms = 300
+            call = asyncio.create_task(record(running, "lot-7"))
+            await sites.wait_until(lambda: count_calls(running) == 1)
+            call.cancel()
+            await sites.wait_until(lambda: not running.daemon.callers.open_requests)
+            await running.daemon.stop()
+            stored = running.stand_ins.key_value.keys
+            shards = [item.value for key, item in stored.items() if b"claims/plain" in key]
+            assert len(list_records(running)) == 1
+            assert len(shards) == 1 and b'"state":"answered"' in shards[0]
+
+    @pytest.mark.parametrize(
+        ("fault", "kind", "ran", "records", "again"),
+        [
+            ("refuse", None, None, 1, 201),
+            ("crash_before", "outcome_unknown", "unknown", 0, 502),
+            ("crash_after", "outcome_unknown", "unknown", 1, 502),
+        ],
+    )
+    async def test_fault_of_the_upstream(self, fault, kind, ran, records, again):
+        async with sites.run_site(groups=1, vms=4) as running:
+            for upstream in running.stand_ins.services.values():
+                setattr(upstream.faults, fault, 1)
+            if fault == "refuse":
+                next(iter(running.stand_ins.services.values())).faults.refuse = 0
+            status, body = await record(running, "lot-7")
+            if kind:
+                assert (body["error"]["kind"], body["error"]["ran"]) == (kind, ran)
+            assert len(list_records(running)) == records
+            assert (await record(running, "lot-7"))[0] == again
+            assert len(list_records(running)) == records
+
+    async def test_service_away_is_told_as_not_run_and_runs_when_it_is_back(self):
+        async with sites.run_site(groups=1, vms=4) as running:
+            running.stand_ins.key_value.faults.away = True
+            status, body = await record(running, "lot-7")
+            assert (status, body["error"]["kind"], body["error"]["ran"]) == (503, "not_run", "no")
+            assert not list_records(running)
+            running.stand_ins.key_value.faults.away = False
+            assert (await record(running, "lot-7"))[0] == 201
+
+    async def test_lost_answer_of_the_claim_write_is_read_back(self):
+        async with sites.run_site(groups=1, vms=4) as running:
+            await record(running, "warm")
+            running.stand_ins.key_value.faults.lost_answers = 1
+            assert (await record(running, "lot-7"))[0] == 201
+            assert len(list_records(running)) == 2
