--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -16,25 +16,43 @@
 
 from tanagerfork import clock as clocks
 from tanagerfork import errors, lifecycle, logs
+from tanagerfork import measures as measure
 from tanagerfork import metrics as metric
 from tanagerfork import settings as settings_files
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book, mark, owner, sweeper, writer
-from tanagerfork.front import callers, chat, operators, services
+from tanagerfork.front import callers, chat, journal, listener, operators, services
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
-from tanagerfork.groups import coordinator, directory, observer, presence
+from tanagerfork.groups import (
+    coordinator,
+    directory,
+    layout_follower,
+    lease,
+    observer,
+    presence,
+    sender,
+)
 from tanagerfork.platform import etcd, vms
 from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
+from tanagerfork.upstream import connections
 from tanagerfork.upstream import engine as engines
 from tanagerfork.upstream import service as service_clients
 
 READY_CHECK_MS = 100
 DRAIN_CHECK_MS = 20
-CLOSE_S = 1.0
+OPERATOR_CONNECTIONS = 256
+CONNECTIONS_PER_REQUEST = 2
 USAGE_STATUS = 2
+GROUP_EVENTS = {
+    presence.GroupState.FORMING: kinds.EventKind.GROUP_FORMED,
+    presence.GroupState.WHOLE: kinds.EventKind.GROUP_WHOLE,
+    presence.GroupState.BROKEN: kinds.EventKind.GROUP_BROKEN,
+    presence.GroupState.DRAINING: kinds.EventKind.GROUP_DRAINING,
+    presence.GroupState.DISSOLVED: kinds.EventKind.GROUP_DISSOLVED,
+}
 
 
 class Daemon:
@@ -55,7 +73,10 @@
         self.groups.subscribe(self._note_group)
         self._rng = random.Random(settings.seed or None)
         self._tasks: list[asyncio.Task[None]] = []
-        self._runners: list[aiohttp.web.AppRunner] = []
+        self._listeners: list[listener.Listener] = []
+        self.measures = measure.Measures()
+        self.journal = journal.Journal(settings.name, clock, self.timeline, self.metrics)
+        self.metrics.collect_from(self._export_metrics)
         self._hasten = asyncio.Event()
         self.callers_port = 0
         self.operators_port = 0
@@ -67,10 +88,8 @@
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
             timeout=aiohttp.ClientTimeout(total=None),
         )
-        self._single_use_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            timeout=aiohttp.ClientTimeout(total=None),
-        )
+        self._single_use_session = connections.open_session(single_use=True)
+        self._pool = connections.Pool(asyncio.get_running_loop().time)
         self.store = etcd.EtcdKeyValue(
             self._session,
             settings.platform.key_value_url,
@@ -80,7 +99,9 @@
         self._vm_directory = vms.HttpVmDirectory(
             self._session, settings.platform.vm_list_url, settings.platform.key_value_timeout_ms
         )
-        self._engines = engines.HttpEngineClient(self._session, settings.groups.order_timeout_ms)
+        self._engines = engines.HttpEngineClient(
+            self._pool, self._single_use_session, settings.groups.order_timeout_ms
+        )
         self._observer = observer.Observer(
             self._engines,
             self.groups.presence,
@@ -107,11 +128,13 @@
         for task in self._tasks:
             task.cancel()
         self._services.close()
+        await self._coordinator.stop()
         self._observer.stop()
-        for runner in self._runners:
-            await runner.cleanup()
+        for opened in self._listeners:
+            await opened.stop()
         await self._session.close()
         await self._single_use_session.close()
+        await self._pool.close()
         self.lifecycle.apply("stop")
 
     def hasten(self) -> None:
@@ -150,45 +173,50 @@
         self.callers = callers.CallersFront(
             self.bundles, chats, self._services, settings.limits, self.clock, self.metrics
         )
-        operators_front = operators.OperatorsFront(
-            self._read_status,
-            self.timeline,
-            self.metrics,
-            self.bundles,
-            self.store,
-            self.clock,
-            settings.operators.token_sha256,
+        sources = operators.Sources(
+            self._read_status, self.timeline, self.journal, self.metrics, self.bundles, self.store
         )
+        operators_front = operators.OperatorsFront(sources, settings.operators.token_sha256)
+        callers_app = self.callers.build_app()
+        callers_app.middlewares.append(self.journal.note)
         self.operators_port = await self._listen(
-            operators_front.build_app(), settings.operators.host, settings.operators.port
+            operators_front.build_app(), settings.operators, OPERATOR_CONNECTIONS
         )
         self.callers_port = await self._listen(
-            self.callers.build_app(), settings.callers.host, settings.callers.port
+            callers_app, settings.callers, settings.limits.open_requests * CONNECTIONS_PER_REQUEST
         )
 
-    async def _listen(self, app: aiohttp.web.Application, host: str, port: int) -> int:
-        runner = aiohttp.web.AppRunner(
-            app, access_log=None, shutdown_timeout=CLOSE_S, handler_cancellation=True
+    async def _listen(
+        self,
+        app: aiohttp.web.Application,
+        bound: settings_records.Listener | settings_records.OperatorSettings,
+        max_connections: int,
+    ) -> int:
+        certificate = None
+        if bound.certificate_path:
+            certificate = listener.Certificate(bound.certificate_path, bound.private_key_path)
+            self._start_task(
+                listener.follow_certificate(certificate, self.clock, self.timeline, self.metrics)
+            )
+        opened = listener.Listener(
+            app, bound.host, bound.port, max_connections, self.metrics, certificate
         )
-        await runner.setup()
-        self._runners.append(runner)
-        await aiohttp.web.TCPSite(runner, host, port).start()
-        return int(runner.addresses[0][1])
+        self._listeners.append(opened)
+        return await opened.start()
 
     def _start_tasks(self) -> None:
         follow = follower.BundleFollower(
             self.store, self.bundles, self.clock, self.timeline, self.metrics
         )
-        coordinate = coordinator.Coordinator(
+        self._coordinator = self._make_coordinator()
+        follow_layout = layout_follower.LayoutFollower(
             self.settings.failure_domain,
+            self.settings.name,
             self.store,
-            self.bundles,
             self.groups,
-            self._engines,
             self.clock,
-            self.timeline,
-            self.metrics,
-            self.settings.groups.plan_interval_ms,
+            self._list_live_daemons,
+            self._rng,
         )
         sweep = sweeper.ClaimSweeper(
             self.store, self.clock, self.metrics, self._claim_mark, is_sweeper=lambda: True
@@ -196,9 +224,37 @@
         self._start_task(sweep.run())
         self._start_task(follow.run())
         self._start_task(self._follow_vms())
-        self._start_task(coordinate.run())
+        self._start_task(follow_layout.run())
+        self._start_task(self._coordinator.run())
         self._start_task(self._follow_readiness())
 
+    def _make_coordinator(self) -> coordinator.Coordinator:
+        settings = self.settings
+        keeper = lease.LeaseKeeper(
+            settings.failure_domain,
+            settings.name,
+            self.store,
+            self.clock,
+            settings.groups.lease_ttl_ms,
+            self._list_live_daemons,
+        )
+        return coordinator.Coordinator(
+            settings.failure_domain,
+            self.store,
+            self.bundles,
+            self.groups,
+            keeper,
+            sender.OrderSender(self._engines, self.clock, self.timeline, self.metrics),
+            self.clock,
+            self.timeline,
+            self.metrics,
+            settings.groups,
+            settings.limits.drain_limit_ms,
+        )
+
+    def _list_live_daemons(self) -> list[str]:
+        return [self.settings.name]
+
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -211,23 +267,44 @@
                     for vm in listed.ok_value.vms
                     if vm.failure_domain == self.settings.failure_domain
                 ]
-                self.groups.take_vms(own)
-                self._observer.follow(own)
+                self.groups.take_vms(own, self.clock.monotonic_ms())
+                self._observer.follow(self.groups.vms)
             await self.clock.sleep_ms(self.settings.platform.vm_list_interval_ms)
 
     async def _follow_readiness(self) -> None:
         while True:
             is_ready = self.bundles.current is not None
             self.lifecycle.apply("become_ready" if is_ready else "lose_readiness")
-            self.groups.views(self.clock.monotonic_ms())
+            self._take_measures()
             await self.clock.sleep_ms(READY_CHECK_MS)
 
+    def _take_measures(self) -> None:
+        now_ms = self.clock.monotonic_ms()
+        views = self.groups.views(now_ms)
+        in_force = self.bundles.current
+        sample = measure.take_sample(
+            self.settings.failure_domain,
+            in_force.bundle.models if in_force else (),
+            views,
+            self.groups.vms,
+            lambda vm: self.groups.is_reporting(vm, now_ms),
+        )
+        self.measures.advance(sample, [view.record.group for view in views], now_ms)
+
+    def _export_metrics(self, metrics: metric.Metrics) -> None:
+        self.measures.export(self.settings.failure_domain, metrics)
+        metrics.set_gauge("bundle_version", self.bundles.version)
+        metrics.set_gauge("open_requests", self.callers.open_requests)
+        metrics.set_gauge("timeline_ahead_seconds", self.timeline.time.ahead_ms / 1000)
+        metrics.set_counter("timeline_jumps_refused_total", self.timeline.time.refused_jumps)
+
     def _read_status(self) -> operator_records.DaemonStatus:
         return statuses.describe_daemon(
             self.settings,
             self.lifecycle.state,
             self.bundles,
             self.groups,
+            self.measures,
             self.callers.open_requests,
             self.clock.monotonic_ms(),
         )
@@ -236,8 +313,7 @@
         logs.log_event(self.timeline.record(kinds.EventKind.DAEMON_STATE, state))
 
     def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
-        is_whole = view.state == presence.GroupState.WHOLE
-        kind = kinds.EventKind.GROUP_WHOLE if is_whole else kinds.EventKind.GROUP_BROKEN
+        kind = GROUP_EVENTS[view.state]
         missing = ", ".join(view.missing)
         detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
         logs.log_event(self.timeline.record(kind, detail, group=view.record.group))
