--- a/src/tanagerfork/bundles/manifest.py
+++ b/src/tanagerfork/bundles/manifest.py
@@ -1,4 +1,9 @@
-"""Manifests: a bundle as content-hashed parts."""
+"""Manifests: a bundle as content-hashed parts.
+
+Each model and each service is a part. Teams share parts, by the hash of their names, so that the
+manifest of a bundle with hundreds of teams stays small: a change of one team costs the manifest and
+one part of some `TEAMS_PER_PART` teams.
+"""
 
 import dataclasses
 import hashlib
@@ -13,9 +18,14 @@
 
 MODEL = "model/"
 SERVICE = "service/"
-TEAM = "team/"
+TEAMS = "teams/"
 POLICY = "policy"
 
+MAX_PART_BYTES = 900_000  # The key-value service holds values up to 1 MB.
+MAX_MANIFEST_BYTES = 400_000  # The head holds it escaped, at most twice as large.
+MAX_PARTS = 2_000
+TEAMS_PER_PART = 16
+
 RecordT = TypeVar("RecordT")
 
 
@@ -27,6 +37,12 @@
     contents: Mapping[str, bytes]
 
 
+class TeamsPart(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Teams whose names hash to one part."""
+
+    teams: list[records.Team]
+
+
 class Policy(msgspec.Struct, kw_only=True):
     """The part of a bundle that is neither model, service nor team."""
 
@@ -55,7 +71,7 @@
     named: list[tuple[str, bytes]] = [(POLICY, _encode(_take_policy(bundle)))]
     named += [(MODEL + model.name, _encode(model)) for model in bundle.models]
     named += [(SERVICE + service.name, _encode(service)) for service in bundle.services]
-    named += [(TEAM + team.name, _encode(team)) for team in bundle.teams]
+    named += [(name, _encode(part)) for name, part in _share_teams(bundle.teams)]
     parts = [
         records.ManifestPart(name=name, sha256=hash_content(content), size_bytes=len(content))
         for name, content in named
@@ -64,6 +80,36 @@
     return Draft(manifest, {hash_content(content): content for _, content in named})
 
 
+def check_limits(
+    signed: records.SignedManifest, manifest: records.Manifest, contents: Mapping[str, bytes]
+) -> result.Result[None, errors.BundleError]:
+    """Check that a bundle fits the key-value service.
+
+    :param signed: manifest as signed.
+    :param manifest: the same, decoded.
+    :param contents: contents by hash.
+    :return: nothing, or what is too large and what to do.
+    """
+    size_bytes = len(signed.manifest_json.encode())
+    if size_bytes > MAX_MANIFEST_BYTES:
+        message = f"the manifest has {size_bytes} bytes, over {MAX_MANIFEST_BYTES}"
+        return result.Err(errors.BundleInvalid(message + "; run fewer models and services"))
+    if len(manifest.parts) > MAX_PARTS:
+        message = f"the bundle has {len(manifest.parts)} parts, over {MAX_PARTS}"
+        return result.Err(errors.BundleInvalid(message + "; run fewer models and services"))
+    if len({part.name for part in manifest.parts}) < len(manifest.parts):
+        return result.Err(errors.BundleInvalid("a part stands twice; draft the bundle again"))
+    for part in manifest.parts:
+        size_bytes = len(contents.get(part.sha256, b""))
+        if max(size_bytes, part.size_bytes) > MAX_PART_BYTES:
+            message = f"part {part.name} exceeds {MAX_PART_BYTES} bytes; shorten its lists"
+            return result.Err(errors.BundleInvalid(message))
+        if size_bytes and size_bytes != part.size_bytes:
+            message = f"part {part.name} has another size than its manifest says; draft it again"
+            return result.Err(errors.BundleInvalid(message))
+    return result.Ok(None)
+
+
 def assemble_bundle(
     manifest: records.Manifest, contents: Mapping[str, bytes]
 ) -> result.Result[records.Bundle, errors.BundleError]:
@@ -99,10 +145,27 @@
         services=[
             _decode(found, name, records.Service) for name in found if name.startswith(SERVICE)
         ],
-        teams=[_decode(found, name, records.Team) for name in found if name.startswith(TEAM)],
+        teams=_join_teams(found),
     )
 
 
+def _share_teams(teams: list[records.Team]) -> list[tuple[str, TeamsPart]]:
+    parts = 1
+    while parts * TEAMS_PER_PART < len(teams):
+        parts *= 2
+    shared: dict[str, list[records.Team]] = {}
+    for team in sorted(teams, key=lambda team: team.name):
+        number = int(hash_content(team.name.encode())[:8], 16) % parts
+        shared.setdefault(f"{TEAMS}{number}-of-{parts}", []).append(team)
+    return [(name, TeamsPart(teams=shared[name])) for name in sorted(shared)]
+
+
+def _join_teams(found: Mapping[str, bytes]) -> list[records.Team]:
+    parts = [_decode(found, name, TeamsPart) for name in found if name.startswith(TEAMS)]
+    teams = [team for part in parts for team in part.teams]
+    return sorted(teams, key=lambda team: team.name)
+
+
 def _take_policy(bundle: records.Bundle) -> Policy:
     return Policy(name=bundle.name, priorities=bundle.priorities, placement=bundle.placement)
 
--- a/src/tanagerfork/bundles/register.py
+++ b/src/tanagerfork/bundles/register.py
@@ -1,4 +1,9 @@
-"""The bundle in force at one daemon; versions only grow."""
+"""The bundle in force at one daemon; versions only grow.
+
+Two bundles may claim one version only where the service was restored to an older state and another
+bundle was rolled on it. Each daemon then keeps what it accepted first and refuses the other; the
+next version that is rolled comes in force everywhere.
+"""
 
 import dataclasses
 from collections.abc import Callable, Mapping, Sequence
@@ -66,6 +71,17 @@
         :param head: head from the key-value service or a peer.
         :return: its manifest, or why it may not.
         """
+        in_force = self.current.head if self.current else None
+        if (
+            in_force
+            and head.version == self.version
+            and in_force.manifest_sha256 != (head.manifest_sha256)
+        ):
+            message = (
+                f"version {head.version} is in force with another manifest, rolled by "
+                f"{in_force.rolled_by or 'unknown'}; rebase and roll version {head.version + 1}"
+            )
+            return result.Err(errors.VersionForked(message))
         if head.version <= self.version:
             message = f"version {head.version} is no newer than {self.version}; nothing to do"
             return result.Err(errors.VersionNotNewer(message))
@@ -103,6 +119,9 @@
             return checked
         manifest = checked.ok_value
         merged = {**self.contents, **contents}
+        fits = manifests.check_limits(head.signed, manifest, merged)
+        if isinstance(fits, result.Err):
+            return fits
         assembled = manifests.assemble_bundle(manifest, merged)
         if isinstance(assembled, result.Err):
             return assembled
--- a/src/tanagerfork/bundles/signature.py
+++ b/src/tanagerfork/bundles/signature.py
@@ -40,11 +40,14 @@
     :param operator_keys: keys whose sign-off counts.
     :return: the manifest, or why the sign-off does not count.
     """
+    if not signed.signature or not signed.operator:
+        message = "the bundle is not signed off; run `tanagerfork bundle sign-off`"
+        return result.Err(errors.SignatureInvalid(message))
     keys = [key for key in operator_keys if key.operator == signed.operator]
     if not keys:
         message = f"operator {signed.operator!r} is unknown; add the key to operator_keys"
         return result.Err(errors.SignatureInvalid(message))
-    encoded = signed.manifest_json.encode()
+    encoded = signed.manifest_json.encode(errors="surrogatepass")
     if not any(_is_signed_by(key.public_key, signed.signature, encoded) for key in keys):
         message = f"the sign-off by {signed.operator!r} does not fit; sign the bundle off again"
         return result.Err(errors.SignatureInvalid(message))
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -258,6 +258,12 @@
     status = 409
 
 
+class VersionForked(VersionNotNewer):
+    """Two bundles claim one version."""
+
+    kind = "version_forked"
+
+
 class PeerMessageInvalid(TanagerforkError):
     """A peer's message was dropped."""
 
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp.web
 import msgspec
@@ -11,9 +11,9 @@
 from tanagerfork import errors, logs
 from tanagerfork import metrics as metric
 from tanagerfork import status as statuses
+from tanagerfork.bundles import document, register
 from tanagerfork.bundles import head as heads
 from tanagerfork.bundles import manifest as manifests
-from tanagerfork.bundles import register
 from tanagerfork.front import callers as callers_front
 from tanagerfork.front import journal as journals
 from tanagerfork.front import teams
@@ -84,6 +84,7 @@
         app.router.add_get("/v1/requests/{request_id}", self._serve_request)
         app.router.add_get("/v1/bundle/head", self._serve_head)
         app.router.add_get("/v1/bundle/in-force", self._serve_in_force)
+        app.router.add_get("/v1/bundle/history", self._serve_history)
         app.router.add_get("/v1/bundle/parts/{sha256}", self._serve_part)
         app.router.add_post("/v1/bundle/roll", self._serve_roll)
         app.middlewares.append(self._check_call)
@@ -163,6 +164,18 @@
             return _refuse(errors.NotFound("no bundle is in force; roll one"))
         return _answer(self._bundles.current.head)
 
+    async def _serve_history(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        found = await heads.read_head(self._store)
+        past = await heads.list_history(self._store)
+        if isinstance(found, result.Err):
+            return _refuse(found.err_value)
+        if isinstance(past, result.Err):
+            return _refuse(past.err_value)
+        current = found.ok_value.head
+        rolled = ([current] if current else []) + past.ok_value
+        entries = [_describe_rolled(head) for head in rolled]
+        return _answer(operators.BundleHistory(entries=entries))
+
     async def _serve_part(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         content = self._bundles.contents.get(request.match_info["sha256"])
         if content is None:
@@ -188,17 +201,21 @@
         verified = self._bundles.verify(signed)
         if isinstance(verified, result.Err):
             return verified
-        contents = {manifests.hash_content(part.encode()): part.encode() for part in call.parts}
-        assembled = manifests.assemble_bundle(verified.ok_value, contents)
-        if isinstance(assembled, result.Err):
-            return assembled
+        sent = {manifests.hash_content(part.encode()): part.encode() for part in call.parts}
+        contents = {**self._bundles.contents, **sent}
+        checked = _check_draft(signed, verified.ok_value, contents)
+        if isinstance(checked, result.Err):
+            return checked
         draft = manifests.Draft(verified.ok_value, contents)
-        published = await heads.publish_parts(self._store, draft)
+        in_force = self._bundles.current
+        parent = in_force.manifest if in_force else None
+        published = await heads.publish_parts(self._store, draft, parent)
         if isinstance(published, result.Err):
             return published
         rolled_by = call.rolled_by or call.operator
         at_ms = self._timeline.stamp().ceiling_ms
-        rolled = await heads.roll_head(self._store, signed, rolled_by, at_ms)
+        known = in_force.head if in_force else None
+        rolled = await heads.roll_head(self._store, signed, rolled_by, at_ms, known)
         if isinstance(rolled, result.Ok):
             version = rolled.ok_value.version
             event = self._timeline.record(
@@ -210,6 +227,34 @@
         return rolled
 
 
+def _check_draft(
+    signed: bundle.SignedManifest, manifest: bundle.Manifest, contents: Mapping[str, bytes]
+) -> result.Result[None, errors.BundleError]:
+    fits = manifests.check_limits(signed, manifest, contents)
+    if isinstance(fits, result.Err):
+        return fits
+    assembled = manifests.assemble_bundle(manifest, contents)
+    if isinstance(assembled, result.Err):
+        return assembled
+    try:
+        document.check_bundle(assembled.ok_value)
+    except errors.BundleInvalid as error:
+        return result.Err(error)
+    return result.Ok(None)
+
+
+def _describe_rolled(head: bundle.Head) -> operators.HistoryItem:
+    manifest = msgspec.json.decode(head.signed.manifest_json, type=bundle.Manifest)
+    return operators.HistoryItem(
+        version=head.version,
+        name=manifest.name,
+        operator=head.signed.operator,
+        rolled_by=head.rolled_by,
+        rolled_at_ms=head.rolled_at_ms,
+        manifest_sha256=head.manifest_sha256,
+    )
+
+
 def _answer(record: msgspec.Struct) -> aiohttp.web.Response:
     return aiohttp.web.Response(body=msgspec.json.encode(record), content_type="application/json")
 
--- a/tests/test_claims_keys.py
+++ b/tests/test_claims_keys.py
@@ -20,7 +20,10 @@
         assert keys.place_key("team", key).shard.startswith(keys.PLAIN_PREFIX)
 
     def test_buckets_sort_by_time(self):
-        names = [keys.name_bucket(time_ms) for time_ms in (0, keys.BUCKET_MS - 1, keys.BUCKET_MS, 1 << 47)]
+        names = [
+            keys.name_bucket(time_ms)
+            for time_ms in (0, keys.BUCKET_MS - 1, keys.BUCKET_MS, 1 << 47)
+        ]
         assert names == sorted(names) and names[0] == names[1] != names[2]
 
 
