--- a/src/tanagerfork/bundles/document.py
+++ b/src/tanagerfork/bundles/document.py
@@ -39,17 +39,16 @@
     _check_unique("services", services)
     _check_unique("teams", [team.name for team in bundle.teams])
     _check_unique("team tokens", [token for team in bundle.teams for token in team.token_sha256])
-    for team in bundle.teams:
-        _check_known(f"teams.{team.name}.models", team.models, models)
-        _check_known(f"teams.{team.name}.services", team.services, services)
-    for service in bundle.services:
-        _check_unique(f"services.{service.name}", [item.name for item in service.upstreams])
     for model in bundle.models:
         _check_model(model)
     for service in bundle.services:
         _check_service(service)
     for team in bundle.teams:
         _check_team(team)
+        _check_known(f"teams.{team.name}.models", team.models, models)
+        _check_known(f"teams.{team.name}.services", team.services, services)
+    for service in bundle.services:
+        _check_unique(f"services.{service.name}", [item.name for item in service.upstreams])
     _check_unique("priorities", [rule.tag for rule in bundle.priorities])
 
 
--- a/src/tanagerfork/bundles/head.py
+++ b/src/tanagerfork/bundles/head.py
@@ -20,7 +20,7 @@
 PART_PREFIX = "bundle/part/"
 HISTORY_PREFIX = "bundle/history/"
 VERSION_DIGITS = 10  # Versions sort like numbers.
-REPAIR_TRIES = 3
+PUT_TRIES = 4
 HISTORY_KEPT = 100  # Versions.
 
 
@@ -104,7 +104,7 @@
         content = draft.contents.get(part.sha256)
         if content is None or part.sha256 in held:
             continue
-        published = await _publish_part(store, part.sha256, content)
+        published = await _put(store, PART_PREFIX + part.sha256, content)
         if isinstance(published, result.Err):
             return published
     return result.Ok(None)
@@ -277,40 +277,32 @@
 async def _keep_history(
     store: key_value.KeyValue, head: records.Head
 ) -> result.Result[None, errors.PlatformError]:
-    value = msgspec.json.encode(head)
-    key = _name_history(head.version)
-    written = await store.swap(key, value, key_value.ABSENT)
-    if isinstance(written, result.Ok):
+    # A version that was rolled again on a restored service takes the place of the lost one.
+    kept = await _put(store, _name_history(head.version), msgspec.json.encode(head))
+    if kept.is_ok():
         oldest = _name_history(max(0, head.version - HISTORY_KEPT))
         await store.delete_range(HISTORY_PREFIX, oldest)  # What fails is deleted with the next.
-        return result.Ok(None)
-    found = await store.read(key)
-    if isinstance(found, result.Err):
-        return found
-    if found.ok_value is None:
-        return result.Err(written.err_value)
-    if found.ok_value.value != value:
-        # A version rolled again on a restored service takes the place of the lost one.
-        return (await store.swap(key, value, found.ok_value.revision)).map(lambda _: None)
-    return result.Ok(None)
+    return kept
 
 
-async def _publish_part(
-    store: key_value.KeyValue, sha256: str, content: bytes
+async def _put(
+    store: key_value.KeyValue, key: str, content: bytes
 ) -> result.Result[None, errors.PlatformError]:
-    key, revision = PART_PREFIX + sha256, key_value.ABSENT
-    for _ in range(REPAIR_TRIES):
+    revision = key_value.ABSENT
+    for _ in range(PUT_TRIES):
         written = await store.swap(key, content, revision)
-        if written.is_ok() or isinstance(written.unwrap_err(), errors.PlatformUnavailable):
-            return written.map(lambda _: None)
+        if written.is_ok():
+            return result.Ok(None)
+        if isinstance(written.unwrap_err(), errors.PlatformUnavailable):
+            break
         found = await store.read(key)
         if isinstance(found, result.Err):
-            return found
+            break
         entry = found.ok_value
         if entry is not None and entry.value == content:
             return result.Ok(None)
         revision = entry.revision if entry else key_value.ABSENT
-    message = f"part {sha256[:12]} could not be written; roll the bundle again"
+    message = f"{key} could not be written, so nothing was rolled; roll again later"
     return result.Err(errors.PlatformUnavailable(message))
 
 
