--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -162,6 +162,13 @@
     ran = NOT_RUN
 
 
+class ValueTooLarge(PlatformUnavailable):
+    """A value exceeds what the key-value service holds."""
+
+    kind = "value_too_large"
+    status = 413
+
+
 class AnswerLost(PlatformError):
     """The call may have taken effect; its answer was lost."""
 
--- a/src/tanagerfork/platform/etcd.py
+++ b/src/tanagerfork/platform/etcd.py
@@ -13,6 +13,11 @@
 from tanagerfork.platform import key_value
 
 WATCH_LINE_BYTES = 4 * 1024 * 1024
+VALUE_LIMIT_BYTES = 1_000_000
+WATCH_SILENCE_MS = 60_000  # A watch that says nothing for so long is ended, to be opened anew.
+TOO_MANY = 429
+UNAVAILABLE = 503  # Sent for timeouts inside the service too, after which a write may take effect.
+MALFORMED = (400, 413)
 
 
 class _Kv(msgspec.Struct):
@@ -59,6 +64,7 @@
     """Events of a watch."""
 
     events: list[_Event] = []
+    canceled: bool = False
 
 
 class _WatchLine(msgspec.Struct):
@@ -126,23 +132,29 @@
     :param base_url: address of the gateway.
     :param key_prefix: prefix of every key of the fleet.
     :param timeout_ms: deadline of one call, in milliseconds.
+    :param watch_silence_ms: silence after which a watch is ended, in milliseconds.
     """
 
-    __slots__ = ("_session", "_base_url", "_key_prefix", "_timeout_s")
+    __slots__ = ("_session", "_base_url", "_key_prefix", "_timeout_s", "_watch_silence_s")
 
     def __init__(
-        self, session: aiohttp.ClientSession, base_url: str, key_prefix: str, timeout_ms: int
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        key_prefix: str,
+        timeout_ms: int,
+        watch_silence_ms: int = WATCH_SILENCE_MS,
     ) -> None:
         self._session = session
         self._base_url = base_url.rstrip("/")
         self._key_prefix = key_prefix
         self._timeout_s = timeout_ms / 1000
+        self._watch_silence_s = watch_silence_ms / 1000
 
     async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
         """Read one key; see `key_value.KeyValue.read`."""
         call = _RangeCall(key=self._encode_key(key))
-        answer = await self._call("/v3/kv/range", call, _RangeAnswer)
-        return answer.map(lambda found: self._decode_kv(found.kvs[0]) if found.kvs else None)
+        return (await self._read(call)).map(lambda found: found[0] if found else None)
 
     async def read_prefix(
         self, prefix: str
@@ -151,13 +163,14 @@
         first = (self._key_prefix + prefix).encode()
         after_last = first[:-1] + bytes([first[-1] + 1])
         call = _RangeCall(key=_to_base64(first), range_end=_to_base64(after_last))
-        answer = await self._call("/v3/kv/range", call, _RangeAnswer)
-        return answer.map(lambda found: [self._decode_kv(kv) for kv in found.kvs])
+        return await self._read(call)
 
     async def swap(
         self, key: str, value: bytes, revision: int
     ) -> result.Result[int, errors.PlatformError]:
         """Write a key under its revision; see `key_value.KeyValue.swap`."""
+        if len(value) > VALUE_LIMIT_BYTES:
+            return result.Err(_describe_oversize(key, len(value)))
         encoded_key = self._encode_key(key)
         call = _TxnCall(
             compare=[_Compare(key=encoded_key, mod_revision=str(revision))],
@@ -181,7 +194,9 @@
     async def watch(self, key: str, revision: int) -> AsyncIterator[key_value.Entry]:
         """Follow one key; see `key_value.KeyValue.watch`."""
         call = _WatchCall(_WatchCreate(key=self._encode_key(key), start_revision=str(revision)))
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=self._timeout_s, sock_read=self._watch_silence_s
+        )
         try:
             async with self._session.post(
                 self._base_url + "/v3/watch",
@@ -190,12 +205,26 @@
                 read_bufsize=WATCH_LINE_BYTES,
             ) as response:
                 async for line in response.content:
-                    for event in msgspec.json.decode(line, type=_WatchLine).result.events:
+                    told = msgspec.json.decode(line, type=_WatchLine).result
+                    if told.canceled:  # Its start was compacted away; the caller reads anew.
+                        return
+                    for event in told.events:
                         if event.type == "PUT":
                             yield self._decode_kv(event.kv)
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError, ValueError):
             return
 
+    async def _read(
+        self, call: _RangeCall
+    ) -> result.Result[list[key_value.Entry], errors.PlatformError]:
+        answer = await self._call("/v3/kv/range", call, _RangeAnswer)
+        if isinstance(answer, result.Err):
+            return answer
+        try:
+            return result.Ok([self._decode_kv(kv) for kv in answer.ok_value.kvs])
+        except ValueError as error:
+            return result.Err(errors.AnswerLost(f"the key-value service's answer is bad: {error}"))
+
     async def _call(
         self, path: str, call: msgspec.Struct, answer_type: type[AnswerT]
     ) -> result.Result[AnswerT, errors.PlatformError]:
@@ -209,8 +238,11 @@
             return result.Err(errors.PlatformUnavailable("the key-value service is away; wait"))
         except (aiohttp.ClientError, TimeoutError):
             return result.Err(errors.AnswerLost("the key-value service gave no answer; read back"))
-        if response.status in (429, 503):
-            return result.Err(errors.PlatformUnavailable("the key-value service refused; wait"))
+        if response.status == TOO_MANY or response.status in MALFORMED:
+            message = f"the key-value service refused the call ({response.status}); come back later"
+            return result.Err(errors.PlatformUnavailable(message))
+        if response.status == UNAVAILABLE and isinstance(call, _RangeCall):
+            return result.Err(errors.PlatformUnavailable("the key-value service is away; wait"))
         if response.status != 200:
             return result.Err(errors.AnswerLost(f"the key-value service said {response.status}"))
         try:
@@ -226,5 +258,10 @@
         return key_value.Entry(key, base64.b64decode(kv.value), int(kv.mod_revision))
 
 
+def _describe_oversize(key: str, size_bytes: int) -> errors.PlatformError:
+    message = f"the value of {key} has {size_bytes} bytes, over {VALUE_LIMIT_BYTES}; shorten it"
+    return errors.ValueTooLarge(message)
+
+
 def _to_base64(value: bytes) -> str:
     return base64.b64encode(value).decode()
