--- a/bench/bundles.py
+++ b/bench/bundles.py
@@ -9,24 +9,21 @@
 import dataclasses
 import hashlib
 import random
-from collections.abc import AsyncIterator
 
 import msgspec
-import result
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
-from bench import virtual
-from tanagerfork import errors
+from bench import stores, virtual
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import follower, register, signature
 from tanagerfork.bundles import head as heads
 from tanagerfork.bundles import manifest as manifests
 from tanagerfork.generated import bundle as records
 from tanagerfork.generated import settings as settings_records
-from tanagerfork.platform import key_value
 from tanagerfork.timeline import ring
 
 SEED = 7
+SERVICE_MS = 5
 OPERATOR = "ipoh"
 DAEMONS = (6, 20, 70)
 WATCHERS = {6: 6, 20: 6, 70: 2}  # Two in each failure domain.
@@ -37,63 +34,6 @@
 LETTER_CHANGE_INTERVAL_S = 86_400 / 7_800
 
 
-class CountedKeyValue:
-    """A key-value service in memory that counts calls and the bytes that readers get."""
-
-    def __init__(self) -> None:
-        self.entries: dict[str, key_value.Entry] = {}
-        self.revision = 1
-        self.reads = self.writes = self.read_bytes = self.written_bytes = 0
-        self._changed = asyncio.Event()
-
-    async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
-        """Read one key."""
-        self.reads += 1
-        entry = self.entries.get(key)
-        self.read_bytes += len(entry.value) if entry else 0
-        await asyncio.sleep(0.005)
-        return result.Ok(entry)
-
-    async def read_prefix(
-        self, prefix: str
-    ) -> result.Result[list[key_value.Entry], errors.PlatformError]:
-        """Read all keys with a prefix."""
-        return result.Ok([entry for key, entry in self.entries.items() if key.startswith(prefix)])
-
-    async def swap(
-        self, key: str, value: bytes, revision: int
-    ) -> result.Result[int, errors.PlatformError]:
-        """Write a key under its revision."""
-        self.writes += 1
-        self.written_bytes += len(value)
-        known = self.entries.get(key)
-        if (known.revision if known else key_value.ABSENT) != revision:
-            return result.Err(errors.Conflict(f"{key} was written by another; read it again"))
-        self.revision += 1
-        self.entries[key] = key_value.Entry(key, value, self.revision)
-        self._changed.set()
-        self._changed = asyncio.Event()
-        return result.Ok(self.revision)
-
-    async def delete_range(
-        self, first: str, after_last: str
-    ) -> result.Result[int, errors.PlatformError]:
-        """Delete nothing."""
-        self.writes += 1
-        return result.Ok(0)
-
-    async def watch(self, key: str, revision: int) -> AsyncIterator[key_value.Entry]:
-        """Follow one key."""
-        while True:
-            entry = self.entries.get(key)
-            if entry is not None and entry.revision >= revision:
-                revision = entry.revision + 1
-                self.read_bytes += len(entry.value)
-                yield entry
-            else:
-                await self._changed.wait()
-
-
 @dataclasses.dataclass(slots=True)
 class Measured:
     """What the changes cost."""
@@ -158,7 +98,7 @@
     trusted = settings_records.OperatorKey(
         operator=OPERATOR, public_key=signature.encode_public_key(key)
     )
-    store, bundle = CountedKeyValue(), make_bundle(size)
+    store, bundle = stores.CountedKeyValue(SERVICE_MS), make_bundle(size)
     head = await _roll(store, bundle, None, key)
     registers = [register.BundleRegister([trusted]) for _ in range(daemons)]
     tasks = [
@@ -193,7 +133,7 @@
 
 
 async def _roll(
-    store: CountedKeyValue,
+    store: stores.CountedKeyValue,
     bundle: records.Bundle,
     parent: records.Head | None,
     key: ed25519.Ed25519PrivateKey,
@@ -214,7 +154,10 @@
 
 
 def _start(
-    store: CountedKeyValue, bundles: register.BundleRegister, rng: random.Random, is_watcher: bool
+    store: stores.CountedKeyValue,
+    bundles: register.BundleRegister,
+    rng: random.Random,
+    is_watcher: bool,
 ) -> asyncio.Task[None]:
     clock = virtual.VirtualClock()
     followed = follower.BundleFollower(
@@ -229,7 +172,7 @@
     return asyncio.create_task(followed.run())
 
 
-async def _count(store: CountedKeyValue, duration_s: float) -> tuple[int, int]:
+async def _count(store: stores.CountedKeyValue, duration_s: float) -> tuple[int, int]:
     before = store.reads, store.read_bytes
     await asyncio.sleep(duration_s)
     return store.reads - before[0], store.read_bytes - before[1]
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -7,12 +7,12 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import Iterable
 
 import msgspec
 import result
 
-from bench import virtual
+from bench import stores, virtual
 from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.claims import book, decision, keys, mark, owner, writer
@@ -35,62 +35,6 @@
 GOAL_WAIT_MS = 30
 
 
-class SlowKeyValue:
-    """A key-value service in memory that answers after `SERVICE_MS` and counts its calls."""
-
-    def __init__(self) -> None:
-        self.entries: dict[str, key_value.Entry] = {}
-        self.revision = 1
-        self.reads = 0
-        self.writes = 0
-        self.written_bytes = 0
-        self.largest_bytes = 0
-
-    async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
-        """Read one key."""
-        self.reads += 1
-        await asyncio.sleep(SERVICE_MS / 2000)
-        found = self.entries.get(key)
-        await asyncio.sleep(SERVICE_MS / 2000)
-        return result.Ok(found)
-
-    async def read_prefix(
-        self, prefix: str
-    ) -> result.Result[list[key_value.Entry], errors.PlatformError]:
-        """Read all keys with a prefix."""
-        self.reads += 1
-        return result.Ok([entry for key, entry in self.entries.items() if key.startswith(prefix)])
-
-    async def swap(
-        self, key: str, value: bytes, revision: int
-    ) -> result.Result[int, errors.PlatformError]:
-        """Write a key under its revision."""
-        self.writes += 1
-        self.written_bytes += len(value)
-        self.largest_bytes = max(self.largest_bytes, len(value))
-        await asyncio.sleep(SERVICE_MS / 2000)
-        known = self.entries.get(key)
-        if (known.revision if known else key_value.ABSENT) != revision:
-            await asyncio.sleep(SERVICE_MS / 2000)
-            return result.Err(errors.Conflict(f"{key} was written by another; read it again"))
-        self.revision += 1
-        entry = key_value.Entry(key, value, self.revision)
-        self.entries[key] = entry
-        await asyncio.sleep(SERVICE_MS / 2000)
-        return result.Ok(entry.revision)
-
-    async def delete_range(
-        self, first: str, after_last: str
-    ) -> result.Result[int, errors.PlatformError]:
-        """Delete nothing."""
-        return result.Ok(0)
-
-    async def watch(self, key: str, revision: int) -> AsyncIterator[key_value.Entry]:
-        """Follow nothing."""
-        return
-        yield
-
-
 class NearPeers:
     """Daemons in one process, `ONE_WAY_MS` apart."""
 
@@ -114,7 +58,7 @@
 class SingleWriter:
     """The baseline: each record is read and written by itself."""
 
-    def __init__(self, store: SlowKeyValue) -> None:
+    def __init__(self, store: stores.CountedKeyValue) -> None:
         self._store = store
 
     async def submit(self, call: claims.ClaimCall) -> writer.Reply:
@@ -161,7 +105,11 @@
 
 async def _measure(rate_per_s: int, daemons: int, is_timed: bool, is_baseline: bool) -> Measured:
     rng = random.Random(SEED)
-    store, clock, metrics = SlowKeyValue(), virtual.VirtualClock(), metric.Metrics()
+    store, clock, metrics = (
+        stores.CountedKeyValue(SERVICE_MS),
+        virtual.VirtualClock(),
+        metric.Metrics(),
+    )
     peers = NearPeers()
     books: dict[str, book.ClaimBook] = {}
     for number in range(daemons):
--- a/src/tanagerfork/claims/book.py
+++ b/src/tanagerfork/claims/book.py
@@ -21,6 +21,7 @@
 SETTLE_LAST_MS = 5_000
 SETTLE_LIMIT_MS = 3_600_000
 UNSETTLED_LIMIT = 10_000
+AVOID_OWNER_MS = 2_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -89,7 +90,16 @@
     :param peers: way to the other daemons' writers.
     """
 
-    __slots__ = ("_name", "_clock", "_metrics", "_writer", "_mark", "_peers", "_settling")
+    __slots__ = (
+        "_name",
+        "_clock",
+        "_metrics",
+        "_writer",
+        "_mark",
+        "_peers",
+        "_settling",
+        "_avoided_until_ms",
+    )
 
     def __init__(
         self,
@@ -107,6 +117,7 @@
         self._mark = watermark
         self._peers = peers
         self._settling: set[asyncio.Task[None]] = set()
+        self._avoided_until_ms: dict[str, int] = {}
 
     @property
     def unsettled(self) -> int:
@@ -127,7 +138,8 @@
                 return self._give_up(Granted(place.shard, asked), replied.err_value)
             reply = replied.ok_value
             if reply.verdict == "granted":
-                return await self._confirm(place, Granted(place.shard, reply.record))
+                granted = Granted(place.shard, reply.record)
+                return await self._confirm(place, granted, deadline_at_ms)
             if reply.verdict != "taken":
                 return result.Err(_describe_refusal(reply))
             record = await self._wait_for_outcome(place.shard, reply.record, deadline_at_ms)
@@ -176,18 +188,29 @@
 
     async def _submit(self, call: claims.ClaimCall) -> writer.Reply:
         chosen = owner.choose_owner(call.shard, self._peers.list_live())
-        if chosen is not None and chosen != self._name:
-            sent = await self._peers.send(chosen, call)
-            if sent.is_ok():
-                return sent
-            # The call may have been written all the same; the attempt in the record tells.
-            self._metrics.count("claims_forwarded_in_vain_total")
+        if chosen is None or chosen == self._name or self._is_avoided(chosen):
+            return await self._writer.submit(call)
+        sent = await self._peers.send(chosen, call)
+        if sent.is_ok():
+            return sent
+        # The call may have been written all the same; the attempt in the record tells.
+        self._metrics.count("claims_forwarded_in_vain_total")
+        self._avoided_until_ms[chosen] = self._clock.monotonic_ms() + AVOID_OWNER_MS
         return await self._writer.submit(call)
 
+    def _is_avoided(self, name: str) -> bool:
+        if self._clock.monotonic_ms() < self._avoided_until_ms.get(name, 0):
+            return True
+        self._avoided_until_ms.pop(name, None)
+        return False
+
     async def _confirm(
-        self, place: keys.KeyPlace, granted: Granted
+        self, place: keys.KeyPlace, granted: Granted, deadline_at_ms: int
     ) -> result.Result[Granted | Outcome, errors.CallerError]:
         checked = await self._mark.check(place)
+        if isinstance(checked, result.Ok) and self._clock.monotonic_ms() >= deadline_at_ms:
+            message = "the deadline passed before the claim was in force; send the same key again"
+            checked = result.Err(errors.NotRun(message, RETRY_MS))
         if isinstance(checked, result.Ok):
             return result.Ok(granted)
         is_expired = checked.err_value.ran != errors.NOT_RUN
--- a/src/tanagerfork/claims/sweeper.py
+++ b/src/tanagerfork/claims/sweeper.py
@@ -54,7 +54,10 @@
 
         :return: nothing, or why the service did not do it; the next sweep makes up for it.
         """
-        raised = await self._mark.raise_to(self._clock.wall_ms() - self._retention_ms)
+        forgotten_to_ms = self._clock.wall_ms() - self._retention_ms
+        # All daemons round alike, so that only the first of them writes.
+        rounded_ms = forgotten_to_ms - forgotten_to_ms % SWEEP_INTERVAL_MS
+        raised = await self._mark.raise_to(rounded_ms)
         if isinstance(raised, result.Err):
             return raised
         await self._clock.sleep_ms(mark.SWEEP_WAIT_MS)
--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -219,7 +219,12 @@
             self._rng,
         )
         sweep = sweeper.ClaimSweeper(
-            self.store, self.clock, self.metrics, self._claim_mark, is_sweeper=lambda: True
+            self.store,
+            self.clock,
+            self.metrics,
+            self._claim_mark,
+            is_sweeper=lambda: True,
+            retention_ms=self.settings.limits.claim_retention_ms,
         )
         self._start_task(sweep.run())
         self._start_task(follow.run())
--- a/tests/test_claims_book.py
+++ b/tests/test_claims_book.py
@@ -245,6 +245,12 @@
         revision = before.revision if before else 0
         assert (await fleet.store.swap(place.shard, b"late", revision)).is_err()
 
+    async def test_claim_in_force_only_after_the_deadline_does_not_run(self):
+        fleet = Fleet()
+        assert describe(await fleet.claim(deadline_ms=0)) == "not_run"
+        await fleet.drive(asyncio.ensure_future(fleet.wait_until_settled("a")))
+        assert describe(await fleet.claim("b")) == "granted"
+
     async def test_two_daemons_at_once_get_one_grant(self):
         fleet = Fleet()
         wishes = [fleet.books[name].claim(fleet.make_wish()) for name in ("a", "b")]
@@ -298,6 +304,14 @@
         first = [await fleet.claim(name, key="lot-8") for name in ("a", "b", "c")]
         assert list(map(describe, first)) == ["granted", "outcome_unknown", "outcome_unknown"]
 
+    async def test_dead_writer_is_asked_once_in_a_while(self):
+        fleet = Fleet(("a", "b"), is_forwarding=True)
+        fleet.peers.lost_calls = 1_000
+        made = [keys.make_timed_key(fleet.clock.wall_ms(), number) for number in range(30)]
+        for key in made:
+            assert describe(await fleet.claim(key=key)) == "granted"
+        assert 1_000 - fleet.peers.lost_calls <= 2
+
     async def test_late_duplicate_of_a_forward_does_not_claim_again(self):
         fleet = Fleet()
         granted = (await fleet.claim()).ok_value
@@ -338,6 +352,16 @@
             again = await fleet.claim(daemon, key=key)
             assert (describe(again), again.err_value.ran) == ("key_expired", "unknown")
 
+    async def test_second_sweeper_of_the_same_time_does_not_raise_the_mark_again(self):
+        fleet = Fleet()
+        fleet.clock.advance(mark.RETENTION_MS)
+        await self.sweep(fleet)
+        stored = fleet.store.entries[mark.MARK_KEY].revision
+        assert (await fleet.marks["b"].raise_to(0)).unwrap() == (
+            await fleet.marks["a"].raise_to(0)
+        ).unwrap()
+        assert fleet.store.entries[mark.MARK_KEY].revision == stored
+
     async def test_other_key_is_never_forgotten_but_its_answer_is(self):
         fleet = Fleet()
         await answer(fleet, (await fleet.claim()).ok_value)
