--- a/src/tanagerfork/front/services.py
+++ b/src/tanagerfork/front/services.py
@@ -177,7 +177,7 @@
         key=request.idempotency_key,
         request_hash=keys.hash_request(request.method, path, request.body),
         attempt=uuid.uuid4().hex,
-        runs_for_ms=call_ms * max(1, len(request.service.upstreams)),
+        runs_for_ms=call_ms,
         deadline_ms=request.timeout_ms,
     )
 
--- a/tests/test_claims_book.py
+++ b/tests/test_claims_book.py
@@ -152,15 +152,21 @@
 ]
 
 
+AT_THE_CLAIM = [("lost_answers", 0), ("lost_answers", 2), ("lost_calls", 1), ("lost_calls", 2)]
+
+
 class TestResend:
     @pytest.mark.parametrize(("fault", "bring_about", "seen"), AFTER_A_GRANT)
+    @pytest.mark.parametrize(("at_the_claim", "times"), AT_THE_CLAIM)
     @pytest.mark.parametrize("daemon", ["a", "b"])
     @pytest.mark.parametrize("is_timed", [False, True])
     async def test_outcome_of_the_first_send_is_told(
-        self, fault, bring_about, seen, daemon, is_timed
+        self, fault, bring_about, seen, at_the_claim, times, daemon, is_timed
     ):
         fleet = Fleet()
+        await fleet.claim(key="warm")
         key = fleet.make_key() if is_timed else "lot-7"
+        setattr(fleet.store, at_the_claim, times)
         first = await fleet.claim(key=key)
         await bring_about(fleet, first.ok_value)
         again = await fleet.claim(daemon, key=key)
