--- a/src/tanagerfork/bundles/follower.py
+++ b/src/tanagerfork/bundles/follower.py
@@ -49,6 +49,7 @@
         "_is_watcher",
         "_rng",
         "_retry_ms",
+        "_refused_sha256",
     )
 
     def __init__(
@@ -69,6 +70,7 @@
         self._is_watcher = is_watcher
         self._rng = rng or random.Random()
         self._retry_ms = RETRY_FIRST_MS
+        self._refused_sha256 = ""
 
     async def run(self) -> None:
         """Follow the head until cancelled."""
@@ -168,7 +170,8 @@
 
     def _note_refusal(self, head: records.Head, kind: str, message: str) -> None:
         self._metrics.count("bundle_heads_refused_total", kind=kind)
-        if kind != "version_not_newer":
+        if kind != "version_not_newer" and head.manifest_sha256 != self._refused_sha256:
+            self._refused_sha256 = head.manifest_sha256
             self._timeline.record(
                 kinds.EventKind.BUNDLE_REFUSED, message, bundle_version=head.version
             )
--- /dev/null
+++ b/tests/test_swap.py
@@ -0,0 +1,89 @@
+"""Compare-and-swap whose answers are lost: what was written, and what is told."""
+
+import dataclasses
+
+import msgspec
+import pytest
+import result
+
+from tanagerfork import errors
+from tanagerfork.platform import swap
+from tests import fakes
+
+
+class Record(msgspec.Struct):
+    """A record with a token."""
+
+    token: str
+
+
+class LateWrites(fakes.MemoryKeyValue):
+    """A service on which a lost write takes effect only after some later calls."""
+
+    def __init__(self, calls: int) -> None:
+        super().__init__()
+        self.calls_left = calls
+        self.held: tuple | None = None
+
+    async def read(self, key):
+        """Read, after the held write where its time has come."""
+        await self.release()
+        return await super().read(key)
+
+    async def swap(self, key, value, revision):
+        """Write, holding the first write back."""
+        if self.held is None:
+            self.held = key, value, revision
+            return result.Err(errors.AnswerLost("lost; read back"))
+        await self.release()
+        return await super().swap(key, value, revision)
+
+    async def release(self) -> None:
+        """Let the held write take effect."""
+        self.calls_left -= 1
+        if self.calls_left == 0:
+            await super().swap(*self.held)
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults of one case."""
+
+    lost_answers: int = 0
+    lost_calls: int = 0
+    is_away: bool = False
+
+
+class TestSwapRecord:
+    @pytest.mark.parametrize(
+        ("faults", "kind"),
+        [
+            (Faults(), None),
+            (Faults(lost_answers=1), None),
+            (Faults(lost_calls=1), None),
+            (Faults(lost_calls=1, lost_answers=1), None),
+            (Faults(lost_calls=3), None),
+            (Faults(lost_calls=9), "answer_lost"),
+            (Faults(is_away=True), "platform_unavailable"),
+        ],
+    )
+    async def test_fault_and_what_is_told(self, faults, kind):
+        store = fakes.MemoryKeyValue()
+        for field in dataclasses.fields(faults):
+            setattr(store, field.name, getattr(faults, field.name))
+        written = await swap.swap_record(store, "k", Record("mine"), 0)
+        assert (written.unwrap_err().kind if written.is_err() else None) == kind
+        assert len(store.write_log) == (1 if kind is None else 0)
+
+    @pytest.mark.parametrize("calls", [1, 2, 3, 4])
+    async def test_late_write_takes_effect_at_most_once(self, calls):
+        store = LateWrites(calls)
+        assert (await swap.swap_record(store, "k", Record("mine"), 0)).is_ok()
+        assert len(store.write_log) == 1
+
+    async def test_write_of_another_is_told_as_a_conflict(self):
+        store = fakes.MemoryKeyValue()
+        await swap.swap_record(store, "k", Record("theirs"), 0)
+        store.lost_calls = 1
+        written = await swap.swap_record(store, "k", Record("mine"), 0)
+        assert written.unwrap_err().kind == "conflict"
