--- a/tests/test_bench_bundles.py
+++ b/tests/test_bench_bundles.py
@@ -1,7 +1,6 @@
 """What a change of a bundle may cost, on explicit time."""
 
 import pytest
-
 from bench import bundles
 
 BYTES_PER_S = 2_000
