Hold no caller past its deadline while a claim is written, and share the read of the mark

Cause: with a service that answers nothing, waiting claims read the mark one after another, each up to the call's timeout; a slow write of the claim kept its caller past the deadline.

--- a/src/tanagerfork/claims/book.py
+++ b/src/tanagerfork/claims/book.py
@@ -99,6 +99,7 @@
         "_peers",
         "_settling",
         "_avoided_until_ms",
+        "_late",
     )
 
     def __init__(
@@ -118,6 +119,7 @@
         self._peers = peers
         self._settling: set[asyncio.Task[None]] = set()
         self._avoided_until_ms: dict[str, int] = {}
+        self._late: set[asyncio.Future[writer.Reply]] = set()
 
     @property
     def unsettled(self) -> int:
@@ -133,7 +135,8 @@
             if isinstance(checked, result.Err):
                 return checked
             asked = self._make_record(place, wish)
-            replied = await self._submit(claims.ClaimCall(shard=place.shard, record=asked))
+            call = claims.ClaimCall(shard=place.shard, record=asked)
+            replied = await self._submit_until(call, deadline_at_ms)
             if isinstance(replied, result.Err):
                 return self._give_up(Granted(place.shard, asked), replied.err_value)
             reply = replied.ok_value
@@ -186,6 +189,20 @@
             state="claimed",
         )
 
+    async def _submit_until(self, call: claims.ClaimCall, deadline_at_ms: int) -> writer.Reply:
+        left_ms = max(0, deadline_at_ms - self._clock.monotonic_ms())
+        submitted = asyncio.ensure_future(self._submit(call))
+        deadline = asyncio.ensure_future(self._clock.sleep_ms(left_ms))
+        try:
+            await asyncio.wait((submitted, deadline), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            deadline.cancel()
+        if submitted.done():
+            return submitted.result()
+        self._late.add(submitted)
+        submitted.add_done_callback(self._late.discard)
+        return result.Err(errors.AnswerLost("the claim was not confirmed before the deadline"))
+
     async def _submit(self, call: claims.ClaimCall) -> writer.Reply:
         chosen = owner.choose_owner(call.shard, self._peers.list_live())
         if chosen is None or chosen == self._name or self._is_avoided(chosen):
--- a/src/tanagerfork/claims/mark.py
+++ b/src/tanagerfork/claims/mark.py
@@ -57,6 +57,7 @@
         "_restores_noted",
         "_restores_marked",
         "_lock",
+        "_refreshing",
     )
 
     def __init__(
@@ -71,6 +72,7 @@
         self._restores_noted = 0
         self._restores_marked = 0
         self._lock = asyncio.Lock()
+        self._refreshing: asyncio.Future[result.Result[int, errors.PlatformError]] | None = None
 
     async def check(self, place: keys.KeyPlace) -> result.Result[None, errors.CallerError]:
         """Check whether a key may be claimed.
@@ -78,12 +80,9 @@
         :param place: place of the key.
         :return: nothing, or why it may not.
         """
-        async with self._lock:
-            if not self._is_fresh():
-                refreshed = await self._refresh()
-                if isinstance(refreshed, result.Err):
-                    message = "the key-value service is away; send the same key again later"
-                    return result.Err(errors.NotRun(message, RETRY_MS))
+        if not self._is_fresh() and (await self._share_refresh()).is_err():
+            message = "the key-value service is away; send the same key again later"
+            return result.Err(errors.NotRun(message, RETRY_MS))
         assert self._mark is not None
         refused = judge_key(place, self._mark, self._clock.wall_ms())
         return result.Err(refused) if refused else result.Ok(None)
@@ -102,6 +101,12 @@
         async with self._lock:
             return await self._refresh(swept_to_ms)
 
+    async def _share_refresh(self) -> result.Result[int, errors.PlatformError]:
+        # Claims that wait at the same time share one read, however slow the service is.
+        if self._refreshing is None or self._refreshing.done():
+            self._refreshing = asyncio.ensure_future(self.raise_to(0))
+        return await asyncio.shield(self._refreshing)
+
     def _is_fresh(self) -> bool:
         if self._read_at_ms is None or self._restores_noted != self._restores_marked:
             return False
