--- a/src/tanagerfork/groups/directory.py
+++ b/src/tanagerfork/groups/directory.py
@@ -148,7 +148,7 @@
             life = self._lives[record.group] = lifecycle.GroupLifecycle(record.group)
             self._machine.add_model(life)
         view = self.presence.judge(record, now_ms, life.evidence)
-        if view.state == presence.GroupState.WHOLE and self._loses_member(view.record, now_ms):
+        if view.state == presence.GroupState.WHOLE and self._loses_member(view.record):
             view = dataclasses.replace(view, state=presence.GroupState.DRAINING)
         before = None if is_new else presence.GroupState(life.state)
         pins = self._read_incarnations(view.record, now_ms) if life.needs_pins(view) else {}
@@ -159,8 +159,9 @@
             self._tell(view, before)
         return view
 
-    def _loses_member(self, record: layout.GroupRecord, now_ms: int) -> bool:
-        return any(self.is_leaving(vm, now_ms) for vm in record.members)
+    def _loses_member(self, record: layout.GroupRecord) -> bool:
+        found = [self._vms_by_name.get(vm) for vm in record.members]
+        return any(entry is not None and entry.leaving for entry in found)
 
     def _read_incarnations(self, record: layout.GroupRecord, now_ms: int) -> dict[str, str]:
         found = {vm: self.presence.find_report(vm, now_ms) for vm in record.members}
--- a/src/tanagerfork/groups/lease.py
+++ b/src/tanagerfork/groups/lease.py
@@ -291,11 +291,18 @@
         if isinstance(found, result.Err):
             return False
         entry = found.ok_value
-        record = swap.decode_record(entry, layout.LeaseRecord) if entry else None
+        record = self._decode(entry) if entry else None
         revision = entry.revision if entry else key_value.ABSENT
         self.state.see(record, revision, self._clock.monotonic_ms())
         return True
 
+    def _decode(self, entry: key_value.Entry) -> layout.LeaseRecord:
+        """Decode the record; one that cannot be read counts as another holder's."""
+        try:
+            return swap.decode_record(entry, layout.LeaseRecord)
+        except msgspec.MsgspecError:
+            return layout.LeaseRecord(holder="unreadable", fencing=1, ttl_ms=self._ttl_ms)
+
     async def _write(self, record: layout.LeaseRecord, now_ms: int) -> bool:
         self.state.note_sent(record, now_ms)
         written = await swap.swap_record(self._store, self._key, record, self.state.revision)
--- a/src/tanagerfork/groups/presence.py
+++ b/src/tanagerfork/groups/presence.py
@@ -183,20 +183,15 @@
     def _find_missing(
         self, record: layout.GroupRecord, now_ms: int, evidence: Evidence
     ) -> tuple[str, ...]:
-        return tuple(
-            vm for vm in record.members if not self._is_present(vm, record, now_ms, evidence)
-        )
-
-    def _is_present(
-        self, vm: str, record: layout.GroupRecord, now_ms: int, evidence: Evidence
-    ) -> bool:
-        heard = self.find_report(vm, now_ms)
-        if heard is None or heard.made_at_ms < evidence.not_before_ms:
-            return False
-        pinned = evidence.pins.get(vm) if evidence.generation == record.generation else None
-        if pinned is not None and pinned != heard.report.incarnation:
-            return False
-        return is_joined(heard.report, record)
+        oldest_ms = max(now_ms - self._ttl_ms, evidence.not_before_ms)
+        pins = evidence.pins if evidence.generation == record.generation else {}
+        missing = []
+        for vm in record.members:
+            heard = self._heard.get(vm)
+            is_recent = heard is not None and heard.made_at_ms >= oldest_ms
+            if heard is None or not is_recent or not _counts(heard.report, record, pins):
+                missing.append(vm)
+        return tuple(missing)
 
     def _is_outdated(
         self, report: engine.EngineReport, made_at_ms: int, known: HeardReport
@@ -212,6 +207,13 @@
         del retired[:-RETIRED_INCARNATIONS]
 
 
+def _counts(
+    report: engine.EngineReport, record: layout.GroupRecord, pins: Mapping[str, str]
+) -> bool:
+    is_pinned = pins.get(report.vm, report.incarnation) == report.incarnation
+    return is_pinned and is_joined(report, record)
+
+
 def is_joined(report: engine.EngineReport, record: layout.GroupRecord) -> bool:
     """Return whether a member says that it is ready in this very group.
 
--- a/tests/groups/test_lease.py
+++ b/tests/groups/test_lease.py
@@ -178,6 +178,16 @@
         await first.take_step(0)
         assert not first.state.is_held
 
+    async def test_unreadable_record_counts_as_another_holders(self):
+        store, clock = fakes.MemoryKeyValue(), clocks.ManualClock()
+        await store.swap("lease/ipoh-a", b"garbage", 0)
+        keeper = self.make_keeper(store, clock, "a")
+        await keeper.take_step(0)
+        assert not keeper.state.is_held
+        clock.advance(TTL_MS)
+        await keeper.take_step(0)
+        assert keeper.state.fencing == 2
+
     async def test_lease_given_back_is_taken_without_waiting(self):
         store, clock = fakes.MemoryKeyValue(), clocks.ManualClock()
         first, second = (self.make_keeper(store, clock, name) for name in "ab")
