--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import dataclasses
+import re
 from collections.abc import Awaitable, Callable
 
 import aiohttp.web
 import msgspec
 import result
+from absl import logging
 
-from tanagerfork import errors, logs
+from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork import status as statuses
 from tanagerfork.bundles import head as heads
@@ -26,6 +28,7 @@
 CALL_TIMEOUT_S = 60.0
 FULL_RETRY_MS = 1000
 OPEN_PATHS = ("/healthz", "/readyz")
+SEQUENCE_FORM = re.compile(r"-?[0-9]{1,18}")
 
 StatusReader = Callable[[], operators.DaemonStatus]
 Handler = Callable[[aiohttp.web.Request], Awaitable[aiohttp.web.StreamResponse]]
@@ -112,6 +115,11 @@
         except aiohttp.web.HTTPRequestEntityTooLarge:
             message = f"the body exceeds {BODY_LIMIT_BYTES} bytes; split the bundle"
             return _refuse(errors.BodyTooLarge(message))
+        except aiohttp.web.HTTPException:
+            raise
+        except Exception as failure:
+            logging.exception("an operator's call failed: %s", type(failure).__name__)
+            return _refuse(errors.InternalFailure("the daemon failed; see its log"))
         finally:
             self._open_calls -= 1
 
@@ -154,7 +162,7 @@
 
     async def _serve_timeline(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         text = request.query.get("after", "-1")
-        if not text.lstrip("-").isdigit():
+        if not SEQUENCE_FORM.fullmatch(text):
             return _refuse(errors.BadRequest("after must be a sequence number"))
         return _answer(self._timeline.read(int(text)))
 
@@ -197,16 +205,16 @@
         if isinstance(published, result.Err):
             return published
         rolled_by = call.rolled_by or call.operator
-        at_ms = self._timeline.stamp().ceiling_ms
-        rolled = await heads.roll_head(self._store, signed, rolled_by, at_ms)
+        at = self._timeline.stamp()
+        rolled = await heads.roll_head(self._store, signed, rolled_by, at.ceiling_ms)
         if isinstance(rolled, result.Ok):
             version = rolled.ok_value.version
-            event = self._timeline.record(
+            self._timeline.record(
                 kinds.EventKind.BUNDLE_ROLLED,
                 f"signed off by {call.operator}, rolled by {rolled_by}",
                 bundle_version=version,
+                at=at,
             )
-            logs.log_event(event)
         return rolled
 
 
