Let the coordinator's candidates be the daemons that observe free VMs

Free VMs are observed by three daemons of the rendezvous ranking, and the lease had a ranking of its own: with more than three daemons in a failure domain its holder could have seen no free VM at all. Both use one ranking now, and a holder that is no candidate any more gives the lease back.

--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -1,6 +1,7 @@
 """The daemon: wires all parts together, serves, and stops without cutting anything off."""
 
 import asyncio
+import functools
 import os
 import pathlib
 import random
@@ -26,6 +27,7 @@
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import (
+    changes,
     coordinator,
     directory,
     layout_follower,
@@ -49,13 +51,6 @@
 OPERATOR_CONNECTIONS = 256
 CONNECTIONS_PER_REQUEST = 2
 USAGE_STATUS = 2
-GROUP_EVENTS = {
-    presence.GroupState.FORMING: kinds.EventKind.GROUP_FORMED,
-    presence.GroupState.WHOLE: kinds.EventKind.GROUP_WHOLE,
-    presence.GroupState.BROKEN: kinds.EventKind.GROUP_BROKEN,
-    presence.GroupState.DRAINING: kinds.EventKind.GROUP_DRAINING,
-    presence.GroupState.DISSOLVED: kinds.EventKind.GROUP_DISSOLVED,
-}
 
 
 class Daemon:
@@ -75,7 +70,7 @@
         self.lifecycle = lifecycle.Lifecycle(self._note_state)
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
-        self.groups.subscribe(self._note_group)
+        self.groups.subscribe(functools.partial(changes.record_change, self.timeline))
         self._rng = random.Random(settings.seed or None)
         self.peers = peer_services.PeerService(
             settings,
@@ -331,12 +326,6 @@
     def _note_state(self, state: str) -> None:
         self.timeline.record(kinds.EventKind.DAEMON_STATE, state)
 
-    def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
-        kind = GROUP_EVENTS[view.state]
-        missing = ", ".join(view.missing)
-        detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
-        self.timeline.record(kind, detail, group=view.record.group)
-
 
 async def serve(settings: settings_records.Settings, embedded: pathlib.Path | None) -> None:
     """Run a daemon until a signal ends it.
--- a/src/tanagerfork/groups/candidates.py
+++ b/src/tanagerfork/groups/candidates.py
@@ -1,33 +1,25 @@
-"""Candidates: the few daemons of a failure domain that read, watch and coordinate for all."""
+"""Candidates: the few daemons of a failure domain that watch the layout and may coordinate."""
 
 from collections.abc import Callable, Sequence
 
-import xxhash
-
-CANDIDATES = 3  # Daemons that watch one value, so that calls grow with failure domains.
+from tanagerfork.peers import rendezvous
 
 LiveDaemons = Callable[[], Sequence[str]]
 
 
-def rank_daemons(subject: str, names: Sequence[str]) -> list[str]:
-    """Rank daemons for a subject, in the same order at every daemon.
-
-    :param subject: what the daemons are wanted for, such as the layout of a failure domain.
-    :param names: live daemons.
-    :return: the daemons, first choice first.
-    """
-    return sorted(names, key=lambda name: (_weigh(subject, name), name))
-
-
-def find_rank(subject: str, own_name: str, names: Sequence[str]) -> int:
+def find_rank(own_name: str, names: Sequence[str]) -> int:
     """Return how many live daemons come before this one.
 
-    :param subject: what the daemons are wanted for.
     :param own_name: this daemon, which counts as live even where it is not listed.
-    :param names: live daemons.
+    :param names: live daemons of the failure domain.
     """
-    return rank_daemons(subject, list({own_name, *names})).index(own_name)
+    return rendezvous.rank(rendezvous.COORDINATOR, {own_name, *names}).index(own_name)
+
 
+def is_candidate(own_name: str, names: Sequence[str]) -> bool:
+    """Return whether this daemon watches the layout and asks for the lease.
 
-def _weigh(subject: str, name: str) -> int:
-    return xxhash.xxh64_intdigest(f"{subject}\n{name}".encode())
+    :param own_name: this daemon.
+    :param names: live daemons of the failure domain.
+    """
+    return find_rank(own_name, names) < rendezvous.COORDINATOR_CANDIDATES
--- /dev/null
+++ b/src/tanagerfork/groups/changes.py
@@ -0,0 +1,26 @@
+"""Changes of groups on the time line."""
+
+from tanagerfork.groups import presence
+from tanagerfork.timeline import kinds, ring
+
+KINDS = {
+    presence.GroupState.FORMING: kinds.EventKind.GROUP_FORMED,
+    presence.GroupState.WHOLE: kinds.EventKind.GROUP_WHOLE,
+    presence.GroupState.BROKEN: kinds.EventKind.GROUP_BROKEN,
+    presence.GroupState.DRAINING: kinds.EventKind.GROUP_DRAINING,
+    presence.GroupState.DISSOLVED: kinds.EventKind.GROUP_DISSOLVED,
+}
+
+
+def record_change(
+    timeline: ring.Timeline, view: presence.GroupView, before: presence.GroupState | None
+) -> None:
+    """Record that a group is seen in another state.
+
+    :param timeline: time line.
+    :param view: group as it is seen now.
+    :param before: state that it had; None for a group that was not known.
+    """
+    missing = ", ".join(view.missing)
+    detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
+    timeline.record(KINDS[view.state], detail, group=view.record.group)
--- a/src/tanagerfork/groups/layout_follower.py
+++ b/src/tanagerfork/groups/layout_follower.py
@@ -59,9 +59,7 @@
 
     def is_watching(self) -> bool:
         """Return whether this daemon is one of those that watch."""
-        names = self._live_daemons()
-        rank = candidates.find_rank(self._key, self._daemon, names)
-        return rank < candidates.CANDIDATES
+        return candidates.is_candidate(self._daemon, self._live_daemons())
 
     async def run(self) -> None:
         """Follow the layout until cancelled."""
--- a/src/tanagerfork/groups/lease.py
+++ b/src/tanagerfork/groups/lease.py
@@ -24,6 +24,7 @@
 from tanagerfork import errors
 from tanagerfork.generated import layout
 from tanagerfork.groups import candidates
+from tanagerfork.peers import rendezvous
 from tanagerfork.platform import key_value, swap
 
 LEASE_PREFIX = "lease/"
@@ -260,7 +261,7 @@
 
     def find_rank(self) -> int:
         """Return how many live daemons are preferred to this one as the coordinator."""
-        return candidates.find_rank(self._key, self._daemon, self._live_daemons())
+        return candidates.find_rank(self._daemon, self._live_daemons())
 
     async def take_step(self, known_fencing: int) -> None:
         """Read, renew or take the lease where that is due.
@@ -268,8 +269,9 @@
         :param known_fencing: highest number in the layout and in the engines' reports.
         """
         rank = self.find_rank()
-        if rank >= candidates.CANDIDATES and not self.state.is_held:
+        if rank >= rendezvous.COORDINATOR_CANDIDATES:
             self._away_since_ms = None
+            await self.give_back()
             return
         if self.state.needs_check(self._clock.monotonic_ms()):
             self._note_answer(await self._check())
--- a/tests/groups/test_layout_follower.py
+++ b/tests/groups/test_layout_follower.py
@@ -9,7 +9,8 @@
 
 from tanagerfork import clock as clocks
 from tanagerfork.generated import layout
-from tanagerfork.groups import candidates, directory, layout_follower, presence
+from tanagerfork.groups import directory, layout_follower, presence
+from tanagerfork.peers import rendezvous
 from tests import fakes
 
 KEY = "layout/ipoh-a"
@@ -116,10 +117,13 @@
         store = fakes.MemoryKeyValue()
         await write(store, make_layout(1))
         async with follow(store, daemons=20) as nodes:
-            assert sum(node.follower.is_watching() for node in nodes) == candidates.CANDIDATES
+            assert (
+                sum(node.follower.is_watching() for node in nodes)
+                == rendezvous.COORDINATOR_CANDIDATES
+            )
             await write(store, make_layout(2))
             await pass_time(nodes[0].clock, 0)
-            assert sum(node.serial == 2 for node in nodes) == candidates.CANDIDATES
+            assert sum(node.serial == 2 for node in nodes) == rendezvous.COORDINATOR_CANDIDATES
             store.reads = 0
             await pass_time(nodes[0].clock, 40_000)
             assert all(node.serial == 2 for node in nodes)
--- a/tests/groups/test_lease.py
+++ b/tests/groups/test_lease.py
@@ -5,6 +5,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork.generated import layout
 from tanagerfork.groups import lease
+from tanagerfork.peers import rendezvous
 from tests import fakes
 
 TTL_MS = 5000
@@ -188,6 +189,21 @@
         await keeper.take_step(0)
         assert keeper.state.fencing == 2
 
+    async def test_holder_that_is_no_candidate_any_more_gives_the_lease_back(self):
+        store, clock = fakes.MemoryKeyValue(), clocks.ManualClock()
+        names = ["a"]
+        keeper = lease.LeaseKeeper("ipoh-a", "a", store, clock, TTL_MS, lambda: names)
+        await keeper.take_step(0)
+        assert keeper.state.may_act(0, 0)
+        ranked = rendezvous.rank(rendezvous.COORDINATOR, [f"d{number}" for number in range(30)])
+        names += ranked[:5]
+        assert rendezvous.rank(rendezvous.COORDINATOR, names)[:3].count("a") == 0
+        await keeper.take_step(0)
+        assert not keeper.state.may_act(0, 0)
+        other = self.make_keeper(store, clock, ranked[0], tuple(names))
+        await other.take_step(0)
+        assert other.state.fencing == 2
+
     async def test_lease_given_back_is_taken_without_waiting(self):
         store, clock = fakes.MemoryKeyValue(), clocks.ManualClock()
         first, second = (self.make_keeper(store, clock, name) for name in "ab")
--- /dev/null
+++ b/tests/groups/test_site.py
@@ -0,0 +1,35 @@
+"""Tests of coordination among running daemons."""
+
+from tests import sites
+
+
+def find_holder(fleet) -> str:
+    """Return the daemon that holds the lease; empty for none."""
+    for name, daemon in fleet.daemons.items():
+        if daemon._lease.state.may_act(daemon.clock.monotonic_ms(), 0):
+            return name
+    return ""
+
+
+def count_whole(daemon) -> int:
+    """Return the groups that a daemon routes to."""
+    return len(daemon.groups.whole_groups(sites.MODEL, daemon.clock.monotonic_ms()))
+
+
+class TestHandover:
+    async def test_next_daemon_repairs_at_once_after_the_holder_stopped(self):
+        async with sites.run_fleet(5, (sites.FAILURE_DOMAIN,), groups=2, vms=9) as fleet:
+            await sites.wait_until(lambda: find_holder(fleet) != "")
+            holder = find_holder(fleet)
+            await fleet.daemons.pop(holder).stop()
+            daemon = next(iter(fleet.daemons.values()))
+            record = next(item for item in daemon.groups.layout.groups if item.reserves)
+            fencing = daemon.groups.layout.fencing
+            await fleet.stand_ins.engines[record.members[1]].die()
+            await sites.wait_until(lambda: find_holder(fleet) not in ("", holder))
+            for item in fleet.daemons.values():
+                await sites.wait_until(lambda item=item: item.groups.layout.fencing > fencing)
+                await sites.wait_until(lambda item=item: count_whole(item) == 2)
+                assert record.members[1] not in {
+                    vm for group in item.groups.layout.groups for vm in group.members
+                }
