--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -25,11 +25,20 @@
 from tanagerfork.front import callers, chat, journal, listener, operators, services
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
-from tanagerfork.groups import coordinator, directory, observer, presence
+from tanagerfork.groups import (
+    coordinator,
+    directory,
+    layout_follower,
+    lease,
+    observer,
+    presence,
+    sender,
+)
 from tanagerfork.peers import service as peer_services
 from tanagerfork.platform import etcd, vms
 from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
+from tanagerfork.upstream import connections
 from tanagerfork.upstream import engine as engines
 from tanagerfork.upstream import service as service_clients
 
@@ -38,6 +47,13 @@
 OPERATOR_CONNECTIONS = 256
 CONNECTIONS_PER_REQUEST = 2
 USAGE_STATUS = 2
+GROUP_EVENTS = {
+    presence.GroupState.FORMING: kinds.EventKind.GROUP_FORMED,
+    presence.GroupState.WHOLE: kinds.EventKind.GROUP_WHOLE,
+    presence.GroupState.BROKEN: kinds.EventKind.GROUP_BROKEN,
+    presence.GroupState.DRAINING: kinds.EventKind.GROUP_DRAINING,
+    presence.GroupState.DISSOLVED: kinds.EventKind.GROUP_DISSOLVED,
+}
 
 
 class Daemon:
@@ -83,10 +99,8 @@
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
             timeout=aiohttp.ClientTimeout(total=None),
         )
-        self._single_use_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            timeout=aiohttp.ClientTimeout(total=None),
-        )
+        self._single_use_session = connections.open_session(single_use=True)
+        self._pool = connections.Pool(asyncio.get_running_loop().time)
         self.store = etcd.EtcdKeyValue(
             self._session,
             settings.platform.key_value_url,
@@ -96,7 +110,9 @@
         self._vm_directory = vms.HttpVmDirectory(
             self._session, settings.platform.vm_list_url, settings.platform.key_value_timeout_ms
         )
-        self._engines = engines.HttpEngineClient(self._session, settings.groups.order_timeout_ms)
+        self._engines = engines.HttpEngineClient(
+            self._pool, self._single_use_session, settings.groups.order_timeout_ms
+        )
         self._observer = observer.Observer(
             self._engines,
             self.groups.presence,
@@ -129,11 +145,13 @@
         await self.peers.stop()
         for task in self._tasks:
             task.cancel()
+        await self._coordinator.stop()
         self._observer.stop()
         for opened in self._listeners:
             await opened.stop()
         await self._session.close()
         await self._single_use_session.close()
+        await self._pool.close()
         self.lifecycle.apply("stop")
 
     def hasten(self) -> None:
@@ -198,22 +216,46 @@
         follow = follower.BundleFollower(
             self.store, self.bundles, self.clock, self.timeline, self.metrics
         )
-        coordinate = coordinator.Coordinator(
+        self._coordinator = self._make_coordinator()
+        follow_layout = layout_follower.LayoutFollower(
             self.settings.failure_domain,
+            self.settings.name,
             self.store,
-            self.bundles,
             self.groups,
-            self._engines,
             self.clock,
-            self.timeline,
-            self.metrics,
-            self.settings.groups.plan_interval_ms,
+            self.peers.live,
+            self._rng,
         )
         self._start_task(follow.run())
         self._start_task(self._follow_vms())
-        self._start_task(coordinate.run())
+        self._start_task(follow_layout.run())
+        self._start_task(self._coordinator.run())
         self._start_task(self._follow_readiness())
 
+    def _make_coordinator(self) -> coordinator.Coordinator:
+        settings = self.settings
+        keeper = lease.LeaseKeeper(
+            settings.failure_domain,
+            settings.name,
+            self.store,
+            self.clock,
+            settings.groups.lease_ttl_ms,
+            self.peers.live,
+        )
+        return coordinator.Coordinator(
+            settings.failure_domain,
+            self.store,
+            self.bundles,
+            self.groups,
+            keeper,
+            sender.OrderSender(self._engines, self.clock, self.timeline, self.metrics),
+            self.clock,
+            self.timeline,
+            self.metrics,
+            settings.groups,
+            settings.limits.drain_limit_ms,
+        )
+
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -226,9 +268,9 @@
                     for vm in listed.ok_value.vms
                     if vm.failure_domain == self.settings.failure_domain
                 ]
-                self.groups.take_vms(own)
-                self._observer.follow(own)
-                self.peers.observations.keep([vm.vm for vm in own])
+                self.groups.take_vms(own, self.clock.monotonic_ms())
+                self._observer.follow(self.groups.vms)
+                self.peers.observations.keep([vm.vm for vm in self.groups.vms])
             await self.clock.sleep_ms(self.settings.platform.vm_list_interval_ms)
 
     async def _follow_readiness(self) -> None:
@@ -259,7 +301,7 @@
         metrics.set_counter("timeline_jumps_refused_total", self.timeline.time.refused_jumps)
 
     def _read_status(self) -> operator_records.DaemonStatus:
-        return statuses.describe_daemon(
+        described = statuses.describe_daemon(
             self.settings,
             self.lifecycle.state,
             self.bundles,
@@ -268,13 +310,14 @@
             self.callers.open_requests,
             self.clock.monotonic_ms(),
         )
+        described.peers = self.peers.describe_peers()
+        return described
 
     def _note_state(self, state: str) -> None:
         logs.log_event(self.timeline.record(kinds.EventKind.DAEMON_STATE, state))
 
     def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
-        is_whole = view.state == presence.GroupState.WHOLE
-        kind = kinds.EventKind.GROUP_WHOLE if is_whole else kinds.EventKind.GROUP_BROKEN
+        kind = GROUP_EVENTS[view.state]
         missing = ", ".join(view.missing)
         detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
         logs.log_event(self.timeline.record(kind, detail, group=view.record.group))
--- a/src/tanagerfork/peers/duty.py
+++ b/src/tanagerfork/peers/duty.py
@@ -1,6 +1,7 @@
 """Duty: which VMs this daemon observes itself."""
 
 from tanagerfork.generated import layout
+from tanagerfork.groups import candidates, lease
 from tanagerfork.peers import gossip, observations, rendezvous
 
 STALE_SHARE = 0.7  # Part of the TTL past which a daemon observes a VM that no one else reports.
@@ -9,14 +10,29 @@
 class ObserverDuty:
     """Chooses by rendezvous hashing; what goes stale is observed by everyone who needs it.
 
+    VMs in no group are read by those daemons that may coordinate, as only they place them.
+
+    :param failure_domain: failure domain of this daemon.
     :param own: name of this daemon.
     :param known: what is known of the VMs.
     :param ttl_ms: age past which a report no longer counts, in milliseconds.
     """
 
-    __slots__ = ("_own", "_known", "_ttl_ms", "_names", "_groups", "_mine", "_is_candidate")
+    __slots__ = (
+        "_lease_key",
+        "_own",
+        "_known",
+        "_ttl_ms",
+        "_names",
+        "_groups",
+        "_mine",
+        "_is_candidate",
+    )
 
-    def __init__(self, own: str, known: observations.ObservationTopic, ttl_ms: int) -> None:
+    def __init__(
+        self, failure_domain: str, own: str, known: observations.ObservationTopic, ttl_ms: int
+    ) -> None:
+        self._lease_key = lease.LEASE_PREFIX + failure_domain
         self._own = own
         self._known = known
         self._ttl_ms = ttl_ms
@@ -42,7 +58,8 @@
             for index, group in enumerate(groups)
             if self._own in rendezvous.choose_observers(group, names)
         }
-        self._is_candidate = self._own in rendezvous.choose_coordinator_candidates(names)
+        rank = candidates.find_rank(self._lease_key, self._own, names)
+        self._is_candidate = rank < candidates.CANDIDATES
 
     def is_due(self, vm: str, now_ms: int) -> bool:
         """Return whether this daemon should read a VM's report now.
--- a/src/tanagerfork/peers/rendezvous.py
+++ b/src/tanagerfork/peers/rendezvous.py
@@ -6,13 +6,11 @@
 
 OBSERVERS_PER_GROUP = 2
 WATCHERS = 2
-COORDINATOR_CANDIDATES = 3
 BRIDGES = 2
 
 OBSERVER = "observer/"
 WATCHER = "watcher"
 CLAIM_SHARD = "claims/"
-COORDINATOR = "coordinator"
 BRIDGE = "bridge"
 
 
@@ -66,14 +64,6 @@
     return choose(f"{CLAIM_SHARD}{shard}", names, count)
 
 
-def choose_coordinator_candidates(names: Iterable[str]) -> list[str]:
-    """Choose who asks for the coordinator's lease.
-
-    :param names: live daemons of the failure domain.
-    """
-    return choose(COORDINATOR, names, COORDINATOR_CANDIDATES)
-
-
 def choose_bridges(names: Iterable[str]) -> list[str]:
     """Choose who talks to the other failure domains.
 
--- a/tests/test_peers_service.py
+++ b/tests/test_peers_service.py
@@ -155,6 +155,8 @@
                         group="g",
                         generation=1,
                         members=members,
+                        model="m",
+                        version="1",
                         state="ready",
                     )
                     nodes[0].service.note_report(report, now_ms)
