--- a/src/tanagerfork/peers/service.py
+++ b/src/tanagerfork/peers/service.py
@@ -76,6 +76,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._states: dict[str, str] = {}
         self._spread_at_ms = 0
+        self._is_stopping = False
         self._read_capacity: CapacityReader = lambda now_ms: ()
         ttl_ms = settings.groups.presence_ttl_ms
         self.notices = notices.NoticeTopic()
@@ -145,12 +146,15 @@
         """Tell the peers that this daemon leaves, and close everything."""
         self._send(self.gossip.leave(self._clock.monotonic_ms()))
         await self._clock.sleep_ms(LEAVE_MS)
+        # A receive that completes as it is cancelled loses the cancellation, so the flag and the
+        # closed listener have to end that task.
+        self._is_stopping = True
+        self._inbox.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._exchange.stop()
         self._links.close()
-        self._inbox.close()
 
     @property
     def address(self) -> str:
@@ -322,8 +326,11 @@
             logging.error("a task of the peers' service failed: %r", task.exception())
 
     async def _receive(self) -> None:
-        while True:
-            frame = await self._inbox.receive()
+        while not self._is_stopping:
+            try:
+                frame = await self._inbox.receive()
+            except pynng.Closed:
+                return
             self._metrics.count("peer_messages_received_total")
             self._metrics.count("peer_bytes_received_total", len(frame))
             decoded = self._codec.decode(frame, self.address)
--- a/tests/test_peers_service.py
+++ b/tests/test_peers_service.py
@@ -199,6 +199,35 @@
     return answer
 
 
+class TestStop:
+    async def test_receive_that_loses_its_cancellation_does_not_hold_the_stop_up(self):
+        node = PeerNode("node-0", [])
+        receives = asyncio.Event()
+
+        async def lose_cancellation() -> bytes:
+            receives.set()
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.Event().wait()
+            return b""
+
+        node.service._inbox.close()
+        node.service._inbox = FakeInbox(lose_cancellation)
+        await receives.wait()
+        await asyncio.wait_for(node.service.stop(), 5)
+
+
+class FakeInbox:
+    """A listener whose receive is given."""
+
+    address = "127.0.0.1:1"
+
+    def __init__(self, receive) -> None:
+        self.receive = receive
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
 class TestNoticesAndUsage:
     async def test_notice_is_told_once_to_each(self):
         async with run_nodes() as nodes:
