--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -126,8 +126,8 @@
         )
         await self._open_listeners()
         self.peers.start(
-            f"http://{settings.callers.host}:{self.callers_port}",
-            f"http://{settings.operators.host}:{self.operators_port}",
+            listener.name_address(settings.callers, self.callers_port, settings.peers.host),
+            listener.name_address(settings.operators, self.operators_port, settings.peers.host),
         )
         self.lifecycle.apply("listen")
         self._start_tasks()
--- a/src/tanagerfork/front/listener.py
+++ b/src/tanagerfork/front/listener.py
@@ -1,6 +1,7 @@
 """HTTP listeners: TLS by the settings, certificates renewed without a restart, bounds."""
 
 import asyncio
+import ipaddress
 import pathlib
 import ssl
 import weakref
@@ -11,6 +12,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork import errors
 from tanagerfork import metrics as metric
+from tanagerfork.generated import settings as settings_records
 from tanagerfork.timeline import kinds, ring
 
 CLOSE_S = 1.0
@@ -21,6 +23,7 @@
 BACKLOG = 512
 CERTIFICATE_CHECK_MS = 10_000
 
+Bound = settings_records.Listener | settings_records.OperatorSettings
 Handler = Callable[[aiohttp.web.Request], Awaitable[aiohttp.web.StreamResponse]]
 
 
@@ -169,6 +172,20 @@
         transport.close()
 
 
+def name_address(bound: Bound, port: int, peers_host: str) -> str:
+    """Return the address at which peers and operators reach a listener.
+
+    :param bound: settings of the listener.
+    :param port: port that it got.
+    :param peers_host: address told to peers, for a listener that is bound to all addresses.
+    """
+    host = ipaddress.ip_address(bound.host)
+    if host.is_unspecified:
+        host = ipaddress.ip_address(peers_host)
+    scheme = "https" if bound.certificate_path else "http"
+    return f"{scheme}://[{host}]:{port}" if host.version == 6 else f"{scheme}://{host}:{port}"
+
+
 async def follow_certificate(
     certificate: Certificate,
     clock: clocks.Clock,
--- a/src/tanagerfork/peers/service.py
+++ b/src/tanagerfork/peers/service.py
@@ -9,7 +9,7 @@
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import errors, logs
+from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import register
 from tanagerfork.generated import engine, peers
@@ -380,7 +380,7 @@
             before = self._states.get(name, "unknown")
             if state != before and name != self._settings.name:
                 detail = f"{name} is {state}, was {before}"
-                logs.log_event(self._timeline.record(kinds.EventKind.PEER_STATE, detail))
+                self._timeline.record(kinds.EventKind.PEER_STATE, detail)
         self._states = dict(current)
         counted = membership.count_states(self.gossip.members.members.values())
         for label, count in counted.items():
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -23,6 +23,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.front import listener, teams
 from tanagerfork.generated import bundle
+from tanagerfork.generated import settings as settings_records
 from tanagerfork.timeline import ring
 from tests import commands, sites
 
@@ -266,3 +267,18 @@
     def test_operators_listener_for_others_is_good_with_a_token(self):
         overrides = ["operators.host=10.0.0.5", f"operators.token_sha256='{TOKEN_SHA256}'"]
         assert settings.load_settings(EMBEDDED, overrides).operators.token_sha256 == TOKEN_SHA256
+
+
+class TestAddress:
+    @pytest.mark.parametrize(
+        ("host", "certificate", "address"),
+        [
+            ("10.0.0.5", "", "http://10.0.0.5:80"),
+            ("10.0.0.5", "a.pem", "https://10.0.0.5:80"),
+            ("0.0.0.0", "", "http://10.0.0.9:80"),
+            ("::1", "", "http://[::1]:80"),
+        ],
+    )
+    def test_address_can_be_reached_by_others(self, host, certificate, address):
+        bound = settings_records.Listener(host=host, port=0, certificate_path=certificate)
+        assert listener.name_address(bound, 80, "10.0.0.9") == address
