Compare and rebase drafts by the tool

Two offices that draft from the same bundle can both land their changes: the second rebases, and a field that both changed stops with its three values.

--- a/src/tanagerfork/cli/app.py
+++ b/src/tanagerfork/cli/app.py
@@ -7,7 +7,7 @@
 
 from tanagerfork import __version__
 from tanagerfork.cli import (
-    bundle_commands,
+    compare_commands,
     key_commands,
     outcome,
     rollout_commands,
@@ -23,7 +23,7 @@
     rich_markup_mode="rich" if sys.stdout.isatty() else None,
     help="Operate a fleet of tanagerfork daemons.",
 )
-app.add_typer(bundle_commands.app, name="bundle")
+app.add_typer(compare_commands.app, name="bundle")
 app.add_typer(key_commands.app, name="keys")
 app.add_typer(settings_commands.app, name="settings")
 app.add_typer(rollout_commands.app, name="rollout")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -135,6 +135,46 @@
             commands.assert_one_line(unknown, "--onto 2")
             commands.call("bundle", "sign-off", late, "--onto", "2", *signing)
 
+    def test_office_that_lost_the_race_rebases_and_keeps_both_changes(self, tmp_path):
+        with commands.run_offices() as site:
+            roll_first(site, tmp_path)
+            ipoh, taiping = (str(tmp_path / f"{name}.json5") for name in commands.OFFICES)
+            for draft, change in ((ipoh, ("weight: 1", "weight: 7")), (taiping, ("5.0", "6.0"))):
+                commands.call("bundle", "new", draft, *site.at)
+                change_draft(draft, *change)
+            roll_draft(site, ipoh, tmp_path, "ipoh", 2)
+            late = commands.call(
+                "bundle", "sign-off", taiping, *site.signing(tmp_path, "taiping"), status=1
+            )
+            commands.assert_one_line(late, "version 2, rolled by ipoh", "bundle rebase")
+            commands.call("bundle", "rebase", taiping, *site.at)
+            shown = commands.call("bundle", "diff", taiping, *site.at).stdout
+            assert shown.splitlines() == [
+                "changed team growers",
+                "  requests_per_s: 5.0 -> 6.0",
+            ]
+            roll_draft(site, taiping, tmp_path, "taiping", 3)
+            team = site.daemon.bundles.current.bundle.teams[0]
+            assert (team.weight, team.requests_per_s) == (7, 6.0)
+
+    def test_change_of_the_same_field_is_a_conflict_and_leaves_the_draft_alone(self, tmp_path):
+        with commands.run_offices() as site:
+            roll_first(site, tmp_path)
+            ipoh, taiping = (str(tmp_path / f"{name}.json5") for name in commands.OFFICES)
+            for draft, weight in ((ipoh, 7), (taiping, 9)):
+                commands.call("bundle", "new", draft, *site.at)
+                change_draft(draft, "weight: 1", f"weight: {weight}")
+            roll_draft(site, ipoh, tmp_path, "ipoh", 2)
+            before = pathlib.Path(taiping).read_text()
+            stopped = commands.call("bundle", "rebase", taiping, *site.at, status=1)
+            assert "conflict in team growers, weight: was 1, yours 9, in force 7" in stopped.stdout
+            assert "rolled by ipoh" in stopped.stderr and "--keep-theirs" in stopped.stderr
+            assert pathlib.Path(taiping).read_text() == before
+            commands.call("bundle", "rebase", taiping, "--keep-theirs", *site.at)
+            shown = commands.call("bundle", "diff", taiping, *site.at).stdout
+            assert shown == "no difference\n"
+            assert pathlib.Path(f"{taiping}.before-rebase").read_text() == before
+
     def test_sign_off_by_another_key_is_refused(self, tmp_path):
         draft = str(tmp_path / "a.json5")
         with commands.run_offices() as site:
@@ -145,6 +185,32 @@
             commands.assert_one_line(refused, "does not fit", "sign")
 
 
+def roll_first(site: commands.OfficeSite, folder: pathlib.Path) -> None:
+    """Put a bundle with one team in force."""
+    draft = folder / "first.json5"
+    team = bundle_records.Team(name="growers", token_sha256=["0" * 64], requests_per_s=5.0)
+    first = bundle_records.Bundle(name="first", models=[], services=[], teams=[team])
+    draft.write_bytes(msgspec.json.encode(first))
+    roll_draft(site, str(draft), folder, "ipoh", 1)
+
+
+def change_draft(draft: str, old: str, new: str) -> None:
+    """Change a draft's text; what is changed must stand there once."""
+    path = pathlib.Path(draft)
+    text = path.read_text().replace('"weight"', "weight")
+    assert text.count(old) == 1
+    path.write_text(text.replace(old, new))
+
+
+def roll_draft(
+    site: commands.OfficeSite, draft: str, folder: pathlib.Path, office: str, version: int
+) -> None:
+    """Sign a draft off and roll it."""
+    commands.call("bundle", "sign-off", draft, *site.signing(folder, office))
+    commands.call("bundle", "roll", f"{draft}.signed.json", *site.at)
+    site.wait_for_version(version)
+
+
 class LossyDaemon:
     """An operators' listener that takes a roll and loses the answer."""
 
