--- a/src/tanagerfork/groups/stragglers.py
+++ b/src/tanagerfork/groups/stragglers.py
@@ -1,15 +1,16 @@
-"""Stragglers: VMs whose decoding steps are much slower than those of their peers."""
+"""Stragglers: VMs that are much slower than their peers, or that their peers cannot reach."""
 
 import collections
 import statistics
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
-from tanagerfork.generated import engine
+from tanagerfork.generated import engine, layout
 
 REPORTS_NEEDED = 5  # Reports in a row that must show a VM to be slow.
 SLOW_RATIO = 2.0  # Step time, as a multiple of the peers' median, that counts as slow.
 PEERS_NEEDED = 3  # Peers without which there is nothing to compare with.
 HOLD_MS = 600_000  # Time for which a straggler is used in no group.
+ISOLATED_AFTER_MS = 10_000  # Time for which the other members miss a VM that reports itself.
 
 
 class StragglerWatch:
@@ -19,11 +20,11 @@
     one. Where several members of a group are slow, only one that is slow against these too counts.
     """
 
-    __slots__ = ("_sequences", "_slow_reports", "_held_until_ms")
+    __slots__ = ("_sequences", "_changed_reports", "_held_until_ms")
 
     def __init__(self) -> None:
         self._sequences: dict[str, tuple[str, int]] = {}
-        self._slow_reports: collections.Counter[str] = collections.Counter()
+        self._changed_reports: collections.Counter[str] = collections.Counter()
         self._held_until_ms: dict[str, int] = {}
 
     def find_stragglers(self, reports: Iterable[engine.EngineReport], now_ms: int) -> set[str]:
@@ -40,8 +41,8 @@
         for peers in by_model.values():
             self._compare(peers, now_ms)
         seen = {report.vm for report in running}
-        for vm in self._slow_reports.keys() - seen:
-            del self._slow_reports[vm]
+        for vm in self._changed_reports.keys() - seen:
+            del self._changed_reports[vm]
         held = self._held_until_ms.items()
         self._held_until_ms = {vm: until_ms for vm, until_ms in held if until_ms > now_ms}
         return set(self._held_until_ms)
@@ -56,14 +57,108 @@
             if self._sequences.get(report.vm) == (report.incarnation, report.sequence):
                 continue
             self._sequences[report.vm] = (report.incarnation, report.sequence)
-            if report.vm not in singled_out:
-                self._slow_reports.pop(report.vm, None)
-                continue
-            self._slow_reports[report.vm] += 1
-            if self._slow_reports[report.vm] >= REPORTS_NEEDED:
-                self._held_until_ms[report.vm] = now_ms + HOLD_MS
+            self._count_report(report.vm, report.vm in singled_out, now_ms)
+
+    def _count_report(self, vm: str, is_slow: bool, now_ms: int) -> None:
+        """Count reports in a row: of a straggler the usual ones, of all others the slow ones."""
+        is_held = vm in self._held_until_ms
+        if is_slow == is_held:
+            self._changed_reports.pop(vm, None)
+            return
+        self._changed_reports[vm] += 1
+        if self._changed_reports[vm] < REPORTS_NEEDED:
+            return
+        del self._changed_reports[vm]
+        if is_held:
+            del self._held_until_ms[vm]
+        else:
+            self._held_until_ms[vm] = now_ms + HOLD_MS
 
 
 def _is_slowest(report: engine.EngineReport, slow: list[engine.EngineReport]) -> bool:
     others = [other for other in slow if other.group == report.group and other.vm != report.vm]
     return all(report.step_ms >= SLOW_RATIO * other.step_ms for other in others)
+
+
+class IsolationWatch:
+    """Finds members that report themselves but keep their group from becoming whole.
+
+    These are members that the others miss, and members that still load long after others of their
+    group are ready.
+
+    :param load_limit_ms: time that a member has to load after the first one was ready.
+    """
+
+    __slots__ = ("_load_limit_ms", "_missed_since_ms", "_loading_since_ms", "_held_until_ms")
+
+    def __init__(self, load_limit_ms: int) -> None:
+        self._load_limit_ms = load_limit_ms
+        self._missed_since_ms: dict[str, int] = {}
+        self._loading_since_ms: dict[str, int] = {}
+        self._held_until_ms: dict[str, int] = {}
+
+    def find_isolated(
+        self,
+        records: Iterable[layout.GroupRecord],
+        reports: Mapping[str, engine.EngineReport],
+        now_ms: int,
+    ) -> set[str]:
+        """Return the VMs that groups should go on without.
+
+        :param records: groups as the layout names them.
+        :param reports: last report of each VM.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        missed = set()
+        loading: set[str] = set()
+        for record in records:
+            joined = _find_joined(record, reports)
+            missed.add(_find_most_missed(record, joined))
+            loading |= _find_loading(joined)
+        missed.discard("")
+        self._missed_since_ms = _keep_since(self._missed_since_ms, missed, now_ms)
+        self._loading_since_ms = _keep_since(self._loading_since_ms, loading, now_ms)
+        self._hold(self._missed_since_ms, ISOLATED_AFTER_MS, now_ms)
+        self._hold(self._loading_since_ms, self._load_limit_ms, now_ms)
+        held = self._held_until_ms.items()
+        self._held_until_ms = {vm: until_ms for vm, until_ms in held if until_ms > now_ms}
+        return set(self._held_until_ms)
+
+    def _hold(self, since_ms: Mapping[str, int], limit_ms: int, now_ms: int) -> None:
+        for vm, first_ms in since_ms.items():
+            if now_ms - first_ms >= limit_ms:
+                self._held_until_ms[vm] = now_ms + HOLD_MS
+
+
+def _keep_since(known: Mapping[str, int], vms: Iterable[str], now_ms: int) -> dict[str, int]:
+    return {vm: known.get(vm, now_ms) for vm in vms}
+
+
+def _find_joined(
+    record: layout.GroupRecord, reports: Mapping[str, engine.EngineReport]
+) -> list[engine.EngineReport]:
+    """Return the reports of a group's members, none unless all are in its generation."""
+    found = [reports[vm] for vm in record.members if vm in reports]
+    place = (record.group, record.generation)
+    is_complete = len(found) == len(record.members)
+    is_joined = all((report.group, report.generation) == place for report in found)
+    return found if is_complete and is_joined else []
+
+
+def _find_loading(joined: Iterable[engine.EngineReport]) -> set[str]:
+    """Return the members that load while another one is ready."""
+    by_state = collections.defaultdict(set)
+    for report in joined:
+        by_state[report.state].add(report.vm)
+    return by_state["loading"] if by_state["ready"] else set()
+
+
+def _find_most_missed(record: layout.GroupRecord, joined: Iterable[engine.EngineReport]) -> str:
+    """Return the member that most others miss, empty where all see each other."""
+    missed = collections.Counter(
+        vm for report in joined for vm in record.members if vm not in report.members
+    )
+    if not missed:
+        return ""
+    vm, count = max(missed.items(), key=lambda item: (item[1], item[0]))
+    return vm if 2 * count >= len(record.members) - 1 else ""
