Carry the hybrid clock in the layout, so that repairs sort before what others saw of them

With the readers' clocks 250 ms behind and without the stamp, a daemon's event on the new layout sorted before the coordinator's repair that made it.

--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -23,6 +23,7 @@
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book
 from tanagerfork.front import callers, chat, journal, last_resort, listener, operators, services
+from tanagerfork.generated import layout
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import (
@@ -76,6 +77,7 @@
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
         self.groups.subscribe(self._note_group)
+        self.groups.subscribe_layouts(self._note_layout)
         self._rng = random.Random(settings.seed or None)
         self.peers = peer_services.PeerService(
             settings,
@@ -331,6 +333,9 @@
     def _note_state(self, state: str) -> None:
         self.timeline.record(kinds.EventKind.DAEMON_STATE, state)
 
+    def _note_layout(self, newer: layout.Layout) -> None:
+        self.timeline.observe(newer.written_at_ms, 0)
+
     def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
         kind = GROUP_EVENTS[view.state]
         missing = ", ".join(view.missing)
--- a/src/tanagerfork/groups/coordinator.py
+++ b/src/tanagerfork/groups/coordinator.py
@@ -184,6 +184,8 @@
         if not self._lease.state.may_act(self._clock.monotonic_ms(), 0):
             return False
         key = layout_follower.LAYOUT_PREFIX + self._failure_domain
+        at = self._timeline.stamp()
+        plan.layout.written_at_ms = at.ceiling_ms
         written = await swap.swap_record(self._store, key, plan.layout, base.revision)
         if isinstance(written, result.Err):
             self._base = None
@@ -194,7 +196,7 @@
         self._policy.note_written(plan.layout, situation)
         self._metrics.count("layout_writes_total")
         for note in plan.notes:
-            self._timeline.record(note.kind, note.detail, group=note.group)
+            self._timeline.record(note.kind, note.detail, group=note.group, at=at)
         return True
 
     async def _read_base(self) -> _Base | None:
--- a/src/tanagerfork/groups/directory.py
+++ b/src/tanagerfork/groups/directory.py
@@ -11,6 +11,7 @@
 UNLISTED_LIMIT_MS = 10_000  # Time after which a VM that left the list counts as leaving.
 UNLISTED_SHARE = 0.5  # A list that lost more than this share at once is not believed.
 
+LayoutListener = Callable[[layout.Layout], None]
 ChangeListener = Callable[[presence.GroupView, presence.GroupState | None], None]
 
 
@@ -32,6 +33,7 @@
         "_lives",
         "_machine",
         "_listeners",
+        "_layout_listeners",
         "_judged",
     )
 
@@ -44,6 +46,7 @@
         self._lives: dict[str, lifecycle.GroupLifecycle] = {}
         self._machine = lifecycle.build_machine()
         self._listeners: list[ChangeListener] = []
+        self._layout_listeners: list[LayoutListener] = []
         self._judged: dict[str, presence.GroupView] = {}
 
     def subscribe(self, listener: ChangeListener) -> None:
@@ -53,6 +56,13 @@
         """
         self._listeners.append(listener)
 
+    def subscribe_layouts(self, listener: LayoutListener) -> None:
+        """Have every layout told that comes in force here.
+
+        :param listener: called with each layout.
+        """
+        self._layout_listeners.append(listener)
+
     def take_layout(self, newer: layout.Layout) -> bool:
         """Take a layout in, unless a newer one is known.
 
@@ -62,6 +72,8 @@
         if self.layout is not None and find_age(newer) < find_age(self.layout):
             return False
         self.layout = newer
+        for listener in self._layout_listeners:
+            listener(newer)
         return True
 
     def take_vms(self, vms: list[engine.VmEntry], now_ms: int = 0) -> None:
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -5,7 +5,10 @@
 import pytest
 
 from tanagerfork import clock as clocks
+from tanagerfork.generated import layout
+from tanagerfork.groups import directory
 from tanagerfork.timeline import hybrid, kinds, merge, refusals, ring
+from tests.groups import scenes
 
 START_MS = 1_800_000_000_000
 KIND = kinds.EventKind.DAEMON_STATE
@@ -66,6 +69,51 @@
         assert merge.order_of(second.record(KIND)) > merge.order_of(cause)
 
 
+class BehindClock(clocks.ManualClock):
+    """Another clock's time, with a wall clock that is behind."""
+
+    def __init__(self, other: clocks.ManualClock, behind_ms: int) -> None:
+        super().__init__()
+        self._other = other
+        self._behind_ms = behind_ms
+
+    def wall_ms(self) -> int:
+        return self._other.wall_ms() - self._behind_ms
+
+
+class TestLayouts:
+    @pytest.mark.parametrize(("observes", "is_ordered"), [(True, True), (False, False)])
+    async def test_repair_sorts_before_what_others_saw_of_it(self, observes, is_ordered):
+        scene = scenes.Scene({"f1": 5}, groups=1, daemons=2)
+        told = [ring.Timeline(f"d{n}", BehindClock(scene.clock, 250), 1000) for n in range(2)]
+        for number, daemon in enumerate(scene.daemons):
+            follow(daemon.groups, told[number], observes)
+        await scene.run(10_000)
+        victim = scene.layout.groups[0].members[1]
+        scene.fleet.die(victim)
+        await scene.run(10_000)
+        pages = [daemon.timeline.read() for daemon in scene.daemons]
+        repairs = merge.merge_pages(pages, merge.EventFilter(kind="group.repaired"))
+        assert len(repairs) == 1
+        other = next(timeline for timeline in told if timeline.read().daemon != repairs[0].daemon)
+        layouts = other.read().events
+        last = max(place for place, item in enumerate(layouts) if victim in item.detail)
+        seen = layouts[last + 1]
+        assert (merge.order_of(seen) > merge.order_of(repairs[0])) == is_ordered
+
+
+def follow(groups: directory.GroupDirectory, timeline: ring.Timeline, observes: bool) -> None:
+    """Record every layout that a daemon sees, by a clock of its own."""
+
+    def note(newer: layout.Layout) -> None:
+        if observes:
+            timeline.observe(newer.written_at_ms, 0)
+        members = [vm for record in newer.groups for vm in record.members]
+        timeline.record(kinds.EventKind.GROUP_FORMED, " ".join(members))
+
+    groups.subscribe_layouts(note)
+
+
 class TestBounds:
     def test_clock_hours_ahead_drags_no_other(self):
         daemon = ring.Timeline("a", SkewedClock(0), 10)
