--- a/src/tanagerfork/cli/status_commands.py
+++ b/src/tanagerfork/cli/status_commands.py
@@ -116,9 +116,9 @@
         metric.make_histogram
     )
     for item in (item for listed in lists for item in listed.latencies):
-        if item.name == metric.STAGE_SECONDS:
+        if item.name in metric.STAGES:
             labels = {label.name: label.value for label in item.labels}
-            key = labels.get("team", ""), labels.get("model", ""), labels.get("stage", "")
+            key = labels.get("team", ""), labels.get("model", ""), metric.STAGES[item.name]
             merged[key].decode_and_add(item.histogram)
     return [_summarise_latency(key, merged[key]) for key in sorted(merged)]
 
--- a/src/tanagerfork/front/callers.py
+++ b/src/tanagerfork/front/callers.py
@@ -102,7 +102,6 @@
                 priority=min(asked.priority, team.max_priority),
                 deadline_at_ms=self._clock.monotonic_ms() + self._take_deadline(request),
             )
-            request[journal.MODEL] = call.model.name
             headers = {REQUEST_ID_HEADER: request_id}
             answer = (
                 sink.StreamSink(request, headers)
--- a/src/tanagerfork/front/journal.py
+++ b/src/tanagerfork/front/journal.py
@@ -20,7 +20,6 @@
 GONE = "caller_gone"
 
 TEAM = aiohttp.web.RequestKey("team", str)
-MODEL = aiohttp.web.RequestKey("model", str)
 ERROR = aiohttp.web.RequestKey("error", errors.CallerError)
 
 Handler = Callable[[aiohttp.web.Request], Awaitable[aiohttp.web.StreamResponse]]
@@ -114,11 +113,6 @@
         if ended == REFUSED:
             self.refusals.note(team, outcome)
         self._metrics.count("requests_ended_total", team=team, outcome=ended)
-        model = request.get(MODEL)
-        if model is not None and outcome == ANSWERED:
-            self._metrics.observe_ms(
-                metric.STAGE_SECONDS, duration_ms, team=team, model=model, stage="total"
-            )
 
 
 def _find_id(request: aiohttp.web.Request, response: aiohttp.web.StreamResponse | None) -> str:
--- a/src/tanagerfork/metrics.py
+++ b/src/tanagerfork/metrics.py
@@ -18,11 +18,19 @@
 MAX_SERIES = 1000  # Label sets of one name; the rest is counted as one.
 MAX_HISTOGRAMS = 200  # About 20 KB each.
 OVERFLOW = "other"
-STAGE_SECONDS = "request_stage_seconds"
+STAGES = {
+    "request_queue_seconds": "queue",
+    "request_first_token_seconds": "first_token",
+    "request_token_gap_seconds": "gap",
+    "request_total_seconds": "total",
+}
 HELP = {
     "group_downtime_seconds_total": "Group-seconds that the bundle asks for and no group served.",
     "stranded_accelerator_seconds_total": "Accelerator-seconds of live VMs in no whole group.",
-    "request_stage_seconds": "Latency of a stage of a request.",
+    "request_queue_seconds": "Time a request waited for a slot.",
+    "request_first_token_seconds": "Time from the sending of a request to its first token.",
+    "request_token_gap_seconds": "Mean time between two tokens of one answer.",
+    "request_total_seconds": "Time from the arrival of a request to the end of its answer.",
     "requests_ended_total": "Requests that ended, by outcome.",
 }
 HELP_ELSEWHERE = "See the table of metrics in docs/OPERATING.md."
--- a/tests/test_cli_reads.py
+++ b/tests/test_cli_reads.py
@@ -94,10 +94,10 @@
         )
     ]  # fmt: skip
     for number in range(100):
-        labels = {"team": "growers", "model": "rota-writer", "stage": "first_token"}
-        daemons[0].metrics.observe_ms(metric.STAGE_SECONDS, 10 + number % 5, **labels)
+        name, labels = "request_first_token_seconds", {"team": "growers", "model": "rota-writer"}
+        daemons[0].metrics.observe_ms(name, 10 + number % 5, **labels)
         if number < 5:
-            daemons[1].metrics.observe_ms(metric.STAGE_SECONDS, 900, **labels)
+            daemons[1].metrics.observe_ms(name, 900, **labels)
     return daemons
 
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -21,15 +21,15 @@
         metrics.count("requests_total", team="growers")
         metrics.count("requests_total", team='a "b" \\ c\nd')
         metrics.set_gauge("groups_down", 2, failure_domain="ipoh-a")
-        metrics.observe_ms(metric.STAGE_SECONDS, 12.5, team="growers", stage="queue")
-        metrics.observe_ms(metric.STAGE_SECONDS, 10, team="office", stage="queue")
+        metrics.observe_ms("request_queue_seconds", 12.5, team="growers")
+        metrics.observe_ms("request_queue_seconds", 10, team="office")
         lines = metrics.render().splitlines()
         assert all(SAMPLE.match(line) or COMMENT.match(line) for line in lines)
         types = [line.split()[2] for line in lines if line.startswith("# TYPE")]
         assert len(types) == len(set(types)) == 3
         assert 'tanagerfork_requests_total{team="a \\"b\\" \\\\ c\\nd"} 1' in lines
-        assert 'tanagerfork_request_stage_seconds_count{stage="queue",team="growers"} 1' in lines
-        assert 'tanagerfork_request_stage_seconds_sum{stage="queue",team="growers"} 0.0125' in lines
+        assert 'tanagerfork_request_queue_seconds_count{team="growers"} 1' in lines
+        assert 'tanagerfork_request_queue_seconds_sum{team="growers"} 0.0125' in lines
 
     @pytest.mark.parametrize("value", [1, 1234567, 10**12 + 1])
     def test_counter_loses_no_digit(self, value):
@@ -54,7 +54,7 @@
     def test_histograms_past_the_bound_are_added_to_one(self):
         metrics = metric.Metrics()
         for number in range(metric.MAX_HISTOGRAMS + 30):
-            metrics.observe_ms(metric.STAGE_SECONDS, 5, team=str(number))
+            metrics.observe_ms("request_queue_seconds", 5, team=str(number))
         encoded = metrics.encode_latencies()
         assert len(encoded) == metric.MAX_HISTOGRAMS + 1
         other = next(item for item in encoded if item.labels[0].value == metric.OVERFLOW)
