--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -21,7 +21,7 @@
 from tanagerfork import settings as settings_files
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
-from tanagerfork.claims import book
+from tanagerfork.claims import book, mark, owner, sweeper, writer
 from tanagerfork.front import callers, chat, journal, last_resort, listener, operators, services
 from tanagerfork.generated import layout
 from tanagerfork.generated import operators as operator_records
@@ -142,7 +142,7 @@
         self.callers.is_accepting = False
         waited_ms = 0
         while (
-            self.callers.open_requests
+            (self.callers.open_requests or self._services.unfinished)
             and waited_ms < self.settings.limits.drain_limit_ms
             and not self._hasten.is_set()
         ):
@@ -151,6 +151,7 @@
         await self.peers.stop()
         for task in self._tasks:
             task.cancel()
+        self._services.close()
         await self._coordinator.stop()
         self._observer.stop()
         for opened in self._listeners:
@@ -174,18 +175,27 @@
             self.timeline,
             self.metrics,
         )
-        plain_services = services.ServiceRunner(
+        self._claim_mark = mark.MarkKeeper(self.store, self.clock, self.metrics)
+        self.claims = book.ClaimBook(
+            settings.name,
+            self.clock,
+            self.metrics,
+            writer.ShardWriter(self.store, self.clock, self.metrics, self._claim_mark),
+            self._claim_mark,
+            owner.NoPeers(),
+        )
+        self._services = services.ServiceRunner(
             settings.failure_domain,
             service_clients.HttpServiceClient(
                 self._single_use_session, settings.limits.answer_body_bytes
             ),
-            book.ClaimBook(self.store, self.clock),
+            self.claims,
             self._rng,
             self.timeline,
             self.metrics,
         )
         self.callers = callers.CallersFront(
-            self.bundles, chats, plain_services, settings.limits, self.clock, self.metrics
+            self.bundles, chats, self._services, settings.limits, self.clock, self.metrics
         )
         sources = operators.Sources(
             self._read_status, self.timeline, self.journal, self.metrics, self.bundles, self.store
@@ -232,6 +242,15 @@
             self._list_live_daemons,
             self._rng,
         )
+        sweep = sweeper.ClaimSweeper(
+            self.store,
+            self.clock,
+            self.metrics,
+            self._claim_mark,
+            is_sweeper=lambda: True,
+            retention_ms=self.settings.limits.claim_retention_ms,
+        )
+        self._start_task(sweep.run())
         self._start_task(follow.run())
         self._start_task(self._follow_vms())
         self._start_task(follow_layout.run())
