--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -38,7 +38,7 @@
     sender,
 )
 from tanagerfork.peers import service as peer_services
-from tanagerfork.platform import etcd, vms
+from tanagerfork.platform import counted, etcd, vms
 from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
 from tanagerfork.upstream import connections
@@ -107,11 +107,14 @@
         )
         self._single_use_session = connections.open_session(single_use=True)
         self._pool = connections.Pool(asyncio.get_running_loop().time)
-        self.store = etcd.EtcdKeyValue(
-            self._session,
-            settings.platform.key_value_url,
-            settings.platform.key_prefix,
-            settings.platform.key_value_timeout_ms,
+        self.store = counted.CountedKeyValue(
+            etcd.EtcdKeyValue(
+                self._session,
+                settings.platform.key_value_url,
+                settings.platform.key_prefix,
+                settings.platform.key_value_timeout_ms,
+            ),
+            self.metrics,
         )
         self._vm_directory = vms.HttpVmDirectory(
             self._session, settings.platform.vm_list_url, settings.platform.key_value_timeout_ms
--- /dev/null
+++ b/src/tanagerfork/platform/counted.py
@@ -0,0 +1,73 @@
+"""Counts and times the calls to the key-value service."""
+
+import time
+from collections.abc import AsyncIterator
+from typing import TypeVar
+
+import result
+
+from tanagerfork import errors
+from tanagerfork import metrics as metric
+from tanagerfork.platform import key_value
+
+NS_PER_MS = 1_000_000
+CALLS = "key_value_calls_total"
+SECONDS = "key_value_seconds"
+
+ValueT = TypeVar("ValueT")
+
+
+class CountedKeyValue:
+    """Passes calls on to the key-value service, and counts them by their outcome.
+
+    :param store: key-value service.
+    :param metrics: counters.
+    """
+
+    __slots__ = ("_store", "_metrics")
+
+    def __init__(self, store: key_value.KeyValue, metrics: metric.Metrics) -> None:
+        self._store = store
+        self._metrics = metrics
+
+    async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
+        """Read one key; see `KeyValue.read`."""
+        began_ns = time.monotonic_ns()
+        return self._note("read", began_ns, await self._store.read(key))
+
+    async def read_prefix(
+        self, prefix: str
+    ) -> result.Result[list[key_value.Entry], errors.PlatformError]:
+        """Read all keys with a prefix; see `KeyValue.read_prefix`."""
+        began_ns = time.monotonic_ns()
+        return self._note("read_prefix", began_ns, await self._store.read_prefix(prefix))
+
+    async def swap(
+        self, key: str, value: bytes, revision: int
+    ) -> result.Result[int, errors.PlatformError]:
+        """Write a key under its revision; see `KeyValue.swap`."""
+        began_ns = time.monotonic_ns()
+        return self._note("swap", began_ns, await self._store.swap(key, value, revision))
+
+    async def delete_range(
+        self, first: str, after_last: str
+    ) -> result.Result[int, errors.PlatformError]:
+        """Delete all keys of a range; see `KeyValue.delete_range`."""
+        began_ns = time.monotonic_ns()
+        return self._note(
+            "delete_range", began_ns, await self._store.delete_range(first, after_last)
+        )
+
+    def watch(self, key: str, revision: int) -> AsyncIterator[key_value.Entry]:
+        """Follow one key; see `KeyValue.watch`."""
+        self._metrics.count(CALLS, call="watch", outcome="begun")
+        return self._store.watch(key, revision)
+
+    def _note(
+        self, call: str, began_ns: int, outcome: result.Result[ValueT, errors.PlatformError]
+    ) -> result.Result[ValueT, errors.PlatformError]:
+        duration_ms = (time.monotonic_ns() - began_ns) / NS_PER_MS
+        self._metrics.observe_ms(SECONDS, duration_ms, call=call)
+        kind = outcome.err_value.kind if isinstance(outcome, result.Err) else "good"
+        self._metrics.count(CALLS, call=call, outcome=kind)
+        return outcome
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -156,6 +156,13 @@
             roll_draft(site, taiping, tmp_path, "taiping", 3)
             team = site.daemon.bundles.current.bundle.teams[0]
             assert (team.weight, team.requests_per_s) == (7, 6.0)
+            told = commands.call("bundle", "history", "--json", *site.at).stdout
+            listed = msgspec.json.decode(told, type=operators.BundleHistory).entries
+            assert [(item.version, item.rolled_by) for item in listed] == [
+                (3, "taiping"),
+                (2, "ipoh"),
+                (1, "ipoh"),
+            ]
 
     def test_change_of_the_same_field_is_a_conflict_and_leaves_the_draft_alone(self, tmp_path):
         with commands.run_offices() as site:
