--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -24,6 +24,7 @@
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book, mark, owner, sweeper, writer
 from tanagerfork.front import callers, chat, journal, last_resort, listener, operators, services
+from tanagerfork.generated import layout
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import (
@@ -39,7 +40,7 @@
     sender,
 )
 from tanagerfork.peers import service as peer_services
-from tanagerfork.platform import etcd, vms
+from tanagerfork.platform import counted, etcd, vms
 from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
 from tanagerfork.upstream import connections
@@ -71,6 +72,7 @@
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
         self.groups.subscribe(functools.partial(changes.record_change, self.timeline))
+        self.groups.subscribe_layouts(self._note_layout)
         self._rng = random.Random(settings.seed or None)
         self.peers = peer_services.PeerService(
             settings,
@@ -100,11 +102,14 @@
         )
         self._single_use_session = connections.open_session(single_use=True)
         self._pool = connections.Pool(asyncio.get_running_loop().time)
-        self.store = etcd.EtcdKeyValue(
-            self._session,
-            settings.platform.key_value_url,
-            settings.platform.key_prefix,
-            settings.platform.key_value_timeout_ms,
+        self.store = counted.CountedKeyValue(
+            etcd.EtcdKeyValue(
+                self._session,
+                settings.platform.key_value_url,
+                settings.platform.key_prefix,
+                settings.platform.key_value_timeout_ms,
+            ),
+            self.metrics,
         )
         self._vm_directory = vms.HttpVmDirectory(
             self._session, settings.platform.vm_list_url, settings.platform.key_value_timeout_ms
@@ -123,8 +128,8 @@
         )
         await self._open_listeners()
         self.peers.start(
-            f"http://{settings.callers.host}:{self.callers_port}",
-            f"http://{settings.operators.host}:{self.operators_port}",
+            listener.name_address(settings.callers, self.callers_port, settings.peers.host),
+            listener.name_address(settings.operators, self.operators_port, settings.peers.host),
         )
         self.lifecycle.apply("listen")
         self._start_tasks()
@@ -343,6 +348,9 @@
     def _note_state(self, state: str) -> None:
         self.timeline.record(kinds.EventKind.DAEMON_STATE, state)
 
+    def _note_layout(self, newer: layout.Layout) -> None:
+        self.timeline.observe(newer.written_at_ms, 0)
+
 
 async def serve(settings: settings_records.Settings, embedded: pathlib.Path | None) -> None:
     """Run a daemon until a signal ends it.
