--- a/bench/claims.py
+++ b/bench/claims.py
@@ -2,6 +2,7 @@
 
 Run as `python -m bench.claims`. Each claim is taken by the real `ClaimBook` of one of the daemons,
 runs for a seeded time, and is settled. The baseline writes each claim and each outcome by itself.
+"own domain" has three failure domains choose their writers apart; "each alone" forwards nothing.
 """
 
 import asyncio
@@ -31,26 +32,32 @@
 RATES_PER_S = (1, 10, 100, 350, 1_000)
 DAEMONS = (6, 20, 70)
 BASELINE_SHARDS = 64
+FAILURE_DOMAINS = 3
 GOAL_WRITES_PER_S = 300
 GOAL_WAIT_MS = 30
 
 
 class NearPeers:
-    """Daemons in one process, `ONE_WAY_MS` apart."""
+    """Daemons in one process, `ONE_WAY_MS` apart.
 
-    def __init__(self) -> None:
-        self.books: dict[str, book.ClaimBook] = {}
+    :param known: names of the daemons that are known.
+    :param books: books of all daemons.
+    """
+
+    def __init__(self, known: list[str], books: dict[str, book.ClaimBook]) -> None:
+        self._known = known
+        self._books = books
 
     def list_live(self) -> Iterable[str]:
-        """Return the names of all daemons."""
-        return self.books
+        """Return the names of the known daemons."""
+        return self._known
 
     async def send(
         self, name: str, call: claims.ClaimCall
     ) -> result.Result[claims.ClaimReply, errors.PlatformError]:
         """Have another daemon write."""
         await asyncio.sleep(ONE_WAY_MS / 1000)
-        reply = await self.books[name].serve(call)
+        reply = await self._books[name].serve(call)
         await asyncio.sleep(ONE_WAY_MS / 1000)
         return reply
 
@@ -91,29 +98,40 @@
     wait_p95_ms: float
 
 
-def measure(rate_per_s: int, daemons: int, is_timed: bool, is_baseline: bool = False) -> Measured:
+def measure(
+    rate_per_s: int,
+    daemons: int,
+    is_timed: bool,
+    is_baseline: bool = False,
+    failure_domains: int = 1,
+) -> Measured:
     """Run claims at a rate.
 
     :param rate_per_s: claims a second over all daemons.
     :param daemons: number of daemons.
     :param is_timed: whether the keys are time-ordered.
     :param is_baseline: whether each record is written by itself.
+    :param failure_domains: failure domains whose daemons know only each other; 0 has each daemon
+        write by itself.
     :return: what was measured.
     """
-    return virtual.run(_measure(rate_per_s, daemons, is_timed, is_baseline))
+    work = _measure(rate_per_s, daemons, is_timed, is_baseline, failure_domains)
+    return virtual.run(work)
 
 
-async def _measure(rate_per_s: int, daemons: int, is_timed: bool, is_baseline: bool) -> Measured:
+async def _measure(
+    rate_per_s: int, daemons: int, is_timed: bool, is_baseline: bool, failure_domains: int
+) -> Measured:
     rng = random.Random(SEED)
     store, clock, metrics = (
         stores.CountedKeyValue(SERVICE_MS),
         virtual.VirtualClock(),
         metric.Metrics(),
     )
-    peers = NearPeers()
     books: dict[str, book.ClaimBook] = {}
     for number in range(daemons):
         name = f"daemon-{number}"
+        peers = NearPeers(_list_known(number, daemons, failure_domains), books)
         watermark = mark.MarkKeeper(store, clock, metrics)
         shards = writer.ShardWriter(store, clock, metrics, watermark)
         way: owner.ClaimPeers = peers
@@ -121,7 +139,6 @@
             shards, way = SingleWriter(store), owner.NoPeers()  # type: ignore[assignment]
         books[name] = book.ClaimBook(name, clock, metrics, shards, watermark, way)
         await watermark.check(keys.place_key("team", "first"))
-    peers.books = books
     store.writes = store.reads = store.written_bytes = 0
     most = BASELINE_CLAIMS if is_baseline else CLAIMS_PER_RUN
     count = max(20, min(most, rate_per_s * LONGEST_S))
@@ -151,6 +168,13 @@
     )
 
 
+def _list_known(number: int, daemons: int, failure_domains: int) -> list[str]:
+    if not failure_domains:
+        return []
+    first = number % failure_domains
+    return [f"daemon-{known}" for known in range(first, daemons, failure_domains)]
+
+
 async def _claim_once(
     chosen: book.ClaimBook, key: str, number: int, rng: random.Random, waits_ms: list[float]
 ) -> None:
@@ -170,14 +194,16 @@
     print("claims/s daemons kind          writes/claim reads/claim writes/s kB/s   p50 ms p95 ms")
     for daemons in DAEMONS:
         for rate_per_s in RATES_PER_S:
-            for kind, is_timed, is_baseline in (
-                ("time-ordered", True, False),
-                ("other keys", False, False),
-                ("baseline", True, True),
+            for kind, is_timed, is_baseline, domains in (
+                ("time-ordered", True, False, 1),
+                ("own domain", True, False, FAILURE_DOMAINS),
+                ("each alone", True, False, 0),
+                ("other keys", False, False, 1),
+                ("baseline", True, True, 1),
             ):
-                if daemons != DAEMONS[1] and kind != "time-ordered":
+                if kind != "time-ordered" and (daemons, rate_per_s > 350) != (DAEMONS[1], False):
                     continue
-                seen = measure(rate_per_s, daemons, is_timed, is_baseline)
+                seen = measure(rate_per_s, daemons, is_timed, is_baseline, domains)
                 print(
                     f"{rate_per_s:8} {daemons:7} {kind:13} {seen.writes / seen.claims:12.2f} "
                     f"{seen.reads / seen.claims:11.2f} {seen.writes_per_s:8.0f} "
--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -228,7 +228,15 @@
 
     def _start_tasks(self) -> None:
         follow = follower.BundleFollower(
-            self.store, self.bundles, self.clock, self.timeline, self.metrics
+            self.store,
+            self.bundles,
+            self.clock,
+            self.timeline,
+            self.metrics,
+            self.peers.is_watcher,
+            random.Random(
+                f"{self.settings.seed}/{self.settings.name}" if self.settings.seed else None
+            ),
         )
         self._coordinator = self._make_coordinator()
         follow_layout = layout_follower.LayoutFollower(
@@ -245,7 +253,7 @@
             self.clock,
             self.metrics,
             self._claim_mark,
-            is_sweeper=lambda: True,
+            is_sweeper=self.peers.is_watcher,
             retention_ms=self.settings.limits.claim_retention_ms,
         )
         self._start_task(sweep.run())
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -224,7 +224,7 @@
         at = self._timeline.stamp()
         known = in_force.head if in_force else None
         rolled = await heads.roll_head(self._store, signed, rolled_by, at.ceiling_ms, known)
-        if isinstance(rolled, result.Ok):
+        if isinstance(rolled, result.Ok) and rolled.ok_value.rolled_at_ms == at.ceiling_ms:
             version = rolled.ok_value.version
             self._timeline.record(
                 kinds.EventKind.BUNDLE_ROLLED,
