Settle a claim that a silent preferred writer may have written

Cause: where the reply of a forward was lost and the service went away before the direct write, the claim was given up without an outcome and its key stayed claimed for ever, though nothing ran. The new test fails without the change.

--- a/src/tanagerfork/claims/book.py
+++ b/src/tanagerfork/claims/book.py
@@ -213,7 +213,10 @@
         # The call may have been written all the same; the attempt in the record tells.
         self._metrics.count("claims_forwarded_in_vain_total")
         self._avoided_until_ms[chosen] = self._clock.monotonic_ms() + AVOID_OWNER_MS
-        return await self._writer.submit(call)
+        written = await self._writer.submit(call)
+        if isinstance(written, result.Err):
+            return result.Err(errors.AnswerLost(f"{chosen} may have written it; read it back"))
+        return written
 
     def _is_avoided(self, name: str) -> bool:
         if self._clock.monotonic_ms() < self._avoided_until_ms.get(name, 0):
--- a/tests/claims_fleet.py
+++ b/tests/claims_fleet.py
@@ -23,6 +23,7 @@
         self.books: dict[str, book.ClaimBook] = {}
         self.lost_calls = 0
         self.lost_replies = 0
+        self.on_lost_reply = lambda: None
 
     def list_live(self) -> list[str]:
         """Return the names of all daemons."""
@@ -38,6 +39,7 @@
         reply = await self.books[name].serve(call)
         if self.lost_replies > 0:
             self.lost_replies -= 1
+            self.on_lost_reply()
             return result.Err(errors.AnswerLost("lost; write directly"))
         return reply
 
--- a/tests/test_claims_book.py
+++ b/tests/test_claims_book.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tanagerfork.claims import book, decision, keys, writer
+from tanagerfork.claims import book, decision, keys, owner, writer
 from tanagerfork.generated import claims
 from tests import claims_fleet
 
@@ -226,6 +226,10 @@
         assert 500_000 < len(fleet.store.entries["x"].value) < 1_000_000
 
 
+def choose_writer(key: str) -> str | None:
+    return owner.choose_owner(keys.place_key("press-floor", key).shard, "ab")
+
+
 class TestForwarding:
     @pytest.mark.parametrize("field", ["lost_calls", "lost_replies"])
     @pytest.mark.parametrize("amount", [0, 1, 2])
@@ -239,6 +243,17 @@
             "outcome_unknown",
         ]
 
+    async def test_service_gone_after_a_lost_reply_leaves_no_claim_behind(self):
+        fleet = claims_fleet.Fleet(("a", "b"), is_forwarding=True)
+        sender = next(name for name in "ab" if name != choose_writer("lot-8"))
+        fleet.peers.lost_replies = 1
+        fleet.peers.on_lost_reply = lambda: setattr(fleet.store, "is_away", True)
+        assert claims_fleet.describe(await fleet.claim(sender, key="lot-8")) == "not_run"
+        assert fleet.books[sender].unsettled == 1
+        fleet.store.is_away = False
+        await fleet.drive(asyncio.ensure_future(fleet.wait_until_settled(sender)))
+        assert claims_fleet.describe(await fleet.claim(sender, key="lot-8")) == "granted"
+
     async def test_dead_writer_is_asked_once_in_a_while(self):
         fleet = claims_fleet.Fleet(("a", "b"), is_forwarding=True)
         fleet.peers.lost_calls = 1_000
