Bound the time that one step spends on orders, and forget what is gone

Slow engines could hold a step for longer than the lease: 68 groups of 4 in batches of 16 with a second each. The rest is left to the next step now.

--- a/src/tanagerfork/groups/rollout.py
+++ b/src/tanagerfork/groups/rollout.py
@@ -56,6 +56,7 @@
         """
         if draft.situation.bundle_version > draft.situation.layout.bundle_version:
             draft.stopped = []
+        self._forget_gone(draft)
         excess = find_excess(draft)
         for record in list(draft.groups.values()):
             reason = find_reason(draft, record, excess)
@@ -91,6 +92,13 @@
         """
         self._waves[record.group] = record.generation
 
+    def _forget_gone(self, draft: drafts.Draft) -> None:
+        current = {record.group: record.generation for record in draft.groups.values()}
+        waves = self._waves.items()
+        self._waves = {group: wave for group, wave in waves if current.get(group) == wave}
+        downs = self._down_since_ms.items()
+        self._down_since_ms = {key: since_ms for key, since_ms in downs if key in current.items()}
+
     def _start_drain(
         self, draft: drafts.Draft, record: layout.GroupRecord, reason: DrainReason
     ) -> None:
--- a/src/tanagerfork/groups/sender.py
+++ b/src/tanagerfork/groups/sender.py
@@ -14,6 +14,7 @@
 from tanagerfork.upstream import engine as engines
 
 ORDERS_AT_ONCE = 16
+SEND_LIMIT_MS = 1000  # Time after which the rest of the orders is left to the next step.
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -59,16 +60,19 @@
         vms: Mapping[str, facts.VmFact],
         may_order: Callable[[], bool],
     ) -> None:
-        """Send orders, several at once.
+        """Send orders, several at once, as long as the lease need not be renewed.
 
         :param chosen: orders, in the order of sending.
         :param vms: facts that they were chosen by.
         :param may_order: asked right before each order.
         """
-        for vm in self._given.keys() - vms.keys():
-            del self._given[vm]
+        self._given = {vm: given for vm, given in self._given.items() if vm in vms}
+        self._refused = {vm: order for vm, order in self._refused.items() if vm in vms}
         waiting = [item for item in chosen if not self._is_under_way(item, vms)]
+        started_at_ms = self._clock.monotonic_ms()
         for start in range(0, len(waiting), ORDERS_AT_ONCE):
+            if self._clock.monotonic_ms() - started_at_ms >= SEND_LIMIT_MS:
+                return
             batch = waiting[start : start + ORDERS_AT_ONCE]
             await asyncio.gather(*(self._send(item, vms, may_order) for item in batch))
 
