--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -232,7 +232,7 @@
             self.store,
             self.groups,
             self.clock,
-            self._list_live_daemons,
+            self.peers.live,
             self._rng,
         )
         sweep = sweeper.ClaimSweeper(
@@ -258,7 +258,7 @@
             self.store,
             self.clock,
             settings.groups.lease_ttl_ms,
-            self._list_live_daemons,
+            self.peers.live,
         )
         return coordinator.Coordinator(
             settings.failure_domain,
@@ -280,9 +280,6 @@
             rollout.RolloutLimits(drain_ms, self.settings.groups.wave_limit_ms)
         )
 
-    def _list_live_daemons(self) -> list[str]:
-        return self.peers.live()
-
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -340,6 +337,7 @@
         )
         status.coordinator = self._lease.state.holder
         status.key_value_reachable = self._lease.measure_absence() == 0
+        status.peers = self.peers.describe_peers()
         return status
 
     def _note_state(self, state: str) -> None:
--- a/src/tanagerfork/groups/sender.py
+++ b/src/tanagerfork/groups/sender.py
@@ -10,7 +10,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.generated import engine
 from tanagerfork.groups import facts, orders
-from tanagerfork.timeline import kinds, ring
+from tanagerfork.timeline import hybrid, kinds, ring
 from tanagerfork.upstream import engine as engines
 
 ORDERS_AT_ONCE = 16
@@ -93,31 +93,37 @@
         if not may_order():
             self._metrics.count("orders_withheld_total")
             return
+        # What follows from the order may be seen before its answer, so the event is stamped now.
+        at = self._timeline.stamp()
         answer = await self._client.order(item.entry, item.order)
         self._metrics.count("orders_sent_total", kind=item.order.kind)
         if isinstance(answer, result.Err):
             self._metrics.count("orders_unanswered_total")
             return
         if answer.ok_value.accepted:
-            self._note_given(item, vms)
+            self._note_given(item, vms, at)
         else:
-            self._note_refused(item, answer.ok_value.reason)
+            self._note_refused(item, answer.ok_value.reason, at)
 
-    def _note_given(self, item: orders.VmOrder, vms: Mapping[str, facts.VmFact]) -> None:
+    def _note_given(
+        self, item: orders.VmOrder, vms: Mapping[str, facts.VmFact], at: hybrid.HybridTime
+    ) -> None:
         vm = item.entry.vm
         self._refused.pop(vm, None)
         fact = vms.get(vm)
         if fact is not None and fact.report is not None:
             report = fact.report
             self._given[vm] = _Given(item.order, report.incarnation, report.sequence)
-        self._record(kinds.EventKind.ORDER_SENT, item, item.order.kind)
+        self._record(kinds.EventKind.ORDER_SENT, item, item.order.kind, at)
 
-    def _note_refused(self, item: orders.VmOrder, reason: str) -> None:
+    def _note_refused(self, item: orders.VmOrder, reason: str, at: hybrid.HybridTime) -> None:
         self._metrics.count("orders_refused_total")
         self._given.pop(item.entry.vm, None)
         if self._refused.get(item.entry.vm) != item.order:
             self._refused[item.entry.vm] = item.order
-            self._record(kinds.EventKind.ORDER_REFUSED, item, f"{item.order.kind}: {reason}")
+            self._record(kinds.EventKind.ORDER_REFUSED, item, f"{item.order.kind}: {reason}", at)
 
-    def _record(self, kind: kinds.EventKind, item: orders.VmOrder, detail: str) -> None:
-        self._timeline.record(kind, detail, vm=item.entry.vm, group=item.order.group)
+    def _record(
+        self, kind: kinds.EventKind, item: orders.VmOrder, detail: str, at: hybrid.HybridTime
+    ) -> None:
+        self._timeline.record(kind, detail, vm=item.entry.vm, group=item.order.group, at=at)
