Decide admission, routing, retries and poison requests by policy over explicit time

Cause: the thin path chose a group by two choices alone, let any number of requests in, repeated lost requests without a bound, and ran a request that crashes upstreams as often as it was sent. Change: start-time fair queueing over teams by slot time (weighed against deficit round robin in the docstring), limits shared over the failure domain's daemons, early refusals with the wait that stands against the deadline; two choices on corrected load, warm prefixes, ejection with trials, leaving VMs by the earliest word; retry budgets, paced dials; suspects and quarantine; resume only by the version that began the answer; caller's cancel carried to the engine; slow callers ended; spill by one hop. Seen: fault table of tests/test_chat.py (16 cases), poison sent 20 times through 20 daemons crashes 2 groups; a cut connection whose engine is still there raises no suspicion.

--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -21,14 +21,15 @@
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book
-from tanagerfork.front import callers, chat, operators, services
+from tanagerfork.front import attempts, callers, chat, gate, operators, services
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import coordinator, directory, observer, presence
 from tanagerfork.platform import etcd, vms
-from tanagerfork.routing import balancer
+from tanagerfork.routing import affinity, balancer, health, leaving, limits, poison, retry
+from tanagerfork.routing import fleet as fleets
 from tanagerfork.timeline import kinds, ring
-from tanagerfork.upstream import connections
+from tanagerfork.upstream import cache_events, connections
 from tanagerfork.upstream import engine as engines
 from tanagerfork.upstream import service as service_clients
 
@@ -54,6 +55,7 @@
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
         self.groups.subscribe(self._note_group)
+        self.fleet: fleets.Fleet = fleets.LoneDaemon()
         self._rng = random.Random(settings.seed or None)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[aiohttp.web.AppRunner] = []
@@ -108,6 +110,7 @@
         for task in self._tasks:
             task.cancel()
         self._observer.stop()
+        self._gate.stop()
         for runner in self._runners:
             await runner.cleanup()
         await self._session.close()
@@ -121,14 +124,7 @@
 
     async def _open_listeners(self) -> None:
         settings = self.settings
-        chats = chat.ChatRunner(
-            self.groups,
-            balancer.Balancer(self._rng),
-            self._engines,
-            self.clock,
-            self.timeline,
-            self.metrics,
-        )
+        chats = self._build_chats()
         plain_services = services.ServiceRunner(
             settings.failure_domain,
             service_clients.HttpServiceClient(
@@ -158,6 +154,33 @@
             self.callers.build_app(), settings.callers.host, settings.callers.port
         )
 
+    def _build_chats(self) -> chat.ChatRunner:
+        choice = balancer.Balancer(
+            self._rng, health.Health(self._rng, self._note_health), affinity.PrefixMap()
+        )
+        self.team_limits = limits.TeamLimits(self.fleet)
+        self.poison = poison.PoisonRegister()
+        policy = chat.ChatPolicy(
+            balancer=choice,
+            leaving=leaving.LeavingVms(self.groups.find_vm, self.fleet),
+            budget=retry.RetryBudget(),
+            pacer=retry.DialPacer(self._rng),
+            poison=self.poison,
+            fleet=self.fleet,
+        )
+        self._gate = gate.Gate(
+            self.groups, choice.sent, self.team_limits, self.fleet, self.clock, self.metrics
+        )
+        tries = attempts.AttemptRunner(
+            self.groups, choice, self.poison, self._engines, self.clock, self.metrics
+        )
+        self._cache_follower = cache_events.CacheFollower(
+            self.groups, choice, self._engines, self.clock
+        )
+        return chat.ChatRunner(
+            self.groups, policy, self._gate, tries, self.clock, self.timeline, self.metrics
+        )
+
     async def _listen(self, app: aiohttp.web.Application, host: str, port: int) -> int:
         runner = aiohttp.web.AppRunner(
             app, access_log=None, shutdown_timeout=CLOSE_S, handler_cancellation=True
@@ -185,6 +208,7 @@
         self._start_task(follow.run())
         self._start_task(self._follow_vms())
         self._start_task(coordinate.run())
+        self._start_task(self._cache_follower.run())
         self._start_task(self._follow_readiness())
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
@@ -223,6 +247,11 @@
     def _note_state(self, state: str) -> None:
         logs.log_event(self.timeline.record(kinds.EventKind.DAEMON_STATE, state))
 
+    def _note_health(self, group: str, state: str, reason: str) -> None:
+        is_ejected = state == health.HealthState.EJECTED
+        kind = kinds.EventKind.GROUP_EJECTED if is_ejected else kinds.EventKind.GROUP_READMITTED
+        logs.log_event(self.timeline.record(kind, reason, group=group))
+
     def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
         is_whole = view.state == presence.GroupState.WHOLE
         kind = kinds.EventKind.GROUP_WHOLE if is_whole else kinds.EventKind.GROUP_BROKEN
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -116,6 +116,20 @@
     ran = NOT_RUN
 
 
+class CrashedUpstreams(Quarantined):
+    """The request ran, and the upstreams that ran it crashed."""
+
+    ran = MAY_HAVE_RUN
+
+
+class AnswerTooLarge(CallerError):
+    """The answer exceeds what the daemon keeps for a caller that does not stream."""
+
+    kind = "answer_too_large"
+    status = 413
+    ran = RAN
+
+
 class OutcomeUnknown(CallerError):
     """The request may have run, and what it did is not known."""
 
--- a/src/tanagerfork/front/callers.py
+++ b/src/tanagerfork/front/callers.py
@@ -12,9 +12,12 @@
 from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import register
-from tanagerfork.front import chat, services, sink, teams
+from tanagerfork.front import attempts, chat, services, sink, teams
 from tanagerfork.generated import bundle, callers
 from tanagerfork.generated import settings as settings_records
+from tanagerfork.routing import admission
+from tanagerfork.upstream import engine as engines
+from tanagerfork.upstream import prefix
 
 REQUEST_ID_HEADER = "X-Request-Id"
 KEY_HEADER = "Idempotency-Key"
@@ -91,22 +94,11 @@
         try:
             request_id = _take_request_id(request, request_id)
             team = self._find_team(request)
+            deadline_at_ms = self._clock.monotonic_ms() + self._take_deadline(request)
             body = await self._read_body(request)
             asked, forwarded = _read_chat(body)
-            call = chat.ChatCall(
-                request_id=request_id,
-                team=team,
-                model=self._find_model(team, asked.model),
-                body=forwarded,
-                priority=min(asked.priority, team.max_priority),
-                deadline_at_ms=self._clock.monotonic_ms() + self._take_deadline(request),
-            )
-            headers = {REQUEST_ID_HEADER: request_id}
-            answer = (
-                sink.StreamSink(request, headers)
-                if asked.stream
-                else sink.WholeSink(request_id, asked.model, headers)
-            )
+            call = self._make_call(request, request_id, team, asked, forwarded, deadline_at_ms)
+            answer = self._open_sink(request, request_id, asked)
             ran = await self._chats.run(call, answer)
             if isinstance(ran, result.Err):
                 raise ran.err_value
@@ -117,8 +109,49 @@
                 return await self._cut(error, request_id, answer)
             return self._refuse(error, request_id)
         finally:
+            if answer is not None:
+                answer.close()
             self.open_requests -= 1
 
+    def _make_call(
+        self,
+        request: aiohttp.web.Request,
+        request_id: str,
+        team: bundle.Team,
+        asked: callers.ChatRequest,
+        body: bytes,
+        deadline_at_ms: int,
+    ) -> chat.ChatCall:
+        name, _, adapter = asked.model.partition(":")
+        in_force = self._bundles.current
+        rules = in_force.bundle.priorities if in_force else []
+        rank = admission.find_rank(rules, asked.tag)
+        is_hop = attempts.HOP_HEADER in request.headers
+        return chat.ChatCall(
+            request_id=request_id,
+            team=team,
+            model=self._find_model(team, name, adapter),
+            body=body,
+            priority=max(min(asked.priority, team.max_priority), rank),
+            deadline_at_ms=deadline_at_ms,
+            adapter=adapter,
+            rank=rank,
+            prefixes=prefix.hash_prefixes(asked.messages),
+            authorization=request.headers.get("Authorization", ""),
+            offset=_take_offset(request) if is_hop else 0,
+            may_spill=not is_hop,
+        )
+
+    def _open_sink(
+        self, request: aiohttp.web.Request, request_id: str, asked: callers.ChatRequest
+    ) -> sink.AnswerSink:
+        headers = {REQUEST_ID_HEADER: request_id}
+        if asked.stream:
+            if attempts.HOP_HEADER in request.headers:
+                headers[engines.ATTEMPT_HEADER] = request_id
+            return sink.StreamSink(request, headers, self._limits.write_stall_ms)
+        return sink.WholeSink(request_id, asked.model, headers, self._limits.answer_body_bytes)
+
     async def _serve_service(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
         request_id = uuid.uuid4().hex
         self.open_requests += 1
@@ -169,7 +202,7 @@
             raise found.err_value
         return found.ok_value
 
-    def _find_model(self, team: bundle.Team, name: str) -> bundle.Model:
+    def _find_model(self, team: bundle.Team, name: str, adapter: str) -> bundle.Model:
         in_force = self._bundles.current
         models = in_force.bundle.models if in_force else []
         found = next((model for model in models if model.name == name), None)
@@ -177,6 +210,8 @@
             raise errors.NotFound(f"no model {name!r}; see GET /v1/models")
         if name not in team.models:
             raise errors.Forbidden(f"team {team.name} may not use {name!r}; ask your operator")
+        if adapter and adapter not in found.adapters:
+            raise errors.NotFound(f"model {name!r} has no adapter {adapter!r}; leave it out")
         return found
 
     def _find_service(self, team: bundle.Team, name: str) -> bundle.Service:
@@ -210,7 +245,9 @@
 
     def _refuse(self, error: errors.CallerError, request_id: str) -> aiohttp.web.Response:
         self._metrics.count("requests_refused_total", kind=error.kind)
-        headers = {REQUEST_ID_HEADER: request_id}
+        headers = {REQUEST_ID_HEADER: request_id, engines.ATTEMPT_HEADER: request_id}
+        if error.ran == errors.NOT_RUN:
+            headers[engines.NOT_RUN_HEADER] = "1"
         if error.retry_after_ms:
             headers["Retry-After"] = str(-(-error.retry_after_ms // 1000))
         return aiohttp.web.Response(
@@ -254,6 +291,13 @@
     return taken
 
 
+def _take_offset(request: aiohttp.web.Request) -> int:
+    text = request.headers.get(engines.OFFSET_HEADER, "0")
+    if not text.isdigit():
+        raise errors.BadRequest(f"{engines.OFFSET_HEADER} must be a number of tokens")
+    return int(text)
+
+
 def _take_key(request: aiohttp.web.Request) -> str:
     key = request.headers.get(KEY_HEADER, "")
     if len(key) > MAX_KEY_CHARS:
--- a/src/tanagerfork/front/sink.py
+++ b/src/tanagerfork/front/sink.py
@@ -1,5 +1,7 @@
 """Where a model's answer goes: streamed on, or gathered into one."""
 
+import asyncio
+import math
 from typing import Protocol
 
 import aiohttp.web
@@ -60,12 +62,16 @@
     def has_begun(self) -> bool:
         """Whether the caller has been sent anything."""
 
-    async def write(self, events: bytes) -> None:
+    async def write(self, events: bytes) -> bool:
         """Take events in.
 
         :param events: whole server-sent events.
+        :return: whether there was room for them.
         """
 
+    def close(self) -> None:
+        """Give up what the answer holds, whether it is whole or not."""
+
     async def finish(self) -> aiohttp.web.StreamResponse:
         """End the answer.
 
@@ -81,27 +87,61 @@
 
 
 class StreamSink:
-    """Passes events on to the caller.
+    """Passes events on to the caller, and ends a caller that leaves them unread.
+
+    One timer a stream looks whether a write is held up; each stream waits for its own caller only.
 
     :param request: caller's request.
     :param headers: headers of the answer.
+    :param stall_ms: time a caller may leave its answer unread, in milliseconds.
     """
 
-    __slots__ = ("_request", "_response", "has_begun")
-
-    def __init__(self, request: aiohttp.web.Request, headers: dict[str, str]) -> None:
+    __slots__ = (
+        "_request",
+        "_response",
+        "_stall_s",
+        "_loop",
+        "_writing_since",
+        "_timer",
+        "has_begun",
+    )
+
+    def __init__(
+        self, request: aiohttp.web.Request, headers: dict[str, str], stall_ms: int
+    ) -> None:
         self._request = request
+        self._stall_s = stall_ms / 1000
+        self._loop = asyncio.get_running_loop()
+        self._writing_since = math.inf
+        self._timer: asyncio.TimerHandle | None = None
         self._response = aiohttp.web.StreamResponse(
             headers={"Content-Type": "text/event-stream", "Cache-Control": "no-store", **headers}
         )
         self.has_begun = False
 
-    async def write(self, events: bytes) -> None:
+    async def write(self, events: bytes) -> bool:
         """Pass events on; see `AnswerSink.write`."""
         if not self.has_begun:
             self.has_begun = True
+            self._timer = self._loop.call_later(self._stall_s, self._check_stall)
             await self._response.prepare(self._request)
+        self._writing_since = self._loop.time()
         await self._response.write(events)
+        self._writing_since = math.inf
+        return True
+
+    def close(self) -> None:
+        """End the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _check_stall(self) -> None:
+        now = self._loop.time()
+        due = min(self._writing_since, now) + self._stall_s
+        if now < due:
+            self._timer = self._loop.call_at(due, self._check_stall)
+        elif self._request.transport is not None:
+            self._request.transport.abort()
 
     async def finish(self) -> aiohttp.web.StreamResponse:
         """Send the end marker; see `AnswerSink.finish`."""
@@ -122,20 +162,31 @@
     :param request_id: id of the request.
     :param model: model that was asked.
     :param headers: headers of the answer.
+    :param limit_bytes: most bytes of events that are kept.
     """
 
-    __slots__ = ("_request_id", "_model", "_headers", "_events", "has_begun")
+    __slots__ = ("_request_id", "_model", "_headers", "_events", "_limit_bytes", "has_begun")
 
-    def __init__(self, request_id: str, model: str, headers: dict[str, str]) -> None:
+    def __init__(
+        self, request_id: str, model: str, headers: dict[str, str], limit_bytes: int
+    ) -> None:
+        self._limit_bytes = limit_bytes
         self._request_id = request_id
         self._model = model
         self._headers = headers
         self._events = bytearray()
         self.has_begun = False
 
-    async def write(self, events: bytes) -> None:
+    async def write(self, events: bytes) -> bool:
         """Keep events; see `AnswerSink.write`."""
+        if len(self._events) + len(events) > self._limit_bytes:
+            return False
         self._events += events
+        return True
+
+    def close(self) -> None:
+        """Drop what was kept."""
+        self._events.clear()
 
     async def finish(self) -> aiohttp.web.StreamResponse:
         """Make one answer of the events; see `AnswerSink.finish`."""
--- a/src/tanagerfork/routing/balancer.py
+++ b/src/tanagerfork/routing/balancer.py
@@ -1,53 +1,159 @@
-"""Choice of a group: two random whole groups, the less loaded one wins."""
+"""Choice of a group: two random usable groups, the less loaded one wins, a warm one before both."""
 
-import collections
+import dataclasses
 import random
+import statistics
 from collections.abc import Collection, Sequence
 
 from tanagerfork.groups import presence
+from tanagerfork.routing import affinity, health, load
+
+DEFAULT_SLOTS = 16
+WARM_SLACK = 0.25
+WARM_MAX_LOAD = 0.9
+SLOW_FACTOR = 1.5
+REFRESH_MS = 200
+TRIAL_MS = 10_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Wanted:
+    """What a request asks of a group.
+
+    An answer is only ever continued by the version that began it; empty takes any.
+    """
+
+    adapter: str = ""
+    version: str = ""
+    prefixes: Sequence[str] = ()
+
+
+ANY = Wanted()
 
 
 class Balancer:
-    """Chooses groups by their reported load and by what was sent since.
+    """Chooses groups by corrected load, cached prefixes and health.
+
+    A warm group is taken unless its load exceeds the better of two random ones by `WARM_SLACK` of
+    its slots, so that affinity never overloads a group. A group whose steps are slow counts as
+    loaded in proportion.
 
     :param rng: random numbers.
+    :param judge: health of the groups.
+    :param warm: prefixes that the groups hold.
     """
 
-    __slots__ = ("_rng", "_open")
+    __slots__ = ("_rng", "health", "warm", "sent", "_median_step_ms", "_refreshed_at_ms")
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, judge: health.Health, warm: affinity.PrefixMap) -> None:
         self._rng = rng
-        self._open: collections.Counter[str] = collections.Counter()
+        self.health = judge
+        self.warm = warm
+        self.sent = load.SentLoad()
+        self._median_step_ms = 0.0
+        self._refreshed_at_ms = -REFRESH_MS
 
     def choose(
-        self, views: Sequence[presence.GroupView], avoided: Collection[str] = ()
+        self,
+        views: Sequence[presence.GroupView],
+        now_ms: int,
+        wanted: Wanted = ANY,
+        avoided: Collection[str] = (),
     ) -> presence.GroupView | None:
         """Choose a group.
 
-        :param views: whole groups.
+        :param views: whole groups of which no member leaves.
+        :param now_ms: monotonic clock, in milliseconds.
+        :param wanted: what the request asks for.
         :param avoided: groups that failed this request before; taken only if no other is left.
         :return: the group, None where there is none.
         """
-        fresh = [view for view in views if view.record.group not in avoided] or list(views)
-        if not fresh:
+        if now_ms - self._refreshed_at_ms >= REFRESH_MS:
+            self._refresh(views, now_ms)
+        candidates = [view for view in views if _fits(view, wanted)]
+        if avoided:
+            others = [view for view in candidates if view.record.group not in avoided]
+            candidates = others or candidates
+        if not candidates:
             return None
-        pair = self._rng.sample(fresh, min(2, len(fresh)))
-        return min(pair, key=self._load_of)
+        names = [view.record.group for view in candidates]
+        usable = self.health.find_usable(names, now_ms)
+        pair = usable if len(usable) <= 2 else self._rng.sample(usable, 2)
+        best = self._least_busy([candidates[index] for index in pair], now_ms)
+        if len(usable) == 1 or not wanted.prefixes:
+            return best
+        return self._prefer_warm(candidates, names, usable, best, wanted, now_ms)
 
-    def begin(self, group: str) -> None:
-        """Note that an attempt was sent to a group.
+    def begin(self, group: str, now_ms: int, prefixes: Sequence[str] = ()) -> None:
+        """Note that a request was sent to a group.
 
         :param group: group.
+        :param now_ms: monotonic clock, in milliseconds.
+        :param prefixes: hashes of its prompt's prefixes.
         """
-        self._open[group] += 1
+        self.sent.begin(group, now_ms)
+        self.health.begin_trial(group, now_ms, TRIAL_MS)
+        self.warm.note_sent(group, prefixes, now_ms)
 
-    def end(self, group: str) -> None:
-        """Note that an attempt at a group ended.
+    def end(self, group: str, now_ms: int) -> None:
+        """Note that a request at a group ended.
 
         :param group: group.
+        :param now_ms: monotonic clock, in milliseconds.
         """
-        self._open[group] -= 1
+        self.sent.end(group, now_ms)
+
+    def keep_only(self, groups: Collection[str]) -> None:
+        """Drop what is known of groups that no longer exist.
+
+        :param groups: groups of the layout.
+        """
+        self.health.keep_only(groups)
+        self.sent.keep_only(groups)
+        self.warm.keep_only(groups)
+
+    def score(self, view: presence.GroupView, now_ms: int) -> float:
+        """Return how busy a group would be with one request more; 1 is all slots.
+
+        :param view: group.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        report = view.report
+        slots = (report.slots if report else 0) or DEFAULT_SLOTS
+        busy = (self.sent.correct(view, now_ms) + 1) / slots
+        if report and report.step_ms > SLOW_FACTOR * self._median_step_ms > 0:
+            return busy * report.step_ms / self._median_step_ms
+        return busy
+
+    def _least_busy(self, views: Sequence[presence.GroupView], now_ms: int) -> presence.GroupView:
+        return min(views, key=lambda view: self.score(view, now_ms))
+
+    def _prefer_warm(
+        self,
+        candidates: Sequence[presence.GroupView],
+        names: Sequence[str],
+        usable: Sequence[int],
+        best: presence.GroupView,
+        wanted: Wanted,
+        now_ms: int,
+    ) -> presence.GroupView:
+        holders = set(self.warm.find_holders(wanted.prefixes, now_ms))
+        holding = [index for index in usable if names[index] in holders] if holders else []
+        if not holding:
+            return best
+        pair = holding if len(holding) <= 2 else self._rng.sample(holding, 2)
+        warm = self._least_busy([candidates[index] for index in pair], now_ms)
+        warm_score = self.score(warm, now_ms)
+        limit = min(WARM_MAX_LOAD, self.score(best, now_ms) + WARM_SLACK)
+        return warm if warm_score <= limit else best
+
+    def _refresh(self, views: Sequence[presence.GroupView], now_ms: int) -> None:
+        self._refreshed_at_ms = now_ms
+        steps = [view.report.step_ms for view in views if view.report and view.report.step_ms > 0]
+        self._median_step_ms = statistics.median(steps) if steps else 0.0
+
 
-    def _load_of(self, view: presence.GroupView) -> float:
-        reported = view.report.running + view.report.waiting if view.report else 0
-        return max(reported, self._open[view.record.group])
+def _fits(view: presence.GroupView, wanted: Wanted) -> bool:
+    if wanted.version and view.record.version != wanted.version:
+        return False
+    return not wanted.adapter or wanted.adapter in view.record.adapters
--- /dev/null
+++ b/src/tanagerfork/routing/health.py
@@ -0,0 +1,197 @@
+"""Ejection of upstreams that fail or straggle, and their return by trial."""
+
+import dataclasses
+import enum
+import random
+import statistics
+from collections.abc import Callable, Collection, Sequence
+from typing import Any
+
+import transitions
+
+FAILURES_TO_EJECT = 3
+STRAGGLER_FACTOR = 3.0
+STRAGGLER_MIN_PEERS = 3
+STRAGGLER_MIN_STREAMS = 2
+FIRST_TERM_MS = 2_000
+MAX_TERM_MS = 60_000
+TERM_JITTER = 0.2
+MAX_EJECTED_SHARE = 0.5
+GAP_SMOOTHING = 0.3
+MEDIAN_TTL_MS = 200
+
+
+class HealthState(enum.StrEnum):
+    """What becomes of new work."""
+
+    GOOD = "good"
+    EJECTED = "ejected"
+    TRIAL = "trial"
+
+
+TRANSITIONS: Any = [
+    ["eject", [HealthState.GOOD, HealthState.TRIAL], HealthState.EJECTED],
+    ["try_again", HealthState.EJECTED, HealthState.TRIAL],
+    ["readmit", [HealthState.TRIAL, HealthState.EJECTED], HealthState.GOOD],
+]
+
+
+@dataclasses.dataclass(eq=False)
+class Record:
+    """What is known of one upstream; its triggers are those of `TRANSITIONS`."""
+
+    name: str
+    state: str = HealthState.GOOD
+    failures: int = 0
+    gap_ms: float = 0.0
+    gaps: int = 0
+    term_ms: float = 0.0
+    ejected_until_ms: float = 0.0
+    trial_until_ms: float = 0.0
+    is_straggler: bool = False
+    eject: Callable[[], bool] = dataclasses.field(init=False, repr=False)
+    try_again: Callable[[], bool] = dataclasses.field(init=False, repr=False)
+    readmit: Callable[[], bool] = dataclasses.field(init=False, repr=False)
+
+
+ChangeListener = Callable[[str, str, str], None]
+
+
+class Health:
+    """Judges upstreams by their failures and by their token gaps beside their peers'.
+
+    :param rng: random numbers.
+    :param on_change: called with the upstream, its new state and why.
+    """
+
+    __slots__ = ("_rng", "_on_change", "_records", "_machine", "_median", "_median_at_ms")
+
+    def __init__(self, rng: random.Random, on_change: ChangeListener) -> None:
+        self._rng = rng
+        self._on_change = on_change
+        self._records: dict[str, Record] = {}
+        self._median = 0.0
+        self._median_at_ms = -MEDIAN_TTL_MS
+        self._machine = transitions.Machine(
+            model=None,
+            model_attribute="state",
+            states=list(HealthState),
+            transitions=TRANSITIONS,
+            initial=HealthState.GOOD,
+            auto_transitions=False,
+        )
+
+    def note_answer(self, name: str, now_ms: int, gap_ms: float = 0.0) -> None:
+        """Note a good answer.
+
+        :param name: upstream.
+        :param now_ms: monotonic clock, in milliseconds.
+        :param gap_ms: its mean gap between tokens; 0 where it is not known.
+        """
+        record = self._find(name)
+        record.failures = 0
+        if gap_ms > 0:
+            smoothing = 1.0 if record.state == HealthState.TRIAL else GAP_SMOOTHING
+            record.gap_ms += (smoothing if record.gaps else 1.0) * (gap_ms - record.gap_ms)
+            record.gaps += 1
+        if self._straggles(record, now_ms):
+            self._eject(record, now_ms, "straggles")
+        elif record.state != HealthState.GOOD:
+            record.term_ms = 0.0
+            record.readmit()
+            self._on_change(name, record.state, "answered its trial")
+
+    def note_failure(self, name: str, now_ms: int) -> None:
+        """Note a failure after a request was sent, or a connection that was not taken.
+
+        :param name: upstream.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        record = self._find(name)
+        record.failures += 1
+        if record.failures >= FAILURES_TO_EJECT or record.state == HealthState.TRIAL:
+            self._eject(record, now_ms, "fails")
+
+    def note_cancelled(self, name: str) -> None:
+        """Note that a request ended without a verdict, so that a trial may be made again.
+
+        :param name: upstream.
+        """
+        record = self._records.get(name)
+        if record is not None:
+            record.trial_until_ms = 0.0
+
+    def find_usable(self, names: Sequence[str], now_ms: int) -> list[int]:
+        """Return the upstreams that may get new work, never none.
+
+        :param names: upstreams to choose from.
+        :param now_ms: monotonic clock, in milliseconds.
+        :return: their indexes; one alone where its trial is due.
+        """
+        usable: list[int] = []
+        ejected: list[int] = []
+        for index, name in enumerate(names):
+            record = self._records.get(name)
+            if record is None or record.state == HealthState.GOOD:
+                usable.append(index)
+            elif self._is_trial_due(record, now_ms):
+                return [index]
+            else:
+                ejected.append(index)
+        if len(ejected) > MAX_EJECTED_SHARE * len(names):
+            return list(range(len(names)))
+        return usable
+
+    def begin_trial(self, name: str, now_ms: int, trial_ms: int) -> None:
+        """Note that a request was sent, which is the trial of an ejected upstream.
+
+        :param name: upstream.
+        :param now_ms: monotonic clock, in milliseconds.
+        :param trial_ms: time after which the next trial may be made.
+        """
+        record = self._records.get(name)
+        if record is None or record.state == HealthState.GOOD:
+            return
+        if record.state == HealthState.EJECTED and now_ms >= record.ejected_until_ms:
+            record.try_again()
+        if record.state == HealthState.TRIAL:
+            record.trial_until_ms = now_ms + trial_ms
+
+    def keep_only(self, names: Collection[str]) -> None:
+        """Drop what is known of all other upstreams.
+
+        :param names: upstreams that still exist.
+        """
+        for name in [name for name in self._records if name not in names]:
+            self._machine.remove_model(self._records.pop(name))
+
+    def _is_trial_due(self, record: Record, now_ms: int) -> bool:
+        if record.state == HealthState.EJECTED:
+            return now_ms >= record.ejected_until_ms
+        return now_ms >= record.trial_until_ms
+
+    def _straggles(self, record: Record, now_ms: int) -> bool:
+        if record.gaps < STRAGGLER_MIN_STREAMS:
+            return False
+        if now_ms - self._median_at_ms >= MEDIAN_TTL_MS:
+            gaps = [other.gap_ms for other in self._records.values() if other.gaps]
+            self._median = statistics.median(gaps) if len(gaps) >= STRAGGLER_MIN_PEERS else 0.0
+            self._median_at_ms = now_ms
+        return 0 < self._median * STRAGGLER_FACTOR < record.gap_ms
+
+    def _eject(self, record: Record, now_ms: int, reason: str) -> None:
+        if record.state == HealthState.EJECTED:
+            return
+        record.term_ms = min(MAX_TERM_MS, max(FIRST_TERM_MS, record.term_ms * 2))
+        jitter = 1 + TERM_JITTER * self._rng.random()
+        record.ejected_until_ms = now_ms + record.term_ms * jitter
+        record.failures = 0
+        record.eject()
+        self._on_change(record.name, record.state, reason)
+
+    def _find(self, name: str) -> Record:
+        record = self._records.get(name)
+        if record is None:
+            record = self._records[name] = Record(name)
+            self._machine.add_model(record)
+        return record
--- /dev/null
+++ b/src/tanagerfork/routing/load.py
@@ -0,0 +1,78 @@
+"""Load of groups: what they reported, corrected by what this daemon sent since."""
+
+import collections
+import collections.abc
+
+from tanagerfork.groups import presence
+
+HISTORY_MS = 10_000
+
+
+class SentLoad:
+    """Remembers when this daemon's requests at each group began and ended."""
+
+    __slots__ = ("_open", "_changes")
+
+    def __init__(self) -> None:
+        self._open: collections.Counter[str] = collections.Counter()
+        self._changes: dict[str, collections.deque[tuple[int, int]]] = {}
+
+    def begin(self, group: str, now_ms: int) -> None:
+        """Note that a request was sent.
+
+        :param group: group.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        self._change(group, now_ms, 1)
+
+    def end(self, group: str, now_ms: int) -> None:
+        """Note that a request ended.
+
+        :param group: group.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        self._change(group, now_ms, -1)
+
+    def count_open(self, group: str) -> int:
+        """Return this daemon's open requests at a group.
+
+        :param group: group.
+        """
+        return self._open.get(group, 0)
+
+    def correct(self, view: presence.GroupView, now_ms: int) -> int:
+        """Return a group's load, as far as it can be known.
+
+        :param view: group with its last report and the report's age.
+        :param now_ms: monotonic clock, in milliseconds.
+        :return: requests that run or wait there.
+        """
+        group = view.record.group
+        own = self.count_open(group)
+        if view.report is None:
+            return own
+        reported = view.report.running + view.report.waiting
+        made_at_ms = now_ms - view.report_age_ms
+        for changed_at_ms, change in reversed(self._changes.get(group, ())):
+            if changed_at_ms < made_at_ms:
+                break
+            reported += change
+        return max(reported, own)
+
+    def _change(self, group: str, now_ms: int, change: int) -> None:
+        self._open[group] += change
+        changes = self._changes.setdefault(group, collections.deque())
+        changes.append((now_ms, change))
+        while changes and changes[0][0] < now_ms - HISTORY_MS:
+            changes.popleft()
+        if not self._open[group]:
+            del self._open[group]
+
+    def keep_only(self, groups: collections.abc.Collection[str]) -> None:
+        """Drop the history of all other groups.
+
+        :param groups: groups that still exist.
+        """
+        for group in [name for name in self._changes if name not in groups]:
+            if group not in self._open:
+                del self._changes[group]
--- a/src/tanagerfork/upstream/engine.py
+++ b/src/tanagerfork/upstream/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Mapping
 from typing import Protocol, TypeVar
 
 import aiohttp
@@ -37,6 +38,7 @@
     resume_offset: int = 0
     first_token_timeout_ms: int = 60_000
     silence_timeout_ms: int = 10_000
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Exchange(Protocol):
@@ -215,6 +217,7 @@
             REQUEST_HEADER: attempt.request_id,
             PRIORITY_HEADER: str(attempt.priority),
             OFFSET_HEADER: str(attempt.resume_offset),
+            **attempt.headers,
         }
         try:
             async with asyncio.timeout(attempt.first_token_timeout_ms / 1000):
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,201 @@
+"""Tests of admission: shares, priorities, early refusals, limits; over explicit time."""
+
+import collections
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from tanagerfork.generated import bundle
+from tanagerfork.routing import admission, fair_queue, fleet, limits
+
+SLOTS = 4
+COST_MS = 100
+
+
+def make_team(name: str = "t", **fields) -> bundle.Team:
+    """Return a team."""
+    return bundle.Team(name=name, token_sha256=[], **fields)
+
+
+def make_ask(team: bundle.Team, deadline_at_ms: int = 60_000, rank: int = 0, priority: int = 0):
+    """Return a request."""
+    return admission.Ask(team, rank, priority, deadline_at_ms)
+
+
+class Site:
+    """Slots that hold each request for the same time."""
+
+    def __init__(self) -> None:
+        self.admission = admission.Admission(limits.TeamLimits(fleet.LoneDaemon()), COST_MS)
+        self.running: list[fair_queue.Ticket] = []
+        self.now_ms = 0
+
+    @property
+    def room(self) -> admission.Room:
+        """Slots that are free."""
+        return admission.Room(SLOTS, SLOTS - len(self.running))
+
+    def offer(self, ask: admission.Ask):
+        """Offer a request; start what may start."""
+        offered = self.admission.offer(ask, self.room, self.now_ms)
+        if isinstance(offered, fair_queue.Ticket) and offered.started_at_ms >= 0:
+            self.running.append(offered)
+        return offered, self.pump()
+
+    def pump(self) -> list[fair_queue.Ticket]:
+        """Start what may start."""
+        started = list(self.admission.pump(self.room, self.now_ms))
+        self.running += started
+        return started
+
+    def step(self, passed_ms: int = COST_MS) -> list[fair_queue.Ticket]:
+        """End all that runs, a while later, and start what comes next."""
+        self.now_ms += passed_ms
+        for ticket in self.running:
+            self.admission.end(ticket, self.now_ms)
+        self.running = []
+        return self.pump()
+
+
+class TestShares:
+    def test_large_team_leaves_nine_small_ones_their_shares(self):
+        site = Site()
+        small = [make_team(f"s{number}") for number in range(9)]
+        for _ in range(200):
+            site.offer(make_ask(make_team("large")))
+        for _ in range(20):
+            for team in small:
+                site.offer(make_ask(team))
+        served = collections.Counter(t.team for _ in range(25) for t in site.step())
+        assert min(served[team.name] for team in small) >= 0.9 * 100 / 10
+
+    def test_served_work_follows_the_weights(self):
+        site = Site()
+        for _ in range(100):
+            site.offer(make_ask(make_team("a", weight=3)))
+            site.offer(make_ask(make_team("b", weight=1)))
+        served = collections.Counter(t.team for _ in range(20) for t in site.step())
+        assert 2.6 <= served["a"] / served["b"] <= 3.4
+
+    def test_ranked_request_goes_before_all_teams_and_priority_within_its_own(self):
+        site = Site()
+        for _ in range(SLOTS):
+            site.offer(make_ask(make_team("a")))
+        for team in ("a", "b"):
+            for priority in (0, 5, 0):
+                site.offer(make_ask(make_team(team), priority=priority))
+        site.offer(make_ask(make_team("c"), rank=9))
+        first = site.step()
+        assert first[0].team == "c"
+        assert [t.priority for t in first if t.team == "b"][0] == 5
+
+    def test_team_that_ranks_everything_starves_nobody(self):
+        site = Site()
+        greedy, other = make_team("greedy"), make_team("other")
+        served = collections.Counter()
+        for _ in range(1200):
+            for _ in range(SLOTS):
+                site.offer(make_ask(greedy, 10**9, rank=9))
+            site.offer(make_ask(other, 10**9))
+            served.update(ticket.team for ticket in site.step())
+        assert served["other"] > 100
+
+
+class TestRefusals:
+    def test_wait_past_the_deadline_is_refused_at_once_and_the_time_told_is_honest(self):
+        site = Site()
+        team = make_team()
+        while True:
+            offered, _ = site.offer(make_ask(team, site.now_ms + 1000))
+            if isinstance(offered, admission.Refusal):
+                break
+        assert site.now_ms == 0 and offered.retry_after_ms >= admission.MIN_RETRY_MS
+        for _ in range(-(-offered.retry_after_ms // COST_MS)):
+            site.step()
+        again, _ = site.offer(make_ask(team, site.now_ms + 1000))
+        assert isinstance(again, fair_queue.Ticket)
+
+    def test_what_was_let_in_starts_before_its_latest_start(self):
+        site = Site()
+        for _ in range(100):
+            site.offer(make_ask(make_team(), 1000))
+        started = [ticket for _ in range(30) for ticket in site.step()]
+        assert started and all(t.started_at_ms <= t.latest_start_ms for t in started)
+
+    def test_rate_limit_tells_when_the_next_request_may_come(self):
+        site = Site()
+        team = make_team(requests_per_s=2)
+        refusals = [site.offer(make_ask(team))[0] for _ in range(4)]
+        limited = [r for r in refusals if isinstance(r, admission.Refusal)]
+        assert limited and all(r.is_limit and 0 < r.retry_after_ms <= 500 for r in limited)
+
+    def test_concurrency_limit_holds_back_only_its_team(self):
+        site = Site()
+        narrow = make_team("narrow", concurrency=1)
+        for _ in range(3):
+            site.offer(make_ask(narrow))
+        site.offer(make_ask(make_team("other")))
+        assert sorted(t.team for t in site.running) == ["narrow", "other"]
+
+
+class TestFleet:
+    @pytest.mark.parametrize(("elsewhere", "allowed"), [(0, 10), (4, 6), (9, 5), (50, 5)])
+    def test_limit_is_what_others_leave_but_never_less_than_a_share(self, elsewhere, allowed):
+        class Heard(fleet.LoneDaemon):
+            def live_daemons(self) -> int:
+                return 2
+
+            def usage_elsewhere(self, team: str) -> fleet.Usage:
+                return fleet.Usage(running=elsewhere)
+
+        team_limits = limits.TeamLimits(Heard())
+        team = make_team(concurrency=10)
+        count = 0
+        while team_limits.may_start(team):
+            team_limits.begin(team.name, 0)
+            count += 1
+        assert count == allowed
+        assert team_limits.read_usage(0)["t"].running == allowed
+
+    @pytest.mark.parametrize(
+        ("slots", "reported", "running", "live", "free"),
+        [
+            (16, 0, 0, 1, 16),
+            (16, 16, 16, 1, 0),
+            (16, 16, 2, 4, 2),
+            (64, 0, 16, 4, 26),
+            (0, 0, 0, 3, 0),
+        ],
+    )
+    def test_daemon_has_its_share_and_part_of_what_is_free(
+        self, slots, reported, running, live, free
+    ):
+        assert admission.share_room(slots, reported, running, live).free == free
+
+
+class TestProperties:
+    @hypothesis.given(
+        arrivals=strategies.lists(
+            strategies.tuples(strategies.integers(0, 4), strategies.integers(0, 2)), max_size=80
+        ),
+        seed=strategies.integers(0, 2**16),
+    )
+    @hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
+    def test_work_conserving_and_nobody_waits_for_ever(self, arrivals, seed):
+        rng = random.Random(seed)
+        site = Site()
+        offered = []
+        for number, rank in arrivals:
+            team = make_team(f"t{number}", weight=number + 1)
+            ticket, _ = site.offer(make_ask(team, 10**9, rank=rank, priority=rng.randrange(3)))
+            offered.append(ticket)
+            assert not site.admission.waiting or len(site.running) == SLOTS
+            if rng.random() < 0.3:
+                site.step()
+        for _ in range(len(arrivals)):
+            site.step()
+        tickets = [item for item in offered if isinstance(item, fair_queue.Ticket)]
+        assert all(ticket.started_at_ms >= 0 for ticket in tickets)
+        assert site.admission.waiting == 0 and site.admission.running == 0
--- /dev/null
+++ b/tests/test_balancer.py
@@ -0,0 +1,163 @@
+"""Tests of the choice of a group: load, prefixes, health, leaving."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from tanagerfork.generated import engine
+from tanagerfork.routing import affinity, balancer, fleet, health, leaving, load
+from tests import engines
+
+
+def make_balancer(seed: int = 1) -> balancer.Balancer:
+    """Return a balancer."""
+    rng = random.Random(seed)
+    return balancer.Balancer(rng, health.Health(rng, lambda *change: None), affinity.PrefixMap())
+
+
+def choose_often(choice: balancer.Balancer, views, times: int = 50, now_ms: int = 0, **fields):
+    """Return the groups chosen."""
+    wanted = balancer.Wanted(**fields)
+    return {choice.choose(views, now_ms, wanted).record.group for _ in range(times)}
+
+
+class TestLoad:
+    def test_busier_of_two_is_not_chosen(self):
+        views = [engines.make_view("a", running=9), engines.make_view("b", running=2)]
+        assert choose_often(make_balancer(), views) == {"b"}
+
+    @pytest.mark.parametrize(("age_ms", "corrected"), [(0, 3), (50, 3), (150, 4), (500, 5)])
+    def test_report_is_corrected_by_what_was_sent_since(self, age_ms, corrected):
+        sent = load.SentLoad()
+        sent.begin("a", 600)
+        sent.begin("a", 900)
+        assert sent.correct(engines.make_view("a", 3, age_ms), 1000) == corrected
+
+    def test_slow_steps_count_as_load(self):
+        views = [engines.make_view("a", 2, step_ms=300.0)]
+        views += [engines.make_view(f"b{number}", 8, step_ms=30.0) for number in range(3)]
+        assert "a" not in choose_often(make_balancer(), views)
+
+
+class TestPrefixes:
+    def test_warm_group_is_preferred_until_it_is_much_busier(self):
+        choice = make_balancer()
+        events = [engine.CacheEvent(sequence=1, kind="stored", prefix="p1")]
+        choice.warm.hear("a", engine.CacheEvents(incarnation="i", events=events), 0)
+        others = [engines.make_view(f"b{number}") for number in range(4)]
+        views = [engines.make_view("a", 2), *others]
+        assert choose_often(choice, views, prefixes=("p1", "p2")) == {"a"}
+        views = [engines.make_view("a", 8), *others]
+        assert "a" not in choose_often(choice, views, prefixes=("p1", "p2"))
+
+    def test_late_gappy_and_outdated_events(self):
+        warm = affinity.PrefixMap()
+
+        def hear(incarnation, *events):
+            listed = [engine.CacheEvent(sequence=s, kind=k, prefix=p) for s, k, p in events]
+            warm.hear("a", engine.CacheEvents(incarnation=incarnation, events=listed), 0)
+
+        hear("i", (1, "stored", "p"), (7, "stored", "q"))
+        assert (warm.find_holders(["p", "q"], 0), warm.last_sequence("a")) == (["a"], 7)
+        hear("i", (9, "evicted", "q"))
+        assert warm.find_holders(["q"], 0) == [] and warm.find_holders(["p"], 0) == ["a"]
+        assert warm.find_holders(["p"], affinity.PREFIX_TTL_MS + 1) == []
+        hear("i2", (1, "stored", "r"))
+        assert warm.find_holders(["p"], 0) == [] and warm.find_holders(["r"], 0) == ["a"]
+
+    def test_map_is_bounded(self):
+        warm = affinity.PrefixMap()
+        for number in range(affinity.MAX_PREFIXES + 10):
+            warm.note_sent("a", [str(number)], 0)
+        assert warm.find_holders(["0"], 0) == [] and warm.find_holders(["20"], 0) == ["a"]
+
+
+class TestHealth:
+    def test_failing_group_is_ejected_and_returns_by_one_trial(self):
+        choice = make_balancer()
+        views = [engines.make_view(f"g{number}") for number in range(4)]
+        for _ in range(health.FAILURES_TO_EJECT):
+            choice.health.note_failure("g0", 0)
+        assert "g0" not in choose_often(choice, views)
+        due_ms = 10_000
+        assert choice.choose(views, due_ms).record.group == "g0"
+        choice.begin("g0", due_ms)
+        assert "g0" not in choose_often(choice, views, now_ms=due_ms)
+        choice.end("g0", due_ms)
+        choice.health.note_failure("g0", due_ms)
+        assert "g0" not in choose_often(choice, views, now_ms=due_ms + health.FIRST_TERM_MS)
+        choice.begin("g0", 60_000)
+        choice.end("g0", 60_000)
+        choice.health.note_answer("g0", 60_000)
+        assert "g0" in choose_often(choice, views, now_ms=60_001)
+
+    def test_straggler_is_ejected(self):
+        choice = make_balancer()
+        views = [engines.make_view(f"g{number}") for number in range(4)]
+        for step in range(4):
+            for number in range(4):
+                gap_ms = 300.0 if number == 0 else 30.0
+                choice.health.note_answer(f"g{number}", step * 300, gap_ms)
+        assert "g0" not in choose_often(choice, views, now_ms=1000)
+
+    def test_last_group_and_a_majority_are_never_ejected(self):
+        choice = make_balancer()
+        views = [engines.make_view(f"g{number}") for number in range(3)]
+        for group in ("g0", "g1", "g2"):
+            for _ in range(health.FAILURES_TO_EJECT):
+                choice.health.note_failure(group, 0)
+        assert choose_often(choice, views) == {"g0", "g1", "g2"}
+        assert choose_often(choice, views[:1]) == {"g0"}
+
+
+class TestLeaving:
+    @pytest.mark.parametrize("source", ["list", "report", "peer"])
+    def test_earliest_word_counts_and_a_lagging_source_does_not_take_it_back(self, source):
+        entries = {
+            name: engine.VmEntry(vm=name, url="", failure_domain="d", fabric_domain="f")
+            for name in ("g0", "g1")
+        }
+
+        class Heard(fleet.LoneDaemon):
+            words: tuple[str, ...] = ()
+
+            def leaving_vms(self):
+                return self.words
+
+        heard = Heard()
+        views = [engines.make_view("g0"), engines.make_view("g1")]
+        if source == "list":
+            entries["g0"].leaving = True
+        elif source == "report":
+            views[0] = engines.make_view("g0", state="leaving")
+        else:
+            heard.words = ("g0",)
+        vms = leaving.LeavingVms(entries.get, heard)
+        assert [view.record.group for view in vms.keep_staying(views, 0)] == ["g1"]
+        entries["g0"].leaving, heard.words = False, ()
+        views = [engines.make_view("g0"), engines.make_view("g1")]
+        assert [view.record.group for view in vms.keep_staying(views, 5000)] == ["g1"]
+        assert vms.read_own(5000) == ["g0"]
+        assert len(vms.keep_staying(views, 5000 + leaving.LEAVING_TTL_MS + 1)) == 2
+
+
+class TestProperties:
+    @hypothesis.given(strategies.lists(strategies.integers(0, 9), max_size=60), strategies.data())
+    @hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
+    def test_choice_is_one_of_the_groups_given_and_none_only_without_any(self, steps, data):
+        choice = make_balancer()
+        views = [engines.make_view(f"g{number}") for number in range(5)]
+        for now_ms, step in enumerate(steps):
+            given = [view for view in views if data.draw(strategies.booleans())]
+            chosen = choice.choose(given, now_ms * 1000)
+            assert (chosen is None) == (not given)
+            assert chosen is None or chosen in given
+            group = f"g{step % 5}"
+            if step < 5:
+                choice.health.note_failure(group, now_ms * 1000)
+            else:
+                choice.begin(group, now_ms * 1000)
+                choice.health.note_answer(group, now_ms * 1000, gap_ms=10.0 * step)
+                choice.end(group, now_ms * 1000)
--- /dev/null
+++ b/tests/test_chat.py
@@ -0,0 +1,129 @@
+"""Tests of what a caller gets for each fault of the upstreams, and whether its request ran."""
+
+import asyncio
+
+import pytest
+
+from tanagerfork import clock as clocks
+from tests import engines
+from tests.engines import CONFUSED, CRASH, GONE, HANG, LOST, REFUSED, SILENT
+
+WHOLE = b"t1;t2;t3;t4;finish"
+
+FAULTS = [
+    ("none", [], None, "", [0]),
+    ("refused, then whole", [(0, REFUSED)], None, "", [0, 0]),
+    ("no connection, then whole", [(0, GONE)], None, "", [0, 0]),
+    ("lost before the first token", [(0, LOST)], None, "", [0, 0]),
+    ("silent before the first token", [(0, SILENT)], None, "", [0, 0]),
+    ("lost after two tokens", [(2, LOST)], None, "", [0, 2]),
+    ("silent after two tokens", [(2, SILENT)], None, "", [0, 2]),
+    ("confused after three tokens", [(3, CONFUSED)], None, "", [0, 3]),
+    ("end marker missing", [(4, LOST)], None, "", [0, 4]),
+    ("the same fault twice", [(1, SILENT), (1, SILENT)], None, "", [0, 1, 2]),
+    ("two faults", [(1, LOST), (0, REFUSED), (1, SILENT)], None, "", [0, 1, 1, 2]),
+    ("all refuse", [(0, REFUSED)] * 9, "not_run", "no", [0] * 4),
+    ("none takes a connection", [(0, GONE)] * 9, "not_run", "no", [0] * 4),
+    ("all lost before a token", [(0, LOST)] * 9, "outcome_unknown", "unknown", [0] * 4),
+    (
+        "lost, then all refuse",
+        [(0, LOST)] + [(0, REFUSED)] * 9,
+        "outcome_unknown",
+        "unknown",
+        [0] * 4,
+    ),
+    (
+        "lost for good after a token",
+        [(1, LOST)] + [(0, LOST)] * 9,
+        "answer_cut",
+        "yes",
+        [0] + [1] * 4,
+    ),
+]
+
+
+class TestFaults:
+    @pytest.mark.parametrize(("name", "script", "kind", "ran", "offsets"), FAULTS)
+    async def test_one_unbroken_answer_or_one_typed_error(self, name, script, kind, ran, offsets):
+        upstreams = engines.ScriptedEngines(script=script)
+        runner = engines.Runner(upstreams)
+        data, error = await runner.ask()
+        assert [offset for _, offset in upstreams.sent] == offsets
+        if kind is None:
+            assert (data, error) == (WHOLE, None)
+        else:
+            assert (error.kind, error.ran) == (kind, ran)
+            assert error.retry_after_ms > 0 and b"finish" not in data
+        assert not upstreams.views or runner.balancer.sent.count_open("g0") == 0
+
+    async def test_next_attempt_goes_to_another_group(self):
+        upstreams = engines.ScriptedEngines(script=[(1, LOST), (1, LOST)])
+        await engines.Runner(upstreams).ask()
+        assert len({group for group, _ in upstreams.sent}) == 3
+
+    async def test_answer_is_continued_by_its_own_version_only(self):
+        upstreams = engines.ScriptedEngines(groups=1, script=[(2, SILENT)])
+        upstreams.views += [engines.make_view("new", version="2", running=15)]
+        data, error = await engines.Runner(upstreams).ask()
+        assert error is None and [group for group, _ in upstreams.sent] == ["g0", "g0"]
+
+    async def test_adapter_is_sent_only_where_it_is_loaded(self):
+        upstreams = engines.ScriptedEngines()
+        upstreams.views.append(engines.make_view("lora", adapters=["lora"], running=15))
+        await engines.Runner(upstreams).ask(adapter="lora")
+        assert upstreams.sent == [("lora", 0)]
+
+    async def test_no_whole_group_means_not_run_at_once(self):
+        upstreams = engines.ScriptedEngines(groups=0)
+        _, error = await engines.Runner(upstreams).ask()
+        assert error.kind == "not_run" and error.retry_after_ms > 0 and not upstreams.sent
+
+    async def test_lost_requests_stop_being_repeated_when_the_budget_is_used_up(self):
+        upstreams = engines.ScriptedEngines(groups=8, script=[(0, LOST)] * 1000)
+        runner = engines.Runner(upstreams)
+        for _ in range(100):
+            await runner.ask()
+        assert len(upstreams.sent) - 100 <= 10 + 0.2 * 100
+        assert runner.metrics.counted("retries_over_budget_total", team="t") > 50
+
+
+class TestCancel:
+    @pytest.mark.parametrize("tokens", [0, 2])
+    async def test_caller_that_goes_away_cancels_the_upstream(self, tokens):
+        upstreams = engines.ScriptedEngines(script=[(tokens, HANG)])
+        runner = engines.Runner(upstreams)
+        asked = asyncio.create_task(runner.chats.run(runner.call(), engines.GatheringSink()))
+        for _ in range(10):
+            await asyncio.sleep(0)
+        asked.cancel()
+        await asyncio.gather(asked, return_exceptions=True)
+        await asyncio.sleep(0)
+        group = upstreams.sent[0][0]
+        assert upstreams.cancelled == [group] and upstreams.closed == 1
+        assert runner.balancer.sent.count_open(group) == 0
+
+    async def test_given_up_attempt_is_cancelled_and_a_whole_one_is_not(self):
+        upstreams = engines.ScriptedEngines(script=[(2, SILENT)])
+        await engines.Runner(upstreams).ask()
+        await asyncio.sleep(0)
+        assert upstreams.cancelled == [upstreams.sent[0][0]]
+
+
+class TestPoison:
+    async def test_poison_sent_20_times_through_different_daemons_crashes_twice(self):
+        upstreams = engines.ScriptedEngines(groups=8, crash_on=b"poison")
+        fleet = engines.TellingFleet(clocks.ManualClock())
+        daemons = [engines.Runner(upstreams, fleet) for _ in range(20)]
+        fleet.registers = [daemon.poison for daemon in daemons]
+        kinds = [(await daemon.ask(body=b"poison"))[1].kind for daemon in daemons]
+        assert sum(upstreams.incarnations.values()) == 2
+        assert kinds == ["quarantined"] * 20
+
+    async def test_request_present_at_one_crash_is_served(self):
+        upstreams = engines.ScriptedEngines(script=[(1, CRASH)])
+        data, error = await engines.Runner(upstreams).ask()
+        assert (data, error) == (WHOLE, None)
+
+    async def test_cut_connection_without_a_crash_raises_no_suspicion(self):
+        upstreams = engines.ScriptedEngines(groups=5, script=[(1, LOST), (1, LOST), (1, LOST)])
+        assert (await engines.Runner(upstreams).ask())[1] is None
--- /dev/null
+++ b/tests/test_retry.py
@@ -0,0 +1,38 @@
+"""Tests of retry budgets and of the pace of dials."""
+
+import random
+
+from tanagerfork.routing import retry
+
+
+class TestRetryBudget:
+    def test_retries_stay_within_a_share_of_fresh_requests(self):
+        budget = retry.RetryBudget()
+        taken = 0
+        for _ in range(1000):
+            budget.note_fresh("t")
+            taken += budget.take("t")
+        assert taken <= retry.RESERVE + retry.SHARE * 1000
+
+    def test_team_that_fails_leaves_the_others_their_retries(self):
+        budget = retry.RetryBudget()
+        for _ in range(1000):
+            budget.note_fresh("good")
+            budget.note_fresh("bad")
+            budget.take("bad")
+        assert budget.take("good")
+
+
+class TestDialPacer:
+    def test_mass_of_lost_connections_is_dialled_again_at_a_bounded_rate(self):
+        pacer = retry.DialPacer(random.Random(1))
+        waits = [pacer.reserve(0) for _ in range(500)]
+        assert sum(wait == 0 for wait in waits) == retry.DIAL_BURST
+        for second in range(1, 9):
+            due = sum((second - 1) * 1000 <= wait < second * 1000 for wait in waits)
+            assert due <= retry.DIALS_PER_S + retry.DIAL_BURST
+        assert len(set(waits)) > 100
+
+    def test_single_dial_does_not_wait(self):
+        pacer = retry.DialPacer(random.Random(1))
+        assert [pacer.reserve(now_ms) for now_ms in range(0, 5000, 500)] == [0] * 10
