--- a/src/tanagerfork/front/callers.py
+++ b/src/tanagerfork/front/callers.py
@@ -12,7 +12,7 @@
 from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import register
-from tanagerfork.front import attempts, chat, services, sink, teams
+from tanagerfork.front import attempts, chat, journal, services, sink, teams
 from tanagerfork.generated import bundle, callers
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.routing import admission
@@ -81,6 +81,7 @@
             request_id = _take_request_id(request, request_id)
             team = self._find_team(request)
         except errors.CallerError as error:
+            request[journal.ERROR] = error
             return self._refuse(error, request_id)
         entries = [callers.ModelEntry(id=name) for name in team.models]
         body = msgspec.json.encode(callers.ModelList(data=entries))
@@ -98,6 +99,7 @@
             body = await self._read_body(request)
             asked, forwarded = _read_chat(body)
             call = self._make_call(request, request_id, team, asked, forwarded, deadline_at_ms)
+            request[journal.MODEL] = call.model.name
             answer = self._open_sink(request, request_id, asked)
             ran = await self._chats.run(call, answer)
             if isinstance(ran, result.Err):
@@ -105,6 +107,7 @@
             self._metrics.count("requests_answered_total", team=team.name)
             return ran.ok_value
         except errors.CallerError as error:
+            request[journal.ERROR] = error
             if answer is not None and answer.has_begun:
                 return await self._cut(error, request_id, answer)
             return self._refuse(error, request_id)
@@ -185,6 +188,7 @@
                 },
             )
         except errors.CallerError as error:
+            request[journal.ERROR] = error
             return self._refuse(error, request_id)
         finally:
             self.open_requests -= 1
@@ -200,6 +204,7 @@
         found = teams.find_team(self._bundles.current.bundle, authorization)
         if isinstance(found, result.Err):
             raise found.err_value
+        request[journal.TEAM] = found.ok_value.name
         return found.ok_value
 
     def _find_model(self, team: bundle.Team, name: str, adapter: str) -> bundle.Model:
