--- a/src/tanagerfork/routing/balancer.py
+++ b/src/tanagerfork/routing/balancer.py
@@ -1,8 +1,8 @@
-"""Choice of a group: two random usable groups, the less loaded one wins, a warm one before both."""
+"""Choice of a group: of two usable ones the less loaded, or a warm one that is little busier."""
 
+import collections
 import dataclasses
 import random
-import statistics
 from collections.abc import Collection, Sequence
 
 from tanagerfork.groups import presence
@@ -11,7 +11,7 @@
 DEFAULT_SLOTS = 16
 WARM_SLACK = 0.25
 WARM_MAX_LOAD = 0.9
-SLOW_FACTOR = 1.5
+HOLD_MS = 2_000
 REFRESH_MS = 200
 TRIAL_MS = 10_000
 
@@ -34,23 +34,26 @@
 class Balancer:
     """Chooses groups by corrected load, cached prefixes and health.
 
-    A warm group is taken unless its load exceeds the better of two random ones by `WARM_SLACK` of
-    its slots, so that affinity never overloads a group. A group whose steps are slow counts as
-    loaded in proportion.
+    The two are those that this daemon has not sent to for longest, in an order of its own: that
+    spreads requests as evenly as round robin where reports say little. A report's word fades to
+    the mean of all groups with its age, as the requests it counted end. A warm group is taken
+    unless its load exceeds the better of the two by `WARM_SLACK` of its slots, so that affinity
+    never overloads a group. A group whose reported steps are slow is ejected as a straggler.
 
     :param rng: random numbers.
     :param judge: health of the groups.
     :param warm: prefixes that the groups hold.
     """
 
-    __slots__ = ("_rng", "health", "warm", "sent", "_median_step_ms", "_refreshed_at_ms")
+    __slots__ = ("_rng", "health", "warm", "sent", "_mean_load", "_refreshed_at_ms", "_order")
 
     def __init__(self, rng: random.Random, judge: health.Health, warm: affinity.PrefixMap) -> None:
         self._rng = rng
         self.health = judge
         self.warm = warm
         self.sent = load.SentLoad()
-        self._median_step_ms = 0.0
+        self._mean_load = 0.0
+        self._order: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._refreshed_at_ms = -REFRESH_MS
 
     def choose(
@@ -78,8 +81,7 @@
             return None
         names = [view.record.group for view in candidates]
         usable = self.health.find_usable(names, now_ms)
-        pair = usable if len(usable) <= 2 else self._rng.sample(usable, 2)
-        best = self._least_busy([candidates[index] for index in pair], now_ms)
+        best = self._least_busy(self._next_two(candidates, names, usable), now_ms)
         if len(usable) == 1 or not wanted.prefixes:
             return best
         return self._prefer_warm(candidates, names, usable, best, wanted, now_ms)
@@ -92,9 +94,18 @@
         :param prefixes: hashes of its prompt's prefixes.
         """
         self.sent.begin(group, now_ms)
+        self.note_turn(group)
         self.health.begin_trial(group, now_ms, TRIAL_MS)
         self.warm.note_sent(group, prefixes, now_ms)
 
+    def note_turn(self, group: str) -> None:
+        """Put a group behind all others.
+
+        :param group: group.
+        """
+        if group in self._order:
+            self._order.move_to_end(group)
+
     def end(self, group: str, now_ms: int) -> None:
         """Note that a request at a group ended.
 
@@ -109,6 +120,8 @@
         :param groups: groups of the layout.
         """
         self.health.keep_only(groups)
+        for group in [name for name in self._order if name not in groups]:
+            del self._order[group]
         self.sent.keep_only(groups)
         self.warm.keep_only(groups)
 
@@ -120,10 +133,31 @@
         """
         report = view.report
         slots = (report.slots if report else 0) or DEFAULT_SLOTS
-        busy = (self.sent.correct(view, now_ms) + 1) / slots
-        if report and report.step_ms > SLOW_FACTOR * self._median_step_ms > 0:
-            return busy * report.step_ms / self._median_step_ms
-        return busy
+        group = view.record.group
+        if report is None:
+            return (self.sent.count_open(group) + 1) / slots
+        weight = HOLD_MS / (HOLD_MS + view.report_age_ms)
+        reported = (report.running + report.waiting) / slots
+        faded = self._mean_load + (reported - self._mean_load) * weight
+        since = self.sent.count_since(group, now_ms - view.report_age_ms)
+        return max(faded + since / slots, self.sent.count_open(group) / slots) + 1 / slots
+
+    def _next_two(
+        self,
+        candidates: Sequence[presence.GroupView],
+        names: Sequence[str],
+        usable: Sequence[int],
+    ) -> list[presence.GroupView]:
+        if len(usable) <= 2:
+            return [candidates[index] for index in usable]
+        places = {names[index]: index for index in usable}
+        pair: list[presence.GroupView] = []
+        for group in self._order:
+            if group in places:
+                pair.append(candidates[places[group]])
+                if len(pair) == 2:
+                    break
+        return pair or [candidates[self._rng.choice(usable)]]
 
     def _least_busy(self, views: Sequence[presence.GroupView], now_ms: int) -> presence.GroupView:
         return min(views, key=lambda view: self.score(view, now_ms))
@@ -149,8 +183,14 @@
 
     def _refresh(self, views: Sequence[presence.GroupView], now_ms: int) -> None:
         self._refreshed_at_ms = now_ms
-        steps = [view.report.step_ms for view in views if view.report and view.report.step_ms > 0]
-        self._median_step_ms = statistics.median(steps) if steps else 0.0
+        reports = [view.report for view in views if view.report]
+        busy = sum(report.running + report.waiting for report in reports)
+        self._mean_load = busy / max(1, sum(report.slots or DEFAULT_SLOTS for report in reports))
+        fresh = [view.record.group for view in views if view.record.group not in self._order]
+        self._rng.shuffle(fresh)
+        self._order.update(dict.fromkeys(fresh))
+        steps = {view.record.group: view.report.step_ms for view in views if view.report}
+        self.health.note_steps(steps, now_ms)
 
 
 def _fits(view: presence.GroupView, wanted: Wanted) -> bool:
--- a/src/tanagerfork/routing/health.py
+++ b/src/tanagerfork/routing/health.py
@@ -4,7 +4,7 @@
 import enum
 import random
 import statistics
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Any
 
 import transitions
@@ -101,6 +101,20 @@
             record.readmit()
             self._on_change(name, record.state, "answered its trial")
 
+    def note_steps(self, steps_ms: Mapping[str, float], now_ms: int) -> None:
+        """Take in how long the upstreams say that their steps last.
+
+        :param steps_ms: step by upstream; 0 where it is not known.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        known = [step_ms for step_ms in steps_ms.values() if step_ms > 0]
+        if len(known) < STRAGGLER_MIN_PEERS:
+            return
+        limit_ms = statistics.median(known) * STRAGGLER_FACTOR
+        for name, step_ms in steps_ms.items():
+            if step_ms > limit_ms and self._find(name).state == HealthState.GOOD:
+                self._eject(self._find(name), now_ms, "straggles by its own report")
+
     def note_failure(self, name: str, now_ms: int) -> None:
         """Note a failure after a request was sent, or a connection that was not taken.
 
@@ -171,7 +185,7 @@
         return now_ms >= record.trial_until_ms
 
     def _straggles(self, record: Record, now_ms: int) -> bool:
-        if record.gaps < STRAGGLER_MIN_STREAMS:
+        if record.gaps < (1 if record.state == HealthState.TRIAL else STRAGGLER_MIN_STREAMS):
             return False
         if now_ms - self._median_at_ms >= MEDIAN_TTL_MS:
             gaps = [other.gap_ms for other in self._records.values() if other.gaps]
--- a/src/tanagerfork/routing/load.py
+++ b/src/tanagerfork/routing/load.py
@@ -52,12 +52,20 @@
         if view.report is None:
             return own
         reported = view.report.running + view.report.waiting
-        made_at_ms = now_ms - view.report_age_ms
+        return max(reported + self.count_since(group, now_ms - view.report_age_ms), own)
+
+    def count_since(self, group: str, since_ms: int) -> int:
+        """Return how many more of this daemon's requests began at a group than ended.
+
+        :param group: group.
+        :param since_ms: monotonic clock, in milliseconds.
+        """
+        total = 0
         for changed_at_ms, change in reversed(self._changes.get(group, ())):
-            if changed_at_ms < made_at_ms:
+            if changed_at_ms < since_ms:
                 break
-            reported += change
-        return max(reported, own)
+            total += change
+        return total
 
     def _change(self, group: str, now_ms: int, change: int) -> None:
         self._open[group] += change
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -20,7 +20,14 @@
 def choose_often(choice: balancer.Balancer, views, times: int = 50, now_ms: int = 0, **fields):
     """Return the groups chosen."""
     wanted = balancer.Wanted(**fields)
-    return {choice.choose(views, now_ms, wanted).record.group for _ in range(times)}
+    chosen = set()
+    for _ in range(times):
+        group = choice.choose(views, now_ms, wanted).record.group
+        choice.sent.begin(group, now_ms)
+        choice.end(group, now_ms)
+        choice.note_turn(group)
+        chosen.add(group)
+    return chosen
 
 
 class TestLoad:
@@ -35,7 +42,7 @@
         sent.begin("a", 900)
         assert sent.correct(engines.make_view("a", 3, age_ms), 1000) == corrected
 
-    def test_slow_steps_count_as_load(self):
+    def test_slow_steps_eject(self):
         views = [engines.make_view("a", 2, step_ms=300.0)]
         views += [engines.make_view(f"b{number}", 8, step_ms=30.0) for number in range(3)]
         assert "a" not in choose_often(make_balancer(), views)
