Measure admission; keep slots filled and count what waits at the engines

Cause: the room of a daemon was read with each group's load capped at its slots, so that what waited at the engines was not seen and daemons sent too much (handover waited 3,756 ms at 2x load), and a request was let in although an unusually long one of its team could no longer end in its deadline. Change: loads are not capped; latest start by mean and deviation of the team's slot time; a few requests more than slots, so that none idles between two reports.

--- a/src/tanagerfork/front/gate.py
+++ b/src/tanagerfork/front/gate.py
@@ -155,7 +155,7 @@
         for view in self._groups.whole_groups(model.name, now_ms):
             size = (view.report.slots if view.report else 0) or model.slots_per_group
             slots += size
-            used += min(size, self._sent.correct(view, now_ms))
+            used += self._sent.correct(view, now_ms)
             sent += self._sent.count_open(view.record.group)
         used += max(0, running - sent)
         return admission.share_room(slots, used, running, self._fleet.live_daemons())
--- a/src/tanagerfork/routing/admission.py
+++ b/src/tanagerfork/routing/admission.py
@@ -11,6 +11,9 @@
 MAX_RETRY_MS = 60_000
 MAX_WAITING = 10_000
 COST_SMOOTHING = 0.1
+SLACK_DEVIATIONS = 3
+MIN_WAIT_SHARE = 0.1
+OVERCOMMIT_SHARE = 0.0625
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,20 +43,40 @@
     free: int
 
 
+@dataclasses.dataclass(slots=True)
+class Cost:
+    """Time for which a team's requests hold a slot: its mean and mean deviation."""
+
+    mean_ms: float
+    deviation_ms: float = 0.0
+
+    def add(self, held_ms: float) -> None:
+        """Take one request in.
+
+        :param held_ms: time for which it held its slot, in milliseconds.
+        """
+        error_ms = held_ms - self.mean_ms
+        self.mean_ms += COST_SMOOTHING * error_ms
+        self.deviation_ms += COST_SMOOTHING * (abs(error_ms) - self.deviation_ms)
+
+
 class Admission:
     """Decides for one model over explicit time; it never waits and does no I/O.
 
+    A request must start early enough that one of its team which holds its slot for unusually long
+    still ends before the deadline: an answer that comes too late has used a slot for nothing.
+
     :param team_limits: limits of the teams, shared by all models.
     :param first_cost_ms: slot time expected of a request before any was measured.
     """
 
-    __slots__ = ("_limits", "_queue", "_teams", "_cost_ms", "_first_cost_ms", "running", "_slots")
+    __slots__ = ("_limits", "_queue", "_teams", "_costs", "_first_cost_ms", "running", "_slots")
 
     def __init__(self, team_limits: limits.TeamLimits, first_cost_ms: float) -> None:
         self._limits = team_limits
         self._queue = fair_queue.FairQueue()
         self._teams: dict[str, bundle.Team] = {}
-        self._cost_ms: dict[str, float] = {}
+        self._costs: dict[str, Cost] = {}
         self._first_cost_ms = first_cost_ms
         self.running = 0
         self._slots = 1
@@ -124,8 +147,7 @@
         self.running -= 1
         self._limits.end(ticket.team)
         self._queue.charge(ticket, held_ms - ticket.cost_ms)
-        known_ms = self._cost_ms.get(ticket.team, self._first_cost_ms)
-        self._cost_ms[ticket.team] = known_ms + COST_SMOOTHING * (held_ms - known_ms)
+        self._find_cost(ticket.team).add(held_ms)
 
     def estimate_wait_ms(self, ticket: fair_queue.Ticket) -> float:
         """Return how long a request would wait for its slot.
@@ -136,18 +158,23 @@
         return (ahead_ms + ticket.cost_ms) / self._slots
 
     def _make_ticket(self, ask: Ask, now_ms: int) -> fair_queue.Ticket:
-        cost_ms = self._cost_ms.get(ask.team.name, self._first_cost_ms)
-        latest_ms = min(ask.deadline_at_ms - round(cost_ms), now_ms + MAX_WAIT_MS)
+        cost = self._find_cost(ask.team.name)
+        left_ms = ask.deadline_at_ms - now_ms
+        wait_ms = left_ms - cost.mean_ms - SLACK_DEVIATIONS * cost.deviation_ms
+        wait_ms = min(MAX_WAIT_MS, max(wait_ms, MIN_WAIT_SHARE * left_ms))
         return fair_queue.Ticket(
             team=ask.team.name,
             weight=ask.team.weight,
             rank=ask.rank,
             priority=ask.priority,
-            cost_ms=cost_ms,
+            cost_ms=cost.mean_ms,
             arrived_at_ms=now_ms,
-            latest_start_ms=latest_ms,
+            latest_start_ms=now_ms + round(wait_ms),
         )
 
+    def _find_cost(self, team: str) -> Cost:
+        return self._costs.setdefault(team, Cost(self._first_cost_ms))
+
     def _take_free_slot(self, ticket: fair_queue.Ticket, now_ms: int) -> None:
         if self._queue.count:
             self._queue.push(ticket)
@@ -176,6 +203,7 @@
 
     Each daemon may always use an equal share. Of the slots that are free by the reports it may take
     more, one part at a time, so that daemons that hear of the same free slots do not all take them.
+    A few requests more than there are slots keep a slot from idling between two reports.
 
     :param slots: slots of all whole groups.
     :param reported: requests at them by their reports, corrected by own dispatches since.
@@ -183,8 +211,9 @@
     :param live_daemons: live daemons of the failure domain.
     :return: slots of this daemon and how many are free.
     """
-    own = -(-slots // max(1, live_daemons))
-    spare = max(0, slots - round(reported))
+    filled = slots + int(slots * OVERCOMMIT_SHARE)
+    own = -(-filled // max(1, live_daemons))
+    spare = max(0, filled - round(reported))
     lent = spare if live_daemons <= 1 else -(-spare * 2 // (live_daemons + 1))
     free = max(own - running, min(lent, spare), 0)
     return Room(max(own, running + free), free)
--- a/src/tanagerfork/routing/balancer.py
+++ b/src/tanagerfork/routing/balancer.py
@@ -12,6 +12,7 @@
 WARM_SLACK = 0.25
 WARM_MAX_LOAD = 0.9
 HOLD_MS = 2_000
+CANDIDATES = 2
 REFRESH_MS = 200
 TRIAL_MS = 10_000
 
@@ -155,7 +156,7 @@
         for group in self._order:
             if group in places:
                 pair.append(candidates[places[group]])
-                if len(pair) == 2:
+                if len(pair) == CANDIDATES:
                     break
         return pair or [candidates[self._rng.choice(usable)]]
 
