Let a team save up a little slot time

Cause: at 5x load a small team whose requests come in bursts lost its turns while it was idle: the least one got 80% of its share of the slot time.

--- a/src/tanagerfork/routing/fair_queue.py
+++ b/src/tanagerfork/routing/fair_queue.py
@@ -4,6 +4,7 @@
 import heapq
 
 LEAD_LIMIT_MS = 30_000
+CREDIT_MS = 15_000
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -43,7 +44,8 @@
     Weighed against deficit round robin: requests differ a hundredfold in the time they hold a slot,
     so a round's quantum must be as large as the largest request, and a small team then waits for a
     whole round of large ones. Here the team with the least slot time per weight comes next, the
-    choice costs one pass over the waiting teams, and an idle team saves nothing up.
+    choice costs one pass over the waiting teams. An idle team saves up `CREDIT_MS` of slot time per
+    weight and no more, so that one whose few requests come in bursts still gets its share.
 
     Ranked requests (priorities that the bundle gives by tag) go first over all teams as long as
     their team is at most `LEAD_LIMIT_MS` of slot time per weight ahead; past that they take their
@@ -65,7 +67,7 @@
         """
         queue = self._find_team(ticket)
         if not queue.count:
-            queue.virtual_ms = max(queue.virtual_ms, self._virtual_ms)
+            queue.virtual_ms = max(queue.virtual_ms, self._virtual_ms - CREDIT_MS)
         self._arrivals += 1
         entry = (-ticket.rank, -ticket.priority, self._arrivals, ticket)
         heapq.heappush(queue.waiting, entry)
@@ -115,7 +117,7 @@
         :param ticket: request that was not pushed.
         """
         queue = self._find_team(ticket)
-        queue.virtual_ms = max(queue.virtual_ms, self._virtual_ms)
+        queue.virtual_ms = max(queue.virtual_ms, self._virtual_ms - CREDIT_MS)
         self._advance(queue, ticket)
 
     def cost_ahead_ms(self, ticket: Ticket) -> float:
@@ -125,7 +127,10 @@
         """
         own = self._teams.get(ticket.team)
         own_ms = (own.waiting_cost_ms if own else 0.0) if not ticket.rank else 0.0
-        turns_ms = own_ms / ticket.weight
+        lead_ms = own.virtual_ms - self._virtual_ms if own else 0.0
+        turns_ms = max(0.0, max(lead_ms, -CREDIT_MS) + own_ms / ticket.weight)
+        if ticket.rank:
+            turns_ms = 0.0
         return own_ms + sum(
             min(queue.waiting_cost_ms, turns_ms * queue.weight)
             for name, queue in self._teams.items()
