--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -28,6 +28,7 @@
     chat,
     gate,
     journal,
+    last_resort,
     listener,
     operators,
     services,
@@ -40,9 +41,12 @@
     layout_follower,
     lease,
     observer,
+    placement,
     presence,
+    rollout,
     sender,
 )
+from tanagerfork.peers import service as peer_services
 from tanagerfork.platform import etcd, vms
 from tanagerfork.routing import affinity, balancer, health, leaving, limits, poison, retry
 from tanagerfork.routing import fleet as fleets
@@ -76,13 +80,25 @@
         self.settings = settings
         self.clock = clock
         self.metrics = metric.Metrics()
-        self.timeline = ring.Timeline(settings.name, clock, settings.timeline_events)
+        self.timeline = ring.Timeline(
+            settings.name, clock, settings.timeline_events, on_event=logs.log_event
+        )
         self.lifecycle = lifecycle.Lifecycle(self._note_state)
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
         self.groups.subscribe(self._note_group)
         self.fleet: fleets.Fleet = fleets.LoneDaemon()
         self._rng = random.Random(settings.seed or None)
+        self.peers = peer_services.PeerService(
+            settings,
+            settings_files.read_peer_keys(settings.peers),
+            clock,
+            self._rng,
+            self.timeline,
+            self.metrics,
+            self.bundles,
+            self.groups,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[listener.Listener] = []
         self.measures = measure.Measures()
@@ -119,8 +135,14 @@
             self.clock,
             self.metrics,
             settings.groups.observe_interval_ms,
+            self.peers.is_observed_here,
+            self.peers.note_report,
         )
         await self._open_listeners()
+        self.peers.start(
+            f"http://{settings.callers.host}:{self.callers_port}",
+            f"http://{settings.operators.host}:{self.operators_port}",
+        )
         self.lifecycle.apply("listen")
         self._start_tasks()
 
@@ -136,6 +158,7 @@
         ):
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
             waited_ms += DRAIN_CHECK_MS
+        await self.peers.stop()
         for task in self._tasks:
             task.cancel()
         await self._coordinator.stop()
@@ -173,7 +196,7 @@
         )
         operators_front = operators.OperatorsFront(sources, settings.operators.token_sha256)
         callers_app = self.callers.build_app()
-        callers_app.middlewares.append(self.journal.note)
+        callers_app.middlewares.extend((self.journal.note, last_resort.answer_errors))
         self.operators_port = await self._listen(
             operators_front.build_app(), settings.operators, OPERATOR_CONNECTIONS
         )
@@ -249,7 +272,7 @@
 
     def _make_coordinator(self) -> coordinator.Coordinator:
         settings = self.settings
-        keeper = lease.LeaseKeeper(
+        self._lease = lease.LeaseKeeper(
             settings.failure_domain,
             settings.name,
             self.store,
@@ -262,17 +285,23 @@
             self.store,
             self.bundles,
             self.groups,
-            keeper,
+            self._lease,
             sender.OrderSender(self._engines, self.clock, self.timeline, self.metrics),
             self.clock,
             self.timeline,
             self.metrics,
             settings.groups,
-            settings.limits.drain_limit_ms,
+            self._make_policy,
+        )
+
+    def _make_policy(self) -> placement.Planner:
+        drain_ms = self.settings.limits.drain_limit_ms
+        return placement.Planner(
+            rollout.RolloutLimits(drain_ms, self.settings.groups.wave_limit_ms)
         )
 
     def _list_live_daemons(self) -> list[str]:
-        return [self.settings.name]
+        return self.peers.live()
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
@@ -288,6 +317,7 @@
                 ]
                 self.groups.take_vms(own, self.clock.monotonic_ms())
                 self._observer.follow(self.groups.vms)
+                self.peers.observations.keep([vm.vm for vm in self.groups.vms])
             await self.clock.sleep_ms(self.settings.platform.vm_list_interval_ms)
 
     async def _follow_readiness(self) -> None:
@@ -295,6 +325,7 @@
             is_ready = self.bundles.current is not None
             self.lifecycle.apply("become_ready" if is_ready else "lose_readiness")
             self._take_measures()
+            self.journal.refusals.tell(self.clock.monotonic_ms())
             await self.clock.sleep_ms(READY_CHECK_MS)
 
     def _take_measures(self) -> None:
@@ -318,7 +349,7 @@
         metrics.set_counter("timeline_jumps_refused_total", self.timeline.time.refused_jumps)
 
     def _read_status(self) -> operator_records.DaemonStatus:
-        return statuses.describe_daemon(
+        status = statuses.describe_daemon(
             self.settings,
             self.lifecycle.state,
             self.bundles,
@@ -327,9 +358,12 @@
             self.callers.open_requests,
             self.clock.monotonic_ms(),
         )
+        status.coordinator = self._lease.state.holder
+        status.key_value_reachable = self._lease.measure_absence() == 0
+        return status
 
     def _note_state(self, state: str) -> None:
-        logs.log_event(self.timeline.record(kinds.EventKind.DAEMON_STATE, state))
+        self.timeline.record(kinds.EventKind.DAEMON_STATE, state)
 
     def _note_health(self, group: str, state: str, reason: str) -> None:
         is_ejected = state == health.HealthState.EJECTED
@@ -340,7 +374,7 @@
         kind = GROUP_EVENTS[view.state]
         missing = ", ".join(view.missing)
         detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
-        logs.log_event(self.timeline.record(kind, detail, group=view.record.group))
+        self.timeline.record(kind, detail, group=view.record.group)
 
 
 async def serve(settings: settings_records.Settings, embedded: pathlib.Path | None) -> None:
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -30,6 +30,10 @@
     """An error that a caller is told."""
 
 
+class InternalFailure(CallerError):
+    """The daemon failed while it held the request."""
+
+
 class BadRequest(CallerError):
     """The request is malformed."""
 
@@ -272,6 +276,33 @@
     ran = NOT_RUN
 
 
+class PeerError(TanagerforkError):
+    """Another daemon did not answer."""
+
+    kind = "peer"
+    status = 503
+
+
+class PeerUnreachable(PeerError):
+    """The ask certainly was not handled."""
+
+    kind = "peer_unreachable"
+    ran = NOT_RUN
+
+
+class PeerRefused(PeerError):
+    """The peer says that it cannot answer."""
+
+    kind = "peer_refused"
+    ran = NOT_RUN
+
+
+class PeerSilent(PeerError):
+    """The ask may have been handled; no answer came in time."""
+
+    kind = "peer_silent"
+
+
 class OperatorError(TanagerforkError):
     """What an operator asked for was not done."""
 
--- a/src/tanagerfork/front/attempts.py
+++ b/src/tanagerfork/front/attempts.py
@@ -19,7 +19,7 @@
 from tanagerfork.upstream import engine as engines
 from tanagerfork.upstream import stream
 
-MIN_SILENCE_MS = 500
+MIN_SILENCE_MS = 1000
 MIN_FIRST_SILENCE_MS = 2000
 FIRST_SILENCE_FACTOR = 10
 MAX_CANCELS = 200
--- a/tests/test_cli_reads.py
+++ b/tests/test_cli_reads.py
@@ -62,8 +62,8 @@
     )  # fmt: skip
     first = operators.DaemonStatus(
         name="ipoh-a-1", failure_domain="ipoh-a", state="serving", bundle_version=4,
-        bundle_name="night shift", accelerators=40, stranded_accelerators=8,
-        stranded_accelerator_ms=96_500, groups=[whole],
+        bundle_name="night shift", coordinator="ipoh-a-1", key_value_reachable=True,
+        accelerators=40, stranded_accelerators=8, stranded_accelerator_ms=96_500, groups=[whole],
     )  # fmt: skip
     second = operators.DaemonStatus(
         name="taiping-1", failure_domain="taiping", state="not_ready", reason="key-value away",
@@ -160,20 +160,67 @@
         with run_daemons() as daemons, commands.run_loop() as loop:
             daemon = daemons[1]
             survey = fleet.Survey({daemon.listener.url: daemon.status})
-            known: dict[str, tuple[int, int]] = {}
+            places: dict[str, timeline_commands.Place] = {}
             for started_ms in (5, 5, 6):
                 daemon.page.started_ms = started_ms
-                loop.run(read_newer(daemon.listener.url, survey, known))
+                loop.run(read_newer(daemon.listener.url, survey, places))
         first, second, third, again = daemon.paths
         assert first.endswith("?after=-1")
         assert second == third and second.endswith("?after=890")
         assert again == "/v1/timeline"
 
 
-async def read_newer(url: str, survey: fleet.Survey, known: dict[str, tuple[int, int]]) -> None:
+async def read_newer(
+    url: str, survey: fleet.Survey, places: dict[str, timeline_commands.Place]
+) -> None:
     """Read what is new from one daemon."""
     async with clients.connect(clients.Target([url])) as client:
-        await timeline_commands.read_newer(client, survey, known)
+        await timeline_commands.read_newer(client, survey, places)
+
+
+class TestExplanation:
+    @pytest.mark.parametrize(
+        ("outcome", "kinds"),
+        [("answered", []), ("not_run", ["group.whole", "group.broken"])],
+    )
+    def test_refusal_without_a_group_shows_what_befell_the_groups_before(self, outcome, kinds):
+        trace = events.RequestTrace(
+            daemon="taiping-1", request="rota-8", wall_ms=START_MS + 1000, outcome=outcome
+        )
+        pages = [daemon.page for daemon in make_daemons()]
+        told = timeline_commands.explain_request("rota-8", [trace], pages)
+        assert [event.kind for event in told.events] == kinds
+        assert all(event.daemon == "taiping-1" for event in told.events)
+
+
+class TestTerminal:
+    def test_colours_and_tables_stand_on_a_terminal_only(self):
+        with run_daemons() as daemons:
+            words = ["teams", "--daemon", daemons[0].listener.url]
+            plain = commands.call(*words)
+            coloured = commands.call(*words, env={"FORCE_COLOR": "1", "COLUMNS": "120"})
+        assert "\x1b[" not in plain.stdout
+        assert "\x1b[1m" in coloured.stdout
+
+
+class TestDiscovery:
+    def test_domain_whose_first_daemon_is_away_is_still_seen_in_full(self):
+        with run_daemons() as daemons:
+            away = operators.PeerStatus(
+                name="taiping-0", state="alive", failure_domain="taiping", operators_url=NOWHERE
+            )
+            daemons[0].status.peers.insert(0, away)
+            ran = commands.call("status", "--json", "--daemon", daemons[0].listener.url, status=3)
+        told = msgspec.json.decode(ran.stdout, type=operators.FleetStatus)
+        assert [domain.seen_by for domain in told.domains] == ["ipoh-a-1", "taiping-1"]
+        assert daemons[1].paths == ["/v1/status"]
+
+    def test_only_one_daemon_of_a_domain_is_asked_for_everything(self):
+        with run_daemons() as daemons:
+            daemons[1].status.failure_domain = "ipoh-a"
+            daemons[0].status.peers[0].failure_domain = "ipoh-a"
+            commands.call("status", "--daemon", daemons[0].listener.url)
+        assert daemons[1].paths == ["/v1/status?brief=1"]
 
 
 class TestExports:
