Hear team usage, leaving VMs, poison requests and free slots from the peers

Requests took nothing from the other daemons: limits were not shared and a poison request was known to one daemon alone. The peers' service now answers the decisions' Fleet interface; the parts of the path of requests are put together in a module of their own.

--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -23,10 +23,8 @@
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book
 from tanagerfork.front import (
-    attempts,
+    assembly,
     callers,
-    chat,
-    gate,
     journal,
     last_resort,
     listener,
@@ -48,10 +46,8 @@
 )
 from tanagerfork.peers import service as peer_services
 from tanagerfork.platform import etcd, vms
-from tanagerfork.routing import affinity, balancer, health, leaving, limits, poison, retry
-from tanagerfork.routing import fleet as fleets
 from tanagerfork.timeline import kinds, ring
-from tanagerfork.upstream import cache_events, connections
+from tanagerfork.upstream import connections
 from tanagerfork.upstream import engine as engines
 from tanagerfork.upstream import service as service_clients
 
@@ -87,7 +83,6 @@
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
         self.groups.subscribe(self._note_group)
-        self.fleet: fleets.Fleet = fleets.LoneDaemon()
         self._rng = random.Random(settings.seed or None)
         self.peers = peer_services.PeerService(
             settings,
@@ -163,7 +158,7 @@
             task.cancel()
         await self._coordinator.stop()
         self._observer.stop()
-        self._gate.stop()
+        self._chats.entrance.stop()
         for opened in self._listeners:
             await opened.stop()
         await self._session.close()
@@ -177,7 +172,15 @@
 
     async def _open_listeners(self) -> None:
         settings = self.settings
-        chats = self._build_chats()
+        self._chats = assembly.build_chats(
+            self.groups,
+            self._engines,
+            self.peers,
+            self.clock,
+            self._rng,
+            self.timeline,
+            self.metrics,
+        )
         plain_services = services.ServiceRunner(
             settings.failure_domain,
             service_clients.HttpServiceClient(
@@ -189,7 +192,12 @@
             self.metrics,
         )
         self.callers = callers.CallersFront(
-            self.bundles, chats, plain_services, settings.limits, self.clock, self.metrics
+            self.bundles,
+            self._chats.runner,
+            plain_services,
+            settings.limits,
+            self.clock,
+            self.metrics,
         )
         sources = operators.Sources(
             self._read_status, self.timeline, self.journal, self.metrics, self.bundles, self.store
@@ -204,33 +212,6 @@
             callers_app, settings.callers, settings.limits.open_requests * CONNECTIONS_PER_REQUEST
         )
 
-    def _build_chats(self) -> chat.ChatRunner:
-        choice = balancer.Balancer(
-            self._rng, health.Health(self._rng, self._note_health), affinity.PrefixMap()
-        )
-        self.team_limits = limits.TeamLimits(self.fleet)
-        self.poison = poison.PoisonRegister()
-        policy = chat.ChatPolicy(
-            balancer=choice,
-            leaving=leaving.LeavingVms(self.groups.find_vm, self.fleet),
-            budget=retry.RetryBudget(),
-            pacer=retry.DialPacer(self._rng),
-            poison=self.poison,
-            fleet=self.fleet,
-        )
-        self._gate = gate.Gate(
-            self.groups, choice.sent, self.team_limits, self.fleet, self.clock, self.metrics
-        )
-        tries = attempts.AttemptRunner(
-            self.groups, choice, self.poison, self._engines, self.clock, self.metrics
-        )
-        self._cache_follower = cache_events.CacheFollower(
-            self.groups, choice, self._engines, self.clock
-        )
-        return chat.ChatRunner(
-            self.groups, policy, self._gate, tries, self.clock, self.timeline, self.metrics
-        )
-
     async def _listen(
         self,
         app: aiohttp.web.Application,
@@ -267,7 +248,8 @@
         self._start_task(self._follow_vms())
         self._start_task(follow_layout.run())
         self._start_task(self._coordinator.run())
-        self._start_task(self._cache_follower.run())
+        for work in self._chats.list_work():
+            self._start_task(work)
         self._start_task(self._follow_readiness())
 
     def _make_coordinator(self) -> coordinator.Coordinator:
@@ -365,11 +347,6 @@
     def _note_state(self, state: str) -> None:
         self.timeline.record(kinds.EventKind.DAEMON_STATE, state)
 
-    def _note_health(self, group: str, state: str, reason: str) -> None:
-        is_ejected = state == health.HealthState.EJECTED
-        kind = kinds.EventKind.GROUP_EJECTED if is_ejected else kinds.EventKind.GROUP_READMITTED
-        logs.log_event(self.timeline.record(kind, reason, group=group))
-
     def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
         kind = GROUP_EVENTS[view.state]
         missing = ", ".join(view.missing)
--- a/src/tanagerfork/front/gate.py
+++ b/src/tanagerfork/front/gate.py
@@ -9,7 +9,7 @@
 from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.generated import bundle
-from tanagerfork.groups import directory
+from tanagerfork.groups import directory, presence
 from tanagerfork.routing import admission, fair_queue, limits, load
 from tanagerfork.routing import fleet as fleets
 
@@ -97,6 +97,18 @@
         place.line.admission.end(place.ticket, self._clock.monotonic_ms())
         self._pump(place.model, place.line)
 
+    def count_free_slots(self, now_ms: int) -> dict[str, int]:
+        """Return the free slots of all whole groups by model, for other failure domains.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        free: dict[str, int] = {}
+        for view in self._groups.views(now_ms):
+            if view.state == presence.GroupState.WHOLE and view.report is not None:
+                room = view.report.slots - self._sent.correct(view, now_ms)
+                free[view.record.model] = free.get(view.record.model, 0) + room
+        return free
+
     def stop(self) -> None:
         """End all tasks."""
         for line in self._lines.values():
--- a/src/tanagerfork/routing/leaving.py
+++ b/src/tanagerfork/routing/leaving.py
@@ -20,7 +20,7 @@
     :param fleet: the other daemons.
     """
 
-    __slots__ = ("_find_vm", "_fleet", "_heard", "_scanned_at_ms")
+    __slots__ = ("_find_vm", "_fleet", "_heard", "_seen", "_scanned_at_ms")
 
     def __init__(
         self, find_vm: Callable[[str], engine.VmEntry | None], fleet: fleets.Fleet
@@ -28,6 +28,7 @@
         self._find_vm = find_vm
         self._fleet = fleet
         self._heard: dict[str, int] = {}
+        self._seen: dict[str, int] = {}
         self._scanned_at_ms = -SCAN_INTERVAL_MS
 
     def note(self, vms: Iterable[str], now_ms: int) -> None:
@@ -39,14 +40,17 @@
         for vm in vms:
             self._heard[vm] = now_ms
 
-    def read_own(self, now_ms: int) -> list[str]:
-        """Return the VMs of which a word is kept, for the other daemons.
+    def take_fresh(self, now_ms: int) -> list[str]:
+        """Return the VMs that this daemon itself saw leaving and that the peers are to be told of.
 
         :param now_ms: monotonic clock, in milliseconds.
+        :return: each VM once in `LEAVING_TTL_MS`, so that peers do not repeat each other's words.
         """
-        kept = {vm: at for vm, at in self._heard.items() if now_ms - at <= LEAVING_TTL_MS}
-        self._heard = kept
-        return list(kept)
+        fresh = [vm for vm, at in self._seen.items() if at >= 0]
+        self._seen = {vm: -now_ms - 1 for vm in fresh} | {
+            vm: at for vm, at in self._seen.items() if at < 0 and now_ms + at < LEAVING_TTL_MS
+        }
+        return fresh
 
     def keep_staying(
         self, views: Sequence[presence.GroupView], now_ms: int
@@ -63,13 +67,18 @@
                 self._note_group(view, now_ms)
         if not self._heard:
             return list(views)
-        leaving = set(self.read_own(now_ms))
+        self._heard = {vm: at for vm, at in self._heard.items() if now_ms - at <= LEAVING_TTL_MS}
+        leaving = set(self._heard)
         return [view for view in views if leaving.isdisjoint(view.record.members)]
 
     def _note_group(self, view: presence.GroupView, now_ms: int) -> None:
         if view.report is not None and view.report.state == "leaving":
-            self._heard[view.leader] = now_ms
+            self._see(view.leader, now_ms)
         for vm in view.record.members:
             entry = self._find_vm(vm)
             if entry is not None and entry.leaving:
-                self._heard[vm] = now_ms
+                self._see(vm, now_ms)
+
+    def _see(self, vm: str, now_ms: int) -> None:
+        self._heard[vm] = now_ms
+        self._seen.setdefault(vm, now_ms)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -146,7 +146,8 @@
         entries["g0"].leaving, heard.words = False, ()
         views = [engines.make_view("g0"), engines.make_view("g1")]
         assert [view.record.group for view in vms.keep_staying(views, 5000)] == ["g1"]
-        assert vms.read_own(5000) == ["g0"]
+        assert vms.take_fresh(5000) == ([] if source == "peer" else ["g0"])
+        assert vms.take_fresh(6000) == []
         assert len(vms.keep_staying(views, 5000 + leaving.LEAVING_TTL_MS + 1)) == 2
 
 
