--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -91,11 +91,19 @@
 
 
 class KeyExpired(CallerError):
-    """The Idempotency-Key is older than the claims that are kept."""
+    """This send was not run; an earlier one under the same old key may have run."""
 
     kind = "key_expired"
     status = 409
-    ran = NOT_RUN
+    ran = MAY_HAVE_RUN
+
+
+class AnswerNotKept(CallerError):
+    """The request ran under this key before; its answer was too large to be kept."""
+
+    kind = "answer_not_kept"
+    status = 409
+    ran = RAN
 
 
 class NotRun(CallerError):
@@ -172,6 +180,13 @@
     ran = NOT_RUN
 
 
+class ValueTooLarge(PlatformUnavailable):
+    """A value exceeds what the key-value service holds."""
+
+    kind = "value_too_large"
+    status = 413
+
+
 class AnswerLost(PlatformError):
     """The call may have taken effect; its answer was lost."""
 
@@ -268,6 +283,12 @@
     status = 409
 
 
+class VersionForked(VersionNotNewer):
+    """Two bundles claim one version."""
+
+    kind = "version_forked"
+
+
 class PeerMessageInvalid(TanagerforkError):
     """A peer's message was dropped."""
 
