--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -23,7 +23,15 @@
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book, mark, owner, sweeper, writer
-from tanagerfork.front import callers, chat, journal, last_resort, listener, operators, services
+from tanagerfork.front import (
+    assembly,
+    callers,
+    journal,
+    last_resort,
+    listener,
+    operators,
+    services,
+)
 from tanagerfork.generated import layout
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
@@ -41,7 +49,6 @@
 )
 from tanagerfork.peers import service as peer_services
 from tanagerfork.platform import counted, etcd, vms
-from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
 from tanagerfork.upstream import connections
 from tanagerfork.upstream import engine as engines
@@ -152,6 +159,7 @@
         self._services.close()
         await self._coordinator.stop()
         self._observer.stop()
+        self._chats.entrance.stop()
         for opened in self._listeners:
             await opened.stop()
         await self._session.close()
@@ -165,11 +173,12 @@
 
     async def _open_listeners(self) -> None:
         settings = self.settings
-        chats = chat.ChatRunner(
+        self._chats = assembly.build_chats(
             self.groups,
-            balancer.Balancer(self._rng),
             self._engines,
+            self.peers,
             self.clock,
+            self._rng,
             self.timeline,
             self.metrics,
         )
@@ -193,7 +202,12 @@
             self.metrics,
         )
         self.callers = callers.CallersFront(
-            self.bundles, chats, self._services, settings.limits, self.clock, self.metrics
+            self.bundles,
+            self._chats.runner,
+            self._services,
+            settings.limits,
+            self.clock,
+            self.metrics,
         )
         sources = operators.Sources(
             self._read_status, self.timeline, self.journal, self.metrics, self.bundles, self.store
@@ -261,6 +275,8 @@
         self._start_task(self._follow_vms())
         self._start_task(follow_layout.run())
         self._start_task(self._coordinator.run())
+        for work in self._chats.list_work():
+            self._start_task(work)
         self._start_task(self._follow_readiness())
 
     def _make_coordinator(self) -> coordinator.Coordinator:
