Try plain services' upstreams by health, and within the caller's deadline

Cause: a repeatable call was tried at every upstream with its whole timeout each, so past its deadline, and failing upstreams stayed in turn for all calls. Change: ejected upstreams go last and return by the trial of a repeatable call; a call that may not be repeated is never the trial; what is left of the deadline bounds each try. The at-most-once model makes its runners with the new parts; its cases and checks are unchanged.

--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -192,12 +192,12 @@
             owner.NoPeers(),
         )
         self._services = services.ServiceRunner(
-            settings.failure_domain,
+            assembly.build_service_order(settings.failure_domain, self._rng, self.timeline),
             service_clients.HttpServiceClient(
                 self._single_use_session, settings.limits.answer_body_bytes
             ),
             self.claims,
-            self._rng,
+            self.clock,
             self.timeline,
             self.metrics,
         )
--- a/src/tanagerfork/front/assembly.py
+++ b/src/tanagerfork/front/assembly.py
@@ -11,7 +11,16 @@
 from tanagerfork.front import attempts, chat, gate, neighbours
 from tanagerfork.groups import directory
 from tanagerfork.peers import service as peer_services
-from tanagerfork.routing import affinity, balancer, health, leaving, limits, poison, retry
+from tanagerfork.routing import (
+    affinity,
+    balancer,
+    health,
+    leaving,
+    limits,
+    poison,
+    retry,
+    service_order,
+)
 from tanagerfork.timeline import kinds, ring
 from tanagerfork.upstream import cache_events
 from tanagerfork.upstream import engine as engines
@@ -54,6 +63,20 @@
         logs.log_event(self._timeline.record(kind, reason, group=name))
 
 
+def build_service_order(
+    failure_domain: str, rng: random.Random, timeline: ring.Timeline
+) -> service_order.ServiceOrder:
+    """Build the order of the plain services' upstreams.
+
+    :param failure_domain: failure domain whose upstreams are preferred.
+    :param rng: random numbers.
+    :param timeline: time line.
+    :return: the order.
+    """
+    judge = health.Health(rng, HealthEvents(timeline).tell)
+    return service_order.ServiceOrder(failure_domain, rng, judge)
+
+
 def build_chats(
     groups: directory.GroupDirectory,
     client: engines.EngineClient,
--- a/src/tanagerfork/front/services.py
+++ b/src/tanagerfork/front/services.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import dataclasses
-import random
 import uuid
 
 import result
 
+from tanagerfork import clock as clocks
 from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.claims import book, keys
 from tanagerfork.generated import bundle
+from tanagerfork.routing import service_order
 from tanagerfork.timeline import kinds, ring
 from tanagerfork.upstream import service as services
 
@@ -38,19 +39,19 @@
 class ServiceRunner:
     """Has requests answered by plain services.
 
-    :param failure_domain: failure domain whose upstreams are preferred.
+    :param order: order in which upstreams are tried.
     :param client: service client.
     :param claims: at-most-once claims.
-    :param rng: random numbers.
+    :param clock: clock of the deadlines.
     :param timeline: time line.
     :param metrics: counters.
     """
 
     __slots__ = (
-        "_failure_domain",
+        "_order",
         "_client",
         "_claims",
-        "_rng",
+        "_clock",
         "_timeline",
         "_metrics",
         "_claimed_calls",
@@ -58,17 +59,17 @@
 
     def __init__(
         self,
-        failure_domain: str,
+        order: service_order.ServiceOrder,
         client: services.ServiceClient,
         claims: book.Claims,
-        rng: random.Random,
+        clock: clocks.Clock,
         timeline: ring.Timeline,
         metrics: metric.Metrics,
     ) -> None:
-        self._failure_domain = failure_domain
+        self._order = order
         self._client = client
         self._claims = claims
-        self._rng = rng
+        self._clock = clock
         self._timeline = timeline
         self._metrics = metrics
         self._claimed_calls: set[asyncio.Task[ServiceResult]] = set()
@@ -131,31 +132,50 @@
         self, request: ServiceRequest
     ) -> result.Result[services.ServiceAnswer, errors.CallerError]:
         error: errors.UpstreamError | None = None
-        for upstream in self._order_upstreams(request.service):
-            called = await self._client.call(upstream, _to_call(request, uuid.uuid4().hex))
+        ends_at_ms = self._clock.monotonic_ms() + request.timeout_ms
+        for upstream in self._sort_upstreams(request, is_repeatable=True):
+            left_ms = ends_at_ms - self._clock.monotonic_ms()
+            if left_ms <= 0:
+                break
+            called = await self._call(upstream, request, uuid.uuid4().hex, left_ms)
             if isinstance(called, result.Ok):
                 return called
             error = called.err_value
-            self._metrics.count("attempts_failed_total", kind=error.kind)
         return result.Err(_describe_failure(request, error))
 
     async def _call_once(
         self, request: ServiceRequest, attempt_id: str
     ) -> result.Result[services.ServiceAnswer, errors.CallerError]:
         error: errors.UpstreamError | None = None
-        for upstream in self._order_upstreams(request.service):
-            called = await self._client.call(upstream, _to_call(request, attempt_id))
+        for upstream in self._sort_upstreams(request, is_repeatable=False):
+            called = await self._call(upstream, request, attempt_id, request.timeout_ms)
             if isinstance(called, result.Ok):
                 return called
             error = called.err_value
-            self._metrics.count("attempts_failed_total", kind=error.kind)
             if error.ran != errors.NOT_RUN:
                 break
         return result.Err(_describe_failure(request, error))
 
-    def _order_upstreams(self, service: bundle.Service) -> list[bundle.ServiceUpstream]:
-        shuffled = self._rng.sample(service.upstreams, len(service.upstreams))
-        return sorted(shuffled, key=lambda item: item.failure_domain != self._failure_domain)
+    def _sort_upstreams(
+        self, request: ServiceRequest, is_repeatable: bool
+    ) -> list[bundle.ServiceUpstream]:
+        now_ms = self._clock.monotonic_ms()
+        return self._order.sort(request.service.upstreams, is_repeatable, now_ms)
+
+    async def _call(
+        self,
+        upstream: bundle.ServiceUpstream,
+        request: ServiceRequest,
+        attempt_id: str,
+        left_ms: int,
+    ) -> result.Result[services.ServiceAnswer, errors.UpstreamError]:
+        self._order.begin(upstream.name, self._clock.monotonic_ms())
+        called = await self._client.call(upstream, _to_call(request, attempt_id, left_ms))
+        error = called.err_value if isinstance(called, result.Err) else None
+        self._order.end(upstream.name, error, self._clock.monotonic_ms())
+        if error is not None:
+            self._metrics.count("attempts_failed_total", kind=error.kind)
+        return called
 
 
 def is_repeatable(request: ServiceRequest) -> bool:
@@ -182,7 +202,7 @@
     )
 
 
-def _to_call(request: ServiceRequest, attempt_id: str) -> services.ServiceCall:
+def _to_call(request: ServiceRequest, attempt_id: str, left_ms: int) -> services.ServiceCall:
     return services.ServiceCall(
         attempt_id=attempt_id,
         request_id=request.request_id,
@@ -191,7 +211,7 @@
         query=request.query,
         content_type=request.content_type,
         body=request.body,
-        timeout_ms=min(request.timeout_ms, request.service.timeout_ms),
+        timeout_ms=min(left_ms, request.service.timeout_ms),
     )
 
 
--- a/src/tanagerfork/routing/health.py
+++ b/src/tanagerfork/routing/health.py
@@ -156,6 +156,34 @@
             return list(range(len(names)))
         return usable
 
+    def find_ejected(self, names: Sequence[str], now_ms: int) -> list[int]:
+        """Return the indexes of the ejected upstreams; none where that would be a majority.
+
+        :param names: upstreams to choose from.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        records = [self._records.get(name) for name in names]
+        ejected = [
+            index
+            for index, record in enumerate(records)
+            if record is not None and record.state != HealthState.GOOD
+        ]
+        return ejected if len(ejected) <= MAX_EJECTED_SHARE * len(names) else []
+
+    def find_trial(self, names: Sequence[str], now_ms: int) -> str:
+        """Return an ejected upstream whose trial is due; empty for none.
+
+        :param names: upstreams to choose from.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        for name in names:
+            record = self._records.get(name)
+            if record is None or record.state == HealthState.GOOD:
+                continue
+            if self._is_trial_due(record, now_ms):
+                return name
+        return ""
+
     def begin_trial(self, name: str, now_ms: int, trial_ms: int) -> None:
         """Note that a request was sent, which is the trial of an ejected upstream.
 
--- /dev/null
+++ b/src/tanagerfork/routing/service_order.py
@@ -0,0 +1,71 @@
+"""Order in which the upstreams of a plain service are tried."""
+
+import random
+from collections.abc import Sequence
+
+from tanagerfork import errors
+from tanagerfork.generated import bundle
+from tanagerfork.routing import health
+
+TRIAL_MS = 10_000
+
+
+class ServiceOrder:
+    """Own failure domain first, ejected upstreams last, otherwise at random.
+
+    An ejected upstream returns by the trial of a call that may be repeated; a call that may not
+    is never the trial.
+
+    :param failure_domain: failure domain whose upstreams are preferred.
+    :param rng: random numbers.
+    :param judge: health of the upstreams.
+    """
+
+    __slots__ = ("_failure_domain", "_rng", "_health")
+
+    def __init__(self, failure_domain: str, rng: random.Random, judge: health.Health) -> None:
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._health = judge
+
+    def sort(
+        self, upstreams: Sequence[bundle.ServiceUpstream], is_repeatable: bool, now_ms: int
+    ) -> list[bundle.ServiceUpstream]:
+        """Return all upstreams, the one to try first at the front.
+
+        :param upstreams: upstreams of the service.
+        :param is_repeatable: whether the call may be repeated.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        names = [upstream.name for upstream in upstreams]
+        ejected = {names[index] for index in self._health.find_ejected(names, now_ms)}
+        trial = self._health.find_trial(names, now_ms) if is_repeatable else ""
+        shuffled = self._rng.sample(upstreams, len(upstreams))
+        return sorted(
+            shuffled,
+            key=lambda item: (
+                item.name != trial,
+                item.name in ejected,
+                item.failure_domain != self._failure_domain,
+            ),
+        )
+
+    def begin(self, upstream: str, now_ms: int) -> None:
+        """Note that a call is sent.
+
+        :param upstream: name of the upstream.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        self._health.begin_trial(upstream, now_ms, TRIAL_MS)
+
+    def end(self, upstream: str, error: errors.UpstreamError | None, now_ms: int) -> None:
+        """Note what came of a call.
+
+        :param upstream: name of the upstream.
+        :param error: why there is no answer; None where there is one.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        if error is None:
+            self._health.note_answer(upstream, now_ms)
+        elif not isinstance(error, errors.UpstreamRefused):
+            self._health.note_failure(upstream, now_ms)
--- a/tests/test_claims_model.py
+++ b/tests/test_claims_model.py
@@ -11,6 +11,7 @@
 from tanagerfork.claims import book, decision, mark, owner, writer
 from tanagerfork.front import services
 from tanagerfork.generated import bundle
+from tanagerfork.routing import health, service_order
 from tanagerfork.timeline import ring
 from tanagerfork.upstream import service as upstream
 from tests import fakes, stepping
@@ -101,7 +102,9 @@
         books[name] = claims
     timeline = ring.Timeline(name, world.clock, 100)
     client = SteppedService(world, name, runs)
-    return runner_type("ipoh-a", client, claims, random.Random(1), timeline, metrics)
+    rng = random.Random(1)
+    order = service_order.ServiceOrder("ipoh-a", rng, health.Health(rng, lambda *change: None))
+    return runner_type(order, client, claims, world.clock, timeline, metrics)
 
 
 def make_request(name: str) -> services.ServiceRequest:
