--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -5,6 +5,8 @@
 import pytest
 
 from tanagerfork import clock as clocks
+from tanagerfork.front import sink
+from tanagerfork.routing import fleet
 from tests import engines
 from tests.engines import CONFUSED, CRASH, GONE, HANG, LOST, REFUSED, SILENT
 
@@ -127,3 +129,69 @@
     async def test_cut_connection_without_a_crash_raises_no_suspicion(self):
         upstreams = engines.ScriptedEngines(groups=5, script=[(1, LOST), (1, LOST), (1, LOST)])
         assert (await engines.Runner(upstreams).ask())[1] is None
+
+
+class TestSpill:
+    @pytest.mark.parametrize(
+        ("free_slots", "may_spill", "sent", "kind"),
+        [(5, True, ["other"], None), (0, True, [], "not_run"), (5, False, [], "not_run")],
+    )
+    async def test_request_goes_one_hop_to_a_daemon_that_has_room(
+        self, free_slots, may_spill, sent, kind
+    ):
+        upstreams = engines.ScriptedEngines(groups=0)
+        heard = engines.TellingFleet(clocks.ManualClock())
+        heard.targets = [fleet.SpillTarget("other", "http://x", free_slots)]
+        data, error = await engines.Runner(upstreams, heard).ask(may_spill=may_spill)
+        assert [daemon for daemon, _ in upstreams.sent] == sent
+        assert (error.kind if error else None) == kind
+        assert data == (WHOLE if kind is None else b"")
+
+    async def test_spilled_answer_that_breaks_is_cut_with_an_error(self):
+        upstreams = engines.ScriptedEngines(groups=0, script=[(2, LOST)])
+        heard = engines.TellingFleet(clocks.ManualClock())
+        heard.targets = [fleet.SpillTarget("other", "http://x", 5)]
+        _, error = await engines.Runner(upstreams, heard).ask()
+        assert (error.kind, error.ran) == ("answer_cut", "yes")
+
+
+class TestBounds:
+    async def test_answer_past_the_limit_is_given_up_and_cancelled(self):
+        upstreams = engines.ScriptedEngines(length=50)
+        runner = engines.Runner(upstreams)
+        whole = sink.WholeSink("r1", "m", {}, limit_bytes=20)
+        ran = await runner.chats.run(runner.call(), whole)
+        await asyncio.sleep(0)
+        assert ran.err_value.kind == "answer_too_large"
+        assert len(upstreams.sent) == 1 and len(upstreams.cancelled) == 1
+
+    async def test_slow_caller_is_ended_and_no_other_is_held_up(self):
+        class Transport:
+            aborted = 0
+
+            def abort(self) -> None:
+                self.aborted += 1
+
+        class Request:
+            transport = Transport()
+
+        class Response:
+            def __init__(self, blocks: bool) -> None:
+                self.blocks = blocks
+
+            async def prepare(self, request) -> None:
+                return None
+
+            async def write(self, events: bytes) -> None:
+                if self.blocks:
+                    await asyncio.Event().wait()
+
+        slow, fast = (sink.StreamSink(Request(), {}, stall_ms=50) for _ in range(2))
+        slow._response, fast._response = Response(True), Response(False)
+        held_up = asyncio.create_task(slow.write(b"x"))
+        while not Request.transport.aborted:
+            assert await fast.write(b"y")
+            await asyncio.sleep(0.01)
+        assert Request.transport.aborted == 1
+        held_up.cancel()
+        fast.close()
