--- a/src/tanagerfork/peers/domains.py
+++ b/src/tanagerfork/peers/domains.py
@@ -14,7 +14,7 @@
 SUMMARY_BYTES = 20
 SENDS_PER_DOUBLING = 1
 DOMAINS_KEPT = 256
-URLS_TOLD = 3
+CONTACTS_TOLD = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -33,7 +33,7 @@
     """What a bridge says of its own failure domain."""
 
     bridges: Sequence[str]
-    callers_urls: Sequence[str]
+    contacts: Sequence[peers.DomainContact]
     capacity: Sequence[peers.ModelCapacity]
 
 
@@ -100,7 +100,7 @@
                 name,
                 known.summary.region,
                 item.free_slots,
-                tuple(known.summary.callers_urls),
+                tuple(contact.callers_url for contact in known.summary.contacts),
                 now_ms - known.made_at_ms,
             )
             for name, known in self._known.items()
@@ -110,6 +110,17 @@
         ]
         return sorted(found, key=lambda item: (-item.free_slots, item.failure_domain))
 
+    def summaries_elsewhere(self, now_ms: int) -> list[peers.DomainSummary]:
+        """Return what the other failure domains said last, with its age.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        return [
+            msgspec.structs.replace(known.summary, age_ms=now_ms - known.made_at_ms)
+            for name, known in sorted(self._known.items())
+            if name != self._failure_domain
+        ]
+
     def renew(self, now_ms: int) -> None:
         """Say anew what this daemon knows of its own failure domain, if that is due.
 
@@ -126,7 +137,7 @@
             age_ms=0,
             region=self._region,
             bridges=list(own.bridges),
-            callers_urls=list(own.callers_urls)[:URLS_TOLD],
+            contacts=list(own.contacts)[:CONTACTS_TOLD],
             capacity=list(own.capacity),
         )
         self._keep(summary, now_ms)
@@ -182,6 +193,8 @@
 
 def _measure(known: _Known) -> int:
     summary = known.summary
-    texts = (*summary.bridges, *summary.callers_urls, summary.region, summary.failure_domain)
+    texts = [*summary.bridges, summary.region, summary.failure_domain]
+    for contact in summary.contacts:
+        texts += [contact.name, contact.callers_url, contact.operators_url]
     models = sum(len(item.model) + 4 for item in summary.capacity)
     return SUMMARY_BYTES + sum(len(text) + 1 for text in texts) + models
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from tanagerfork.generated import events
+from tanagerfork.timeline import kinds, merge
 from tests import sites
 
 
@@ -52,6 +54,21 @@
             assert await asyncio.gather(*asked) == [True] * 4
 
 
+class TestTimeline:
+    async def test_orders_stand_before_the_whole_group_that_comes_of_them(self):
+        async with sites.run_site(groups=1, vms=4) as running:
+            engines = list(running.stand_ins.engines.values())
+            timeline = running.daemon.timeline
+
+            def read(kind: kinds.EventKind) -> list[events.Event]:
+                return [event for event in timeline.read().events if event.kind == kind]
+
+            await sites.wait_until(lambda: len(read(kinds.EventKind.ORDER_SENT)) == len(engines))
+            whole = read(kinds.EventKind.GROUP_WHOLE)[0]
+            for sent in read(kinds.EventKind.ORDER_SENT):
+                assert merge.order_of(sent) < merge.order_of(whole)
+
+
 class TestRefusals:
     async def test_errors_name_kind_remedy_and_whether_the_request_ran(self):
         good = {"model": sites.MODEL, "messages": [{"role": "user", "content": "x"}]}
