--- a/src/tanagerfork/peers/observations.py
+++ b/src/tanagerfork/peers/observations.py
@@ -12,11 +12,14 @@
 from tanagerfork.peers import dissemination
 from tanagerfork.peers import topic as topic_interfaces
 
-REFRESH_BYTES = 20
+REFRESH_BYTES = 14
+REFRESH_SENDS = 3  # How often the same age of a group is told.
 REPORT_BYTES = 60
 GROUPS_OWED = 4  # Groups whose reports one message answers with.
 WANT_INTERVAL_MS = 500
-LEAST_STEP_MS = 200  # A group is told again once its reports are younger by this.
+LEAST_STEP_MS = 500  # A group is told again once its reports are younger by this.
+CHANGE_ROOM_BYTES = 1200  # Changes are rare and urgent, so that they may exceed the usual size.
+SENDS_PER_DOUBLING = 2
 PRESENT_SHARE = 3  # A report older than the group's newest by this part of the TTL is missing.
 
 
@@ -52,7 +55,7 @@
     index: int
     vms: tuple[str, ...]
     told_made_at_ms: int | None = None
-    told_at_ms: int = 0
+    sends: int = 0
     wanted_at_ms: int | None = None
 
 
@@ -85,7 +88,7 @@
         self._units: list[_Unit] = []
         self._unit_of_vm: dict[str, int] = {}
         self._serial = -1
-        self._deltas = dissemination.DeltaQueue()
+        self._deltas = dissemination.DeltaQueue(SENDS_PER_DOUBLING)
         self._owed: dict[str, set[int]] = {}
         self._wants: dict[str, set[int]] = {}
         self._decoder = msgspec.json.Decoder(engine.EngineReport)
@@ -130,13 +133,14 @@
         known = self._known.get(vm)
         return None if known is None else now_ms - known.made_at_ms
 
-    def note_own(self, report: engine.EngineReport, made_at_ms: int) -> None:
+    def note_own(self, report: engine.EngineReport, made_at_ms: int) -> bool:
         """Take in what this daemon read from a member itself.
 
         :param report: report.
         :param made_at_ms: when it was asked for, by this daemon's clock.
+        :return: whether the member says something else than before.
         """
-        self._keep_report(report, made_at_ms)
+        return self._keep_report(report, made_at_ms)
 
     def fill(
         self,
@@ -153,8 +157,8 @@
         for index in sorted(self._owed.pop(receiver.name, ()))[:GROUPS_OWED]:
             for vm in self._units[index].vms:
                 room_bytes -= self._tell_report(message, vm, now_ms)
-        if room_bytes > 0:
-            for vm in self._deltas.take(room_bytes, self.peers):
+        if started_bytes > 0 or message.kind in ("gossip", "ack"):
+            for vm in self._deltas.take(CHANGE_ROOM_BYTES, self.peers):
                 room_bytes -= self._tell_report(message, vm, now_ms)
         if room_bytes >= REFRESH_BYTES:
             for unit in self._choose_units(room_bytes // REFRESH_BYTES, now_ms):
@@ -176,12 +180,14 @@
         if usable:
             self._owed.setdefault(message.sender, set()).update(usable)
 
-    def _keep_report(self, report: engine.EngineReport, made_at_ms: int) -> None:
+    def _keep_report(self, report: engine.EngineReport, made_at_ms: int) -> bool:
         digest = digest_report(report)
         known = self._known.get(report.vm)
         self._known[report.vm] = _Known(report, digest, made_at_ms)
-        if known is None or known.digest != digest:
-            self._deltas.offer(report.vm, REPORT_BYTES + len(msgspec.json.encode(report)))
+        if known is None or known.digest == digest:
+            return False  # Peers that lack a first report ask for it once a refresh names it.
+        self._deltas.offer(report.vm, REPORT_BYTES + len(msgspec.json.encode(report)))
+        return True
 
     def _tell_report(self, message: peers.PeerMessage, vm: str, now_ms: int) -> int:
         known = self._known.get(vm)
@@ -193,17 +199,19 @@
         return len(encoded)
 
     def _choose_units(self, count: int, now_ms: int) -> list[_Unit]:
-        """Return the groups with news that were told least recently."""
-        changed = []
+        """Return the groups whose news was told least often, the youngest first."""
+        changed: list[tuple[int, int, _Unit]] = []
         for unit in self._units:
             made_at_ms = self._find_oldest(unit, now_ms)
             if made_at_ms is None:
                 continue
             told_ms = unit.told_made_at_ms
             if told_ms is None or made_at_ms >= told_ms + LEAST_STEP_MS:
-                changed.append(unit)
-        changed.sort(key=lambda unit: unit.told_at_ms)
-        return changed[:count]
+                unit.told_made_at_ms, unit.sends = made_at_ms, 0
+            if unit.sends < REFRESH_SENDS:
+                changed.append((unit.sends, now_ms - made_at_ms, unit))
+        changed.sort(key=lambda item: item[:2])
+        return [unit for _, _, unit in changed[:count]]
 
     def _find_present(self, unit: _Unit, now_ms: int) -> list[tuple[int, _Known]]:
         """Return the VMs that still report, so that one which ceased does not age the others."""
@@ -219,7 +227,7 @@
     def _tell_refresh(self, message: peers.PeerMessage, unit: _Unit, now_ms: int) -> None:
         present = self._find_present(unit, now_ms)
         made_at_ms = min(known.made_at_ms for _, known in present)
-        unit.told_made_at_ms, unit.told_at_ms = made_at_ms, now_ms
+        unit.sends += 1
         leader = present[0][1].report
         message.refreshes.append(
             peers.GroupRefresh(
--- a/src/tanagerfork/peers/service.py
+++ b/src/tanagerfork/peers/service.py
@@ -204,7 +204,8 @@
         :param report: report.
         :param made_at_ms: when it was asked for, by the monotonic clock.
         """
-        self.observations.note_own(report, made_at_ms)
+        if self.observations.note_own(report, made_at_ms):
+            self.spread()
 
     def note_usage(self, team: str, running: int, requests_per_s: int) -> None:
         """Have the peers told what a team uses here.
--- a/src/tanagerfork/peers/usage.py
+++ b/src/tanagerfork/peers/usage.py
@@ -9,7 +9,7 @@
 
 TEAMS_TOLD = 40
 TEAM_BYTES = 6
-TELL_INTERVAL_MS = 900
+TELL_INTERVAL_MS = 2000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
