--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -21,8 +21,8 @@
 from tanagerfork import settings as settings_files
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
-from tanagerfork.claims import book
-from tanagerfork.front import callers, chat, journal, listener, operators, services
+from tanagerfork.claims import book, mark, sweeper, writer
+from tanagerfork.front import callers, chat, journal, last_resort, listener, operators, services
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import (
@@ -31,9 +31,12 @@
     layout_follower,
     lease,
     observer,
+    placement,
     presence,
+    rollout,
     sender,
 )
+from tanagerfork.peers import claim_forwarding
 from tanagerfork.peers import service as peer_services
 from tanagerfork.platform import etcd, vms
 from tanagerfork.routing import balancer
@@ -67,7 +70,9 @@
         self.settings = settings
         self.clock = clock
         self.metrics = metric.Metrics()
-        self.timeline = ring.Timeline(settings.name, clock, settings.timeline_events)
+        self.timeline = ring.Timeline(
+            settings.name, clock, settings.timeline_events, on_event=logs.log_event
+        )
         self.lifecycle = lifecycle.Lifecycle(self._note_state)
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
@@ -136,7 +141,7 @@
         self.callers.is_accepting = False
         waited_ms = 0
         while (
-            self.callers.open_requests
+            (self.callers.open_requests or self._services.unfinished)
             and waited_ms < self.settings.limits.drain_limit_ms
             and not self._hasten.is_set()
         ):
@@ -145,6 +150,7 @@
         await self.peers.stop()
         for task in self._tasks:
             task.cancel()
+        self._services.close()
         await self._coordinator.stop()
         self._observer.stop()
         for opened in self._listeners:
@@ -168,25 +174,36 @@
             self.timeline,
             self.metrics,
         )
-        plain_services = services.ServiceRunner(
+        forwarded = claim_forwarding.ForwardedClaims(self.peers)
+        self._claim_mark = mark.MarkKeeper(self.store, self.clock, self.metrics)
+        self.claims = book.ClaimBook(
+            settings.name,
+            self.clock,
+            self.metrics,
+            writer.ShardWriter(self.store, self.clock, self.metrics, self._claim_mark),
+            self._claim_mark,
+            forwarded,
+        )
+        forwarded.serve(self.claims.serve)
+        self._services = services.ServiceRunner(
             settings.failure_domain,
             service_clients.HttpServiceClient(
                 self._single_use_session, settings.limits.answer_body_bytes
             ),
-            book.ClaimBook(self.store, self.clock),
+            self.claims,
             self._rng,
             self.timeline,
             self.metrics,
         )
         self.callers = callers.CallersFront(
-            self.bundles, chats, plain_services, settings.limits, self.clock, self.metrics
+            self.bundles, chats, self._services, settings.limits, self.clock, self.metrics
         )
         sources = operators.Sources(
             self._read_status, self.timeline, self.journal, self.metrics, self.bundles, self.store
         )
         operators_front = operators.OperatorsFront(sources, settings.operators.token_sha256)
         callers_app = self.callers.build_app()
-        callers_app.middlewares.append(self.journal.note)
+        callers_app.middlewares.extend((self.journal.note, last_resort.answer_errors))
         self.operators_port = await self._listen(
             operators_front.build_app(), settings.operators, OPERATOR_CONNECTIONS
         )
@@ -214,7 +231,13 @@
 
     def _start_tasks(self) -> None:
         follow = follower.BundleFollower(
-            self.store, self.bundles, self.clock, self.timeline, self.metrics
+            self.store,
+            self.bundles,
+            self.clock,
+            self.timeline,
+            self.metrics,
+            self.peers.is_watcher,
+            self._rng,
         )
         self._coordinator = self._make_coordinator()
         follow_layout = layout_follower.LayoutFollower(
@@ -226,6 +249,15 @@
             self.peers.live,
             self._rng,
         )
+        sweep = sweeper.ClaimSweeper(
+            self.store,
+            self.clock,
+            self.metrics,
+            self._claim_mark,
+            is_sweeper=lambda: True,
+            retention_ms=self.settings.limits.claim_retention_ms,
+        )
+        self._start_task(sweep.run())
         self._start_task(follow.run())
         self._start_task(self._follow_vms())
         self._start_task(follow_layout.run())
@@ -234,7 +266,7 @@
 
     def _make_coordinator(self) -> coordinator.Coordinator:
         settings = self.settings
-        keeper = lease.LeaseKeeper(
+        self._lease = lease.LeaseKeeper(
             settings.failure_domain,
             settings.name,
             self.store,
@@ -247,13 +279,19 @@
             self.store,
             self.bundles,
             self.groups,
-            keeper,
+            self._lease,
             sender.OrderSender(self._engines, self.clock, self.timeline, self.metrics),
             self.clock,
             self.timeline,
             self.metrics,
             settings.groups,
-            settings.limits.drain_limit_ms,
+            self._make_policy,
+        )
+
+    def _make_policy(self) -> placement.Planner:
+        drain_ms = self.settings.limits.drain_limit_ms
+        return placement.Planner(
+            rollout.RolloutLimits(drain_ms, self.settings.groups.wave_limit_ms)
         )
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
@@ -278,6 +316,7 @@
             is_ready = self.bundles.current is not None
             self.lifecycle.apply("become_ready" if is_ready else "lose_readiness")
             self._take_measures()
+            self.journal.refusals.tell(self.clock.monotonic_ms())
             await self.clock.sleep_ms(READY_CHECK_MS)
 
     def _take_measures(self) -> None:
@@ -301,7 +340,7 @@
         metrics.set_counter("timeline_jumps_refused_total", self.timeline.time.refused_jumps)
 
     def _read_status(self) -> operator_records.DaemonStatus:
-        described = statuses.describe_daemon(
+        status = statuses.describe_daemon(
             self.settings,
             self.lifecycle.state,
             self.bundles,
@@ -310,17 +349,19 @@
             self.callers.open_requests,
             self.clock.monotonic_ms(),
         )
-        described.peers = self.peers.describe_peers()
-        return described
+        status.coordinator = self._lease.state.holder
+        status.key_value_reachable = self._lease.measure_absence() == 0
+        status.peers = self.peers.describe_peers()
+        return status
 
     def _note_state(self, state: str) -> None:
-        logs.log_event(self.timeline.record(kinds.EventKind.DAEMON_STATE, state))
+        self.timeline.record(kinds.EventKind.DAEMON_STATE, state)
 
     def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
         kind = GROUP_EVENTS[view.state]
         missing = ", ".join(view.missing)
         detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
-        logs.log_event(self.timeline.record(kind, detail, group=view.record.group))
+        self.timeline.record(kind, detail, group=view.record.group)
 
 
 async def serve(settings: settings_records.Settings, embedded: pathlib.Path | None) -> None:
--- a/src/tanagerfork/groups/coordinator.py
+++ b/src/tanagerfork/groups/coordinator.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import uuid
+from collections.abc import Callable
 
 import msgspec
 import result
@@ -19,13 +20,13 @@
     lease,
     orders,
     placement,
-    rollout,
     sender,
     stragglers,
 )
 from tanagerfork.platform import key_value, swap
 from tanagerfork.timeline import kinds, ring
 
+ABSTENTION_MS = 30_000  # Time for which a daemon that reaches no VM leaves the lease to others.
 AWAY_TTLS = 2  # Absence of the service, in lease TTLs, after which substitution begins.
 
 
@@ -54,7 +55,7 @@
     :param timeline: time line.
     :param metrics: counters.
     :param settings: times of observation and coordination.
-    :param drain_ms: time that requests in flight have at a drain, in milliseconds.
+    :param make_policy: makes the placement policy that a new holder of the lease begins with.
     """
 
     __slots__ = (
@@ -68,15 +69,18 @@
         "_timeline",
         "_metrics",
         "_settings",
-        "_planner",
+        "_policy",
         "_substituter",
         "_stragglers",
+        "_isolation",
+        "_abstains_until_ms",
         "_base",
         "_fencing",
         "_listening_since_ms",
         "_stepped_at_ms",
         "_is_away",
-        "_drain_ms",
+        "_frozen_layout",
+        "_make_policy",
     )
 
     def __init__(
@@ -91,7 +95,7 @@
         timeline: ring.Timeline,
         metrics: metric.Metrics,
         settings: settings_records.GroupSettings,
-        drain_ms: int,
+        make_policy: Callable[[], placement.LayoutPolicy],
     ) -> None:
         self._failure_domain = failure_domain
         self._store = store
@@ -103,15 +107,18 @@
         self._timeline = timeline
         self._metrics = metrics
         self._settings = settings
-        self._drain_ms = drain_ms
-        self._planner = self._make_planner()
+        self._make_policy = make_policy
+        self._policy = make_policy()
         self._substituter = away.Substituter()
         self._stragglers = stragglers.StragglerWatch()
+        self._isolation = stragglers.IsolationWatch(settings.wave_limit_ms)
+        self._abstains_until_ms = clock.monotonic_ms()
         self._base: _Base | None = None
         self._fencing = 0
         self._listening_since_ms = clock.monotonic_ms()
         self._stepped_at_ms = clock.monotonic_ms()
         self._is_away = False
+        self._frozen_layout: layout.Layout | None = None
 
     async def run(self) -> None:
         """Decide and act until cancelled."""
@@ -130,17 +137,21 @@
         in_force = self._bundles.current
         if in_force is None:
             return
+        if self._clock.monotonic_ms() < self._abstains_until_ms:
+            return
         await self._lease.take_step(self._find_fencing())
         self._note_lease()
         self._note_absence()
         now_ms = self._clock.monotonic_ms()
-        vms = self._observe_vms(now_ms)
         if self._lease.state.may_act(now_ms, 0):
-            await self._coordinate(in_force.bundle, vms)
+            await self._coordinate(in_force.bundle, self._observe_vms(now_ms))
         elif self._is_away:
-            await self._substitute(in_force.bundle, vms)
+            await self._substitute(in_force.bundle, self._observe_vms(now_ms))
 
     async def _coordinate(self, wanted: bundle.Bundle, vms: dict[str, facts.VmFact]) -> None:
+        if vms and all(fact.is_lost for fact in vms.values()):
+            await self._abstain()
+            return
         base = self._base or await self._read_base()
         if base is None:
             return
@@ -155,7 +166,7 @@
             vms=vms,
             views=views,
         )
-        plan = self._planner.plan(situation, uuid.uuid4().hex)
+        plan = self._policy.plan(situation, uuid.uuid4().hex)
         if plan is not None and not await self._write(plan, base, situation):
             return
         current = plan.layout if plan else base.layout
@@ -163,6 +174,12 @@
             chosen = orders.choose_orders(current, vms, wanted.placement)
             await self._sender.send_orders(chosen, vms, self._may_order)
 
+    async def _abstain(self) -> None:
+        """Leave coordination to a daemon that may reach the VMs, as this one reaches none."""
+        self._abstains_until_ms = self._clock.monotonic_ms() + ABSTENTION_MS
+        await self._lease.give_back()
+        self._note_lease()
+
     async def _write(self, plan: placement.Plan, base: _Base, situation: facts.Situation) -> bool:
         if not self._lease.state.may_act(self._clock.monotonic_ms(), 0):
             return False
@@ -174,7 +191,7 @@
             return False
         self._base = _Base(plan.layout, written.ok_value)
         self._groups.take_layout(plan.layout)
-        self._planner.note_written(plan.layout, situation)
+        self._policy.note_written(plan.layout, situation)
         self._metrics.count("layout_writes_total")
         for note in plan.notes:
             self._timeline.record(note.kind, note.detail, group=note.group)
@@ -233,6 +250,9 @@
         heard = [self._groups.presence.find_report(vm.vm, now_ms) for vm in self._groups.vms]
         reports = [item.report for item in heard if item is not None]
         slow = self._stragglers.find_stragglers(reports, now_ms)
+        records = self._groups.layout.groups if self._groups.layout else []
+        by_vm = {report.vm: report for report in reports}
+        slow |= self._isolation.find_isolated(records, by_vm, now_ms)
         return facts.observe_vms(self._groups, now_ms, self._listening_since_ms, slow)
 
     def _note_pause(self) -> None:
@@ -249,22 +269,25 @@
             return
         self._fencing = fencing
         self._base = None
-        self._planner = self._make_planner()
+        self._policy = self._make_policy()
         kind = kinds.EventKind.LEASE_TAKEN if fencing else kinds.EventKind.LEASE_LOST
         self._timeline.record(kind, f"fencing number {fencing}" if fencing else "")
 
     def _note_absence(self) -> None:
-        """Find out whether nobody can hold the lease, as the service is away for all we know."""
+        """Find out whether nobody can hold the lease.
+
+        A layout that changed meanwhile, told by a peer, shows that the service is not away for all.
+        """
+        absence_ms = self._lease.measure_absence()
+        if absence_ms == 0:
+            self._frozen_layout = self._groups.layout
         limit_ms = AWAY_TTLS * self._settings.lease_ttl_ms
         limit_ms += self._lease.find_rank() * self._settings.lease_ttl_ms // 2
-        is_away = self._lease.measure_absence() > limit_ms
+        is_frozen = self._groups.layout == self._frozen_layout
+        is_away = absence_ms > limit_ms and is_frozen
         if is_away == self._is_away:
             return
         self._is_away = is_away
         self._substituter.reset()
         kind = kinds.EventKind.PLATFORM_AWAY if is_away else kinds.EventKind.PLATFORM_BACK
         self._timeline.record(kind, "the layout is frozen" if is_away else "the layout may change")
-
-    def _make_planner(self) -> placement.Planner:
-        limits = rollout.RolloutLimits(self._drain_ms, self._settings.wave_limit_ms)
-        return placement.Planner(limits)
