--- a/src/tanagerfork/front/callers.py
+++ b/src/tanagerfork/front/callers.py
@@ -99,7 +99,6 @@
             body = await self._read_body(request)
             asked, forwarded = _read_chat(body)
             call = self._make_call(request, request_id, team, asked, forwarded, deadline_at_ms)
-            request[journal.MODEL] = call.model.name
             answer = self._open_sink(request, request_id, asked)
             ran = await self._chats.run(call, answer)
             if isinstance(ran, result.Err):
--- a/src/tanagerfork/peers/service.py
+++ b/src/tanagerfork/peers/service.py
@@ -7,12 +7,13 @@
 
 import pynng
 import result
+from absl import logging
 
 from tanagerfork import clock as clocks
-from tanagerfork import errors, logs
+from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import register
-from tanagerfork.generated import engine, peers
+from tanagerfork.generated import engine, operators, peers
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import directory
 from tanagerfork.peers import (
@@ -27,6 +28,7 @@
     notices,
     observations,
     rendezvous,
+    status,
     transfer,
     usage,
 )
@@ -142,13 +144,15 @@
         """Tell the peers that this daemon leaves, and close everything."""
         self._send(self.gossip.leave(self._clock.monotonic_ms()))
         await self._clock.sleep_ms(LEAVE_MS)
+        # A receive that completes as it is cancelled loses the cancellation, so the flag and the
+        # closed listener have to end that task.
         self._is_stopping = True
+        self._inbox.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._exchange.stop()
         self._links.close()
-        self._inbox.close()
 
     @property
     def address(self) -> str:
@@ -165,14 +169,17 @@
         """Return all daemons of the failure domain that are known, gone ones included."""
         return [member for _, member in sorted(self.gossip.members.members.items())]
 
+    def describe_peers(self) -> list[operators.PeerStatus]:
+        """Return what operators are told of the other daemons."""
+        now_ms = self._clock.monotonic_ms()
+        here = [member for member in self.members() if member.entry.name != self._settings.name]
+        elsewhere = self._domains.summaries_elsewhere(now_ms)
+        return status.describe_peers(self._settings.failure_domain, here, elsewhere, now_ms)
+
     def is_watcher(self) -> bool:
         """Return whether this daemon watches the head in the key-value service."""
         return self._settings.name in rendezvous.choose_watchers(self.live())
 
-    def is_coordinator_candidate(self) -> bool:
-        """Return whether this daemon asks for the coordinator's lease."""
-        return self._settings.name in rendezvous.choose_coordinator_candidates(self.live())
-
     def find_shard_owner(self, shard: int) -> str:
         """Return the daemon that writes a shard of claims for the others.
 
@@ -299,20 +306,29 @@
         bridges = rendezvous.choose_bridges(self.live())
         return domains.OwnDomain(
             bridges=[self.gossip.find_address(name) for name in bridges],
-            callers_urls=[entry.callers_url for entry in self._rng.sample(entries, len(entries))],
+            contacts=[
+                status.describe_contact(entry) for entry in self._rng.sample(entries, len(entries))
+            ],
             capacity=self._read_capacity(now_ms),
         )
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._metrics.count("peer_tasks_failed_total")
+            logging.error("a task of the peers' service failed: %r", task.exception())
 
     async def _receive(self) -> None:
-        # A receive that completes while it is cancelled returns the frame, and the cancellation
-        # is lost in the library; the flag ends the task all the same.
         while not self._is_stopping:
-            frame = await self._inbox.receive()
+            try:
+                frame = await self._inbox.receive()
+            except pynng.Closed:
+                return
             self._metrics.count("peer_messages_received_total")
             self._metrics.count("peer_bytes_received_total", len(frame))
             decoded = self._codec.decode(frame, self.address)
@@ -380,7 +396,7 @@
             before = self._states.get(name, "unknown")
             if state != before and name != self._settings.name:
                 detail = f"{name} is {state}, was {before}"
-                logs.log_event(self._timeline.record(kinds.EventKind.PEER_STATE, detail))
+                self._timeline.record(kinds.EventKind.PEER_STATE, detail)
         self._states = dict(current)
         counted = membership.count_states(self.gossip.members.members.values())
         for label, count in counted.items():
