Tell every live daemon of a poison request before its caller is answered

Change: each live daemon is asked to take the word in, for at most 200 ms; the slower way stays for those that do not answer.

--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -174,6 +174,7 @@
     async def _open_listeners(self) -> None:
         settings = self.settings
         self._chats = assembly.build_chats(
+            settings.name,
             self.groups,
             self._engines,
             self.peers,
--- a/src/tanagerfork/front/assembly.py
+++ b/src/tanagerfork/front/assembly.py
@@ -78,6 +78,7 @@
 
 
 def build_chats(
+    name: str,
     groups: directory.GroupDirectory,
     client: engines.EngineClient,
     peers: peer_services.PeerService,
@@ -88,6 +89,7 @@
 ) -> ChatParts:
     """Build the path of requests for models.
 
+    :param name: name of this daemon.
     :param groups: groups as this daemon knows them.
     :param client: engine client.
     :param peers: peers' service.
@@ -97,10 +99,11 @@
     :param metrics: counters.
     :return: the parts.
     """
-    fleet = neighbours.PeerFleet(peers, clock)
+    fleet = neighbours.PeerFleet(name, peers, clock)
     suspects = poison.PoisonRegister()
     listener = neighbours.PoisonListener(suspects, clock)
     peers.subscribe_notices(neighbours.POISON, listener.hear)
+    peers.serve(neighbours.POISON, listener.take)
     judge = health.Health(rng, HealthEvents(timeline).tell)
     choice = balancer.Balancer(rng, judge, affinity.PrefixMap())
     leaving_vms = leaving.LeavingVms(groups.find_vm, fleet)
--- a/src/tanagerfork/front/neighbours.py
+++ b/src/tanagerfork/front/neighbours.py
@@ -1,5 +1,6 @@
 """The other daemons as decisions on requests see them, by what the peers tell."""
 
+import asyncio
 from collections.abc import Collection, Sequence
 
 from tanagerfork import clock as clocks
@@ -12,6 +13,7 @@
 POISON = "poison"
 LEAVING = "vm_leaving"
 TELL_INTERVAL_MS = 500
+TELL_TIMEOUT_MS = 200
 LIVE_KEPT_MS = 200
 PEER_TRIAL_MS = 2000
 
@@ -19,13 +21,15 @@
 class PeerFleet:
     """A `Fleet` over the peers' service.
 
+    :param name: name of this daemon.
     :param peers: peers' service.
     :param clock: clock of the ages.
     """
 
-    __slots__ = ("_peers", "_clock", "_live", "_counted_ms")
+    __slots__ = ("_name", "_peers", "_clock", "_live", "_counted_ms")
 
-    def __init__(self, peers: peer_services.PeerService, clock: clocks.Clock) -> None:
+    def __init__(self, name: str, peers: peer_services.PeerService, clock: clocks.Clock) -> None:
+        self._name = name
         self._peers = peers
         self._clock = clock
         self._live = 1
@@ -58,8 +62,18 @@
         ]
 
     async def tell_poison(self, notice: fleets.PoisonNotice) -> None:
-        """Tell the peers at once; see `Fleet.tell_poison`."""
+        """Ask every live daemon to take the word in; see `Fleet.tell_poison`.
+
+        The caller may send the request again at once through any of them, sooner than changes
+        spread by themselves; that way is for those that do not answer in time.
+        """
         self._peers.announce(POISON, notice.fingerprint, notice.expires_in_ms, str(notice.crashes))
+        body = f"{notice.crashes} {notice.fingerprint}".encode()
+        others = [peer for peer in self._peers.live() if peer != self._name]
+        await asyncio.gather(*(self._tell(peer, body) for peer in others))
+
+    async def _tell(self, peer: str, body: bytes) -> None:
+        await self._peers.ask(peer, POISON, body, TELL_TIMEOUT_MS)
 
 
 class PoisonListener:
@@ -75,6 +89,18 @@
         self._register = register
         self._clock = clock
 
+    async def take(self, peer: str, body: bytes) -> bytes:
+        """Take a word in that a peer sent to this daemon alone.
+
+        :param peer: who sent it.
+        :param body: crashes and fingerprint.
+        :return: nothing.
+        """
+        crashes, _, fingerprint = body.decode("ascii", "replace").partition(" ")
+        now_ms = self._clock.monotonic_ms()
+        self.hear(notices.HeardNotice(POISON, fingerprint, crashes, now_ms + poison.SUSPECT_TTL_MS))
+        return b""
+
     def hear(self, heard: notices.HeardNotice) -> None:
         """Take a notice in; one whose detail is no number of crashes is dropped.
 
