--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -335,17 +335,10 @@
             await self.clock.sleep_ms(READY_CHECK_MS)
 
     def _take_measures(self) -> None:
-        now_ms = self.clock.monotonic_ms()
-        views = self.groups.views(now_ms)
         in_force = self.bundles.current
-        sample = measure.take_sample(
-            self.settings.failure_domain,
-            in_force.bundle.models if in_force else (),
-            views,
-            self.groups.vms,
-            lambda vm: self.groups.is_reporting(vm, now_ms),
-        )
-        self.measures.advance(sample, [view.record.group for view in views], now_ms)
+        models = in_force.bundle.models if in_force else ()
+        domain = self.settings.failure_domain
+        self.measures.look(domain, models, self.groups, self.clock.monotonic_ms())
 
     def _export_metrics(self, metrics: metric.Metrics) -> None:
         self.measures.export(self.settings.failure_domain, metrics)
--- a/src/tanagerfork/measures.py
+++ b/src/tanagerfork/measures.py
@@ -11,7 +11,7 @@
 
 from tanagerfork import metrics as metric
 from tanagerfork.generated import bundle, engine
-from tanagerfork.groups import presence
+from tanagerfork.groups import directory, presence
 
 MAX_STEP_MS = 5_000  # A longer step was a pause of this process; nothing was seen in it.
 MS_PER_S = 1000
@@ -83,6 +83,30 @@
         """Time that each group of the layout was not serving."""
         return self._downtime_by_group_ms
 
+    def look(
+        self,
+        failure_domain: str,
+        models: Iterable[bundle.Model],
+        groups: directory.GroupDirectory,
+        now_ms: int,
+    ) -> None:
+        """Look at a failure domain, and count the time since the last look.
+
+        :param failure_domain: failure domain.
+        :param models: models of the bundle in force.
+        :param groups: groups and VMs as this daemon knows them.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        views = groups.views(now_ms)
+        sample = take_sample(
+            failure_domain,
+            models,
+            views,
+            groups.vms,
+            lambda vm: groups.is_reporting(vm, now_ms),
+        )
+        self.advance(sample, [view.record.group for view in views], now_ms)
+
     def advance(self, sample: Sample, groups: Iterable[str], now_ms: int) -> None:
         """Count the time since the last sample as that sample was, and take a new one.
 
