--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -2,18 +2,13 @@
 
 import asyncio
 import functools
-import os
-import pathlib
 import random
-import signal
-import sys
 from collections.abc import Coroutine
-from typing import Annotated, Any
+from typing import Any
 
 import aiohttp
 import aiohttp.web
 import result
-import typer
 
 from tanagerfork import clock as clocks
 from tanagerfork import errors, lifecycle, logs
@@ -59,7 +54,6 @@
 DRAIN_CHECK_MS = 20
 OPERATOR_CONNECTIONS = 256
 CONNECTIONS_PER_REQUEST = 2
-USAGE_STATUS = 2
 
 
 class Daemon:
@@ -371,69 +365,3 @@
 
     def _note_layout(self, newer: layout.Layout) -> None:
         self.timeline.observe(newer.written_at_ms, 0)
-
-
-async def serve(settings: settings_records.Settings, embedded: pathlib.Path | None) -> None:
-    """Run a daemon until a signal ends it.
-
-    :param settings: checked settings.
-    :param embedded: folder of an example set whose stand-ins run in the same loop; None for none.
-    """
-    site = None
-    if embedded is not None:
-        from tanagerfork_standins import embedding
-
-        site = await embedding.start_site(embedded, settings)
-    daemon = Daemon(settings, clocks.SystemClock())
-    await daemon.start()
-    if site is not None:
-        await site.roll_bundle(daemon.store)
-        print(site.describe_call(daemon.callers_port), flush=True)
-    stopped = asyncio.Event()
-
-    def on_signal() -> None:
-        if stopped.is_set():
-            daemon.hasten()
-        stopped.set()
-
-    for number in (signal.SIGINT, signal.SIGTERM):
-        asyncio.get_running_loop().add_signal_handler(number, on_signal)
-    await stopped.wait()
-    await daemon.stop()
-    if site is not None:
-        await site.stop()
-
-
-def run(
-    settings: Annotated[pathlib.Path, typer.Option(help="Settings file, JSON with comments.")],
-    embedded: Annotated[
-        bool, typer.Option("--embedded", help="Run the stand-ins beside the settings file too.")
-    ] = False,
-    check_settings: Annotated[
-        bool, typer.Option("--check-settings", help="Check the settings, then end.")
-    ] = False,
-    override: Annotated[
-        list[str] | None, typer.Option("--set", help="FIELD=VALUE, such as callers.port=8600.")
-    ] = None,
-) -> None:
-    """Run one daemon of tanagerfork."""
-    try:
-        loaded = settings_files.load_settings(settings, tuple(override or ()))
-    except errors.SettingsError as error:
-        print(error.message, file=sys.stderr)
-        raise typer.Exit(USAGE_STATUS) from error
-    if check_settings:
-        print(f"{settings}: good")
-        return
-    logs.configure_logs(loaded.log)
-    asyncio.run(serve(loaded, settings.parent if embedded else None))
-
-
-def main() -> None:
-    """Run the program."""
-    os.environ.setdefault("_TYPER_STANDARD_TRACEBACK", "1")
-    typer.run(run)
-
-
-if __name__ == "__main__":
-    main()
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tanagerfork import daemon as daemons
-from tanagerfork import lifecycle, settings
+from tanagerfork import lifecycle, program, settings
 from tests import sites
 
 PRESS = pathlib.Path(__file__).parent.parent / "examples" / "press"
@@ -48,7 +48,7 @@
 
         monkeypatch.setattr(daemons.Daemon, "__init__", note)
         loaded = settings.load_settings(PRESS / "embedded.json5", PORTS)
-        serving = asyncio.create_task(daemons.serve(loaded, PRESS))
+        serving = asyncio.create_task(program.serve(loaded, PRESS))
         await sites.wait_until(lambda: bool(made) and made[0].lifecycle.state == "serving")
         return made[0], serving
 
@@ -70,3 +70,24 @@
         os.kill(os.getpid(), signal.SIGTERM)
         await serving
         assert daemon.lifecycle.state == "stopped"
+
+
+class TestArguments:
+    def test_check_of_good_settings_says_so(self, capsys):
+        program.main(["--settings", str(PRESS / "embedded.json5"), "--check-settings"])
+        assert capsys.readouterr().out.endswith("embedded.json5: good\n")
+
+    @pytest.mark.parametrize(
+        ("words", "part"),
+        [
+            (["--settings", "nowhere.json5"], "name a readable file"),
+            (["--settings", str(PRESS / "embedded.json5"), "--set", "x=1"], "unknown field"),
+            (["--nonsense"], "usage"),
+            ([], "--settings"),
+        ],
+    )
+    def test_bad_arguments_end_with_status_2_and_the_remedy(self, words, part, capsys):
+        with pytest.raises(SystemExit) as ended:
+            program.main(words)
+        assert ended.value.code == program.USAGE_STATUS
+        assert part in capsys.readouterr().err
