--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -1,6 +1,7 @@
 """The daemon: wires all parts together, serves, and stops without cutting anything off."""
 
 import asyncio
+import functools
 import os
 import pathlib
 import random
@@ -23,9 +24,11 @@
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book, mark, sweeper, writer
 from tanagerfork.front import callers, chat, journal, last_resort, listener, operators, services
+from tanagerfork.generated import layout
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import (
+    changes,
     coordinator,
     directory,
     layout_follower,
@@ -38,7 +41,7 @@
 )
 from tanagerfork.peers import claim_forwarding
 from tanagerfork.peers import service as peer_services
-from tanagerfork.platform import etcd, vms
+from tanagerfork.platform import counted, etcd, vms
 from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
 from tanagerfork.upstream import connections
@@ -50,13 +53,6 @@
 OPERATOR_CONNECTIONS = 256
 CONNECTIONS_PER_REQUEST = 2
 USAGE_STATUS = 2
-GROUP_EVENTS = {
-    presence.GroupState.FORMING: kinds.EventKind.GROUP_FORMED,
-    presence.GroupState.WHOLE: kinds.EventKind.GROUP_WHOLE,
-    presence.GroupState.BROKEN: kinds.EventKind.GROUP_BROKEN,
-    presence.GroupState.DRAINING: kinds.EventKind.GROUP_DRAINING,
-    presence.GroupState.DISSOLVED: kinds.EventKind.GROUP_DISSOLVED,
-}
 
 
 class Daemon:
@@ -76,7 +72,8 @@
         self.lifecycle = lifecycle.Lifecycle(self._note_state)
         self.bundles = register.BundleRegister(settings.operator_keys)
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
-        self.groups.subscribe(self._note_group)
+        self.groups.subscribe(functools.partial(changes.record_change, self.timeline))
+        self.groups.subscribe_layouts(self._note_layout)
         self._rng = random.Random(settings.seed or None)
         self.peers = peer_services.PeerService(
             settings,
@@ -106,11 +103,14 @@
         )
         self._single_use_session = connections.open_session(single_use=True)
         self._pool = connections.Pool(asyncio.get_running_loop().time)
-        self.store = etcd.EtcdKeyValue(
-            self._session,
-            settings.platform.key_value_url,
-            settings.platform.key_prefix,
-            settings.platform.key_value_timeout_ms,
+        self.store = counted.CountedKeyValue(
+            etcd.EtcdKeyValue(
+                self._session,
+                settings.platform.key_value_url,
+                settings.platform.key_prefix,
+                settings.platform.key_value_timeout_ms,
+            ),
+            self.metrics,
         )
         self._vm_directory = vms.HttpVmDirectory(
             self._session, settings.platform.vm_list_url, settings.platform.key_value_timeout_ms
@@ -129,8 +129,8 @@
         )
         await self._open_listeners()
         self.peers.start(
-            f"http://{settings.callers.host}:{self.callers_port}",
-            f"http://{settings.operators.host}:{self.operators_port}",
+            listener.name_address(settings.callers, self.callers_port, settings.peers.host),
+            listener.name_address(settings.operators, self.operators_port, settings.peers.host),
         )
         self.lifecycle.apply("listen")
         self._start_tasks()
@@ -357,11 +357,8 @@
     def _note_state(self, state: str) -> None:
         self.timeline.record(kinds.EventKind.DAEMON_STATE, state)
 
-    def _note_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
-        kind = GROUP_EVENTS[view.state]
-        missing = ", ".join(view.missing)
-        detail = f"was {before or 'new'}" + (f"; missing: {missing}" if missing else "")
-        self.timeline.record(kind, detail, group=view.record.group)
+    def _note_layout(self, newer: layout.Layout) -> None:
+        self.timeline.observe(newer.written_at_ms, 0)
 
 
 async def serve(settings: settings_records.Settings, embedded: pathlib.Path | None) -> None:
--- a/src/tanagerfork/groups/directory.py
+++ b/src/tanagerfork/groups/directory.py
@@ -11,6 +11,7 @@
 UNLISTED_LIMIT_MS = 10_000  # Time after which a VM that left the list counts as leaving.
 UNLISTED_SHARE = 0.5  # A list that lost more than this share at once is not believed.
 
+LayoutListener = Callable[[layout.Layout], None]
 ChangeListener = Callable[[presence.GroupView, presence.GroupState | None], None]
 
 
@@ -32,6 +33,7 @@
         "_lives",
         "_machine",
         "_listeners",
+        "_layout_listeners",
         "_judged",
     )
 
@@ -44,6 +46,7 @@
         self._lives: dict[str, lifecycle.GroupLifecycle] = {}
         self._machine = lifecycle.build_machine()
         self._listeners: list[ChangeListener] = []
+        self._layout_listeners: list[LayoutListener] = []
         self._judged: dict[str, presence.GroupView] = {}
 
     def subscribe(self, listener: ChangeListener) -> None:
@@ -53,6 +56,13 @@
         """
         self._listeners.append(listener)
 
+    def subscribe_layouts(self, listener: LayoutListener) -> None:
+        """Have every layout told that comes in force here.
+
+        :param listener: called with each layout.
+        """
+        self._layout_listeners.append(listener)
+
     def take_layout(self, newer: layout.Layout) -> bool:
         """Take a layout in, unless a newer one is known.
 
@@ -62,6 +72,8 @@
         if self.layout is not None and find_age(newer) < find_age(self.layout):
             return False
         self.layout = newer
+        for listener in self._layout_listeners:
+            listener(newer)
         return True
 
     def take_vms(self, vms: list[engine.VmEntry], now_ms: int = 0) -> None:
@@ -148,7 +160,7 @@
             life = self._lives[record.group] = lifecycle.GroupLifecycle(record.group)
             self._machine.add_model(life)
         view = self.presence.judge(record, now_ms, life.evidence)
-        if view.state == presence.GroupState.WHOLE and self._loses_member(view.record, now_ms):
+        if view.state == presence.GroupState.WHOLE and self._loses_member(view.record):
             view = dataclasses.replace(view, state=presence.GroupState.DRAINING)
         before = None if is_new else presence.GroupState(life.state)
         pins = self._read_incarnations(view.record, now_ms) if life.needs_pins(view) else {}
@@ -159,8 +171,9 @@
             self._tell(view, before)
         return view
 
-    def _loses_member(self, record: layout.GroupRecord, now_ms: int) -> bool:
-        return any(self.is_leaving(vm, now_ms) for vm in record.members)
+    def _loses_member(self, record: layout.GroupRecord) -> bool:
+        found = [self._vms_by_name.get(vm) for vm in record.members]
+        return any(entry is not None and entry.leaving for entry in found)
 
     def _read_incarnations(self, record: layout.GroupRecord, now_ms: int) -> dict[str, str]:
         found = {vm: self.presence.find_report(vm, now_ms) for vm in record.members}
--- a/src/tanagerfork/peers/gossip.py
+++ b/src/tanagerfork/peers/gossip.py
@@ -320,6 +320,7 @@
         self, message: peers.PeerMessage, contact: contacts.Contact, now_ms: int
     ) -> list[composer.Outgoing]:
         """Answer a message that proves nothing, so that the next one can."""
+        contact.address = message.address or contact.address
         address = message.address or self.find_address(message.sender)
         if message.kind not in ANSWERED_KINDS or not address or not contact.may_greet(now_ms):
             return []
@@ -358,7 +359,7 @@
             if vouched is not None:
                 vouched.end_probe()
         if self.composer.is_foreign(contact):
-            self._foreign_addresses.add(contact.address)
+            self._foreign_addresses.update({contact.address} - {""})
         else:
             self._heard_at_ms = now_ms
             self._take_entries(message, delay_ms, now_ms)
--- a/src/tanagerfork/peers/service.py
+++ b/src/tanagerfork/peers/service.py
@@ -87,9 +87,7 @@
         self._domains = domains.DomainTopic(
             settings.failure_domain, settings.region, self._describe_domain
         )
-        self._duty = duty.ObserverDuty(
-            settings.failure_domain, settings.name, self.observations, ttl_ms
-        )
+        self._duty = duty.ObserverDuty(settings.name, self.observations, ttl_ms)
         self._exchange = exchange.Exchange(self, clock, metrics)
         self._bundles = transfer.BundleTransfer(bundles, self, clock, timeline, metrics)
         self._layouts = transfer.LayoutTransfer(groups, self, clock, metrics)
@@ -305,13 +303,15 @@
     def _describe_domain(self, now_ms: int) -> domains.OwnDomain | None:
         if not self.gossip.is_bridge(now_ms):
             return None
-        entries = [member.entry for member in self.members() if member.is_up]
-        bridges = rendezvous.choose_bridges(self.live())
+        names = self.live()
+        bridges = rendezvous.choose_bridges(names)
+        contacts = rendezvous.choose(
+            rendezvous.CONTACT + self._settings.failure_domain, names, domains.CONTACTS_TOLD
+        )
+        known = (self.gossip.members.find(name) for name in contacts)
         return domains.OwnDomain(
             bridges=[self.gossip.find_address(name) for name in bridges],
-            contacts=[
-                status.describe_contact(entry) for entry in self._rng.sample(entries, len(entries))
-            ],
+            contacts=[status.describe_contact(member.entry) for member in known if member],
             capacity=self._read_capacity(now_ms),
         )
 
--- a/tests/test_peers_gossip.py
+++ b/tests/test_peers_gossip.py
@@ -162,6 +162,16 @@
         assert nodes[0].gossip.members.find(old.name).entry.incarnation >= 5
 
 
+class TestDomains:
+    def test_both_sides_learn_the_address_of_a_foreign_daemon(self):
+        network = peer_network.Network(1)
+        here = peer_network.start_domain(network, 2, "ipoh-a")
+        there = peer_network.start_domain(network, 1, "taiping", seeds=(here[0].address,))
+        network.run(10_000)
+        assert there[0].gossip.find_address(here[0].name) == here[0].address
+        assert here[0].gossip.find_address(there[0].name) == there[0].address
+
+
 class TestReplays:
     """An old frame has no effect, whenever it comes again."""
 
