--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -23,7 +23,15 @@
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
 from tanagerfork.claims import book, mark, sweeper, writer
-from tanagerfork.front import callers, chat, journal, last_resort, listener, operators, services
+from tanagerfork.front import (
+    assembly,
+    callers,
+    journal,
+    last_resort,
+    listener,
+    operators,
+    services,
+)
 from tanagerfork.generated import layout
 from tanagerfork.generated import operators as operator_records
 from tanagerfork.generated import settings as settings_records
@@ -42,7 +50,6 @@
 from tanagerfork.peers import claim_forwarding
 from tanagerfork.peers import service as peer_services
 from tanagerfork.platform import counted, etcd, vms
-from tanagerfork.routing import balancer
 from tanagerfork.timeline import kinds, ring
 from tanagerfork.upstream import connections
 from tanagerfork.upstream import engine as engines
@@ -153,6 +160,7 @@
         self._services.close()
         await self._coordinator.stop()
         self._observer.stop()
+        self._chats.entrance.stop()
         for opened in self._listeners:
             await opened.stop()
         await self._session.close()
@@ -166,11 +174,12 @@
 
     async def _open_listeners(self) -> None:
         settings = self.settings
-        chats = chat.ChatRunner(
+        self._chats = assembly.build_chats(
             self.groups,
-            balancer.Balancer(self._rng),
             self._engines,
+            self.peers,
             self.clock,
+            self._rng,
             self.timeline,
             self.metrics,
         )
@@ -186,17 +195,22 @@
         )
         forwarded.serve(self.claims.serve)
         self._services = services.ServiceRunner(
-            settings.failure_domain,
+            assembly.build_service_order(settings.failure_domain, self._rng, self.timeline),
             service_clients.HttpServiceClient(
                 self._single_use_session, settings.limits.answer_body_bytes
             ),
             self.claims,
-            self._rng,
+            self.clock,
             self.timeline,
             self.metrics,
         )
         self.callers = callers.CallersFront(
-            self.bundles, chats, self._services, settings.limits, self.clock, self.metrics
+            self.bundles,
+            self._chats.runner,
+            self._services,
+            settings.limits,
+            self.clock,
+            self.metrics,
         )
         sources = operators.Sources(
             self._read_status, self.timeline, self.journal, self.metrics, self.bundles, self.store
@@ -237,7 +251,9 @@
             self.timeline,
             self.metrics,
             self.peers.is_watcher,
-            self._rng,
+            random.Random(
+                f"{self.settings.seed}/{self.settings.name}" if self.settings.seed else None
+            ),
         )
         self._coordinator = self._make_coordinator()
         follow_layout = layout_follower.LayoutFollower(
@@ -254,7 +270,7 @@
             self.clock,
             self.metrics,
             self._claim_mark,
-            is_sweeper=lambda: True,
+            is_sweeper=self.peers.is_watcher,
             retention_ms=self.settings.limits.claim_retention_ms,
         )
         self._start_task(sweep.run())
@@ -262,6 +278,8 @@
         self._start_task(self._follow_vms())
         self._start_task(follow_layout.run())
         self._start_task(self._coordinator.run())
+        for work in self._chats.list_work():
+            self._start_task(work)
         self._start_task(self._follow_readiness())
 
     def _make_coordinator(self) -> coordinator.Coordinator:
