--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -22,7 +22,7 @@
 from tanagerfork import settings as settings_files
 from tanagerfork import status as statuses
 from tanagerfork.bundles import follower, register
-from tanagerfork.claims import book, mark, owner, sweeper, writer
+from tanagerfork.claims import book, mark, sweeper, writer
 from tanagerfork.front import (
     assembly,
     callers,
@@ -47,6 +47,7 @@
     rollout,
     sender,
 )
+from tanagerfork.peers import claim_forwarding
 from tanagerfork.peers import service as peer_services
 from tanagerfork.platform import counted, etcd, vms
 from tanagerfork.timeline import kinds, ring
@@ -183,6 +184,7 @@
             self.timeline,
             self.metrics,
         )
+        forwarded = claim_forwarding.ForwardedClaims(self.peers)
         self._claim_mark = mark.MarkKeeper(self.store, self.clock, self.metrics)
         self.claims = book.ClaimBook(
             settings.name,
@@ -190,8 +192,9 @@
             self.metrics,
             writer.ShardWriter(self.store, self.clock, self.metrics, self._claim_mark),
             self._claim_mark,
-            owner.NoPeers(),
+            forwarded,
         )
+        forwarded.serve(self.claims.serve)
         self._services = services.ServiceRunner(
             assembly.build_service_order(settings.failure_domain, self._rng, self.timeline),
             service_clients.HttpServiceClient(
--- a/tests/test_peers_service.py
+++ b/tests/test_peers_service.py
@@ -17,10 +17,10 @@
 from tanagerfork.bundles import manifest as manifests
 from tanagerfork.bundles import register, signature
 from tanagerfork.generated import bundle as bundle_records
-from tanagerfork.generated import engine, layout
+from tanagerfork.generated import claims, engine, layout
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.groups import directory, presence
-from tanagerfork.peers import service
+from tanagerfork.peers import claim_forwarding, service
 from tanagerfork.timeline import ring
 from tests import sites
 
@@ -190,6 +190,47 @@
             assert isinstance(refused.err_value, errors.PeerRefused)
 
 
+class TestClaims:
+    CALL = claims.ClaimCall(
+        shard="s",
+        record=claims.ClaimRecord(
+            key_hash="k",
+            request_hash="r",
+            attempt="a",
+            claimed_at_ms=1,
+            until_ms=2,
+            state="claimed",
+        ),
+    )
+
+    @pytest.mark.parametrize(
+        ("written", "expected"),
+        [
+            (result.Ok(claims.ClaimReply(verdict="granted", record=CALL.record)), None),
+            (result.Err(errors.PlatformUnavailable("away; wait")), errors.PlatformUnavailable),
+            (result.Err(errors.AnswerLost("lost; read back")), errors.AnswerLost),
+        ],
+    )
+    async def test_forwarded_claim_is_answered_as_its_writer_says(
+        self, written, expected, monkeypatch
+    ):
+        monkeypatch.setattr(claim_forwarding, "TIMEOUT_MS", 300)
+        async with run_nodes(2) as nodes:
+
+            async def write(call: claims.ClaimCall):
+                assert call == self.CALL
+                return written
+
+            claim_forwarding.ForwardedClaims(nodes[1].service).serve(write)
+            forwarded = claim_forwarding.ForwardedClaims(nodes[0].service)
+            assert set(forwarded.list_live()) == {"node-0", "node-1"}
+            reply = await forwarded.send("node-1", self.CALL)
+            if expected is None:
+                assert reply == written
+            else:
+                assert isinstance(reply.err_value, expected)
+
+
 def answer_with(node: PeerNode):
     """Return a handler that names the asking and the answering daemon."""
 
