--- a/src/tanagerfork/peers/domains.py
+++ b/src/tanagerfork/peers/domains.py
@@ -10,6 +10,7 @@
 from tanagerfork.peers import topic as topic_interfaces
 
 RENEW_INTERVAL_MS = 5000
+CHANGE_INTERVAL_MS = 1000
 TTL_MS = 30_000
 SUMMARY_BYTES = 20
 SENDS_PER_DOUBLING = 1
@@ -127,9 +128,8 @@
         :param now_ms: monotonic clock, in milliseconds.
         """
         known = self._known.get(self._failure_domain)
-        if known is not None and now_ms - known.made_at_ms < RENEW_INTERVAL_MS:
-            return
-        own = self._read_own(now_ms)
+        age_ms = RENEW_INTERVAL_MS if known is None else now_ms - known.made_at_ms
+        own = self._read_own(now_ms) if age_ms >= CHANGE_INTERVAL_MS else None
         if own is None:
             return
         summary = peers.DomainSummary(
@@ -140,7 +140,8 @@
             contacts=list(own.contacts)[:CONTACTS_TOLD],
             capacity=list(own.capacity),
         )
-        self._keep(summary, now_ms)
+        if age_ms >= RENEW_INTERVAL_MS or (known and _differs(summary, known.summary)):
+            self._keep(summary, now_ms)
 
     def fill(
         self,
@@ -178,7 +179,7 @@
         for summary in message.domains:
             made_at_ms = now_ms - delay_ms - summary.age_ms
             known = self._known.get(summary.failure_domain)
-            is_newer = known is None or made_at_ms >= known.made_at_ms + RENEW_INTERVAL_MS // 2
+            is_newer = known is None or _is_newer(summary, made_at_ms, known)
             has_room = known is not None or len(self._known) < DOMAINS_KEPT
             if is_newer and has_room and now_ms - made_at_ms <= TTL_MS:
                 self._keep(summary, made_at_ms)
@@ -191,6 +192,15 @@
             self._deltas.offer(name, _measure(known))
 
 
+def _is_newer(summary: peers.DomainSummary, made_at_ms: int, known: _Known) -> bool:
+    step_ms = CHANGE_INTERVAL_MS if _differs(summary, known.summary) else RENEW_INTERVAL_MS // 2
+    return made_at_ms >= known.made_at_ms + step_ms
+
+
+def _differs(summary: peers.DomainSummary, known: peers.DomainSummary) -> bool:
+    return msgspec.structs.replace(summary, age_ms=0) != msgspec.structs.replace(known, age_ms=0)
+
+
 def _measure(known: _Known) -> int:
     summary = known.summary
     texts = [*summary.bridges, summary.region, summary.failure_domain]
--- a/src/tanagerfork/peers/duty.py
+++ b/src/tanagerfork/peers/duty.py
@@ -3,18 +3,28 @@
 from tanagerfork.generated import layout
 from tanagerfork.peers import gossip, observations, rendezvous
 
-STALE_SHARE = 0.7  # Part of the TTL past which a daemon observes a VM that no one else reports.
+STALE_SHARE = 0.7  # Part of the TTL past which a standby reads a VM that no one reports.
+STANDBYS_PER_GROUP = 8  # Daemons, observers included, that read a group where its reports go stale.
 
 
 class ObserverDuty:
-    """Chooses by rendezvous hashing; what goes stale is observed by everyone who needs it.
+    """Chooses by rendezvous hashing; what goes stale is read by a few more.
 
     :param own: name of this daemon.
     :param known: what is known of the VMs.
     :param ttl_ms: age past which a report no longer counts, in milliseconds.
     """
 
-    __slots__ = ("_own", "_known", "_ttl_ms", "_names", "_groups", "_mine", "_is_candidate")
+    __slots__ = (
+        "_own",
+        "_known",
+        "_ttl_ms",
+        "_names",
+        "_groups",
+        "_mine",
+        "_standby",
+        "_is_candidate",
+    )
 
     def __init__(self, own: str, known: observations.ObservationTopic, ttl_ms: int) -> None:
         self._own = own
@@ -23,6 +33,7 @@
         self._names: list[str] = [own]
         self._groups: list[str] = []
         self._mine: set[int] = set()
+        self._standby: set[int] = set()
         self._is_candidate = True
 
     def update(self, decisions: gossip.Gossip, current: layout.Layout | None, now_ms: int) -> None:
@@ -37,11 +48,13 @@
         if names == self._names and groups == self._groups:
             return
         self._names, self._groups = names, groups
-        self._mine = {
-            index
-            for index, group in enumerate(groups)
-            if self._own in rendezvous.choose_observers(group, names)
-        }
+        self._mine, self._standby = set(), set()
+        for index, group in enumerate(groups):
+            ranked = rendezvous.rank_observers(group, names)
+            if self._own in ranked[: rendezvous.OBSERVERS_PER_GROUP]:
+                self._mine.add(index)
+            elif self._own in ranked[:STANDBYS_PER_GROUP]:
+                self._standby.add(index)
         self._is_candidate = self._own in rendezvous.choose_coordinator_candidates(names)
 
     def is_due(self, vm: str, now_ms: int) -> bool:
@@ -55,5 +68,7 @@
             return self._is_candidate
         if index in self._mine or len(self._names) <= 1:
             return True
+        if index not in self._standby:
+            return False
         age_ms = self._known.measure_age(vm, now_ms)
         return age_ms is None or age_ms > self._ttl_ms * STALE_SHARE
--- a/src/tanagerfork/peers/rendezvous.py
+++ b/src/tanagerfork/peers/rendezvous.py
@@ -13,6 +13,7 @@
 WATCHER = "watcher"
 CLAIM_SHARD = "claims/"
 BRIDGE = "bridge"
+CONTACT = "contact/"
 COORDINATOR = "coordinator"
 
 
@@ -39,13 +40,22 @@
     return rank(key, names)[:count]
 
 
+def rank_observers(group: str, names: Iterable[str]) -> list[str]:
+    """Order daemons by how well they fit as observers of a group.
+
+    :param group: group.
+    :param names: live daemons of the failure domain.
+    """
+    return rank(OBSERVER + group, names)
+
+
 def choose_observers(group: str, names: Iterable[str]) -> list[str]:
     """Choose the observers of a group.
 
     :param group: group.
     :param names: live daemons of the failure domain.
     """
-    return choose(OBSERVER + group, names, OBSERVERS_PER_GROUP)
+    return rank_observers(group, names)[:OBSERVERS_PER_GROUP]
 
 
 def choose_watchers(names: Iterable[str]) -> list[str]:
