--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -11,7 +11,7 @@
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import errors, lifecycle, logs
+from tanagerfork import lifecycle, logs
 from tanagerfork import measures as measure
 from tanagerfork import metrics as metric
 from tanagerfork import settings as settings_files
--- a/src/tanagerfork/program.py
+++ b/src/tanagerfork/program.py
@@ -47,12 +47,8 @@
         await site.stop()
 
 
-def parse_arguments(words: Sequence[str]) -> argparse.Namespace:
-    """Read the command line.
-
-    :param words: arguments without the program's name.
-    :return: the arguments by name.
-    """
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
     # The operators' tool parses by typer, whose 15 MB a daemon that is bound to 64 MB spares.
     parser = argparse.ArgumentParser("tanagerforkd", description="Run one daemon of tanagerfork.")
     parser.add_argument("--version", action="version", version=__version__)
@@ -72,7 +68,7 @@
         metavar="FIELD=VALUE",
         help="goes before the file, such as callers.port=8600",
     )
-    return parser.parse_args(words)
+    return parser
 
 
 def main(words: Sequence[str] | None = None) -> None:
@@ -80,7 +76,7 @@
 
     :param words: arguments without the program's name; None for those of the process.
     """
-    arguments = parse_arguments(sys.argv[1:] if words is None else words)
+    arguments = make_parser().parse_args(words)
     try:
         loaded = settings_files.load_settings(arguments.settings, arguments.set)
     except errors.SettingsError as error:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -6,7 +6,7 @@
 import pytest
 from typer import main
 
-from tanagerfork import daemon, errors
+from tanagerfork import errors, program
 from tanagerfork.cli import app
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -43,8 +43,9 @@
 
 def list_all_options() -> set[str]:
     """Return all options of the two programs."""
-    found = {"--help", "--install-completion"}
-    waiting = [main.get_command(app.app), main.get_command(daemon_app())]
+    found = {"--install-completion"}
+    found |= {option for item in program.make_parser()._actions for option in item.option_strings}
+    waiting = [main.get_command(app.app)]
     while waiting:
         command = waiting.pop()
         found |= {option for item in command.params for option in item.opts}
@@ -52,15 +53,6 @@
     return found
 
 
-def daemon_app():
-    """Return the daemon's command line."""
-    import typer
-
-    made = typer.Typer()
-    made.command()(daemon.run)
-    return made
-
-
 @pytest.mark.parametrize("path", DOCUMENTS, ids=lambda path: path.name)
 class TestNamedThings:
     def test_make_targets_exist(self, path):
