Let a report that an engine repeats get no younger at the peers

Cause: a daemon that reads the same sequence again refused it for itself, but told its peers that the report was made anew; an engine that hangs behind an answer kept somewhere would stay present there, against 'no group serves unless all members are present'. Before: the repeated report's age is 0 ms; after: 900 ms (test_report_that_an_engine_repeats_gets_no_younger fails before, passes after). Conclusion: own readings and told ones now follow one rule.

--- a/src/tanagerfork/peers/observations.py
+++ b/src/tanagerfork/peers/observations.py
@@ -140,6 +140,9 @@
         :param made_at_ms: when it was asked for, by this daemon's clock.
         :return: whether the member says something else than before.
         """
+        known = self._known.get(report.vm)
+        if known is not None and _is_repeated(report, known.report):
+            return False  # An engine that repeats itself proves nothing of the present.
         return self._keep_report(report, made_at_ms)
 
     def fill(
@@ -247,9 +250,9 @@
             return
         known = self._known.get(report.vm)
         if known is not None:
-            is_same_run = known.report.incarnation == report.incarnation
-            if is_same_run and report.sequence <= known.report.sequence:
+            if _is_repeated(report, known.report):
                 return
+            is_same_run = known.report.incarnation == report.incarnation
             if not is_same_run and made_at_ms <= known.made_at_ms:
                 return
         self._keep_report(report, made_at_ms)
@@ -307,3 +310,7 @@
     :param digests: hashes, in the order of the group's VMs.
     """
     return xxhash.xxh32_intdigest(msgspec.msgpack.encode(list(digests)))
+
+
+def _is_repeated(report: engine.EngineReport, known: engine.EngineReport) -> bool:
+    return report.incarnation == known.incarnation and report.sequence <= known.sequence
--- a/tests/test_peers_topics.py
+++ b/tests/test_peers_topics.py
@@ -6,12 +6,14 @@
 from bench import peer_network
 from bench import peers as bench_peers
 
-from tanagerfork.generated import peers
+from tanagerfork.generated import engine, peers
+from tanagerfork.groups import presence
 from tanagerfork.peers import (
     compression,
     dissemination,
     freshness,
     notices,
+    observations,
     rendezvous,
     ring,
     topic,
@@ -35,6 +37,16 @@
     )
 
 
+class TestRepeatedReports:
+    @pytest.mark.parametrize(("sequence", "age_ms"), [(1, 900), (2, 0)])
+    def test_report_that_an_engine_repeats_gets_no_younger(self, sequence, age_ms):
+        topic_ = observations.ObservationTopic(presence.Presence(2000), 2000)
+        for number, made_at_ms in ((1, 100), (sequence, 1000)):
+            report = engine.EngineReport(vm="vm0", incarnation="i", sequence=number)
+            topic_.note_own(report, made_at_ms)
+        assert topic_.measure_age("vm0", 1000) == age_ms
+
+
 class TestAges:
     """No report is ever taken for younger than the last time that a member was read."""
 
