Name group and generation with each attempt, so that an engine formed anew refuses it

Cause: a daemon may believe a group whole for up to the presence TTL after its first member joined another group, perhaps of another model; the engine had no way to tell. Conclusion: engines that check close the window; for those that do not it is as wide as before.

--- a/src/tanagerfork/front/attempts.py
+++ b/src/tanagerfork/front/attempts.py
@@ -172,6 +172,10 @@
             resume_offset=offset,
             first_token_timeout_ms=min(left_ms, first_ms),
             silence_timeout_ms=self._allow_silence_ms(call, step_ms),
+            headers={
+                engines.GROUP_HEADER: view.record.group,
+                engines.GENERATION_HEADER: str(view.record.generation),
+            },
         )
 
     def _allow_silence_ms(self, call: Call, step_ms: float) -> int:
--- a/src/tanagerfork/upstream/engine.py
+++ b/src/tanagerfork/upstream/engine.py
@@ -18,6 +18,8 @@
 PRIORITY_HEADER = "X-Priority"
 OFFSET_HEADER = "X-Resume-Offset"
 NOT_RUN_HEADER = "X-Not-Run"
+GROUP_HEADER = "X-Group"
+GENERATION_HEADER = "X-Group-Generation"
 
 RecordT = TypeVar("RecordT")
 
@@ -28,7 +30,9 @@
 
     Assumed of the engine: it leaves out the first `resume_offset` tokens of the answer and gives
     the ones that follow, the same on each VM of the same version and adapter for the same request
-    id and body. Where an engine needs the generated text for that, this record carries it.
+    id and body. Where an engine needs the generated text for that, this record carries it. It
+    refuses before running what names another group or generation than the one it is in now, as a
+    daemon hears of a group that was formed anew only some time later.
     """
 
     attempt_id: str
--- a/src/tanagerfork_standins/engine.py
+++ b/src/tanagerfork_standins/engine.py
@@ -288,8 +288,15 @@
             task.cancel()
         return aiohttp.web.Response(status=204)
 
-    def _refusal(self) -> str:
+    def _refusal(self, request: aiohttp.web.Request) -> str:
         report = self.report
+        own = (report.group, str(report.generation))
+        named = tuple(
+            request.headers.get(name, value)
+            for name, value in zip(("X-Group", "X-Group-Generation"), own, strict=True)
+        )
+        if named != own:
+            return "the engine is in another group or generation"
         if self.faults.refuse > 0:
             self.faults.refuse -= 1
             return "told to refuse"
@@ -305,7 +312,7 @@
         await self._resumes.wait()
         attempt_id = request.headers.get("X-Attempt-Id", "")
         body = await request.read()
-        refusal = self._refusal()
+        refusal = self._refusal(request)
         if refusal:
             headers = {"X-Attempt-Id": attempt_id, "X-Not-Run": "1"}
             return aiohttp.web.Response(status=503, text=refusal, headers=headers)
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import random
+from collections.abc import Mapping
 
 import result
 
@@ -95,6 +96,7 @@
         self.length = length
         self.crash_on = crash_on
         self.sent: list[tuple[str, int]] = []
+        self.headers: list[Mapping[str, str]] = []
         self.cancelled: list[str] = []
         self.incarnations: collections.Counter[str] = collections.Counter()
         self.closed = 0
@@ -111,6 +113,7 @@
         """Begin an attempt by the script."""
         await asyncio.sleep(0)
         self.sent.append((vm.vm, attempt.resume_offset))
+        self.headers.append(attempt.headers)
         tokens, ending = self.script.pop(0) if self.script else (self.length, "")
         if self.crash_on and self.crash_on in attempt.body:
             tokens, ending = 0, CRASH
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -63,6 +63,14 @@
         await engines.Runner(upstreams).ask()
         assert len({group for group, _ in upstreams.sent}) == 3
 
+    async def test_each_attempt_names_its_group_and_generation(self):
+        upstreams = engines.ScriptedEngines(script=[(1, LOST)])
+        await engines.Runner(upstreams).ask()
+        groups = [group for group, _ in upstreams.sent]
+        assert upstreams.headers == [
+            {"X-Group": group, "X-Group-Generation": "1"} for group in groups
+        ]
+
     async def test_answer_is_continued_by_its_own_version_only(self):
         upstreams = engines.ScriptedEngines(groups=1, script=[(2, SILENT)])
         upstreams.views += [engines.make_view("new", version="2", running=15)]
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -52,10 +52,13 @@
     return list(stand_ins.engines.values())
 
 
-async def generate(session: aiohttp.ClientSession, vm: engine.Engine, offset: int = 0) -> str:
+async def generate(
+    session: aiohttp.ClientSession, vm: engine.Engine, offset: int = 0, generation: int = 1
+) -> str:
     """Ask for one answer; return all that came."""
     body = {"model": "m", "messages": [{"role": "user", "content": "one two three"}]}
     headers = {"X-Attempt-Id": "a1", "X-Request-Id": "r1", "X-Resume-Offset": str(offset)}
+    headers |= {"X-Group": "g", "X-Group-Generation": str(generation)}
     url = vm.entry.url + "/v1/chat/completions"
     came = b""
     try:
@@ -116,6 +119,12 @@
             assert await generate(session, first) == "a member of the group is missing"
             assert not first.runs
 
+    async def test_request_for_another_generation_is_refused_before_running(self):
+        async with run_stand_ins() as (stand_ins, session):
+            first = await form_group(stand_ins, session)
+            assert "another group or generation" in await generate(session, first, generation=2)
+            assert not first.runs
+
     async def test_marked_request_crashes_the_engine(self):
         async with run_stand_ins() as (stand_ins, session):
             first = await form_group(stand_ins, session)
