Keep one rendezvous hashing and one packing of answers; root the withheld answer in errors

Cause: claims had a rendezvous hashing of their own beside the peers', head and layout were packed by the same lines twice, and one error stood outside the package's root class.

--- a/src/tanagerfork/claims/owner.py
+++ b/src/tanagerfork/claims/owner.py
@@ -8,10 +8,10 @@
 from typing import Protocol
 
 import result
-import xxhash
 
 from tanagerfork import errors
 from tanagerfork.generated import claims
+from tanagerfork.peers import rendezvous
 
 
 class ClaimPeers(Protocol):
@@ -55,8 +55,4 @@
     :param names: live daemons.
     :return: name of a daemon, None where there are none.
     """
-    return max(
-        names,
-        key=lambda name: (xxhash.xxh64_intdigest(f"{shard}\0{name}".encode()), name),
-        default=None,
-    )
+    return next(iter(rendezvous.choose(rendezvous.CLAIM_SHARD + shard, names, 1)), None)
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -318,6 +318,12 @@
     ran = NOT_RUN
 
 
+class AnswerWithheld(PeerError):
+    """A handler does not know what came of an ask, so that nothing is answered."""
+
+    kind = "answer_withheld"
+
+
 class PeerSilent(PeerError):
     """The ask may have been handled; no answer came in time."""
 
--- a/src/tanagerfork/peers/claim_forwarding.py
+++ b/src/tanagerfork/peers/claim_forwarding.py
@@ -71,7 +71,9 @@
             written = await write(msgspec.msgpack.decode(body, type=claims.ClaimCall))
             if isinstance(written, result.Err):
                 if written.err_value.ran != errors.NOT_RUN:
-                    raise exchange.NoAnswer
+                    raise errors.AnswerWithheld(
+                        "what came of it is not known; let the asker read back"
+                    )
                 raise written.err_value
             return msgspec.msgpack.encode(written.ok_value)
 
--- a/src/tanagerfork/peers/exchange.py
+++ b/src/tanagerfork/peers/exchange.py
@@ -23,10 +23,6 @@
 Handler = Callable[[str, bytes], Awaitable[bytes]]
 
 
-class NoAnswer(Exception):  # noqa: N818
-    """Raised by a handler that does not know what came of an ask, so that nothing is answered."""
-
-
 class Sender(Protocol):
     """What the exchange needs of the service."""
 
@@ -180,7 +176,7 @@
                 body = await asyncio.wait_for(
                     handler(message.sender, message.body), timeout_ms / 1000
                 )
-            except (TimeoutError, NoAnswer):
+            except (TimeoutError, errors.AnswerWithheld):
                 return
             except (errors.TanagerforkError, msgspec.MsgspecError):
                 body = None
--- a/src/tanagerfork/peers/rendezvous.py
+++ b/src/tanagerfork/peers/rendezvous.py
@@ -66,16 +66,6 @@
     return choose(WATCHER, names, WATCHERS)
 
 
-def choose_shard_owners(shard: int, names: Iterable[str], count: int = 1) -> list[str]:
-    """Choose the preferred owners of a shard of claims.
-
-    :param shard: number of the shard.
-    :param names: live daemons of the failure domain.
-    :param count: owners wanted.
-    """
-    return choose(f"{CLAIM_SHARD}{shard}", names, count)
-
-
 def choose_bridges(names: Iterable[str]) -> list[str]:
     """Choose who talks to the other failure domains.
 
--- a/src/tanagerfork/peers/service.py
+++ b/src/tanagerfork/peers/service.py
@@ -180,13 +180,6 @@
         """Return whether this daemon watches the head in the key-value service."""
         return self._settings.name in rendezvous.choose_watchers(self.live())
 
-    def find_shard_owner(self, shard: int) -> str:
-        """Return the daemon that writes a shard of claims for the others.
-
-        :param shard: number of the shard.
-        """
-        return rendezvous.choose_shard_owners(shard, self.live())[0]
-
     def is_observed_here(self, vm: str) -> bool:
         """Return whether this daemon should read a VM's report now.
 
--- a/src/tanagerfork/peers/transfer.py
+++ b/src/tanagerfork/peers/transfer.py
@@ -119,10 +119,7 @@
         in_force = self._bundles.current
         if in_force is None:
             raise errors.NotFound("no bundle is in force; ask another daemon")
-        base = self._manifests.find(asked.base)
-        packed = compression.pack(self._encoder.encode(in_force.head), base)
-        answer = peers.ContentAnswer(base=asked.base if base else "", content=packed)
-        return self._encoder.encode(answer)
+        return pack_answer(self._encoder.encode(in_force.head), asked.base, self._manifests)
 
     async def give_part(self, peer: str, body: bytes) -> bytes:
         """Answer an ask for a piece of a part.
@@ -273,11 +270,7 @@
         current = self._groups.layout
         if current is None:
             raise errors.NotFound("no layout is known; ask another daemon")
-        content = self._keep_current(current)
-        base = self._layouts.find(asked.base)
-        packed = compression.pack(content, base)
-        answer = peers.ContentAnswer(base=asked.base if base else "", content=packed)
-        return self._encoder.encode(answer)
+        return pack_answer(self._keep_current(current), asked.base, self._layouts)
 
     def is_wanted(self, serial: int) -> bool:
         """Return whether a layout that a peer has should be fetched now.
@@ -330,6 +323,20 @@
         return content
 
 
+def pack_answer(content: bytes, base: str, known: compression.RecentContents) -> bytes:
+    """Encode a content, compressed against what the asking daemon has.
+
+    :param content: what was asked for.
+    :param base: hash of what the asking daemon has.
+    :param known: contents that this daemon had lately.
+    :return: encoded answer.
+    """
+    found = known.find(base)
+    packed = compression.pack(content, found)
+    answer = peers.ContentAnswer(base=base if found else "", content=packed)
+    return msgspec.msgpack.encode(answer)
+
+
 def unpack_answer(
     body: bytes, contents: compression.RecentContents
 ) -> result.Result[bytes, errors.PeerMessageInvalid]:
