--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,4 +1,4 @@
-"""Processor time per streamed token and request beside a bare aiohttp relay, and memory.
+"""Processor time per streamed token and per request beside a bare aiohttp relay, and memory.
 
 The engine and the callers run in threads of their own, and the processor time of the relaying
 thread alone is counted.
@@ -32,6 +32,7 @@
 TOKEN_GAP_MS = 33
 STREAMS = (50, 180)
 REST_STREAMS = 500
+SHORT_REQUESTS = 300
 IDLE_S = 2.0
 WAIT_S = 60
 WORDS = " ".join(["word"] * TOKENS)
@@ -50,15 +51,15 @@
         return await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(work, self.loop))
 
 
-def read_resident_mb() -> float:
-    """Return the resident memory of this process."""
-    fields = pathlib.Path("/proc/self/statm").read_text().split()
+def read_resident_mb(process: str = "self") -> float:
+    """Return the resident memory of a process."""
+    fields = pathlib.Path(f"/proc/{process}/statm").read_text().split()
     return int(fields[1]) * 4096 / 1e6
 
 
-async def ask_all(url: str, streams: int, headers: dict[str, str]) -> int:
+async def ask_all(url: str, streams: int, headers: dict[str, str], words: str = WORDS) -> int:
     """Stream answers side by side; return how many were whole."""
-    body = {"model": MODEL, "stream": True, "messages": [{"role": "user", "content": WORDS}]}
+    body = {"model": MODEL, "stream": True, "messages": [{"role": "user", "content": words}]}
 
     async def ask(session: aiohttp.ClientSession, number: int) -> bool:
         own = {**headers, "X-Attempt-Id": f"a{number}", "X-Request-Id": f"r{number}"}
@@ -104,6 +105,22 @@
     return time.thread_time() - started_cpu - idle_share * wall
 
 
+async def ask_beside(
+    callers: LoopThread, url: str, streams: int, headers: dict[str, str], words: str, idle: float
+) -> float:
+    """Ask from another thread; return this thread's processor time, in seconds."""
+    whole: list[int] = []
+
+    async def ask() -> int:
+        whole.append(await callers.run(ask_all(url, streams, headers, words)))
+        return whole[0]
+
+    seconds = await measure(ask, idle)
+    if whole != [streams]:
+        raise SystemExit(f"{whole[0]} of {streams} answers were whole")
+    return seconds
+
+
 async def start_site(settings: settings_records.Settings) -> embedding.EmbeddedSite:
     """Start the example site with large engines at the letter's pace."""
     plan = site.read_plan(FOLDER / embedding.SITE_FILE)
@@ -140,18 +157,19 @@
     idle = await measure(lambda: asyncio.sleep(IDLE_S, 0), 0.0) / IDLE_S
     print(f"seed {SEED}, {TOKENS} tokens a stream; daemon idle {idle:.1%} of a core")
     for streams in STREAMS:
-        figures = {}
-        for name, url in (("relay", relay_url), ("daemon", daemon_url)):
-            whole: list[int] = []
-
-            async def work(url: str = url, streams: int = streams, whole=whole) -> int:
-                whole.append(await callers.run(ask_all(url, streams, headers)))
-                return 0
-
-            figures[name] = await measure(work, idle)
-            print(f"  {streams} streams, {name}: whole {whole[0]}", end=", ")
-            print(f"{figures[name] / streams / TOKENS * 1e6:.0f} us a token")
-        print(f"  {streams} streams: {figures['daemon'] / figures['relay']:.2f} times the relay")
+        relayed = await ask_beside(callers, relay_url, streams, headers, WORDS, idle)
+        served = await ask_beside(callers, daemon_url, streams, headers, WORDS, idle)
+        each_us = [seconds / streams / TOKENS * 1e6 for seconds in (relayed, served)]
+        print(
+            f"  {streams} streams: relay {each_us[0]:.0f}, daemon {each_us[1]:.0f} us a token;",
+            end="",
+        )
+        print(f" {served / relayed:.2f} times the relay")
+    relayed = await ask_beside(callers, relay_url, SHORT_REQUESTS, headers, "word", idle)
+    served = await ask_beside(callers, daemon_url, SHORT_REQUESTS, headers, "word", idle)
+    each_us = [seconds / SHORT_REQUESTS * 1e6 for seconds in (relayed, served)]
+    print(f"  a request of two tokens: relay {each_us[0]:.0f}, daemon {each_us[1]:.0f} us;", end="")
+    print(f" {served / relayed:.2f} times the relay")
     asked = asyncio.ensure_future(callers.run(ask_all(daemon_url, REST_STREAMS, headers)))
     before = read_resident_mb()
     await asyncio.sleep(TOKENS * TOKEN_GAP_MS / 2000)
