End what runs at a group that stops being whole, and let it go on elsewhere

Cause: a group whose first member does not notice a lost member went on serving what it had begun, against 'no group serves unless all members are present'. Only the engines' own cuts and the silence timer ended an answer; found by reading the attempts against the design. Conclusion: the promise now covers answers under way too, within the presence TTL.

--- a/src/tanagerfork/front/assembly.py
+++ b/src/tanagerfork/front/assembly.py
@@ -121,6 +121,7 @@
         lambda now_ms: neighbours.describe_capacity(entrance.count_free_slots(now_ms))
     )
     tries = attempts.AttemptRunner(groups, choice, suspects, client, clock, metrics)
+    groups.subscribe(tries.end_group)
     return ChatParts(
         chat.ChatRunner(groups, policy, entrance, tries, clock, timeline, metrics),
         entrance,
--- a/src/tanagerfork/front/attempts.py
+++ b/src/tanagerfork/front/attempts.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one group: sends it, relays its answer, tells what came of it."""
 
 import asyncio
+import collections
 import dataclasses
 import uuid
 from collections.abc import Sequence
@@ -50,6 +51,20 @@
     is_final: bool = False
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Running:
+    """An attempt under way, and whether its group stopped being whole meanwhile."""
+
+    exchange: engines.Exchange | None = None
+    is_ended: bool = False
+
+    def end(self) -> None:
+        """Break the attempt off, now or as soon as it is open."""
+        self.is_ended = True
+        if self.exchange is not None:
+            self.exchange.interrupt()
+
+
 class AttemptRunner:
     """Sends attempts and relays their answers.
 
@@ -69,6 +84,7 @@
         "_clock",
         "_metrics",
         "_cancels",
+        "_running",
     )
 
     def __init__(
@@ -87,6 +103,7 @@
         self._clock = clock
         self._metrics = metrics
         self._cancels: set[asyncio.Task[None]] = set()
+        self._running: dict[str, set[_Running]] = collections.defaultdict(set)
 
     async def run(
         self,
@@ -182,6 +199,18 @@
         gap_ms = max(call.model.token_gap_ms, step_ms)
         return max(MIN_SILENCE_MS, round(stream.SILENT_GAPS * gap_ms))
 
+    def end_group(self, view: presence.GroupView, before: presence.GroupState | None) -> None:
+        """End the attempts at a group that is no longer whole, so that they go on elsewhere.
+
+        :param view: group whose state changed.
+        :param before: state that it had.
+        """
+        if view.state in (presence.GroupState.WHOLE, presence.GroupState.DRAINING):
+            return
+        for running in self._running.get(view.record.group, ()):
+            self._metrics.count("attempts_ended_with_group_total")
+            running.end()
+
     async def _exchange(
         self,
         call: Call,
@@ -189,12 +218,33 @@
         attempt: engines.Attempt,
         answer: sink.AnswerSink,
         group: str,
+    ) -> AttemptEnd:
+        running = _Running()
+        self._running[group].add(running)
+        try:
+            return await self._relay(call, entry, attempt, answer, group, running)
+        finally:
+            self._running[group].discard(running)
+            if not self._running[group]:
+                del self._running[group]
+
+    async def _relay(
+        self,
+        call: Call,
+        entry: engine.VmEntry,
+        attempt: engines.Attempt,
+        answer: sink.AnswerSink,
+        group: str,
+        running: "_Running",
     ) -> AttemptEnd:
         sent_ms = self._clock.monotonic_ms()
         opened = await self._client.open(entry, attempt)
         if isinstance(opened, result.Err):
             return AttemptEnd(0, opened.err_value)
-        exchange = opened.ok_value
+        exchange = running.exchange = opened.ok_value
+        if running.is_ended:
+            await exchange.close()
+            return AttemptEnd(0, errors.UpstreamLost("the group broke meanwhile; go elsewhere"))
         tokens = 0
         try:
             while True:
--- a/src/tanagerfork/upstream/engine.py
+++ b/src/tanagerfork/upstream/engine.py
@@ -58,6 +58,9 @@
     def mean_gap_ms(self) -> float:
         """Mean time between two chunks so far; 0 where it is not known."""
 
+    def interrupt(self) -> None:
+        """Break the exchange off from another task; the read under way fails."""
+
     async def close(self) -> None:
         """End the exchange and close its connection."""
 
@@ -149,6 +152,10 @@
             return result.Err(self._describe_loss(repr(error)))
         return result.Err(self._describe_loss("the answer ended without its end marker"))
 
+    def interrupt(self) -> None:
+        """Break the exchange off; see `Exchange.interrupt`."""
+        self._response.close()
+
     async def close(self) -> None:
         """Give the exchange up; see `Exchange.close`."""
         self._silence.stop()
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -64,6 +64,7 @@
         self._next = offset
         self._left = tokens
         self._ending = ending
+        self._interrupted = asyncio.Event()
 
     async def next_batch(self):
         """Return the next token, the end, or the failure."""
@@ -73,11 +74,16 @@
             self._next += 1
             return result.Ok(stream.Batch(f"t{self._next};".encode(), 1, False))
         if self._ending == HANG:
-            await asyncio.Event().wait()
+            await self._interrupted.wait()
+            return result.Err(FAILURES[LOST])
         if self._ending:
             return result.Err(FAILURES[self._ending])
         return result.Ok(stream.Batch(b"finish", 0, True))
 
+    def interrupt(self) -> None:
+        """End the waiting."""
+        self._interrupted.set()
+
     async def close(self) -> None:
         """Count the close."""
         self._engines.closed += 1
@@ -196,7 +202,7 @@
         self.gate = gate.Gate(
             engines, self.balancer.sent, limits.TeamLimits(fleet), fleet, self.clock, self.metrics
         )
-        tries = attempts.AttemptRunner(
+        tries = self.attempts = attempts.AttemptRunner(
             engines, self.balancer, self.poison, engines, self.clock, self.metrics
         )
         self.chats = chat.ChatRunner(
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -1,13 +1,15 @@
 """Tests of what a caller gets for each fault of the upstreams, and whether its request ran."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
 from tanagerfork import clock as clocks
 from tanagerfork.front import sink
+from tanagerfork.groups import presence
 from tanagerfork.routing import fleet
-from tests import engines
+from tests import engines, sites
 from tests.engines import CONFUSED, CRASH, GONE, HANG, LOST, REFUSED, SILENT
 
 WHOLE = b"t1;t2;t3;t4;finish"
@@ -63,6 +65,23 @@
         await engines.Runner(upstreams).ask()
         assert len({group for group, _ in upstreams.sent}) == 3
 
+    @pytest.mark.parametrize("state", ["broken", "forming", "dissolved"])
+    async def test_answer_of_a_group_that_is_whole_no_more_goes_on_elsewhere(self, state):
+        upstreams = engines.ScriptedEngines(script=[(2, HANG)])
+        runner = engines.Runner(upstreams)
+        asked = asyncio.ensure_future(runner.ask())
+        await sites.wait_until(lambda: len(upstreams.sent) == 1)
+        first = upstreams.sent[0][0]
+        for group in ("other", first):
+            view = dataclasses.replace(
+                engines.make_view(group), state=presence.GroupState(state), missing=("vm",)
+            )
+            assert len(upstreams.sent) == 1
+            runner.attempts.end_group(view, presence.GroupState.WHOLE)
+        data, error = await asked
+        assert (data, error) == (WHOLE, None)
+        assert upstreams.sent[1][0] != first
+
     async def test_each_attempt_names_its_group_and_generation(self):
         upstreams = engines.ScriptedEngines(script=[(1, LOST)])
         await engines.Runner(upstreams).ask()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -44,6 +44,20 @@
             await sites.wait_until(lambda: running.count_whole() == 1)
             assert await ask(running, 0)
 
+    async def test_answer_of_a_group_that_loses_a_member_is_finished_by_another(self):
+        async with sites.run_site(groups=2, vms=8) as running:
+            engines = running.stand_ins.engines
+            for vm in engines.values():
+                vm.speed.token_gap_ms = 300
+            asked = asyncio.create_task(ask(running, 0))
+            await sites.wait_until(lambda: any(vm.streams for vm in engines.values()))
+            first = next(vm for vm in engines.values() if vm.streams)
+            engines[first.report.members[2]].pause()  # The first member does not notice by itself.
+            await sites.wait_until(lambda: sum(vm.streams for vm in engines.values()) == 2)
+            first.speed.token_gap_ms = 1
+            assert await asked
+            assert first.streams == 1
+
     async def test_planned_stop_cuts_off_nothing_in_flight(self):
         async with sites.run_site() as running:
             for vm in running.stand_ins.engines.values():
