Hold the bundle's rules against the path that a service gets

Escaped characters of path and query were changed on the way too, and a rule for lots also held for lots-written. Found by reading. Before: five spellings of such a path ran the pressing, and /a%3Fb%23c/... arrived as /a?b; after: they are refused before running, paths and queries arrive byte for byte, rules hold for whole segments (TestServicePaths and TestRepeatable, 13 cases; the first 6 fail before, all pass after). 1178 tests pass. Conclusion: what is decided on is what is sent.

--- a/src/tanagerfork/front/callers.py
+++ b/src/tanagerfork/front/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import urllib.parse
 import uuid
 
 import aiohttp.web
@@ -24,6 +25,8 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 REQUEST_ID_FORM = re.compile(r"[A-Za-z0-9._-]{1,64}")
 MAX_KEY_CHARS = 256
+SERVICE_PATH_PARTS = 3  # Slashes before the path in /services/NAME/PATH.
+MAX_ENCODINGS = 3  # Percent encodings that are looked through.
 NO_BUNDLE_RETRY_MS = 2000
 
 
@@ -167,8 +170,8 @@
                 team=team,
                 service=service,
                 method=request.method,
-                path=request.match_info["path"],
-                query=request.query_string,
+                path=_take_path(request),
+                query=request.rel_url.raw_query_string,
                 content_type=request.headers.get("Content-Type", ""),
                 body=body,
                 idempotency_key=_take_key(request),
@@ -305,6 +308,21 @@
     return int(text)
 
 
+def _take_path(request: aiohttp.web.Request) -> str:
+    """Return a service's path as it was sent; the bundle's rules are held against these bytes.
+
+    A segment of dots would be resolved on the way, so that a call could pass for a repeatable one
+    and reach another path.
+    """
+    path = request.rel_url.raw_path.split("/", SERVICE_PATH_PARTS)[SERVICE_PATH_PARTS]
+    plain = path
+    for _ in range(MAX_ENCODINGS):
+        plain = urllib.parse.unquote(plain)
+    if any(segment in (".", "..") for segment in re.split(r"[/\\]", plain)):
+        raise errors.BadRequest("the path has a segment of dots; send the path that it leads to")
+    return path
+
+
 def _take_key(request: aiohttp.web.Request) -> str:
     key = request.headers.get(KEY_HEADER, "")
     if len(key) > MAX_KEY_CHARS:
--- a/src/tanagerfork/front/services.py
+++ b/src/tanagerfork/front/services.py
@@ -184,11 +184,16 @@
     :param request: request.
     """
     return any(
-        rule.method.upper() == request.method and request.path.startswith(rule.path_prefix)
+        rule.method.upper() == request.method and _is_below(request.path, rule.path_prefix)
         for rule in request.service.repeatable
     )
 
 
+def _is_below(path: str, prefix: str) -> bool:
+    whole = prefix.strip("/")
+    return not whole or path == whole or path.startswith(whole + "/")
+
+
 def _make_wish(request: ServiceRequest) -> book.ClaimWish:
     path = f"{request.service.name}/{request.path}?{request.query}"
     call_ms = min(request.timeout_ms, request.service.timeout_ms)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -2,8 +2,13 @@
 
 import asyncio
 
+import aiohttp.web
+import pytest
+import yarl
+
 from tanagerfork.generated import events
 from tanagerfork.timeline import kinds, merge
+from tanagerfork_standins import listener
 from tests import sites
 
 
@@ -109,6 +114,48 @@
                 assert response.status == 404
 
 
+class TestServicePaths:
+    @pytest.mark.parametrize(
+        "path",
+        [
+            "lookups/../pressings",
+            "lookups/%2e%2E/pressings",
+            "lookups/%252e%252e/pressings",
+            "lookups/..%2Fpressings",
+            "./pressings",
+        ],
+    )
+    async def test_path_that_leads_elsewhere_is_refused(self, path):
+        async with sites.run_site(groups=1, vms=4) as running:
+            url = yarl.URL(f"{running.url}/services/{sites.SERVICE}/{path}", encoded=True)
+            async with running.session.post(url, json={}, headers=running.headers) as response:
+                error = (await response.json())["error"]
+            assert (response.status, error["kind"], error["ran"]) == (400, "bad_request", "no")
+            assert running.stand_ins.records[sites.SERVICE].records == []
+
+    async def test_path_and_query_reach_the_service_as_they_were_sent(self):
+        async with sites.run_site(groups=1, vms=4) as running:
+            seen: list[str] = []
+
+            async def note(request: aiohttp.web.Request) -> aiohttp.web.Response:
+                seen.append(request.raw_path)
+                headers = {"X-Attempt-Id": request.headers["X-Attempt-Id"]}
+                return aiohttp.web.Response(headers=headers)
+
+            listened = listener.Listener()
+            listened.app.router.add_get("/{path:.*}", note)
+            await listened.start()
+            in_force = running.daemon.bundles.current.bundle
+            in_force.services[0].upstreams[0].url = listened.url
+            in_force.services[0].upstreams[1].url = listened.url
+            path = "a%3Fb%23c/d%2Fe?x=%26%20y&z=%2B"
+            url = yarl.URL(f"{running.url}/services/{sites.SERVICE}/{path}", encoded=True)
+            async with running.session.get(url, headers=running.headers) as response:
+                assert response.status == 200
+            await listened.stop()
+            assert seen == ["/" + path]
+
+
 class TestOperatorsListener:
     async def test_health_readiness_and_metrics(self):
         async with sites.run_site(groups=1, vms=4) as running:
--- a/tests/test_front_services.py
+++ b/tests/test_front_services.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from tanagerfork.front import services
+from tanagerfork.generated import bundle
 from tests import sites
 
 
@@ -86,3 +88,40 @@
             running.stand_ins.key_value.faults.lost_answers = 1
             assert (await record(running, "lot-7"))[0] == 201
             assert len(list_records(running)) == 2
+
+
+class TestRepeatable:
+    @pytest.mark.parametrize(
+        ("method", "path", "is_repeatable"),
+        [
+            ("GET", "lots", True),
+            ("GET", "lots/7", True),
+            ("GET", "lots-written", False),
+            ("GET", "lot", False),
+            ("GET", "%6cots", False),
+            ("POST", "lots", False),
+            ("PUT", "any/path", True),
+        ],
+    )
+    def test_rule_holds_for_its_method_and_whole_segments(self, method, path, is_repeatable):
+        service = bundle.Service(
+            name="s",
+            upstreams=[],
+            repeatable=[
+                bundle.Repeatable(method="get", path_prefix="/lots/"),
+                bundle.Repeatable(method="PUT", path_prefix=""),
+            ],
+        )
+        request = services.ServiceRequest(
+            request_id="r",
+            team=bundle.Team(name="t", token_sha256=[]),
+            service=service,
+            method=method,
+            path=path,
+            query="",
+            content_type="",
+            body=b"",
+            idempotency_key="",
+            timeout_ms=1,
+        )
+        assert services.is_repeatable(request) is is_repeatable
