Ask upstreams for plain answers, as they are passed on as they come

Cause: the HTTP client asked for compressed answers by default and was told not to unpack them, and the header that names the packing was not passed on: a caller of a service that compresses got bytes it could not read, not its whole answer. Found by reading; the stand-ins never compress. Before: 400 bytes of 'good' arrive packed; after: as they are (test_answer_comes_plain_from_a_service_that_would_compress fails before, passes after). 1179 tests pass. Conclusion: every call to an upstream says identity.

--- a/src/tanagerfork/upstream/connections.py
+++ b/src/tanagerfork/upstream/connections.py
@@ -75,6 +75,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        headers={"Accept-Encoding": "identity"},  # Answers are passed on as they come.
         middlewares=(send_once,),
         auto_decompress=False,
     )
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,10 +1,12 @@
 """Contract tests of the plain service client: for each fault, what comes and whether it ran."""
 
+import aiohttp.web
 import pytest
 import result
 
 from tanagerfork.generated import bundle
 from tanagerfork.upstream import connections, service
+from tanagerfork_standins import listener
 from tests import upstreams
 from tests.upstreams import CUT, SILENT
 
@@ -44,3 +46,23 @@
                 ran = "no" if kind == "upstream_refused" else "unknown"
                 assert called.err_value.ran == ran
             assert len(upstream.requests) == 1
+
+
+class TestCompression:
+    async def test_answer_comes_plain_from_a_service_that_would_compress(self):
+        async def answer(request: aiohttp.web.Request) -> aiohttp.web.Response:
+            made = aiohttp.web.Response(body=b"good" * 100, headers={"X-Attempt-Id": "a1"})
+            made.enable_compression()
+            return made
+
+        listened = listener.Listener()
+        listened.app.router.add_get("/lots", answer)
+        await listened.start()
+        call = service.ServiceCall("a1", "r1", "GET", "lots", "", "", b"", 2000)
+        target = bundle.ServiceUpstream(name="s", failure_domain="d", url=listened.url)
+        session = connections.open_session(single_use=True)
+        client = service.HttpServiceClient(session, answer_limit_bytes=1000)
+        called = await client.call(target, call)
+        await session.close()
+        await listened.stop()
+        assert called.unwrap().body == b"good" * 100
