--- a/src/tanagerfork/peers/gossip.py
+++ b/src/tanagerfork/peers/gossip.py
@@ -9,7 +9,7 @@
 from tanagerfork.peers import contact as contacts
 from tanagerfork.peers import topic as topic_interfaces
 
-HELPERS = 3
+RELAYS = 3
 SETTLED_MS = 2000  # Membership that changed within this time may still differ between daemons.
 SYNC_INTERVAL_MS = 3000
 RETRY_INTERVAL_MS = 5000
@@ -266,21 +266,21 @@
         for contact in overdue.to_relay:
             if self._is_up(contact.name):
                 judged.silent.append(self.find_address(contact.name))
-                judged.outgoing += self._ask_helpers(contact.name, now_ms)
+                judged.outgoing += self._ask_relays(contact.name, now_ms)
         for contact in overdue.to_suspect:
             if self.members.suspect(contact.name, now_ms):
                 self.composer.offer(contact.name)
         return judged
 
-    def _ask_helpers(self, name: str, now_ms: int) -> list[composer.Outgoing]:
-        helpers = [
+    def _ask_relays(self, name: str, now_ms: int) -> list[composer.Outgoing]:
+        relays = [
             contact.name for contact in self._contacts.answering() if self._is_up(contact.name)
         ]
         outgoing = []
-        for helper in self._rng.sample(helpers, min(HELPERS, len(helpers))):
-            message = self.composer.compose("relay", helper, now_ms)
+        for relay in self._rng.sample(relays, min(RELAYS, len(relays))):
+            message = self.composer.compose("relay", relay, now_ms)
             message.subject = name
-            outgoing.append(composer.Outgoing(self.find_address(helper), message))
+            outgoing.append(composer.Outgoing(self.find_address(relay), message))
         return outgoing
 
     def _retry_lost(self, now_ms: int) -> list[composer.Outgoing]:
