--- a/bench/routing.py
+++ b/bench/routing.py
@@ -302,13 +302,13 @@
     views = run._views()
     choice = Tanagerfork(random.Random(size.seeds[0]))
     prefixes = [events.draw_prefix(run.rng, size.families) for _ in range(DECISIONS)]
-    started = time.perf_counter()
+    started = time.process_time()
     for number, prefix in enumerate(prefixes):
         now_ms = number * DECISION_INTERVAL_MS
         name = choice.choose(views, now_ms, prefix)
         choice.begin(name, now_ms, prefix)
         choice.end(name, now_ms, 30.0)
-    return (time.perf_counter() - started) / DECISIONS * 1e6
+    return (time.process_time() - started) / DECISIONS * 1e6
 
 
 def main() -> None:
--- a/src/tanagerfork/routing/balancer.py
+++ b/src/tanagerfork/routing/balancer.py
@@ -74,7 +74,9 @@
         """
         if now_ms - self._refreshed_at_ms >= REFRESH_MS:
             self._refresh(views, now_ms)
-        candidates = [view for view in views if _fits(view, wanted)]
+        candidates = list(views)
+        if wanted.version or wanted.adapter:
+            candidates = [view for view in views if _fits(view, wanted)]
         if avoided:
             others = [view for view in candidates if view.record.group not in avoided]
             candidates = others or candidates
--- a/src/tanagerfork/routing/health.py
+++ b/src/tanagerfork/routing/health.py
@@ -64,12 +64,21 @@
     :param on_change: called with the upstream, its new state and why.
     """
 
-    __slots__ = ("_rng", "_on_change", "_records", "_machine", "_median", "_median_at_ms")
+    __slots__ = (
+        "_rng",
+        "_on_change",
+        "_records",
+        "_troubled",
+        "_machine",
+        "_median",
+        "_median_at_ms",
+    )
 
     def __init__(self, rng: random.Random, on_change: ChangeListener) -> None:
         self._rng = rng
         self._on_change = on_change
         self._records: dict[str, Record] = {}
+        self._troubled: set[str] = set()  # Those that are ejected or on trial.
         self._median = 0.0
         self._median_at_ms = -MEDIAN_TTL_MS
         self._machine = transitions.Machine(
@@ -99,6 +108,7 @@
         elif record.state != HealthState.GOOD:
             record.term_ms = 0.0
             record.readmit()
+            self._troubled.discard(name)
             self._on_change(name, record.state, "answered its trial")
 
     def note_steps(self, steps_ms: Mapping[str, float], now_ms: int) -> None:
@@ -142,19 +152,18 @@
         :param now_ms: monotonic clock, in milliseconds.
         :return: their indexes; one alone where its trial is due.
         """
-        usable: list[int] = []
-        ejected: list[int] = []
+        if not self._troubled:
+            return list(range(len(names)))
+        ejected: set[int] = set()
         for index, name in enumerate(names):
-            record = self._records.get(name)
-            if record is None or record.state == HealthState.GOOD:
-                usable.append(index)
-            elif self._is_trial_due(record, now_ms):
+            if name not in self._troubled:
+                continue
+            if self._is_trial_due(self._records[name], now_ms):
                 return [index]
-            else:
-                ejected.append(index)
+            ejected.add(index)
         if len(ejected) > MAX_EJECTED_SHARE * len(names):
             return list(range(len(names)))
-        return usable
+        return [index for index in range(len(names)) if index not in ejected]
 
     def find_ejected(self, names: Sequence[str], now_ms: int) -> list[int]:
         """Return the indexes of the ejected upstreams; none where that would be a majority.
@@ -206,6 +215,7 @@
         """
         for name in [name for name in self._records if name not in names]:
             self._machine.remove_model(self._records.pop(name))
+            self._troubled.discard(name)
 
     def _is_trial_due(self, record: Record, now_ms: int) -> bool:
         if record.state == HealthState.EJECTED:
@@ -229,6 +239,7 @@
         record.ejected_until_ms = now_ms + record.term_ms * jitter
         record.failures = 0
         record.eject()
+        self._troubled.add(record.name)
         self._on_change(record.name, record.state, reason)
 
     def _find(self, name: str) -> Record:
