--- a/src/tanagerfork/groups/presence.py
+++ b/src/tanagerfork/groups/presence.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from tanagerfork.generated import engine, layout
 from tanagerfork.groups import substitution
@@ -166,15 +166,6 @@
             state = GroupState.DRAINING
         return GroupView(record, state, missing, heard.report if heard else None, age_ms)
 
-    def judge_all(self, records: Iterable[layout.GroupRecord], now_ms: int) -> list[GroupView]:
-        """Judge groups.
-
-        :param records: groups as the layout names them.
-        :param now_ms: monotonic clock, in milliseconds.
-        :return: the groups with their states.
-        """
-        return [self.judge(record, now_ms) for record in records]
-
     def find_group_reports(
         self, record: layout.GroupRecord, now_ms: int
     ) -> list[engine.EngineReport]:
--- a/src/tanagerfork/routing/admission.py
+++ b/src/tanagerfork/routing/admission.py
@@ -1,7 +1,7 @@
 """Admission: which request starts next, which waits, and which is refused early."""
 
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from tanagerfork.generated import bundle
 from tanagerfork.routing import fair_queue, limits
@@ -195,9 +195,6 @@
         )
 
 
-RoomReader = Callable[[str, int], Room]
-
-
 def share_room(slots: int, reported: float, running: int, live_daemons: int) -> Room:
     """Return the part of a model's slots that this daemon may use.
 
--- a/src/tanagerfork/routing/health.py
+++ b/src/tanagerfork/routing/health.py
@@ -154,15 +154,10 @@
         """
         if not self._troubled:
             return list(range(len(names)))
-        ejected: set[int] = set()
-        for index, name in enumerate(names):
-            if name not in self._troubled:
-                continue
-            if self._is_trial_due(self._records[name], now_ms):
-                return [index]
-            ejected.add(index)
-        if len(ejected) > MAX_EJECTED_SHARE * len(names):
-            return list(range(len(names)))
+        trial = self.find_trial(names, now_ms)
+        if trial:
+            return [names.index(trial)]
+        ejected = set(self.find_ejected(names, now_ms))
         return [index for index in range(len(names)) if index not in ejected]
 
     def find_ejected(self, names: Sequence[str], now_ms: int) -> list[int]:
@@ -171,12 +166,7 @@
         :param names: upstreams to choose from.
         :param now_ms: monotonic clock, in milliseconds.
         """
-        records = [self._records.get(name) for name in names]
-        ejected = [
-            index
-            for index, record in enumerate(records)
-            if record is not None and record.state != HealthState.GOOD
-        ]
+        ejected = [index for index, name in enumerate(names) if name in self._troubled]
         return ejected if len(ejected) <= MAX_EJECTED_SHARE * len(names) else []
 
     def find_trial(self, names: Sequence[str], now_ms: int) -> str:
@@ -185,13 +175,12 @@
         :param names: upstreams to choose from.
         :param now_ms: monotonic clock, in milliseconds.
         """
-        for name in names:
-            record = self._records.get(name)
-            if record is None or record.state == HealthState.GOOD:
-                continue
-            if self._is_trial_due(record, now_ms):
-                return name
-        return ""
+        due = (
+            name
+            for name in names
+            if name in self._troubled and self._is_trial_due(self._records[name], now_ms)
+        )
+        return next(due, "")
 
     def begin_trial(self, name: str, now_ms: int, trial_ms: int) -> None:
         """Note that a request was sent, which is the trial of an ejected upstream.
