--- a/bench/claims.py
+++ b/bench/claims.py
@@ -18,7 +18,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.claims import book, decision, keys, mark, owner, writer
 from tanagerfork.generated import claims
-from tanagerfork.platform import key_value, swap
+from tanagerfork.storage import key_value, swap
 
 SEED = 7
 SERVICE_MS = 5
--- a/src/tanagerfork/bundles/follower.py
+++ b/src/tanagerfork/bundles/follower.py
@@ -18,7 +18,7 @@
 from tanagerfork.bundles import manifest as manifests
 from tanagerfork.bundles import register
 from tanagerfork.generated import bundle as records
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 from tanagerfork.timeline import kinds, ring
 
 RETRY_FIRST_MS = 250
--- a/src/tanagerfork/bundles/head.py
+++ b/src/tanagerfork/bundles/head.py
@@ -14,7 +14,7 @@
 from tanagerfork import errors
 from tanagerfork.bundles import manifest as manifests
 from tanagerfork.generated import bundle as records
-from tanagerfork.platform import key_value, swap
+from tanagerfork.storage import key_value, swap
 
 HEAD_KEY = "bundle/head"
 PART_PREFIX = "bundle/part/"
--- a/src/tanagerfork/claims/mark.py
+++ b/src/tanagerfork/claims/mark.py
@@ -25,7 +25,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.claims import keys
 from tanagerfork.generated import claims
-from tanagerfork.platform import key_value, swap
+from tanagerfork.storage import key_value, swap
 
 MARK_KEY = "claims/mark"
 RETENTION_MS = 24 * 3_600_000
--- a/src/tanagerfork/claims/sweeper.py
+++ b/src/tanagerfork/claims/sweeper.py
@@ -8,7 +8,7 @@
 from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.claims import keys, mark
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 
 SWEEP_INTERVAL_MS = 10 * 60_000
 
--- a/src/tanagerfork/claims/writer.py
+++ b/src/tanagerfork/claims/writer.py
@@ -16,7 +16,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.claims import decision, keys, mark
 from tanagerfork.generated import claims
-from tanagerfork.platform import key_value, swap
+from tanagerfork.storage import key_value, swap
 
 GROUP_MS = 18
 OUTCOME_WAIT_MS = 200
--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -44,7 +44,7 @@
 )
 from tanagerfork.peers import claim_forwarding
 from tanagerfork.peers import service as peer_services
-from tanagerfork.platform import counted, etcd, vms
+from tanagerfork.storage import counted, etcd, vms
 from tanagerfork.timeline import kinds, ring
 from tanagerfork.upstream import connections
 from tanagerfork.upstream import engine as engines
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -20,7 +20,7 @@
 from tanagerfork.front import journal as journals
 from tanagerfork.front import teams
 from tanagerfork.generated import bundle, events, operators
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 from tanagerfork.timeline import kinds, ring
 
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
--- a/src/tanagerfork/groups/coordinator.py
+++ b/src/tanagerfork/groups/coordinator.py
@@ -23,7 +23,7 @@
     sender,
     stragglers,
 )
-from tanagerfork.platform import key_value, swap
+from tanagerfork.storage import key_value, swap
 from tanagerfork.timeline import kinds, ring
 
 ABSTENTION_MS = 30_000  # Time for which a daemon that reaches no VM leaves the lease to others.
--- a/src/tanagerfork/groups/layout_follower.py
+++ b/src/tanagerfork/groups/layout_follower.py
@@ -9,7 +9,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork.generated import layout
 from tanagerfork.groups import candidates, directory
-from tanagerfork.platform import key_value, swap
+from tanagerfork.storage import key_value, swap
 
 LAYOUT_PREFIX = "layout/"
 READ_INTERVAL_MS = 1000  # Time between two reads by the daemons of a failure domain together.
--- a/src/tanagerfork/groups/lease.py
+++ b/src/tanagerfork/groups/lease.py
@@ -25,7 +25,7 @@
 from tanagerfork.generated import layout
 from tanagerfork.groups import candidates
 from tanagerfork.peers import rendezvous
-from tanagerfork.platform import key_value, swap
+from tanagerfork.storage import key_value, swap
 
 LEASE_PREFIX = "lease/"
 DRIFT_DIVISOR = 20  # Share of a lease that clocks of different speed may use up.
--- a/src/tanagerfork/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The platform's services as the daemon sees them."""
--- a/src/tanagerfork/platform/counted.py
+++ b/src/tanagerfork/storage/counted.py
@@ -8,7 +8,7 @@
 
 from tanagerfork import errors
 from tanagerfork import metrics as metric
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 
 NS_PER_MS = 1_000_000
 CALLS = "key_value_calls_total"
--- a/src/tanagerfork/platform/etcd.py
+++ b/src/tanagerfork/storage/etcd.py
@@ -10,7 +10,7 @@
 import result
 
 from tanagerfork import errors
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 
 WATCH_LINE_BYTES = 4 * 1024 * 1024
 VALUE_LIMIT_BYTES = 1_000_000
--- a/src/tanagerfork/platform/swap.py
+++ b/src/tanagerfork/storage/swap.py
@@ -6,7 +6,7 @@
 import result
 
 from tanagerfork import errors
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 
 SWAP_TRIES = 4
 
--- a/src/tanagerfork_standins/embedding.py
+++ b/src/tanagerfork_standins/embedding.py
@@ -10,7 +10,7 @@
 from tanagerfork.bundles import document, head, manifest, signature
 from tanagerfork.generated import bundle as bundle_records
 from tanagerfork.generated import settings as settings_records
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 from tanagerfork_standins import site
 
 SITE_FILE = "site.json5"
--- a/tests/bundle_drafts.py
+++ b/tests/bundle_drafts.py
@@ -11,7 +11,7 @@
 from tanagerfork.bundles import register, signature
 from tanagerfork.generated import bundle as records
 from tanagerfork.generated import settings as settings_records
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 
 KEY = ed25519.Ed25519PrivateKey.from_private_bytes(b"k" * 32)
 OTHER_KEY = ed25519.Ed25519PrivateKey.from_private_bytes(b"o" * 32)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,7 +6,7 @@
 import result
 
 from tanagerfork import errors
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 
 
 class MemoryKeyValue:
--- a/tests/stepping.py
+++ b/tests/stepping.py
@@ -13,7 +13,7 @@
 
 from tanagerfork import clock as clocks
 from tanagerfork import errors
-from tanagerfork.platform import key_value
+from tanagerfork.storage import key_value
 from tests import fakes
 
 SETTLING_TURNS = 25
--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tanagerfork import metrics as metric
-from tanagerfork.platform import counted, key_value
+from tanagerfork.storage import counted, key_value
 from tests import fakes
 
 
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -7,7 +7,7 @@
 import aiohttp.web
 import pytest
 
-from tanagerfork.platform import etcd
+from tanagerfork.storage import etcd
 from tanagerfork_standins import key_value, listener
 from tests import sites
 
--- a/tests/test_swap.py
+++ b/tests/test_swap.py
@@ -7,7 +7,7 @@
 import result
 
 from tanagerfork import errors
-from tanagerfork.platform import swap
+from tanagerfork.storage import swap
 from tests import fakes
 
 
