--- a/src/tanagerfork/clock.py
+++ b/src/tanagerfork/clock.py
@@ -21,14 +21,18 @@
         """
 
 
+# A lease and a report grow old while the VM is suspended, which the monotonic clock leaves out.
+AGING_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
 class SystemClock:
     """The clock of the system and of the running event loop."""
 
     __slots__ = ()
 
     def monotonic_ms(self) -> int:
-        """Return the system's monotonic clock, in milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        """Return the system's monotonic clock with the time it was suspended, in milliseconds."""
+        return time.clock_gettime_ns(AGING_CLOCK) // 1_000_000
 
     def wall_ms(self) -> int:
         """Return the system's wall clock, in milliseconds since the epoch."""
--- a/src/tanagerfork/front/listener.py
+++ b/src/tanagerfork/front/listener.py
@@ -6,6 +6,7 @@
 import ssl
 import weakref
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import aiohttp.web
 
@@ -82,6 +83,8 @@
     :param max_connections: connections held at once; further ones are closed.
     :param metrics: counters.
     :param certificate: certificate; None serves plain text.
+    :param keeps_encoding: whether bodies are left as they come, packed or not.
+    :param idle_s: time that a connection may be idle, in seconds; None for the library's own.
     """
 
     __slots__ = (
@@ -103,7 +106,10 @@
         max_connections: int,
         metrics: metric.Metrics,
         certificate: Certificate | None = None,
+        keeps_encoding: bool = False,
+        idle_s: float | None = None,
     ) -> None:
+        chosen: dict[str, Any] = {} if idle_s is None else {"keepalive_timeout": idle_s}
         app.middlewares.insert(0, self._note_request)
         self._used: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
         self._runner = aiohttp.web.AppRunner(
@@ -113,6 +119,8 @@
             handler_cancellation=True,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=not keeps_encoding,
+            **chosen,
         )
         self._host = host
         self._port = port
--- /dev/null
+++ b/src/tanagerfork/platform/config.py
@@ -0,0 +1,174 @@
+"""Decodes the operator's configuration into the product's rules."""
+
+import msgspec
+import result
+
+from tanagerfork import errors
+from tanagerfork.relay import rules
+
+CONFIG_KEY = "op/config"
+MS_PER_S = 1000
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    """`type` says what may be repeated; `public` asks for no key."""
+
+    name: str
+    host: str
+    prefix: str
+    type: str
+    service: str = ""
+    split: list[_Split] = []
+    timeout_ms: float = 30_000
+    goal_ms: float = 1000
+    gap_goal_ms: float = 0
+    attempts: int = 1
+    priority: int = 0
+    public: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct, rename="camel"):
+    """`warm_s` loads from the host's memory, `load_s` from the weight store."""
+
+    name: str
+    size: int = 1
+    share: float = 0.0
+    pace: float = 1.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+
+class _Usual(msgspec.Struct):
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    """The page writes some of these names in snake case and others in camel case."""
+
+    slots: int = 1
+    kv_capacity: int = msgspec.field(default=0, name="kvCapacity")
+    models: list[_Model] = []
+    step_ms: float = 0.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 1.0
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+    form_ms: float = msgspec.field(default=0.0, name="formMs")
+    loads_per_s: float = msgspec.field(default=1.0, name="loadsPerS")
+    loads_at_once: int = 1
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    """`max_conns` is shared by all callers of one upstream."""
+
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    """A tenant is the product's team."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+def decode_rules(value: bytes) -> result.Result[rules.Rules, errors.PlatformError]:
+    """Decode the operator's configuration.
+
+    :param value: value of the configuration's key.
+    :return: rules, or why the value cannot be read.
+    """
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+        routes = [_to_route(route) for route in config.routes]
+    except (msgspec.MsgspecError, ValueError) as error:
+        message = f"the configuration cannot be read ({error}); the version in force stays"
+        return result.Err(errors.AnswerLost(message))
+    teams = None
+    if config.tenants is not None:
+        teams = {
+            key: rules.Team(tenant.name, tenant.priority)
+            for tenant in config.tenants
+            for key in tenant.api_keys
+        }
+    limits = rules.CallerLimits(
+        config.limits.max_header_bytes,
+        config.limits.max_body_bytes,
+        config.limits.header_timeout_ms,
+        config.limits.idle_timeout_ms,
+    )
+    services = [_to_service(service) for service in config.services]
+    return result.Ok(rules.Rules(config.version, routes, services, teams, limits))
+
+
+def _to_route(route: _Route) -> rules.Route:
+    targets = tuple(rules.Target(split.service, split.weight) for split in route.split)
+    return rules.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        repetition=rules.Repetition(route.type),
+        targets=targets or (rules.Target(route.service, 1.0),),
+        timeout_ms=route.timeout_ms,
+        goal_ms=route.goal_ms,
+        gap_goal_ms=route.gap_goal_ms,
+        attempts=max(1, route.attempts),
+        priority=route.priority,
+        is_public=route.public,
+        is_resumable=route.resumable,
+    )
+
+
+def _to_service(service: _Service) -> rules.Service:
+    engine = service.engine
+    if engine is None:
+        return rules.Service(service.name, service.max_conns)
+    models = tuple(
+        rules.ModelSpec(
+            name=model.name,
+            group_size=model.size,
+            share=model.share,
+            pace=model.pace,
+            load_s=model.load_s,
+            warm_s=model.warm_s,
+        )
+        for model in engine.models
+    )
+    spec = rules.EngineSpec(
+        models=models,
+        slots=engine.slots,
+        kv_tokens=engine.kv_capacity,
+        step_ms=engine.step_ms,
+        sequence_step_ms=engine.per_seq_ms,
+        context_step_ms=engine.context_per_k,
+        read_tokens_per_s=engine.read_per_s,
+        usual_answer_tokens=engine.usual.answer,
+        form_ms=engine.form_ms,
+        loads_per_s=engine.loads_per_s,
+        loads_at_once=engine.loads_at_once,
+    )
+    return rules.Service(service.name, service.max_conns, spec)
--- /dev/null
+++ b/src/tanagerfork/platform/headers.py
@@ -0,0 +1,117 @@
+"""Names of the platform's HTTP headers, and what each of them says."""
+
+import math
+from collections.abc import Mapping, Sequence
+
+from tanagerfork import errors
+from tanagerfork.relay import calls
+
+REQUEST_ID = "Tanagerfork-Request-Id"  # Names one attempt of the caller, not the whole request.
+DEADLINE = "Tanagerfork-Deadline-Ms"  # Time left, not a point in time.
+EXPECTED_ID = "Tanagerfork-Expect-Instance"  # Id of the upstream that may run the request.
+TEAM = "Tanagerfork-Tenant"
+MODEL = "Tanagerfork-Model"
+TOKENS = "Tanagerfork-Tokens"  # Tokens of the prompt, then the most tokens of the answer.
+RECEIPT = "Tanagerfork-Server-Stamp"
+NOT_RUN = "Tanagerfork-Not-Run"
+LOAD = "Tanagerfork-Load"  # Running, waiting, slots.
+FAULT_AT = "At-Server"  # Id of the member at fault, where a group refuses or breaks.
+LAST_EVENT_ID = "Last-Event-Id"
+RETRY_AFTER = "Retry-After"  # Seconds, with a fraction.
+AUTHORIZATION = "Authorization"
+SCHEME = "Bearer "
+
+MISDIRECTED = 421  # Another upstream has the address; it never runs the request.
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+SET_BY_US = frozenset(
+    name.lower()
+    for name in (DEADLINE, EXPECTED_ID, TEAM, AUTHORIZATION, LAST_EVENT_ID, "Content-Length")
+)
+
+
+class PlatformDialect:
+    """Reads and writes the platform's headers; see `calls.Dialect`."""
+
+    __slots__ = ()
+
+    def read_request(self, headers: Mapping[str, str]) -> calls.CallerFacts:
+        """Read the headers of a caller's request; see `calls.Dialect.read_request`."""
+        authorization = headers.get(AUTHORIZATION, "")
+        prompt, _, answer = headers.get(TOKENS, "0").partition(",")
+        try:
+            deadline_ms = float(headers.get(DEADLINE, "inf"))
+            tokens = int(prompt), int(answer or 0)
+        except ValueError as error:
+            message = f"{DEADLINE} or {TOKENS} is malformed; send numbers"
+            raise errors.BadRequest(message) from error
+        if math.isnan(deadline_ms):
+            raise errors.BadRequest(f"{DEADLINE} is no number; send milliseconds")
+        is_bearer = authorization[: len(SCHEME)].lower() == SCHEME.lower()
+        return calls.CallerFacts(
+            request_id=headers.get(REQUEST_ID, ""),
+            key=authorization[len(SCHEME) :].strip() if is_bearer else "",
+            deadline_ms=deadline_ms,
+            model=headers.get(MODEL, ""),
+            prompt_tokens=tokens[0],
+            answer_tokens=tokens[1],
+            last_event_id=headers.get(LAST_EVENT_ID, ""),
+        )
+
+    def make_headers(self, request: calls.CallerRequest, outgoing: calls.Outgoing) -> calls.Headers:
+        """Return the headers of one send; see `calls.Dialect.make_headers`."""
+        dropped = HOP_BY_HOP | SET_BY_US | _named_by_connection(request.headers)
+        headers = [(name, value) for name, value in request.headers if name.lower() not in dropped]
+        headers.append((DEADLINE, str(outgoing.left_ms)))
+        headers.append((EXPECTED_ID, outgoing.upstream_id))
+        if outgoing.team:
+            headers.append((TEAM, outgoing.team))
+        if outgoing.last_event_id:
+            headers.append((LAST_EVENT_ID, outgoing.last_event_id))
+        return headers
+
+    def read_answer(self, status: int, headers: Mapping[str, str]) -> calls.AnswerFacts:
+        """Read the head of an upstream's answer; see `calls.Dialect.read_answer`."""
+        return calls.AnswerFacts(
+            request_id=headers.get(REQUEST_ID, ""),
+            has_receipt=RECEIPT in headers,
+            says_not_run=NOT_RUN in headers or status == MISDIRECTED,
+            load=_read_load(headers.get(LOAD, "")),
+            fault_at=headers.get(FAULT_AT, ""),
+        )
+
+    def pass_headers(self, headers: Sequence[tuple[str, str]]) -> calls.Headers:
+        """Return the headers that the caller gets; see `calls.Dialect.pass_headers`."""
+        dropped = HOP_BY_HOP | _named_by_connection(headers) | {"content-length"}
+        return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+    def refuse_headers(self, request_id: str, retry_after_ms: int) -> calls.Headers:
+        """Return the headers of an own answer; see `calls.Dialect.refuse_headers`."""
+        headers = [(REQUEST_ID, request_id)] if request_id else []
+        if retry_after_ms:
+            headers.append((RETRY_AFTER, f"{retry_after_ms / 1000:g}"))
+        return headers
+
+
+def _named_by_connection(headers: Sequence[tuple[str, str]]) -> frozenset[str]:
+    named = [value for name, value in headers if name.lower() == "connection"]
+    return frozenset(part.strip().lower() for value in named for part in value.split(","))
+
+
+def _read_load(text: str) -> calls.Load | None:
+    try:
+        running, waiting, slots = (int(part) for part in text.split(","))
+    except ValueError:
+        return None
+    return calls.Load(running, waiting, slots)
--- /dev/null
+++ b/src/tanagerfork/platform/runners.py
@@ -0,0 +1,104 @@
+"""Orders to upstreams and their reports, as the platform's runners take them."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+import result
+
+from tanagerfork import errors
+from tanagerfork.platform import entries, headers
+from tanagerfork.relay import members, planner
+from tanagerfork.upstream import connections
+
+KINDS = {planner.STAGE: "phase"}  # Loads weights onto the host; the other orders keep their names.
+BEGUN = (200, 202)
+
+
+class _Order(msgspec.Struct, rename="camel", omit_defaults=True):
+    """`expected` is the number of orders that the runner has accepted so far."""
+
+    op: str
+    group: str = ""
+    epoch: int = 0
+    model: str = ""
+    members: list[str] = []
+    mode: str = ""
+    fencing_token: int = 0
+    expected: int | None = None
+
+
+class RunnerClient:
+    """Asks upstreams and gives them orders; see `coordinator.MemberClient`.
+
+    :param session: HTTP session, closed by its owner.
+    :param probe_timeout_ms: time an upstream has to report, in milliseconds.
+    :param order_timeout_ms: deadline of one order, in milliseconds.
+    """
+
+    __slots__ = ("_session", "_probe_timeout_s", "_order_timeout_s")
+
+    def __init__(
+        self, session: aiohttp.ClientSession, probe_timeout_ms: int, order_timeout_ms: int
+    ) -> None:
+        self._session = session
+        self._probe_timeout_s = probe_timeout_ms / 1000
+        self._order_timeout_s = order_timeout_ms / 1000
+
+    async def ask(
+        self, upstream: members.Upstream
+    ) -> result.Result[members.Report, errors.UpstreamError]:
+        """Ask an upstream for its state.
+
+        :param upstream: upstream.
+        :return: its report, or why there is none.
+        """
+        asked = {headers.EXPECTED_ID: upstream.id}
+        try:
+            async with asyncio.timeout(self._probe_timeout_s):
+                async with self._session.get(
+                    f"http://{upstream.address}/report", headers=asked
+                ) as response:
+                    body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return result.Err(connections.describe_failure(upstream.id, error))
+        report = entries.decode_report(body) if response.status == 200 else None
+        if report is None:
+            message = f"{upstream.id} gave no report ({response.status}); ask again"
+            return result.Err(errors.UpstreamConfused(message))
+        return result.Ok(report)
+
+    async def give(
+        self, order: planner.Order, fencing: int, order_count: int | None
+    ) -> result.Result[int, errors.UpstreamError]:
+        """Give an order.
+
+        :param order: order.
+        :param fencing: fencing number of the coordinator.
+        :param order_count: orders that the upstream has accepted as far as known; None if unknown.
+        :return: status of the answer, or why it is not known whether the order was accepted.
+        """
+        mode = ("cut" if order.cuts else "wait") if order.kind == planner.CLOSE else ""
+        body = _Order(
+            op=KINDS.get(order.kind, order.kind),
+            group=order.group,
+            epoch=order.epoch,
+            model=order.model,
+            members=list(order.members),
+            mode=mode,
+            fencing_token=fencing,
+            expected=order_count,
+        )
+        sent = {headers.EXPECTED_ID: order.upstream_id, "Content-Type": "application/json"}
+        try:
+            async with asyncio.timeout(self._order_timeout_s):
+                async with self._session.post(
+                    f"http://{order.address}/order", data=msgspec.json.encode(body), headers=sent
+                ) as response:
+                    await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return result.Err(connections.describe_failure(order.upstream_id, error))
+        if response.status in BEGUN:
+            return result.Ok(response.status)
+        message = f"{order.upstream_id} refused {order.kind} ({response.status}); look again"
+        return result.Err(errors.UpstreamRefused(message))
--- /dev/null
+++ b/src/tanagerfork/platform/store.py
@@ -0,0 +1,269 @@
+"""The platform's metadata store as a `key_value.KeyValue`."""
+
+import asyncio
+import base64
+import urllib.parse
+from collections.abc import AsyncIterator
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+import result
+
+from tanagerfork import errors
+from tanagerfork.storage import key_value
+
+WATCH_WAIT_MS = 2500  # A silent connection is noticed before the store's stability span is over.
+WATCH_SLACK_MS = 700  # Two slow answers of the store.
+RETRY_PAUSE_MS = 250
+PAGE_LIMIT = 100  # Pages of one range; 50,000 items, more than any deployment holds.
+LEASE_MISSING = (404,)
+
+
+class _Item(msgspec.Struct):
+    """`revision` is the item's last change."""
+
+    key: str
+    value: str = ""
+    revision: int = 0
+    removed: bool = False
+
+
+class _Range(msgspec.Struct, rename="camel"):
+    entries: list[_Item] = []
+    truncated: bool = False
+    store_revision: int = 0
+
+
+class _Watch(msgspec.Struct, rename="camel"):
+    events: list[_Item] = []
+    store_revision: int = 0
+
+
+class _Expected(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Write(msgspec.Struct):
+    key: str
+    value: str
+    lease: int = 0
+
+
+class _Change(msgspec.Struct):
+    expected: list[_Expected] = []
+    writes: list[_Write] = []
+    deletes: list[str] = []
+
+
+class _Changed(msgspec.Struct):
+    revision: int = 0
+
+
+class _LeaseCall(msgspec.Struct, rename="camel"):
+    ttl_ms: int
+
+
+class _Lease(msgspec.Struct, rename="camel"):
+    lease: int = 0
+    ttl_ms: int = 0
+
+
+AnswerT = TypeVar("AnswerT")
+
+
+class PlatformStore:
+    """Calls the platform's store.
+
+    :param session: HTTP session, closed by its owner.
+    :param address: IP and port of the store.
+    :param timeout_ms: deadline of one call, in milliseconds.
+    """
+
+    __slots__ = ("_session", "_base_url", "_timeout_s")
+
+    def __init__(self, session: aiohttp.ClientSession, address: str, timeout_ms: int) -> None:
+        self._session = session
+        self._base_url = f"http://{address}"
+        self._timeout_s = timeout_ms / 1000
+
+    async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
+        """Read one key; see `key_value.KeyValue.read`."""
+        answer = await self._call("GET", f"/kv-key?key={_quote(key)}", None, (200, 404))
+        if isinstance(answer, result.Err):
+            return answer
+        status, body = answer.ok_value
+        if status == 404:
+            return result.Ok(None)
+        return _decode(body, _Item).and_then(_to_entry)
+
+    async def read_prefix(
+        self, prefix: str
+    ) -> result.Result[list[key_value.Entry], errors.PlatformError]:
+        """Read all keys with a prefix; see `key_value.KeyValue.read_prefix`."""
+        return (await self.read_snapshot(prefix)).map(lambda snapshot: snapshot.entries)
+
+    async def read_snapshot(
+        self, prefix: str
+    ) -> result.Result[key_value.Snapshot, errors.PlatformError]:
+        """Read all keys with a prefix; see `key_value.LeasingKeyValue.read_snapshot`."""
+        found: list[key_value.Entry] = []
+        after, revision = "", None
+        for _ in range(PAGE_LIMIT):
+            query = f"/kv-range?prefix={_quote(prefix)}"
+            query += f"&after={_quote(after)}" if after else ""
+            answer = await self._call("GET", query, None, (200,))
+            if isinstance(answer, result.Err):
+                return answer
+            page = _decode(answer.ok_value[1], _Range)
+            if isinstance(page, result.Err):
+                return page
+            if revision is None:  # Later pages may show newer changes, which the watch repeats.
+                revision = page.ok_value.store_revision
+            for item in page.ok_value.entries:
+                entry = _to_entry(item)
+                if isinstance(entry, result.Ok):
+                    found.append(entry.ok_value)
+                after = item.key
+            if not page.ok_value.truncated or not page.ok_value.entries:
+                break
+        return result.Ok(key_value.Snapshot(found, revision or 0))
+
+    async def watch_prefix(self, prefix: str, revision: int) -> AsyncIterator[key_value.Changes]:
+        """Follow all keys with a prefix; see `key_value.LeasingKeyValue.watch_prefix`."""
+        after = revision
+        while True:
+            query = f"/kv-watch?prefix={_quote(prefix)}&after={after}&waitMs={WATCH_WAIT_MS}"
+            wait_s = (WATCH_WAIT_MS + WATCH_SLACK_MS) / 1000
+            answer = await self._call("GET", query, None, (200,), wait_s)
+            if isinstance(answer, result.Err):
+                return
+            told = _decode(answer.ok_value[1], _Watch)
+            if isinstance(told, result.Err):
+                return
+            changes = key_value.Changes([], [])
+            for item in told.ok_value.events:
+                entry = _to_entry(item)
+                if item.removed:
+                    changes.removed.append(item.key)
+                elif isinstance(entry, result.Ok):
+                    changes.written.append(entry.ok_value)
+            yield changes
+            after = max(after, told.ok_value.store_revision)
+
+    async def swap(
+        self, key: str, value: bytes, revision: int
+    ) -> result.Result[int, errors.PlatformError]:
+        """Write a key under its revision; see `key_value.KeyValue.swap`."""
+        change = _Change([_Expected(key, revision)], [_Write(key, _to_base64(value))])
+        return await self._change(key, change)
+
+    async def delete_range(
+        self, first: str, after_last: str
+    ) -> result.Result[int, errors.PlatformError]:
+        """Delete all keys of a range; see `key_value.KeyValue.delete_range`."""
+        found = await self.read_prefix(_common_prefix(first, after_last))
+        if isinstance(found, result.Err):
+            return found
+        keys = [entry.key for entry in found.ok_value if first <= entry.key < after_last]
+        for start in range(0, len(keys), 32):
+            changed = await self._change(first, _Change(deletes=keys[start : start + 32]))
+            if isinstance(changed, result.Err):
+                return changed
+        return result.Ok(len(keys))
+
+    async def watch(self, key: str, revision: int) -> AsyncIterator[key_value.Entry]:
+        """Follow one key; see `key_value.KeyValue.watch`."""
+        async for changes in self.watch_prefix(key, revision - 1):
+            for entry in changes.written:
+                if entry.key == key:
+                    yield entry
+
+    async def grant_lease(self, ttl_ms: int) -> result.Result[int, errors.PlatformError]:
+        """See `key_value.LeasingKeyValue.grant_lease`."""
+        answer = await self._call("POST", "/kv-lease", _LeaseCall(ttl_ms), (200,))
+        if isinstance(answer, result.Err):
+            return answer
+        return _decode(answer.ok_value[1], _Lease).map(lambda lease: lease.lease)
+
+    async def renew_lease(self, lease: int) -> result.Result[bool, errors.PlatformError]:
+        """See `key_value.LeasingKeyValue.renew_lease`."""
+        answer = await self._call("POST", f"/kv-keep/{lease}", None, (200, 404))
+        return answer.map(lambda told: told[0] == 200)
+
+    async def end_lease(self, lease: int) -> result.Result[bool, errors.PlatformError]:
+        """See `key_value.LeasingKeyValue.end_lease`."""
+        answer = await self._call("DELETE", f"/kv-lease-end/{lease}", None, (200, 404))
+        return answer.map(lambda told: told[0] == 200)
+
+    async def put_leased(
+        self, key: str, value: bytes, lease: int
+    ) -> result.Result[int, errors.PlatformError]:
+        """See `key_value.LeasingKeyValue.put_leased`."""
+        return await self._change(key, _Change(writes=[_Write(key, _to_base64(value), lease)]))
+
+    async def _change(self, key: str, change: _Change) -> result.Result[int, errors.PlatformError]:
+        answer = await self._call("POST", "/kv-txn", change, (200, 404, 412))
+        if isinstance(answer, result.Err):
+            return answer
+        status, body = answer.ok_value
+        if status == 412:
+            return result.Err(errors.Conflict(f"{key} was written by another; read it again"))
+        if status == 404:
+            return result.Err(errors.Conflict(f"the lease of {key} has ended; ask for another"))
+        return _decode(body, _Changed).map(lambda changed: changed.revision)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: msgspec.Struct | None,
+        expected: tuple[int, ...],
+        timeout_s: float | None = None,
+    ) -> result.Result[tuple[int, bytes], errors.PlatformError]:
+        data = msgspec.json.encode(body) if body is not None else None
+        headers = {"Content-Type": "application/json"} if data is not None else {}
+        try:
+            async with asyncio.timeout(timeout_s or self._timeout_s):
+                async with self._session.request(
+                    method, self._base_url + path, data=data, headers=headers
+                ) as response:
+                    told = await response.read()
+        except aiohttp.ClientConnectorError:
+            return result.Err(errors.PlatformUnavailable("the store takes no connection; wait"))
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return result.Err(errors.AnswerLost("the store gave no answer; read back"))
+        if response.status in expected:
+            return result.Ok((response.status, told))
+        message = f"the store refused the call ({response.status}); come back later"
+        return result.Err(errors.PlatformUnavailable(message))
+
+
+def _decode(body: bytes, kind: type[AnswerT]) -> result.Result[AnswerT, errors.PlatformError]:
+    try:
+        return result.Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.MsgspecError as error:
+        return result.Err(errors.AnswerLost(f"the store's answer is bad ({error}); read back"))
+
+
+def _to_entry(item: _Item) -> result.Result[key_value.Entry, errors.PlatformError]:
+    try:
+        return result.Ok(key_value.Entry(item.key, base64.b64decode(item.value), item.revision))
+    except ValueError as error:
+        return result.Err(errors.AnswerLost(f"{item.key} is no base64 ({error}); read back"))
+
+
+def _to_base64(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe="/")
+
+
+def _common_prefix(first: str, after_last: str) -> str:
+    end = 0
+    while end < min(len(first), len(after_last)) and first[end] == after_last[end]:
+        end += 1
+    return first[:end]
--- /dev/null
+++ b/src/tanagerfork/relay/coordinator.py
@@ -0,0 +1,338 @@
+"""Coordinator: observes the members of one failure domain, writes the plan, gives the orders."""
+
+import asyncio
+import dataclasses
+import uuid
+from collections.abc import Coroutine, Sequence
+from typing import Any, Protocol
+
+import msgspec
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import decisions, errors
+from tanagerfork import metrics as metric
+from tanagerfork.generated import assignments
+from tanagerfork.generated import relay as settings_records
+from tanagerfork.groups import lease
+from tanagerfork.relay import fleet, members, planner, rules
+from tanagerfork.storage import key_value, swap
+
+LOGGER = "relay.coordinator"
+ASSIGNMENTS_PREFIX = "tanagerfork/assignments/"
+PLAN_INTERVAL_MS = 100  # A tenth of what a repair takes.
+SILENT_PROBES = 2  # One probe lost by the network is no sign of death.
+STALLED_MS = 1000  # A coordinator that stood still so long knows nothing of who was silent.
+REPEAT_ORDER_MS = 1500  # An order that showed no effect is given again.
+CEILING_WINDOW_MS = 5000  # Window in which loads from the weight store are counted.
+FORGET_MS = 20_000  # An upstream that has left the list serves at most so much longer.
+
+
+class MemberClient(Protocol):
+    """Asks upstreams and gives them orders."""
+
+    async def ask(
+        self, upstream: members.Upstream
+    ) -> result.Result[members.Report, errors.UpstreamError]:
+        """Ask an upstream for its state."""
+
+    async def give(
+        self, order: planner.Order, fencing: int, order_count: int | None
+    ) -> result.Result[int, errors.UpstreamError]:
+        """Give an order; return the status of its answer."""
+
+
+@dataclasses.dataclass(slots=True)
+class Observation:
+    """What asking one upstream showed."""
+
+    upstream: members.Upstream
+    listed_at_ms: int
+    asked_at_ms: int = -1_000_000
+    failures: int = 0
+    order_count: int | None = None
+    mark: members.GroupMark | None = None
+    born_at_ms: int = 0
+    is_asking: bool = False
+
+
+class Coordinator:
+    """Coordinates the groups of one failure domain while it holds the lease.
+
+    :param failure_domain: failure domain.
+    :param settings: settings of the daemon.
+    :param keeper: the coordinator's lease.
+    :param store: store of the record of assignments.
+    :param client: asks and orders upstreams.
+    :param register: rules in force.
+    :param view: fleet.
+    :param clock: clock of all decisions.
+    :param log: decision log.
+    :param metrics: counters.
+    """
+
+    __slots__ = (
+        "_failure_domain",
+        "_settings",
+        "_keeper",
+        "_store",
+        "_client",
+        "_register",
+        "_view",
+        "_clock",
+        "_log",
+        "_metrics",
+        "_seen",
+        "_record",
+        "_revision",
+        "_ordered_at_ms",
+        "_loads",
+        "_tasks",
+        "_stepped_at_ms",
+        "_was_holder",
+    )
+
+    def __init__(
+        self,
+        failure_domain: str,
+        settings: settings_records.RelaySettings,
+        keeper: lease.LeaseKeeper,
+        store: key_value.KeyValue,
+        client: MemberClient,
+        register: rules.RulesRegister,
+        view: fleet.Fleet,
+        clock: clocks.Clock,
+        log: decisions.DecisionLog,
+        metrics: metric.Metrics,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._settings = settings
+        self._keeper = keeper
+        self._store = store
+        self._client = client
+        self._register = register
+        self._view = view
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._seen: dict[str, Observation] = {}
+        self._record: assignments.Assignments | None = None
+        self._revision = key_value.ABSENT
+        self._ordered_at_ms: dict[tuple[str, str, int], int] = {}
+        self._loads: list[int] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stepped_at_ms = clock.monotonic_ms()
+        self._was_holder = False
+
+    async def run(self) -> None:
+        """Coordinate until cancelled."""
+        while True:
+            await self._take_step()
+            await self._clock.sleep_ms(PLAN_INTERVAL_MS)
+
+    async def stop(self) -> None:
+        """Give the lease back at a planned stop, so that the next coordinator need not wait."""
+        await self._keeper.give_back()
+
+    async def _take_step(self) -> None:
+        await self._keeper.take_step(self._record.fencing if self._record else 0)
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._stepped_at_ms > STALLED_MS:
+            for observation in self._seen.values():
+                observation.failures = 0
+        self._stepped_at_ms = now_ms
+        is_holder = self._may_act()
+        if is_holder != self._was_holder:
+            self._was_holder = is_holder
+            self._log.note(
+                LOGGER,
+                "coordinates" if is_holder else "coordinates no more",
+                failure_domain=self._failure_domain,
+                fencing=self._keeper.state.fencing,
+                holder=self._keeper.state.holder,
+            )
+            self._record = None
+        if not is_holder or self._register.current is None:
+            return
+        if self._record is None and not await self._read_record():
+            return
+        self._observe(now_ms)
+        for service in self._register.current.list_engines():
+            await self._plan(service)
+
+    def _may_act(self) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        return self._keeper.state.may_act(now_ms, self._settings.members.order_timeout_ms)
+
+    async def _read_record(self) -> bool:
+        found = await self._store.read(ASSIGNMENTS_PREFIX + self._failure_domain)
+        if isinstance(found, result.Err):
+            return False
+        entry = found.ok_value
+        self._revision = entry.revision if entry else key_value.ABSENT
+        self._record = assignments.Assignments(
+            failure_domain=self._failure_domain, next_epoch=1, groups=[]
+        )
+        if entry is not None:
+            try:
+                self._record = swap.decode_record(entry, assignments.Assignments)
+            except msgspec.MsgspecError as error:
+                self._log.note(
+                    LOGGER, "assignments unreadable, begun anew", key=entry.key, reason=str(error)
+                )
+        return True
+
+    def _observe(self, now_ms: int) -> None:
+        """Take in the list, and ask the upstreams whose turn it is."""
+        names = {service.name for service in self._list_services()}
+        for upstream in self._view.upstreams:
+            if upstream.service not in names or upstream.failure_domain != self._failure_domain:
+                continue
+            seen = self._seen.get(upstream.id)
+            if seen is None or seen.upstream.born_at_ms != upstream.born_at_ms:
+                self._seen[upstream.id] = Observation(upstream, now_ms)
+            else:
+                seen.upstream, seen.listed_at_ms = upstream, now_ms
+        for gone in [
+            upstream_id
+            for upstream_id, seen in self._seen.items()
+            if now_ms - seen.listed_at_ms > FORGET_MS
+        ]:
+            del self._seen[gone]
+        assigned = {member for group in self._groups() for member in group.members}
+        interval_ms = self._settings.members.probe_interval_ms
+        for upstream_id in assigned & self._seen.keys():
+            seen = self._seen[upstream_id]
+            if not seen.is_asking and now_ms - seen.asked_at_ms >= interval_ms:
+                seen.is_asking, seen.asked_at_ms = True, now_ms
+                self._start(self._ask(seen))
+
+    def _list_services(self) -> Sequence[rules.Service]:
+        in_force = self._register.current
+        return in_force.list_engines() if in_force else []
+
+    def _groups(self) -> Sequence[assignments.Assignment]:
+        return self._record.groups if self._record else []
+
+    async def _ask(self, seen: Observation) -> None:
+        told = await self._client.ask(seen.upstream)
+        seen.is_asking = False
+        self._metrics.count("relay_probes_total", is_answered=str(isinstance(told, result.Ok)))
+        if isinstance(told, result.Err):
+            seen.failures += 1
+            if seen.failures == SILENT_PROBES:
+                self._log.note(
+                    LOGGER,
+                    "member does not answer",
+                    upstream=seen.upstream.id,
+                    probes=seen.failures,
+                    reason=told.err_value.message,
+                )
+            return
+        seen.failures = 0
+        report = told.ok_value
+        seen.born_at_ms = report.born_at_ms
+        seen.order_count = report.order_count
+        seen.mark = report.mark
+
+    def _make_facts(self, service: rules.Service, now_ms: int) -> dict[str, planner.Fact]:
+        return {
+            upstream_id: planner.Fact(
+                upstream=seen.upstream,
+                is_listed=seen.listed_at_ms == now_ms,
+                is_silent=seen.failures >= SILENT_PROBES,
+                mark=seen.upstream.mark if seen.listed_at_ms == now_ms else seen.mark,
+            )
+            for upstream_id, seen in self._seen.items()
+            if seen.upstream.service == service.name
+        }
+
+    async def _plan(self, service: rules.Service) -> None:
+        record = self._record
+        if record is None:
+            return
+        facts = self._make_facts(service, self._stepped_at_ms)
+        situation = planner.Situation(
+            service, facts, record, self._count_loads_left(service, facts)
+        )
+        plan = planner.make_plan(situation)
+        for note in plan.notes:
+            self._log.note(
+                LOGGER,
+                "plan",
+                change=note,
+                failure_domain=self._failure_domain,
+                list_age_ms=self._view.measure_age(self._clock.monotonic_ms()),
+                fencing=self._keeper.state.fencing,
+            )
+        if plan.has_changed(record) and not await self._write(plan.record):
+            return
+        if self._may_act():
+            self._give_orders(plan.orders, facts)
+
+    def _count_loads_left(self, service: rules.Service, facts: dict[str, planner.Fact]) -> int:
+        """Return how many loads from the weight store may be started now."""
+        engine = service.engine
+        if engine is None:
+            return 0
+        if not any(fact.upstream.staged or fact.mark for fact in facts.values()):
+            return len(facts)  # Nothing was ever loaded: loads before the first request are free.
+        now_ms = self._clock.monotonic_ms()
+        self._loads = [at_ms for at_ms in self._loads if now_ms - at_ms < CEILING_WINDOW_MS]
+        domains = max(1, len(self._settings.failure_domains))
+        allowed = engine.loads_per_s * CEILING_WINDOW_MS / 1000 / domains
+        return max(0, int(allowed) - len(self._loads))
+
+    async def _write(self, record: assignments.Assignments) -> bool:
+        changed = msgspec.structs.replace(
+            record, fencing=self._keeper.state.fencing, token=uuid.uuid4().hex
+        )
+        key = ASSIGNMENTS_PREFIX + self._failure_domain
+        written = await swap.swap_record(self._store, key, changed, self._revision)
+        if isinstance(written, result.Err):
+            self._log.note(LOGGER, "assignments not written", reason=written.err_value.message)
+            self._record = None  # Another coordinator may have written; it is read again.
+            return False
+        self._record, self._revision = changed, written.ok_value
+        return True
+
+    def _give_orders(self, orders: Sequence[planner.Order], facts: dict[str, planner.Fact]) -> None:
+        now_ms = self._clock.monotonic_ms()
+        for order in orders:
+            key = order.kind, order.upstream_id, order.epoch
+            if now_ms - self._ordered_at_ms.get(key, -REPEAT_ORDER_MS) < REPEAT_ORDER_MS:
+                continue
+            fact = facts.get(order.upstream_id)
+            if fact is not None and fact.is_silent and order.kind != planner.CLOSE:
+                continue
+            self._ordered_at_ms[key] = now_ms
+            if order.kind in (planner.JOIN, planner.STAGE) and fact is not None:
+                if order.model not in (*fact.upstream.staged, *fact.upstream.models):
+                    self._loads.append(now_ms)
+            self._start(self._give(order))
+
+    async def _give(self, order: planner.Order) -> None:
+        seen = self._seen.get(order.upstream_id)
+        fencing = self._keeper.state.fencing
+        given = await self._client.give(order, fencing, seen.order_count if seen else None)
+        outcome = "accepted" if isinstance(given, result.Ok) else given.err_value.message
+        self._log.note(
+            LOGGER,
+            "order",
+            kind=order.kind,
+            upstream=order.upstream_id,
+            group=order.group,
+            epoch=order.epoch,
+            model=order.model,
+            fencing=fencing,
+            outcome=outcome,
+        )
+        self._metrics.count("relay_orders_total", kind=order.kind)
+        if seen is not None:
+            seen.order_count = None  # Known again with the next report.
+            seen.asked_at_ms = -1_000_000
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/tanagerfork/relay/daemon.py
@@ -0,0 +1,260 @@
+"""The relaying daemon: wires its parts together, serves, and stops without cutting anything off."""
+
+import asyncio
+import functools
+import pathlib
+import random
+import traceback
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import aiohttp
+import aiohttp.web
+
+from tanagerfork import clock as clocks
+from tanagerfork import decisions, errors, lifecycle
+from tanagerfork import metrics as metric
+from tanagerfork import settings as settings_files
+from tanagerfork.front import listener
+from tanagerfork.generated import relay as settings_records
+from tanagerfork.groups import lease
+from tanagerfork.platform import config, entries, headers, runners
+from tanagerfork.platform import store as stores
+from tanagerfork.relay import (
+    attempts,
+    budget,
+    coordinator,
+    exchange,
+    fleet,
+    followers,
+    front,
+    loads,
+    placing,
+    rules,
+)
+from tanagerfork.upstream import connections
+
+LOGGER = "relay.daemon"
+BODY_LIMIT_BYTES = 8 * 1024 * 1024  # Twice what the platform's callers send at most.
+IDLE_S = 60.0  # Four times as long as the platform's callers keep a connection idle.
+READY_CHECK_MS = 100
+DRAIN_CHECK_MS = 20
+BALANCER_MS = 2500  # The balancer asks each second and takes a daemon out after two refusals.
+STOP_MARGIN_MS = 700  # What closing takes, before the kill that ends the grace time.
+ASIDE_CONNECTIONS = 64
+TASK_RESTART_MS = 500
+TRACE_FRAMES = -4  # The innermost calls, which fit into a line of the log.
+
+
+class RelayDaemon:
+    """One relaying daemon: the composition root.
+
+    :param settings: checked settings.
+    :param clock: clock of all tasks and decisions.
+    :param writer: where the decision log goes.
+    """
+
+    def __init__(
+        self,
+        settings: settings_records.RelaySettings,
+        clock: clocks.Clock,
+        writer: decisions.Writer,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.log = decisions.DecisionLog(settings.name, clock, writer)
+        self.metrics = metric.Metrics()
+        self.lifecycle = lifecycle.Lifecycle(self._note_state)
+        self.register = rules.RulesRegister()
+        self.view = fleet.Fleet()
+        self.book = loads.LoadBook()
+        self._rng = random.Random(settings.seed or None)
+        self._is_ready = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._listeners: list[listener.Listener] = []
+        self.callers_port = 0
+
+    async def start(self) -> None:
+        """Open the listeners and start the tasks."""
+        settings = self.settings
+        self.log.note(LOGGER, "start", failure_domain=settings.failure_domain)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=10, socket_factory=connections.open_socket
+            ),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=exchange.CONNECT_TIMEOUT_S),
+            middlewares=(connections.send_once,),
+        )
+        self.store = stores.PlatformStore(
+            self._session, settings.store.address, settings.store.timeout_ms
+        )
+        self._dialect = headers.PlatformDialect()
+        self._exchanger = exchange.Exchanger(self._dialect)
+        self._repeats = budget.RepeatBudget(
+            budget.Allowance(
+                settings.bounds.repeat_share,
+                settings.bounds.repeat_reserve,
+                settings.bounds.repeat_window_ms,
+            )
+        )
+        relay = attempts.Relay(
+            self.register,
+            self.view,
+            self.book,
+            placing.Placer(self._rng, self.book),
+            self._repeats,
+            self._exchanger,
+            self._dialect,
+            self.clock,
+            self.log,
+            self.metrics,
+        )
+        self.front = front.Front(relay, self._dialect, self.clock, self.log, self.metrics)
+        self.directory = followers.DaemonDirectory(
+            self.store,
+            settings.name,
+            followers.DaemonRecord(settings.failure_domain, settings.peers),
+            self.clock,
+            self.log,
+        )
+        await self._listen(
+            front.build_readiness_app(self._is_ready), settings.readiness, ASIDE_CONNECTIONS
+        )
+        await self._listen(
+            front.build_metrics_app(self.metrics), settings.metrics, ASIDE_CONNECTIONS
+        )
+        self.callers_port = await self._listen(
+            self.front.build_app(BODY_LIMIT_BYTES), settings.callers, settings.open_connections
+        )
+        self.lifecycle.apply("listen")
+        self._start_tasks()
+
+    async def stop(self) -> None:
+        """Say that the daemon is not ready, finish what is in flight, then close everything."""
+        self.lifecycle.apply("drain")
+        self._is_ready.clear()
+        self.front.is_draining = True
+        began_ms = self.clock.monotonic_ms()
+        limit_ms = self.settings.bounds.grace_ms - STOP_MARGIN_MS
+        while (waited_ms := self.clock.monotonic_ms() - began_ms) < limit_ms:
+            if waited_ms >= BALANCER_MS and not self.front.open_requests:
+                break
+            await self.clock.sleep_ms(DRAIN_CHECK_MS)
+        self.log.note(LOGGER, "stop", waited_ms=waited_ms, cut_off=self.front.open_requests)
+        await self.directory.leave()
+        await self._coordinator.stop()
+        for task in self._tasks:
+            task.cancel()
+        for opened in self._listeners:
+            await opened.stop()
+        await self._exchanger.close()
+        await self._session.close()
+        self.lifecycle.apply("stop")
+
+    def reload(self, path: pathlib.Path) -> None:
+        """Read the settings again; only a restart takes most of them, so it says what differs.
+
+        :param path: settings file.
+        """
+        try:
+            newer = settings_files.load_record(path, settings_records.RelaySettings)
+        except errors.SettingsError as error:
+            self.log.note(LOGGER, "reload refused", reason=error.message)
+            return
+        self.log.note(LOGGER, "reload", has_changed=newer != self.settings)
+
+    async def _listen(
+        self,
+        app: aiohttp.web.Application,
+        address: str,
+        max_connections: int,
+    ) -> int:
+        host, _, port = address.rpartition(":")
+        opened = listener.Listener(
+            app,
+            host,
+            int(port),
+            max_connections,
+            self.metrics,
+            keeps_encoding=True,
+            idle_s=IDLE_S,
+        )
+        self._listeners.append(opened)
+        return await opened.start()
+
+    def _start_tasks(self) -> None:
+        follow_rules = followers.RulesFollower(
+            self.store,
+            config.CONFIG_KEY,
+            config.decode_rules,
+            self.register,
+            self.view,
+            self.clock,
+            self.log,
+        )
+        follow_list = followers.ListFollower(
+            self.store,
+            entries.SERVERS_PREFIX,
+            entries.decode_entry,
+            self.view,
+            self.book,
+            self.clock,
+            self.log,
+        )
+        self._start_task("rules", follow_rules.run)
+        self._start_task("list", follow_list.run)
+        self._start_task("daemons", self.directory.run)
+        self._coordinator = coordinator.Coordinator(
+            self.settings.failure_domain,
+            self.settings,
+            lease.LeaseKeeper(
+                self.settings.failure_domain,
+                self.settings.name,
+                self.store,
+                self.clock,
+                self.settings.members.lease_ttl_ms,
+                functools.partial(self.directory.list_names, self.settings.failure_domain),
+            ),
+            self.store,
+            runners.RunnerClient(
+                self._session,
+                self.settings.members.probe_timeout_ms,
+                self.settings.members.order_timeout_ms,
+            ),
+            self.register,
+            self.view,
+            self.clock,
+            self.log,
+            self.metrics,
+        )
+        self._start_task("coordinator", self._coordinator.run)
+        self._start_task("readiness", self._follow_readiness)
+
+    def _start_task(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        self._tasks.append(asyncio.create_task(self._keep_running(name, run)))
+
+    async def _keep_running(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        while True:
+            try:
+                await run()
+                return
+            except Exception as failure:
+                self.metrics.count("relay_task_failures_total", task=name)
+                trace = "".join(traceback.format_exception(failure, limit=TRACE_FRAMES))
+                self.log.note(LOGGER, "task failed, starts again", task=name, reason=trace)
+            await self.clock.sleep_ms(TASK_RESTART_MS)
+
+    async def _follow_readiness(self) -> None:
+        while True:
+            knows_list = self.view.measure_age(self.clock.monotonic_ms()) >= 0
+            is_ready = self.register.current is not None and knows_list
+            if not self.front.is_draining:
+                self.lifecycle.apply("become_ready" if is_ready else "lose_readiness")
+                if is_ready:
+                    self._is_ready.set()
+            self.view.end_grace(self.clock.monotonic_ms())
+            self._repeats.daemons = len(self.directory.daemons)
+            await self.clock.sleep_ms(READY_CHECK_MS)
+
+    def _note_state(self, state: str) -> None:
+        self.log.note(LOGGER, "state changed", state=state)
--- /dev/null
+++ b/src/tanagerfork/relay/fleet.py
@@ -0,0 +1,186 @@
+"""Fleet: upstreams by the directory's list, and which groups are whole by what members report."""
+
+import dataclasses
+from collections.abc import Iterable, Sequence
+
+from tanagerfork.relay import members, rules
+
+AWAY_MS = 4000  # A watch says something each 2.5 s; entries lapse after three beats, 3.6 s.
+RETURN_GRACE_MS = 2000  # Lapsed entries of live upstreams are back about so long after a return.
+RUNS = frozenset((members.MemberState.READY, members.MemberState.OPEN))
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Group:
+    """A whole group; requests go to its head."""
+
+    service: str
+    model: rules.ModelSpec
+    name: str
+    epoch: int
+    head: members.Upstream
+    members: tuple[members.Upstream, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListChange:
+    """What a read of the list changed, by upstream ids."""
+
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
+    leaving: tuple[str, ...]
+
+
+class Fleet:
+    """What one daemon knows of the upstreams.
+
+    A list that could not be read leaves everything as it was. After a silence of the directory,
+    entries that are missing count as lapsed, not as gone, for `RETURN_GRACE_MS`.
+    """
+
+    __slots__ = (
+        "_known",
+        "_listed",
+        "_read_at_ms",
+        "_grace_until_ms",
+        "_was_away",
+        "_groups",
+        "_plain",
+        "_rules",
+    )
+
+    def __init__(self) -> None:
+        self._known: dict[str, members.Upstream] = {}
+        self._listed: dict[str, members.Upstream] = {}
+        self._was_away = False
+        self._read_at_ms: int | None = None
+        self._grace_until_ms = 0
+        self._groups: dict[tuple[str, str], list[Group]] = {}
+        self._plain: dict[str, list[members.Upstream]] = {}
+        self._rules: rules.Rules | None = None
+
+    @property
+    def upstreams(self) -> Iterable[members.Upstream]:
+        """All upstreams that are not gone."""
+        return self._known.values()
+
+    def find(self, upstream_id: str) -> members.Upstream | None:
+        """Return an upstream; None where it is gone.
+
+        :param upstream_id: id of the upstream.
+        """
+        return self._known.get(upstream_id)
+
+    def measure_age(self, now_ms: int) -> int:
+        """Return how old the list is; -1 where none was read yet.
+
+        :param now_ms: clock that counts suspended time, in milliseconds.
+        """
+        return -1 if self._read_at_ms is None else now_ms - self._read_at_ms
+
+    def take_list(self, listed: Sequence[members.Upstream], now_ms: int) -> ListChange:
+        """Take in a read of the whole list.
+
+        :param listed: upstreams whose entries can be read.
+        :param now_ms: clock that counts suspended time, in milliseconds.
+        :return: what changed.
+        """
+        if self._was_away or self.measure_age(now_ms) > AWAY_MS:
+            self._grace_until_ms = now_ms + RETURN_GRACE_MS
+        self._was_away = False
+        self._read_at_ms = now_ms
+        self._listed = {upstream.id: upstream for upstream in listed}
+        return self._apply(now_ms)
+
+    def note_away(self) -> None:
+        """Note that the list could not be read, so that entries may lapse meanwhile."""
+        self._was_away = self._read_at_ms is not None
+
+    def end_grace(self, now_ms: int) -> None:
+        """Take entries that are still missing for gone, once their grace is over.
+
+        :param now_ms: clock that counts suspended time, in milliseconds.
+        """
+        if self._grace_until_ms and now_ms >= self._grace_until_ms:
+            self._grace_until_ms = 0
+            self._apply(now_ms)
+
+    def _apply(self, now_ms: int) -> ListChange:
+        found = dict(self._listed)
+        if now_ms < self._grace_until_ms:
+            for upstream in self._known.values():
+                found.setdefault(upstream.id, upstream)
+        before, self._known = self._known, found
+        self._index()
+        return ListChange(
+            added=tuple(sorted(found.keys() - before.keys())),
+            removed=tuple(sorted(before.keys() - found.keys())),
+            leaving=tuple(
+                upstream.id
+                for upstream in found.values()
+                if upstream.is_leaving
+                and not (upstream.id in before and before[upstream.id].is_leaving)
+            ),
+        )
+
+    def take_rules(self, in_force: rules.Rules) -> None:
+        """Take in the rules that say which services form groups.
+
+        :param in_force: rules.
+        """
+        self._rules = in_force
+        self._index()
+
+    def list_groups(self, service: str, model: str) -> Sequence[Group]:
+        """Return the whole groups of a model.
+
+        :param service: service.
+        :param model: model; empty for all.
+        """
+        if model:
+            return self._groups.get((service, model), ())
+        return [
+            group for key, found in self._groups.items() if key[0] == service for group in found
+        ]
+
+    def list_plain(self, service: str) -> Sequence[members.Upstream]:
+        """Return the upstreams of a plain service that take new work.
+
+        :param service: service.
+        """
+        return self._plain.get(service, ())
+
+    def _index(self) -> None:
+        self._groups = {}
+        self._plain = {}
+        if self._rules is None:
+            return
+        marked: dict[tuple[str, str, int], list[members.Upstream]] = {}
+        for upstream in self._known.values():
+            service = self._rules.services.get(upstream.service)
+            if service is None or upstream.is_leaving:
+                continue
+            if service.engine is None:
+                self._plain.setdefault(upstream.service, []).append(upstream)
+            elif upstream.mark is not None and upstream.mark.state in RUNS:
+                mark = upstream.mark
+                marked.setdefault((upstream.service, mark.group, mark.epoch), []).append(upstream)
+        for (name, group, epoch), found in marked.items():
+            whole = self._make_group(name, group, epoch, found)
+            if whole is not None:
+                self._groups.setdefault((name, whole.model.name), []).append(whole)
+
+    def _make_group(
+        self, service: str, name: str, epoch: int, found: list[members.Upstream]
+    ) -> Group | None:
+        engine = self._rules.services[service].engine if self._rules else None
+        ranked = {member.mark.rank: member for member in found if member.mark}
+        head = ranked.get(0)
+        if engine is None or head is None or head.mark is None or not head.models:
+            return None
+        model = engine.find_model(head.models[0])
+        is_open = head.mark.state is members.MemberState.OPEN
+        if model is None or not is_open or ranked.keys() != set(range(model.group_size)):
+            return None
+        in_rank = tuple(ranked[rank] for rank in range(model.group_size))
+        return Group(service, model, name, epoch, head, in_rank)
--- /dev/null
+++ b/src/tanagerfork/relay/followers.py
@@ -0,0 +1,296 @@
+"""Followers: keep rules, upstreams and daemons as the store has them."""
+
+from collections.abc import Callable
+
+import msgspec
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import decisions, errors
+from tanagerfork.relay import fleet, loads, members, rules
+from tanagerfork.storage import key_value
+
+LOGGER = "relay.followers"
+RETRY_MS = 250  # A store that refuses is asked four times a second.
+DAEMON_PREFIX = "tanagerfork/daemons/"
+DAEMON_LEASE_MS = 6000  # A daemon that is cut off for a moment stays listed.
+DAEMON_RENEW_MS = 2000
+CONFIG_SILENCE_MS = 3500  # Longer than one call of a watch; past it the key is read again.
+
+RulesDecoder = Callable[[bytes], result.Result[rules.Rules, errors.PlatformError]]
+EntryDecoder = Callable[[str, bytes], members.Upstream | None]
+
+
+class Connection:
+    """Tells the log once when a dependency is lost, and once when it is back.
+
+    :param name: what is depended on.
+    :param clock: clock of the time away.
+    :param log: decision log.
+    """
+
+    __slots__ = ("_name", "_clock", "_log", "_lost_at_ms")
+
+    def __init__(self, name: str, clock: clocks.Clock, log: decisions.DecisionLog) -> None:
+        self._name = name
+        self._clock = clock
+        self._log = log
+        self._lost_at_ms: int | None = None
+
+    def note(self, error: errors.TanagerforkError | None) -> None:
+        """Take in how a call ended.
+
+        :param error: why it failed, None where it did not.
+        """
+        now_ms = self._clock.monotonic_ms()
+        if error is not None and self._lost_at_ms is None:
+            self._lost_at_ms = now_ms
+            self._log.note(LOGGER, "dependency lost", dependency=self._name, reason=error.message)
+        elif error is None and self._lost_at_ms is not None:
+            away_ms = now_ms - self._lost_at_ms
+            self._lost_at_ms = None
+            self._log.note(LOGGER, "dependency regained", dependency=self._name, away_ms=away_ms)
+
+
+class RulesFollower:
+    """Puts each newer configuration in force as soon as the store shows it.
+
+    :param store: store.
+    :param key: key of the configuration.
+    :param decode: decodes its value.
+    :param register: rules in force.
+    :param view: fleet, whose groups depend on the rules.
+    :param clock: clock to wait on.
+    :param log: decision log.
+    """
+
+    __slots__ = ("_store", "_key", "_decode", "_register", "_view", "_clock", "_log", "_link")
+
+    def __init__(
+        self,
+        store: key_value.KeyValue,
+        key: str,
+        decode: RulesDecoder,
+        register: rules.RulesRegister,
+        view: fleet.Fleet,
+        clock: clocks.Clock,
+        log: decisions.DecisionLog,
+    ) -> None:
+        self._store = store
+        self._key = key
+        self._decode = decode
+        self._register = register
+        self._view = view
+        self._clock = clock
+        self._log = log
+        self._link = Connection("configuration", clock, log)
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            found = await self._store.read(self._key)
+            self._link.note(found.err_value if isinstance(found, result.Err) else None)
+            entry = found.ok_value if isinstance(found, result.Ok) else None
+            if entry is None:
+                await self._clock.sleep_ms(RETRY_MS)
+                continue
+            self._take(entry)
+            async for newer in self._store.watch(self._key, entry.revision + 1):
+                self._take(newer)
+            await self._clock.sleep_ms(RETRY_MS)
+
+    def _take(self, entry: key_value.Entry) -> None:
+        decoded = self._decode(entry.value)
+        if isinstance(decoded, result.Err):
+            self._log.note(
+                LOGGER,
+                "configuration unreadable",
+                revision=entry.revision,
+                reason=decoded.err_value.message,
+            )
+            return
+        if self._register.take(decoded.ok_value):
+            self._view.take_rules(decoded.ok_value)
+            self._log.note(
+                LOGGER,
+                "configuration in force",
+                version=decoded.ok_value.version,
+                revision=entry.revision,
+                routes=len(decoded.ok_value.routes),
+            )
+
+
+class ListFollower:
+    """Keeps the list of upstreams: reads it whole, then follows its changes.
+
+    A watch that ends may have missed changes, such as a leaving upstream in a history that the
+    store has dropped, so the list is read whole again.
+
+    :param store: store.
+    :param prefix: prefix of the entries' keys.
+    :param decode: decodes an entry.
+    :param view: fleet.
+    :param book: loads of the upstreams.
+    :param clock: clock to wait on.
+    :param log: decision log.
+    """
+
+    __slots__ = (
+        "_store",
+        "_prefix",
+        "_decode",
+        "_view",
+        "_book",
+        "_clock",
+        "_log",
+        "_link",
+        "_listed",
+    )
+
+    def __init__(
+        self,
+        store: key_value.LeasingKeyValue,
+        prefix: str,
+        decode: EntryDecoder,
+        view: fleet.Fleet,
+        book: loads.LoadBook,
+        clock: clocks.Clock,
+        log: decisions.DecisionLog,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._decode = decode
+        self._view = view
+        self._book = book
+        self._clock = clock
+        self._log = log
+        self._link = Connection("list of upstreams", clock, log)
+        self._listed: dict[str, members.Upstream] = {}
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            found = await self._store.read_snapshot(self._prefix)
+            self._link.note(found.err_value if isinstance(found, result.Err) else None)
+            if isinstance(found, result.Err):
+                self._view.note_away()
+            else:
+                self._listed = {}
+                self._take(key_value.Changes(found.ok_value.entries, []))
+                revision = found.ok_value.revision
+                async for changes in self._store.watch_prefix(self._prefix, revision):
+                    self._take(changes)
+            await self._clock.sleep_ms(RETRY_MS)
+
+    def _take(self, changes: key_value.Changes) -> None:
+        for entry in changes.written:
+            upstream = self._decode(entry.key, entry.value)
+            if upstream is not None:
+                self._listed[entry.key] = upstream
+                continue
+            if self._listed.pop(entry.key, None) is not None:
+                self._log.note(LOGGER, "entry unreadable", key=entry.key, revision=entry.revision)
+        for key in changes.removed:
+            self._listed.pop(key, None)
+        change = self._view.take_list(list(self._listed.values()), self._clock.monotonic_ms())
+        if not changes.written and not changes.removed:
+            return
+        self._book.keep_only({upstream.id for upstream in self._view.upstreams})
+        if change.added or change.removed or change.leaving:
+            self._log.note(
+                LOGGER,
+                "list of upstreams changed",
+                added=list(change.added),
+                removed=list(change.removed),
+                leaving=list(change.leaving),
+            )
+
+
+class DaemonRecord(msgspec.Struct):
+    """What a daemon says of itself to the others."""
+
+    failure_domain: str
+    address: str
+
+
+class DaemonDirectory:
+    """Lists this daemon under a lease, and knows which others are listed.
+
+    :param store: store.
+    :param name: name of this daemon.
+    :param record: what it says of itself.
+    :param clock: clock to wait on.
+    :param log: decision log.
+    """
+
+    __slots__ = ("_store", "_name", "_record", "_clock", "_log", "_lease", "daemons", "_link")
+
+    def __init__(
+        self,
+        store: key_value.LeasingKeyValue,
+        name: str,
+        record: DaemonRecord,
+        clock: clocks.Clock,
+        log: decisions.DecisionLog,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._record = record
+        self._clock = clock
+        self._log = log
+        self._lease = 0
+        self.daemons: dict[str, DaemonRecord] = {name: record}
+        self._link = Connection("list of daemons", clock, log)
+
+    def list_names(self, failure_domain: str) -> list[str]:
+        """Return the daemons of a failure domain.
+
+        :param failure_domain: failure domain.
+        """
+        return [
+            name for name, record in self.daemons.items() if record.failure_domain == failure_domain
+        ]
+
+    async def run(self) -> None:
+        """Stay listed until cancelled."""
+        while True:
+            await self._stay_listed()
+            await self._read()
+            await self._clock.sleep_ms(DAEMON_RENEW_MS)
+
+    async def leave(self) -> None:
+        """Take this daemon off the list at a planned stop."""
+        if self._lease:
+            await self._store.end_lease(self._lease)
+
+    async def _stay_listed(self) -> None:
+        if self._lease:
+            kept = await self._store.renew_lease(self._lease)
+            if isinstance(kept, result.Err) or kept.ok_value:
+                return
+            self._log.note(LOGGER, "own lease has ended", lease=self._lease)
+            self._lease = 0
+        granted = await self._store.grant_lease(DAEMON_LEASE_MS)
+        if isinstance(granted, result.Err):
+            return
+        value = msgspec.json.encode(self._record)
+        put = await self._store.put_leased(DAEMON_PREFIX + self._name, value, granted.ok_value)
+        if isinstance(put, result.Ok):
+            self._lease = granted.ok_value
+
+    async def _read(self) -> None:
+        found = await self._store.read_prefix(DAEMON_PREFIX)
+        self._link.note(found.err_value if isinstance(found, result.Err) else None)
+        if isinstance(found, result.Err):
+            return
+        daemons = {self._name: self._record}
+        for entry in found.ok_value:
+            try:
+                record = msgspec.json.decode(entry.value, type=DaemonRecord)
+            except msgspec.MsgspecError as error:
+                self._log.note(LOGGER, "daemon entry unreadable", key=entry.key, reason=str(error))
+                continue
+            daemons[entry.key.removeprefix(DAEMON_PREFIX)] = record
+        if daemons.keys() != self.daemons.keys():
+            self._log.note(LOGGER, "list of daemons changed", daemons=sorted(daemons))
+        self.daemons = daemons
--- /dev/null
+++ b/src/tanagerfork/relay/placing.py
@@ -0,0 +1,130 @@
+"""Placing: which upstream is expected to begin answering a request first."""
+
+import dataclasses
+import random
+from collections.abc import Collection, Sequence
+
+from tanagerfork.relay import fleet, loads, members, rules
+
+PLAIN_USUAL_MS = 50.0  # Work of a plain request before any was measured.
+FAILURE_COST_MS = 2000.0  # What a failed send costs its caller: a new try within its deadline.
+JITTER = 0.15  # Spreads daemons that see the same loads; the error of an estimate is larger.
+EVENT_TOKENS = 5  # Tokens of the first event of a stream.
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Choice:
+    """An upstream and what decided for it."""
+
+    upstream: members.Upstream
+    expected_ms: float
+    requests_there: float
+    told_age_ms: float
+    candidates: int
+
+
+def estimate_first_event_ms(
+    engine: rules.EngineSpec,
+    model: rules.ModelSpec,
+    requests: float,
+    unread_tokens: float,
+) -> float:
+    """Return when a group is expected to send the first event of one request more.
+
+    Answers the load of long prompts over few groups: what is read before it and the slots that
+    have to come free count, not the number of requests alone.
+
+    :param engine: what the engines are able to do.
+    :param model: model of the group.
+    :param requests: requests at the group before this one.
+    :param unread_tokens: tokens of prompts that are read before its first event, its own included.
+    """
+    running = min(requests + 1, engine.slots)
+    step_ms = engine.step_ms + engine.sequence_step_ms * running
+    reading_ms = unread_tokens / engine.read_tokens_per_s * 1000
+    waiting = max(0.0, requests + 1 - engine.slots)
+    answer_ms = engine.usual_answer_tokens * step_ms
+    slot_ms = waiting * answer_ms / engine.slots
+    return model.pace * (reading_ms + slot_ms + EVENT_TOKENS * step_ms)
+
+
+class Placer:
+    """Chooses upstreams by expected time, own loads and health.
+
+    :param rng: source of the jitter.
+    :param book: loads of the upstreams.
+    """
+
+    __slots__ = ("_rng", "_book")
+
+    def __init__(self, rng: random.Random, book: loads.LoadBook) -> None:
+        self._rng = rng
+        self._book = book
+
+    def choose_group(
+        self,
+        groups: Sequence[fleet.Group],
+        engine: rules.EngineSpec,
+        prompt_tokens: int,
+        avoided: Collection[str],
+        now_ms: float,
+    ) -> Choice | None:
+        """Choose a group for a model's request.
+
+        :param groups: whole groups of the model.
+        :param engine: what the engines are able to do.
+        :param prompt_tokens: tokens of the request's prompt.
+        :param avoided: ids of heads that failed the request before.
+        :param now_ms: monotonic clock, in milliseconds.
+        :return: the choice, None where there is no group.
+        """
+        best: Choice | None = None
+        best_key = (True, 0.0)
+        for group in groups:
+            if group.head.id in avoided:
+                continue
+            load = self._book.find(group.head.id)
+            others = load.estimate_others(now_ms)
+            there = load.open + others
+            unread = prompt_tokens + load.open_prompt_tokens
+            expected_ms = estimate_first_event_ms(engine, group.model, there, unread)
+            expected_ms += load.estimate_failure(now_ms) * FAILURE_COST_MS
+            key = now_ms < load.suspect_until_ms, expected_ms * self._draw_jitter()
+            if best is None or key < best_key:
+                age_ms = now_ms - load.told_at_ms if load.told else -1
+                best = Choice(group.head, expected_ms, there, age_ms, len(groups))
+                best_key = key
+        return best
+
+    def choose_plain(
+        self,
+        upstreams: Sequence[members.Upstream],
+        avoided: Collection[str],
+        now_ms: float,
+    ) -> Choice | None:
+        """Choose an upstream of a plain service.
+
+        :param upstreams: upstreams that take new work.
+        :param avoided: ids of upstreams that failed the request before.
+        :param now_ms: monotonic clock, in milliseconds.
+        :return: the choice, None where there is no upstream.
+        """
+        best: Choice | None = None
+        best_key = (True, 0.0)
+        for upstream in upstreams:
+            if upstream.id in avoided:
+                continue
+            load = self._book.find(upstream.id)
+            there = load.open + load.estimate_others(now_ms)
+            usual_ms = load.wait_ms or PLAIN_USUAL_MS
+            expected_ms = usual_ms * (1 + there / max(1, upstream.slots))
+            expected_ms += load.estimate_failure(now_ms) * FAILURE_COST_MS
+            key = now_ms < load.suspect_until_ms, expected_ms * self._draw_jitter()
+            if best is None or key < best_key:
+                age_ms = now_ms - load.told_at_ms if load.told else -1
+                best = Choice(upstream, expected_ms, there, age_ms, len(upstreams))
+                best_key = key
+        return best
+
+    def _draw_jitter(self) -> float:
+        return self._rng.uniform(1 - JITTER, 1 + JITTER)
--- /dev/null
+++ b/src/tanagerfork/relay/planner.py
@@ -0,0 +1,377 @@
+"""Planner: which groups to form, which to dissolve, and what to order for it.
+
+Decides over explicit facts, without I/O. Safety rests on three rules:
+
+* An upstream is in at most one assignment, and the record of assignments changes by
+  compare-and-swap only.
+* An assignment is dropped only once its head is seen out of it (closed, broken, started anew, in
+  another group) or gone; only then may its members be ordered elsewhere.
+* A head is told to open only once every member reports the group, its epoch and readiness.
+"""
+
+import dataclasses
+import math
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from tanagerfork.generated import assignments
+from tanagerfork.relay import members, rules
+
+SPARE_DIVISOR = 8  # One spare for eight upstreams of a fabric domain, once each model has a group.
+STAGED_COST = 1
+LAST_MODEL_COST = 0
+UNSTAGED_COST = 10
+OUT_OF_GROUP = frozenset(
+    (members.MemberState.JOINING, members.MemberState.READY, members.MemberState.BROKEN)
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fact:
+    """What the coordinator knows of one upstream.
+
+    `is_listed` says whether the directory has an entry, `is_silent` that it answers no question.
+    """
+
+    upstream: members.Upstream
+    is_listed: bool
+    is_silent: bool
+    mark: members.GroupMark | None
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it may be assigned to a group."""
+        return self.is_listed and not self.is_silent and not self.upstream.is_leaving
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Order:
+    """One order to an upstream."""
+
+    kind: str
+    upstream_id: str
+    address: str
+    group: str = ""
+    epoch: int = 0
+    model: str = ""
+    members: tuple[str, ...] = ()
+    cuts: bool = False
+
+
+JOIN = "join"
+OPEN = "open"
+CLOSE = "close"
+LEAVE = "leave"
+STAGE = "stage"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Situation:
+    """What a decision rests on.
+
+    `may_load` is how many loads from the weight store may be started now.
+    """
+
+    service: rules.Service
+    facts: Mapping[str, Fact]
+    record: assignments.Assignments
+    may_load: int
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """A changed record, to be written before the orders are sent, and why it changed."""
+
+    record: assignments.Assignments
+    orders: list[Order]
+    notes: list[str]
+
+    def has_changed(self, before: assignments.Assignments) -> bool:
+        """Return whether the record has to be written.
+
+        :param before: record as last read.
+        """
+        return self.record != before
+
+
+def make_plan(situation: Situation) -> Plan:
+    """Decide what to write and what to order.
+
+    :param situation: what the decision rests on.
+    :return: plan.
+    """
+    kept: list[assignments.Assignment] = []
+    plan = Plan(situation.record, [], [])
+    for assignment in situation.record.groups:
+        if assignment.service != situation.service.name:
+            kept.append(assignment)
+            continue
+        updated = _review(assignment, situation, plan)
+        if updated is not None:
+            kept.append(updated)
+    epoch = max(situation.record.next_epoch, 1 + _find_highest_epoch(situation.facts))
+    formed = _form_groups(situation, kept, epoch, plan)
+    plan.record = msgspec.structs.replace(
+        situation.record, groups=kept + formed, next_epoch=epoch + len(formed)
+    )
+    if plan.record.groups == situation.record.groups:
+        plan.record = situation.record
+    for assignment in plan.record.groups:
+        if assignment.service == situation.service.name:
+            _order_for(assignment, situation.facts, plan)
+    _order_strays(situation, plan)
+    _stage_spares(situation, plan)
+    return plan
+
+
+def _review(
+    assignment: assignments.Assignment, situation: Situation, plan: Plan
+) -> assignments.Assignment | None:
+    """Return an assignment as it goes on; None where it is over."""
+    if not assignment.closing:
+        reason = _find_fault(assignment, situation.facts)
+        if not reason:
+            return assignment
+        plan.notes.append(f"dissolve {assignment.group}: {reason}")
+        assignment = msgspec.structs.replace(assignment, closing=True, reason=reason)
+    if not _is_released(assignment, situation.facts):
+        return assignment
+    plan.notes.append(f"drop {assignment.group}: its head is out of it")
+    return None
+
+
+def _find_fault(assignment: assignments.Assignment, facts: Mapping[str, Fact]) -> str:
+    """Return why an assignment cannot go on; empty where it can."""
+    for rank, upstream_id in enumerate(assignment.members):
+        fact = facts.get(upstream_id)
+        if fact is None or not fact.is_listed:
+            return f"{upstream_id} is no longer listed"
+        if fact.upstream.born_at_ms != assignment.born_at_ms[rank]:
+            return f"{upstream_id} has started anew"
+        if fact.upstream.is_leaving:
+            return f"{upstream_id} is leaving"
+        if fact.is_silent:
+            return f"{upstream_id} does not answer"
+        mark = fact.mark
+        if mark is not None and mark.epoch > assignment.epoch:
+            return f"{upstream_id} is in {mark.group}"
+        if rank == 0 and mark is not None and _is_in(mark, assignment):
+            if mark.state is members.MemberState.BROKEN:
+                return f"{upstream_id} says that the group is broken"
+    return ""
+
+
+def _is_in(mark: members.GroupMark | None, assignment: assignments.Assignment) -> bool:
+    return mark is not None and mark.group == assignment.group and mark.epoch == assignment.epoch
+
+
+def _is_released(assignment: assignments.Assignment, facts: Mapping[str, Fact]) -> bool:
+    """Return whether the head of a closing group surely serves no more."""
+    fact = facts.get(assignment.members[0])
+    if fact is None:
+        return True
+    if fact.upstream.born_at_ms != assignment.born_at_ms[0]:
+        return True
+    if not fact.is_listed and fact.is_silent:
+        return True
+    if fact.is_silent:
+        return False
+    return not _is_in(fact.mark, assignment)
+
+
+def _find_highest_epoch(facts: Mapping[str, Fact]) -> int:
+    return max((fact.mark.epoch for fact in facts.values() if fact.mark), default=0)
+
+
+def _form_groups(
+    situation: Situation,
+    kept: Sequence[assignments.Assignment],
+    first_epoch: int,
+    plan: Plan,
+) -> list[assignments.Assignment]:
+    engine = situation.service.engine
+    if engine is None:
+        return []
+    free, live = _find_free(situation, kept)
+    held = [group for group in kept if group.service == situation.service.name]
+    formed: list[assignments.Assignment] = []
+    loads_left = situation.may_load
+    while True:
+        chosen = _choose_next(engine, free, live, [*held, *formed], loads_left)
+        if chosen is None:
+            return formed
+        model, domain, picked = chosen
+        loads_left -= sum(_cost(fact, model.name) >= UNSTAGED_COST for fact in picked)
+        epoch = first_epoch + len(formed)
+        group = assignments.Assignment(
+            group=f"{situation.record.failure_domain}-{epoch}",
+            epoch=epoch,
+            service=situation.service.name,
+            model=model.name,
+            fabric_domain=domain,
+            members=[fact.upstream.id for fact in picked],
+            addresses=[fact.upstream.address for fact in picked],
+            born_at_ms=[fact.upstream.born_at_ms for fact in picked],
+        )
+        formed.append(group)
+        taken = set(group.members)
+        free[domain] = [fact for fact in free[domain] if fact.upstream.id not in taken]
+        plan.notes.append(f"form {group.group} of {model.name} from {', '.join(group.members)}")
+
+
+def _find_free(
+    situation: Situation, kept: Sequence[assignments.Assignment]
+) -> tuple[dict[str, list[Fact]], dict[str, int]]:
+    """Return the free upstreams and the number of usable ones, by fabric domain."""
+    assigned = {member for group in kept for member in group.members}
+    heads_open = {
+        (fact.mark.group, fact.mark.epoch)
+        for fact in situation.facts.values()
+        if fact.mark and fact.mark.rank == 0 and fact.mark.state not in OUT_OF_GROUP
+    }
+    free: dict[str, list[Fact]] = {}
+    live: dict[str, int] = {}
+    for fact in situation.facts.values():
+        if not fact.is_usable:
+            continue
+        domain = fact.upstream.fabric_domain
+        live[domain] = live.get(domain, 0) + 1
+        is_held = fact.mark is not None and (fact.mark.group, fact.mark.epoch) in heads_open
+        if fact.upstream.id not in assigned and not is_held:
+            free.setdefault(domain, []).append(fact)
+    return free, live
+
+
+def _choose_next(
+    engine: rules.EngineSpec,
+    free: Mapping[str, list[Fact]],
+    live: Mapping[str, int],
+    groups: Sequence[assignments.Assignment],
+    loads_left: int,
+) -> tuple[rules.ModelSpec, str, list[Fact]] | None:
+    """Return the group to form next: of the model that lacks most against its share."""
+    smallest_set = sum(model.group_size for model in engine.models)
+    for model in sorted(engine.models, key=lambda spec: _measure_cover(spec, groups)):
+        best: tuple[tuple[int, int, int], str, list[Fact]] | None = None
+        for domain, facts in free.items():
+            spare = max(
+                0, min(math.ceil(live[domain] / SPARE_DIVISOR), live[domain] - smallest_set)
+            )
+            has_own = any(g.model == model.name and g.fabric_domain == domain for g in groups)
+            if len(facts) < model.group_size + (spare if has_own else 0):
+                continue
+            picked = sorted(facts, key=lambda fact: _rank(fact, model, engine))[: model.group_size]
+            loads = sum(_cost(fact, model.name) >= UNSTAGED_COST for fact in picked)
+            if loads > loads_left:
+                continue
+            same = sum(g.model == model.name and g.fabric_domain == domain for g in groups)
+            key = (loads, same, -len(facts))
+            if best is None or key < best[0]:
+                best = (key, domain, picked)
+        if best is not None:
+            return model, best[1], best[2]
+    return None
+
+
+def _measure_cover(
+    model: rules.ModelSpec, groups: Sequence[assignments.Assignment]
+) -> tuple[float, int]:
+    count = sum(group.model == model.name and not group.closing for group in groups)
+    return count * model.group_size / max(model.share, 1e-6), -model.group_size
+
+
+def _cost(fact: Fact, model: str) -> int:
+    if model in fact.upstream.models:
+        return LAST_MODEL_COST
+    return STAGED_COST if model in fact.upstream.staged else UNSTAGED_COST
+
+
+def _rank(fact: Fact, model: rules.ModelSpec, engine: rules.EngineSpec) -> tuple[int, bool, str]:
+    others = {spec.name for spec in engine.models} - {model.name}
+    serves_others = bool(others & {*fact.upstream.staged, *fact.upstream.models})
+    return _cost(fact, model.name), serves_others, fact.upstream.id
+
+
+def _order_for(assignment: assignments.Assignment, facts: Mapping[str, Fact], plan: Plan) -> None:
+    head_id, head_address = assignment.members[0], assignment.addresses[0]
+    head = facts.get(head_id)
+    if assignment.closing:
+        if head is None or not _is_in(head.mark, assignment) or head.mark is None:
+            return
+        is_out = head.mark.state in OUT_OF_GROUP
+        kind = LEAVE if is_out else CLOSE
+        cuts = "leaving" not in assignment.reason
+        plan.orders.append(
+            Order(kind, head_id, head_address, assignment.group, assignment.epoch, cuts=cuts)
+        )
+        return
+    missing = [
+        rank
+        for rank, member in enumerate(assignment.members)
+        if member not in facts or not _is_in(facts[member].mark, assignment)
+    ]
+    for rank in missing:
+        plan.orders.append(
+            Order(
+                JOIN,
+                assignment.members[rank],
+                assignment.addresses[rank],
+                assignment.group,
+                assignment.epoch,
+                assignment.model,
+                tuple(assignment.members),
+            )
+        )
+    if missing:
+        return
+    marks = [facts[member].mark for member in assignment.members]
+    states = [mark.state for mark in marks if mark]
+    if all(state is members.MemberState.READY for state in states):
+        plan.orders.append(Order(OPEN, head_id, head_address, assignment.group, assignment.epoch))
+
+
+def _order_strays(situation: Situation, plan: Plan) -> None:
+    """Close groups that no record names, so that their members become free."""
+    named = {(group.group, group.epoch) for group in plan.record.groups}
+    for fact in situation.facts.values():
+        mark = fact.mark
+        if mark is None or mark.rank != 0 or mark.state in OUT_OF_GROUP or not fact.is_listed:
+            continue
+        if (mark.group, mark.epoch) not in named:
+            upstream = fact.upstream
+            plan.orders.append(
+                Order(CLOSE, upstream.id, upstream.address, mark.group, mark.epoch, cuts=True)
+            )
+
+
+def _stage_spares(situation: Situation, plan: Plan) -> None:
+    """Load weights onto the hosts of spares ahead of need, the largest model first."""
+    engine = situation.service.engine
+    groups = [group for group in plan.record.groups if group.service == situation.service.name]
+    forming = any(
+        not _is_in(situation.facts[member].mark, group)
+        for group in groups
+        for member in group.members
+        if member in situation.facts and not group.closing
+    )
+    if engine is None or forming:
+        return
+    free, _ = _find_free(situation, groups)
+    left = situation.may_load
+    for facts in free.values():
+        wanted = sorted(engine.models, key=lambda model: -model.group_size)
+        spares = sorted(facts, key=lambda fact: fact.upstream.id)
+        for index in range(len(spares)):
+            model = wanted[index % len(wanted)].name
+            if any(model in fact.upstream.staged for fact in spares):
+                holder = next(fact for fact in spares if model in fact.upstream.staged)
+                spares.remove(holder)
+                continue
+            unstaged = [fact for fact in spares if not fact.upstream.staged]
+            if not unstaged or left < 1:
+                break
+            left -= 1
+            spares.remove(unstaged[0])
+            upstream = unstaged[0].upstream
+            plan.orders.append(Order(STAGE, upstream.id, upstream.address, model=model))
--- /dev/null
+++ b/src/tanagerfork/relay/program.py
@@ -0,0 +1,54 @@
+"""The relaying daemon's program: reads its settings and runs until a signal ends it."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+import msgspec
+
+from tanagerfork import clock as clocks
+from tanagerfork import decisions, errors
+from tanagerfork import settings as settings_files
+from tanagerfork.generated import relay as settings_records
+from tanagerfork.relay import daemon as daemons
+
+USAGE_STATUS = 2
+SETTINGS_VARIABLE = "TANAGERFORK_SETTINGS"
+STANDARD_OUTPUT = 1
+
+
+async def serve(
+    settings: settings_records.RelaySettings, path: pathlib.Path, writer: decisions.Writer
+) -> None:
+    """Run a daemon until a signal ends it.
+
+    :param settings: checked settings.
+    :param path: file that they came from.
+    :param writer: where the decision log goes.
+    """
+    daemon = daemons.RelayDaemon(settings, clocks.SystemClock(), writer)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload, path)
+    await daemon.start()
+    await stopped.wait()
+    await daemon.stop()
+
+
+def main() -> None:
+    """Run the program."""
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        loaded = settings_files.load_record(path, settings_records.RelaySettings)
+    except errors.SettingsError as error:
+        print(msgspec.json.encode({"logger": "relay.program", "error": error.message}).decode())
+        sys.exit(USAGE_STATUS)
+    asyncio.run(serve(loaded, path, decisions.DescriptorWriter(STANDARD_OUTPUT)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/tanagerfork/relay/progress.py
@@ -0,0 +1,71 @@
+"""Progress of a caller's request, and where its answer goes."""
+
+import dataclasses
+from typing import Protocol
+
+from tanagerfork.relay import calls, rules
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeptFailure:
+    """An upstream's own failure, for the caller if no other upstream does better."""
+
+    status: int
+    headers: calls.Headers
+    body: bytes
+
+
+class Sink(Protocol):
+    """Where the answer goes."""
+
+    has_begun: bool
+
+    async def begin(self, status: int, headers: calls.Headers) -> None:
+        """Send the head of a stream.
+
+        :param status: status.
+        :param headers: headers.
+        """
+
+    async def send(self, data: bytes) -> None:
+        """Send part of a stream.
+
+        :param data: whole events.
+        """
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+
+    async def answer(self, status: int, headers: calls.Headers, body: bytes) -> None:
+        """Send a whole answer.
+
+        :param status: status.
+        :param headers: headers.
+        :param body: body.
+        """
+
+    def cut(self) -> None:
+        """End the connection so that the caller sees that the answer is not complete."""
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far a request has come."""
+
+    route: rules.Route
+    service: rules.Service
+    team: str
+    ends_at_ms: float
+    last_event_id: str
+    sends: int = 0
+    unreached: int = 0
+    may_have_run: bool = False
+    avoided: set[str] = dataclasses.field(default_factory=set)
+    reason: str = ""
+    is_reading: bool = False  # Whether the upstream that has it now still reads its prompt.
+    kept_failure: KeptFailure | None = None
+
+    @property
+    def can_move(self) -> bool:
+        """Whether one upstream more may get it after the one that has it now."""
+        return self.route.is_repeatable and self.sends + 1 < self.route.attempts
--- /dev/null
+++ b/src/tanagerfork/relay/rules.py
@@ -0,0 +1,208 @@
+"""Rules: routes, services, teams and limits, as one version of the configuration gives them."""
+
+import dataclasses
+import enum
+from collections.abc import Mapping, Sequence
+
+import xxhash
+
+from tanagerfork import errors
+
+
+class Repetition(enum.Enum):
+    """What a route's type says of running a request again."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Target:
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Route:
+    """Where requests of one host and path prefix go, and how."""
+
+    name: str
+    host: str
+    prefix: str
+    repetition: Repetition
+    targets: tuple[Target, ...]
+    timeout_ms: float
+    goal_ms: float
+    gap_goal_ms: float
+    attempts: int
+    priority: int
+    is_public: bool
+    is_resumable: bool
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.repetition is Repetition.STREAM:
+            return self.is_resumable
+        return self.repetition is Repetition.SAFE
+
+    def choose_service(self, request_id: str) -> str:
+        """Return the service of a request; the same id always gets the same one.
+
+        :param request_id: id of the caller's attempt.
+        """
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        total = sum(target.weight for target in self.targets)
+        point = xxhash.xxh32_intdigest(request_id.encode()) / 2**32 * total
+        for target in self.targets:
+            point -= target.weight
+            if point < 0:
+                return target.service
+        return self.targets[-1].service
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Team:
+    """A team and its priority, which goes before the route's where it is set."""
+
+    name: str
+    priority: int | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ModelSpec:
+    """How replicas of one model are made up."""
+
+    name: str
+    group_size: int
+    share: float
+    pace: float
+    load_s: float
+    warm_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineSpec:
+    """What a model service's engines are able to do; times are per group of pace 1."""
+
+    models: tuple[ModelSpec, ...]
+    slots: int
+    kv_tokens: int
+    step_ms: float
+    sequence_step_ms: float
+    context_step_ms: float
+    read_tokens_per_s: float
+    usual_answer_tokens: float
+    form_ms: float
+    loads_per_s: float
+    loads_at_once: int
+
+    def find_model(self, name: str) -> ModelSpec | None:
+        """Return a model by its name; None where the engine does not serve it.
+
+        :param name: name of the model.
+        """
+        return next((model for model in self.models if model.name == name), None)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Service:
+    """A pool of upstreams; `engine` is None for a plain one."""
+
+    name: str
+    max_connections: int
+    engine: EngineSpec | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerLimits:
+    """Bounds on what a caller may send, and on how long it may stay idle."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class Rules:
+    """One version of the configuration.
+
+    :param version: version; it only grows.
+    :param routes: routes.
+    :param services: services.
+    :param teams_by_key: team of each API key; None where no key is asked for.
+    :param limits: bounds on callers.
+    """
+
+    __slots__ = ("version", "routes", "services", "limits", "_by_place", "_teams_by_key")
+
+    def __init__(
+        self,
+        version: int,
+        routes: Sequence[Route],
+        services: Sequence[Service],
+        teams_by_key: Mapping[str, Team] | None,
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.routes = tuple(routes)
+        self.services = {service.name: service for service in services}
+        self.limits = limits
+        self._by_place = {(route.host, route.prefix): route for route in routes}
+        self._teams_by_key = teams_by_key
+
+    def match(self, host: str, path: str) -> Route:
+        """Return the route with the longest prefix of a path.
+
+        :param host: host of the request, without a port.
+        :param path: path as sent, without the query.
+        :raises NotFound: no route of the host begins the path.
+        """
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._by_place.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+        raise errors.NotFound(f"no route matches {host}{path}; check host and path")
+
+    def identify(self, route: Route, key: str) -> Team | None:
+        """Return the team of a request; None where none is needed.
+
+        :param route: route of the request.
+        :param key: API key; empty for none.
+        :raises Unauthorized: a key is needed and belongs to no team.
+        """
+        if self._teams_by_key is None:
+            return None
+        team = self._teams_by_key.get(key)
+        if team is None and not route.is_public:
+            raise errors.Unauthorized("the API key belongs to no team; send a key that is in force")
+        return team
+
+    def list_engines(self) -> list[Service]:
+        """Return the services whose upstreams form groups."""
+        return [service for service in self.services.values() if service.engine is not None]
+
+
+class RulesRegister:
+    """The rules in force; an older version never replaces a newer one."""
+
+    __slots__ = ("current",)
+
+    def __init__(self) -> None:
+        self.current: Rules | None = None
+
+    def take(self, rules: Rules) -> bool:
+        """Put rules in force if they are newer.
+
+        :param rules: decoded configuration.
+        :return: whether they are in force now.
+        """
+        if self.current is not None and rules.version <= self.current.version:
+            return False
+        self.current = rules
+        return True
--- a/src/tanagerfork/storage/key_value.py
+++ b/src/tanagerfork/storage/key_value.py
@@ -66,3 +66,70 @@
         :param revision: first revision of interest.
         :return: entries as they change; ends when the service goes away.
         """
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Snapshot:
+    """All keys with a prefix, and a revision that the read shows at least."""
+
+    entries: list[Entry]
+    revision: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Changes:
+    """What changed below a prefix, in the order of the changes of each key."""
+
+    written: list[Entry]
+    removed: list[str]
+
+
+class LeasingKeyValue(KeyValue, Protocol):
+    """A key-value service whose keys can live as long as a lease."""
+
+    async def read_snapshot(self, prefix: str) -> result.Result[Snapshot, errors.PlatformError]:
+        """Read all keys with a prefix and the revision from which to follow them.
+
+        :param prefix: start of the keys.
+        :return: keys and revision, or why they could not be read.
+        """
+
+    def watch_prefix(self, prefix: str, revision: int) -> AsyncIterator[Changes]:
+        """Follow all keys with a prefix.
+
+        :param prefix: start of the keys.
+        :param revision: last revision that is known.
+        :return: changes as they come, empty ones as a sign of life; ends where some may be missed.
+        """
+
+    async def grant_lease(self, ttl_ms: int) -> result.Result[int, errors.PlatformError]:
+        """Ask for a lease.
+
+        :param ttl_ms: time without renewal after which its keys go, in milliseconds.
+        :return: id of the lease.
+        """
+
+    async def renew_lease(self, lease: int) -> result.Result[bool, errors.PlatformError]:
+        """Renew a lease.
+
+        :param lease: id of the lease.
+        :return: whether it still stood.
+        """
+
+    async def end_lease(self, lease: int) -> result.Result[bool, errors.PlatformError]:
+        """End a lease; its keys go at once.
+
+        :param lease: id of the lease.
+        :return: whether it still stood.
+        """
+
+    async def put_leased(
+        self, key: str, value: bytes, lease: int
+    ) -> result.Result[int, errors.PlatformError]:
+        """Write a key that lives as long as a lease.
+
+        :param key: key.
+        :param value: value.
+        :param lease: id of the lease.
+        :return: the new revision.
+        """
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -13,6 +13,7 @@
 BASE_CLASSES = {  # People write bundles and settings; peers pay for each byte.
     "bundle": "StrictRecord",
     "settings": "StrictRecord",
+    "relay": "StrictRecord",
     "peers": "CompactRecord",
 }
 HEADER = '"""Generated from schema/{name}.json by `make generate`; do not edit."""'
