--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -105,7 +105,7 @@
         return (await self.read_snapshot(prefix)).map(lambda snapshot: snapshot.entries)
 
     async def read_snapshot(
-        self, prefix: str
+        self, prefix: str, may_be_stale: bool = False
     ) -> result.Result[key_value.Snapshot, errors.PlatformError]:
         """Read all keys with a prefix; see `key_value.LeasingKeyValue.read_snapshot`."""
         found: list[key_value.Entry] = []
@@ -113,6 +113,7 @@
         for _ in range(PAGE_LIMIT):
             query = f"/kv-range?prefix={_quote(prefix)}"
             query += f"&after={_quote(after)}" if after else ""
+            query += "&staleOk=1" if may_be_stale else ""
             answer = await self._call("GET", query, None, (200,))
             if isinstance(answer, result.Err):
                 return answer
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import uuid
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Protocol
 
 import msgspec
@@ -25,6 +25,7 @@
 STALLED_MS = 1000  # A coordinator that stood still so long knows nothing of who was silent.
 REPEAT_ORDER_MS = 1500  # An order that showed no effect is given again.
 CEILING_WINDOW_MS = 5000  # Window in which loads from the weight store are counted.
+SETTLED_MS = 1500  # Upstreams of one start come within three seconds of each other.
 FORGET_MS = 20_000  # An upstream that has left the list serves at most so much longer.
 
 
@@ -69,6 +70,7 @@
     :param clock: clock of all decisions.
     :param log: decision log.
     :param metrics: counters.
+    :param has_served: whether this daemon has seen a request.
     """
 
     __slots__ = (
@@ -90,6 +92,8 @@
         "_tasks",
         "_stepped_at_ms",
         "_was_holder",
+        "_has_served",
+        "_last_new_at_ms",
     )
 
     def __init__(
@@ -104,7 +108,10 @@
         clock: clocks.Clock,
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
+        has_served: Callable[[], bool],
     ) -> None:
+        self._has_served = has_served
+        self._last_new_at_ms = clock.monotonic_ms()
         self._failure_domain = failure_domain
         self._settings = settings
         self._keeper = keeper
@@ -190,6 +197,7 @@
                 continue
             seen = self._seen.get(upstream.id)
             if seen is None or seen.upstream.born_at_ms != upstream.born_at_ms:
+                self._last_new_at_ms = now_ms
                 self._seen[upstream.id] = Observation(upstream, now_ms)
             else:
                 seen.upstream, seen.listed_at_ms = upstream, now_ms
@@ -252,8 +260,14 @@
         if record is None:
             return
         facts = self._make_facts(service, self._stepped_at_ms)
+        if self._has_served() and not record.has_served:
+            record = msgspec.structs.replace(record, has_served=True)
         situation = planner.Situation(
-            service, facts, record, self._count_loads_left(service, facts)
+            service,
+            facts,
+            record,
+            self._count_loads_left(service, facts),
+            is_settled=record.has_served or self._stepped_at_ms - self._last_new_at_ms > SETTLED_MS,
         )
         plan = planner.make_plan(situation)
         for note in plan.notes:
@@ -265,7 +279,7 @@
                 list_age_ms=self._view.measure_age(self._clock.monotonic_ms()),
                 fencing=self._keeper.state.fencing,
             )
-        if plan.has_changed(record) and not await self._write(plan.record):
+        if plan.record != self._record and not await self._write(plan.record):
             return
         if self._may_act():
             self._give_orders(plan.orders, facts)
@@ -275,8 +289,8 @@
         engine = service.engine
         if engine is None:
             return 0
-        if not any(fact.upstream.staged or fact.mark for fact in facts.values()):
-            return len(facts)  # Nothing was ever loaded: loads before the first request are free.
+        if self._record is not None and not self._record.has_served:
+            return len(facts)
         now_ms = self._clock.monotonic_ms()
         self._loads = [at_ms for at_ms in self._loads if now_ms - at_ms < CEILING_WINDOW_MS]
         domains = max(1, len(self._settings.failure_domains))
@@ -306,9 +320,8 @@
             if fact is not None and fact.is_silent and order.kind != planner.CLOSE:
                 continue
             self._ordered_at_ms[key] = now_ms
-            if order.kind in (planner.JOIN, planner.STAGE) and fact is not None:
-                if order.model not in (*fact.upstream.staged, *fact.upstream.models):
-                    self._loads.append(now_ms)
+            if order.model and fact is not None and not fact.holds(order.model):
+                self._loads.append(now_ms)
             self._start(self._give(order))
 
     async def _give(self, order: planner.Order) -> None:
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -226,6 +226,7 @@
             self.clock,
             self.log,
             self.metrics,
+            lambda: self.front.has_served,
         )
         self._start_task("coordinator", self._coordinator.run)
         self._start_task("readiness", self._follow_readiness)
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -15,6 +15,7 @@
 DAEMON_PREFIX = "tanagerfork/daemons/"
 DAEMON_LEASE_MS = 6000  # A daemon that is cut off for a moment stays listed.
 DAEMON_RENEW_MS = 2000
+GATHER_MS = 150  # Changes that come together are read by one call.
 CONFIG_SILENCE_MS = 3500  # Longer than one call of a watch; past it the key is read again.
 
 RulesDecoder = Callable[[bytes], result.Result[rules.Rules, errors.PlatformError]]
@@ -180,6 +181,8 @@
                 revision = found.ok_value.revision
                 async for changes in self._store.watch_prefix(self._prefix, revision):
                     self._take(changes)
+                    if changes.written or changes.removed:
+                        await self._clock.sleep_ms(GATHER_MS)
             await self._clock.sleep_ms(RETRY_MS)
 
     def _take(self, changes: key_value.Changes) -> None:
@@ -279,12 +282,12 @@
             self._lease = granted.ok_value
 
     async def _read(self) -> None:
-        found = await self._store.read_prefix(DAEMON_PREFIX)
+        found = await self._store.read_snapshot(DAEMON_PREFIX, may_be_stale=True)
         self._link.note(found.err_value if isinstance(found, result.Err) else None)
         if isinstance(found, result.Err):
             return
         daemons = {self._name: self._record}
-        for entry in found.ok_value:
+        for entry in found.ok_value.entries:
             try:
                 record = msgspec.json.decode(entry.value, type=DaemonRecord)
             except msgspec.MsgspecError as error:
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -86,7 +86,16 @@
     :param metrics: counters.
     """
 
-    __slots__ = ("_relay", "_dialect", "_clock", "_log", "_metrics", "open_requests", "is_draining")
+    __slots__ = (
+        "_relay",
+        "_dialect",
+        "_clock",
+        "_log",
+        "_metrics",
+        "open_requests",
+        "is_draining",
+        "has_served",
+    )
 
     def __init__(
         self,
@@ -103,6 +112,7 @@
         self._metrics = metrics
         self.open_requests = 0
         self.is_draining = False
+        self.has_served = False
 
     def build_app(self, body_limit_bytes: int) -> aiohttp.web.Application:
         """Return the application of the callers' listener.
@@ -120,6 +130,7 @@
         :return: the answer, which has been sent.
         """
         self.open_requests += 1
+        self.has_served = True
         sink = WebSink(request, self.is_draining)
         arrived_at_ms = self._clock.monotonic_ms()
         facts: calls.CallerFacts | None = None
--- a/src/tanagerfork/relay/planner.py
+++ b/src/tanagerfork/relay/planner.py
@@ -44,6 +44,13 @@
         """Whether it may be assigned to a group."""
         return self.is_listed and not self.is_silent and not self.upstream.is_leaving
 
+    def holds(self, model: str) -> bool:
+        """Return whether it can join a group of a model without a load from the weight store.
+
+        :param model: name of the model.
+        """
+        return model in self.upstream.staged or model in self.upstream.models
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Order:
@@ -70,13 +77,16 @@
 class Situation:
     """What a decision rests on.
 
-    `may_load` is how many loads from the weight store may be started now.
+    `may_load` is how many loads from the weight store may be started now. `is_settled` says that no
+    upstream has come for a while; until then more are expected, and the model that lacks most waits
+    for enough of them.
     """
 
     service: rules.Service
     facts: Mapping[str, Fact]
     record: assignments.Assignments
     may_load: int
+    is_settled: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,13 +97,6 @@
     orders: list[Order]
     notes: list[str]
 
-    def has_changed(self, before: assignments.Assignments) -> bool:
-        """Return whether the record has to be written.
-
-        :param before: record as last read.
-        """
-        return self.record != before
-
 
 def make_plan(situation: Situation) -> Plan:
     """Decide what to write and what to order.
@@ -156,9 +159,9 @@
         mark = fact.mark
         if mark is not None and mark.epoch > assignment.epoch:
             return f"{upstream_id} is in {mark.group}"
-        if rank == 0 and mark is not None and _is_in(mark, assignment):
-            if mark.state is members.MemberState.BROKEN:
-                return f"{upstream_id} says that the group is broken"
+        is_head = rank == 0 and _is_in(mark, assignment)
+        if is_head and mark is not None and mark.state is members.MemberState.BROKEN:
+            return f"{upstream_id} says that the group is broken"
     return ""
 
 
@@ -198,7 +201,7 @@
     formed: list[assignments.Assignment] = []
     loads_left = situation.may_load
     while True:
-        chosen = _choose_next(engine, free, live, [*held, *formed], loads_left)
+        chosen = _choose_next(situation, engine, free, live, [*held, *formed], loads_left)
         if chosen is None:
             return formed
         model, domain, picked = chosen
@@ -244,6 +247,7 @@
 
 
 def _choose_next(
+    situation: Situation,
     engine: rules.EngineSpec,
     free: Mapping[str, list[Fact]],
     live: Mapping[str, int],
@@ -271,9 +275,16 @@
                 best = (key, domain, picked)
         if best is not None:
             return model, best[1], best[2]
+        if not situation.is_settled:
+            return None
     return None
 
 
+def _count_spares(live: int, smallest_set: int) -> int:
+    """Return how many upstreams of a fabric domain stay free once each model has a group there."""
+    return max(0, min(math.ceil(live / SPARE_DIVISOR), live - smallest_set))
+
+
 def _measure_cover(
     model: rules.ModelSpec, groups: Sequence[assignments.Assignment]
 ) -> tuple[float, int]:
@@ -355,7 +366,7 @@
         for member in group.members
         if member in situation.facts and not group.closing
     )
-    if engine is None or forming:
+    if engine is None or forming or not situation.is_settled:
         return
     free, _ = _find_free(situation, groups)
     left = situation.may_load
--- a/src/tanagerfork/storage/key_value.py
+++ b/src/tanagerfork/storage/key_value.py
@@ -87,10 +87,13 @@
 class LeasingKeyValue(KeyValue, Protocol):
     """A key-value service whose keys can live as long as a lease."""
 
-    async def read_snapshot(self, prefix: str) -> result.Result[Snapshot, errors.PlatformError]:
+    async def read_snapshot(
+        self, prefix: str, may_be_stale: bool = False
+    ) -> result.Result[Snapshot, errors.PlatformError]:
         """Read all keys with a prefix and the revision from which to follow them.
 
         :param prefix: start of the keys.
+        :param may_be_stale: whether an answer that is seconds old, and cheaper, will do.
         :return: keys and revision, or why they could not be read.
         """
 
