--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -189,6 +189,7 @@
             else:
                 reason = ""
         except asyncio.CancelledError:
+            progress.may_have_run = True  # Its time is over, or its caller left.
             outcome = calls.Outcome.REFUSED  # Neither a success nor the upstream's failure.
             raise
         finally:
--- a/src/tanagerfork/relay/exchange.py
+++ b/src/tanagerfork/relay/exchange.py
@@ -6,6 +6,7 @@
 import aiohttp
 import multidict
 import yarl
+from aiohttp import client_proto
 
 from tanagerfork import errors
 from tanagerfork.relay import calls, members
@@ -47,7 +48,7 @@
     headers: calls.Headers
     facts: calls.AnswerFacts
     response: aiohttp.ClientResponse
-    closed: asyncio.Future[None] | None
+    protocol: asyncio.BaseProtocol | None
 
     @property
     def ends_with_connection(self) -> bool:
@@ -63,7 +64,7 @@
         try:
             chunk = await self.response.content.readany()
             if not chunk and self.ends_with_connection:
-                await self._check_end()
+                self._check_end()
         except (aiohttp.ClientError, OSError) as error:
             raise errors.UpstreamLost(f"the answer broke off ({error!r}); go elsewhere") from error
         return chunk
@@ -82,11 +83,14 @@
                 raise errors.UpstreamLost(f"the answer exceeds {MAX_ANSWER_BYTES} bytes; drop it")
         return b"".join(parts)
 
-    async def _check_end(self) -> None:
+    def _check_end(self) -> None:
         # The HTTP library takes a reset for the end of an answer that has no length.
-        if self.closed is None:
-            raise errors.UpstreamLost("the end of the answer was not seen; go elsewhere")
-        await self.closed
+        protocol = self.protocol
+        ended_by = (
+            protocol.exception() if isinstance(protocol, client_proto.ResponseHandler) else None
+        )
+        if not isinstance(ended_by, aiohttp.ServerDisconnectedError):
+            raise errors.UpstreamLost(f"the connection was reset ({ended_by!r}); go elsewhere")
 
 
 class Exchanger:
@@ -148,5 +152,5 @@
             ],
             self._dialect.read_answer(response.status, response.headers),
             response,
-            connection.protocol.closed if connection and connection.protocol else None,
+            connection.protocol if connection else None,
         )
--- /dev/null
+++ b/src/tanagerfork_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform: its store, its runners, its operator."""
--- /dev/null
+++ b/tests/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of relaying on the users' platform."""
--- /dev/null
+++ b/tests/relay/deployments.py
@@ -0,0 +1,142 @@
+"""A daemon that relays in front of the platform's stand-ins, and a caller."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+from collections.abc import AsyncIterator
+
+import aiohttp
+import yarl
+
+from tanagerfork import clock as clocks
+from tanagerfork.generated import relay as settings_records
+from tanagerfork.relay import daemon as daemons
+from tanagerfork_standins.platform import site as sites
+
+WAIT_S = 10.0
+IDS = itertools.count(1)
+
+
+class LineList:
+    """Keeps the lines of the decision log."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+
+    def write(self, line: bytes) -> bool:
+        self.lines.append(line)
+        return True
+
+    def find(self, *words: str) -> list[bytes]:
+        return [line for line in self.lines if all(word.encode() in line for word in words)]
+
+
+@dataclasses.dataclass(slots=True)
+class Got:
+    """What a caller got; `is_whole` is False where the answer broke off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool = True
+
+
+class Deployment:
+    """Stand-ins, one or more daemons, and a caller of the first one."""
+
+    def __init__(self, site: sites.Site) -> None:
+        self.site = site
+        self.daemons: list[daemons.RelayDaemon] = []
+        self.log = LineList()
+
+    async def add_daemon(self, failure_domain: str = "a", **changes: object) -> daemons.RelayDaemon:
+        settings = settings_records.RelaySettings(
+            name=f"daemon-{len(self.daemons) + 1}",
+            failure_domain=failure_domain,
+            failure_domains=["a"],
+            callers="127.0.0.1:0",
+            readiness="127.0.0.1:0",
+            metrics="127.0.0.1:0",
+            peers="127.0.0.1:0",
+            store=settings_records.StoreSettings(address=self.site.address),
+            bounds=settings_records.BoundSettings(grace_ms=1500),
+            members=settings_records.MemberSettings(lease_ttl_ms=1000, probe_interval_ms=100),
+            seed=1,
+        )
+        for name, value in changes.items():
+            setattr(settings, name, value)
+        daemon = daemons.RelayDaemon(settings, clocks.SystemClock(), self.log)
+        self.daemons.append(daemon)
+        await daemon.start()
+        return daemon
+
+    async def wait_until(self, is_so, what: str) -> None:
+        ends_s = asyncio.get_running_loop().time() + WAIT_S
+        while not is_so():
+            assert asyncio.get_running_loop().time() < ends_s, f"not within {WAIT_S} s: {what}"
+            await asyncio.sleep(0.02)
+
+    async def wait_for_group(self, model: str = sites.SMALL_MODEL) -> None:
+        view = self.daemons[0].view
+        await self.wait_until(
+            lambda: view.list_groups(sites.ENGINE_SERVICE, model), "a whole group"
+        )
+
+    async def wait_for_rules(self) -> None:
+        daemon = self.daemons[0]
+        await self.wait_until(
+            lambda: daemon.register.current and list(daemon.view.upstreams), "rules and list"
+        )
+
+    async def ask(
+        self,
+        path: str,
+        method: str = "GET",
+        body: bytes | None = None,
+        deadline_ms: int = 3000,
+        key: str = sites.KEY,
+        **headers: str,
+    ) -> Got:
+        named = {
+            "Host": sites.HOST,
+            "Tanagerfork-Request-Id": f"r{next(IDS)}",
+            "Tanagerfork-Deadline-Ms": str(deadline_ms),
+        }
+        if key:
+            named["Authorization"] = f"Bearer {key}"
+        if path.startswith("/stream/"):
+            named["Tanagerfork-Model"] = sites.SMALL_MODEL
+            named["Tanagerfork-Tokens"] = "100,20"
+        named.update({name.replace("_", "-"): value for name, value in headers.items()})
+        port = self.daemons[0].callers_port
+        async with aiohttp.ClientSession(
+            auto_decompress=False, skip_auto_headers=("Accept-Encoding", "User-Agent", "Accept")
+        ) as session:
+            url = yarl.URL(f"http://127.0.0.1:{port}{path}", encoded=True)
+            async with session.request(method, url, data=body, headers=named) as response:
+                parts = []
+                try:
+                    async for part in response.content.iter_any():
+                        parts.append(part)
+                except aiohttp.ClientError:
+                    return Got(response.status, dict(response.headers), b"".join(parts), False)
+                return Got(response.status, dict(response.headers), b"".join(parts))
+
+
+@contextlib.asynccontextmanager
+async def deploy(
+    engines: int = 4, plain: int = 2, daemon_count: int = 1, with_config: bool = True
+) -> AsyncIterator[Deployment]:
+    site = sites.Site(engines=engines, plain=plain)
+    await site.start(with_config)
+    deployment = Deployment(site)
+    try:
+        for _ in range(daemon_count):
+            await deployment.add_daemon()
+        yield deployment
+    finally:
+        for daemon in deployment.daemons:
+            daemon.settings.bounds.grace_ms = 700
+            await daemon.stop()
+        await site.stop()
