--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -11,6 +11,7 @@
 import result
 
 from tanagerfork import errors
+from tanagerfork import metrics as metric
 from tanagerfork.storage import key_value
 
 WATCH_WAIT_MS = 2500  # A silent connection is noticed before the store's stability span is over.
@@ -79,11 +80,19 @@
     :param session: HTTP session, closed by its owner.
     :param address: IP and port of the store.
     :param timeout_ms: deadline of one call, in milliseconds.
+    :param metrics: counters.
     """
 
-    __slots__ = ("_session", "_base_url", "_timeout_s")
+    __slots__ = ("_session", "_base_url", "_timeout_s", "_metrics")
 
-    def __init__(self, session: aiohttp.ClientSession, address: str, timeout_ms: int) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        timeout_ms: int,
+        metrics: metric.Metrics,
+    ) -> None:
+        self._metrics = metrics
         self._session = session
         self._base_url = f"http://{address}"
         self._timeout_s = timeout_ms / 1000
@@ -223,6 +232,7 @@
         expected: tuple[int, ...],
         timeout_s: float | None = None,
     ) -> result.Result[tuple[int, bytes], errors.PlatformError]:
+        self._metrics.count("store_calls_total", call=path.split("?")[0].split("/")[1])
         data = msgspec.json.encode(body) if body is not None else None
         headers = {"Content-Type": "application/json"} if data is not None else {}
         try:
--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -1,6 +1,8 @@
 """Attempts: has a caller's request answered by one upstream after another, within its rules."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import result
 
@@ -23,9 +25,9 @@
 WAY_BACK_MS = 10  # The answer's way to the caller, taken off the time that an upstream gets.
 LEAST_LEFT_MS = 20  # Below this no upstream can answer.
 MAX_UNREACHED = 3  # Upstreams that take no connection, before the caller is told.
-FIRST_SILENCE_MS = 900  # Three times the strictest goal; callers leave after two seconds.
+FIRST_SILENCE_MS = 400  # A group that serves sends events of some stream five times as often.
 SILENCE_PER_EXPECTED = 2.5  # An estimate that is off by more is no estimate of that upstream.
-GAP_SILENCE_MS = 1000  # Ten times the gap between two events of a busy group.
+GAP_SILENCE_MS = 400  # Five times the gap between two events of a busy group.
 PLAIN_TRY_SHARE = 0.45  # Part of the time left that a repeatable request waits before it moves.
 RETRY_SOON_MS = 200  # About the time in which the list shows a group that was formed anew.
 MAX_RETRY_MS = 2000
@@ -45,6 +47,7 @@
     :param clock: clock of the deadlines.
     :param log: decision log.
     :param metrics: counters.
+    :param tell_silent: tells the other daemons of an upstream that went silent.
     """
 
     __slots__ = (
@@ -58,6 +61,7 @@
         "_clock",
         "_log",
         "_metrics",
+        "_tell_silent",
     )
 
     def __init__(
@@ -72,7 +76,9 @@
         clock: clocks.Clock,
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
+        tell_silent: Callable[[str], None],
     ) -> None:
+        self._tell_silent = tell_silent
         self._register = register
         self._view = view
         self._book = book
@@ -220,13 +226,11 @@
             last_event_id=progress.last_event_id,
         )
         head_ms = self._limit_head(progress, choice, left_ms)
+        sending = self._exchanger.send(request, upstream, outgoing, progress.route.is_repeatable)
         try:
-            async with asyncio.timeout(head_ms / 1000):
-                answer = await self._exchanger.send(
-                    request, upstream, outgoing, progress.route.is_repeatable
-                )
+            answer = await self._wait_alive(sending, upstream.id, head_ms)
         except TimeoutError:
-            self._book.suspect(upstream.id, self._clock.monotonic_ms())
+            self._suspect(upstream.id)
             message = f"{upstream.id} sent nothing for {head_ms:.0f} ms; go elsewhere"
             return result.Err(errors.UpstreamSilent(message))
         except errors.UpstreamError as error:
@@ -301,7 +305,7 @@
         load = self._book.find(upstream_id)
         cutter = events.EventCutter(progress.last_event_id)
         while True:
-            chunk = await self._read_chunk(answer, progress, cutter.count)
+            chunk = await self._read_chunk(answer, progress, choice, cutter.count)
             load.heard_at_ms = self._clock.monotonic_ms()
             if not chunk:
                 break
@@ -322,18 +326,61 @@
         return result.Ok(calls.Outcome.ANSWERED)
 
     async def _read_chunk(
-        self, answer: exchange.Answer, progress: progresses.Progress, event_count: int
+        self,
+        answer: exchange.Answer,
+        progress: progresses.Progress,
+        choice: placing.Choice,
+        event_count: int,
     ) -> bytes:
         if not progress.can_move:
             return await answer.read_next()
-        least_ms = GAP_SILENCE_MS if event_count else FIRST_SILENCE_MS
-        limit_ms = max(least_ms, 2 * progress.route.gap_goal_ms)
+        limit_ms = max(GAP_SILENCE_MS, 2 * progress.route.gap_goal_ms)
+        if not event_count:
+            limit_ms = self._limit_head(progress, choice, self._left_ms(progress))
+        load = self._book.find(choice.upstream.id)
+        silent_since_ms = float(self._clock.monotonic_ms())
+        while True:
+            left_ms = silent_since_ms + limit_ms - self._clock.monotonic_ms()
+            try:
+                async with asyncio.timeout(max(0.0, left_ms / 1000)):
+                    return await answer.read_next()
+            except TimeoutError as error:
+                if event_count == 0 and load.heard_at_ms > silent_since_ms:
+                    silent_since_ms = load.heard_at_ms  # The group serves; this request waits.
+                    continue
+                self._suspect(choice.upstream.id)
+                message = f"the stream was silent for {limit_ms:.0f} ms; go on elsewhere"
+                raise errors.UpstreamSilent(message) from error
+
+    async def _wait_alive(
+        self, sending: Coroutine[Any, Any, exchange.Answer], upstream_id: str, limit_ms: float
+    ) -> exchange.Answer:
+        """Wait for the head of an answer as long as its upstream gives signs of life.
+
+        :raises TimeoutError: nothing was heard of the upstream for the limit.
+        """
+        load = self._book.find(upstream_id)
+        silent_since_ms = float(self._clock.monotonic_ms())
+        task = asyncio.create_task(sending)
         try:
-            async with asyncio.timeout(limit_ms / 1000):
-                return await answer.read_next()
-        except TimeoutError as error:
-            message = f"the stream was silent for {limit_ms:.0f} ms; go on elsewhere"
-            raise errors.UpstreamSilent(message) from error
+            while True:
+                left_ms = silent_since_ms + limit_ms - self._clock.monotonic_ms()
+                done, _ = await asyncio.wait({task}, timeout=max(0.0, left_ms / 1000))
+                if done:
+                    return task.result()
+                if load.heard_at_ms <= silent_since_ms:
+                    raise TimeoutError
+                silent_since_ms = load.heard_at_ms
+        finally:
+            if not task.done():
+                task.cancel()
+                await asyncio.wait({task})
+
+    def _suspect(self, upstream_id: str) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms >= self._book.find(upstream_id).suspect_until_ms:
+            self._tell_silent(upstream_id)
+        self._book.suspect(upstream_id, now_ms)
 
     async def _fail(
         self,
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -91,7 +91,7 @@
         "_loads",
         "_tasks",
         "_stepped_at_ms",
-        "_was_holder",
+        "is_holder",
         "_has_served",
         "_last_new_at_ms",
     )
@@ -129,7 +129,7 @@
         self._loads: list[int] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._stepped_at_ms = clock.monotonic_ms()
-        self._was_holder = False
+        self.is_holder = False
 
     async def run(self) -> None:
         """Coordinate until cancelled."""
@@ -149,8 +149,8 @@
                 observation.failures = 0
         self._stepped_at_ms = now_ms
         is_holder = self._may_act()
-        if is_holder != self._was_holder:
-            self._was_holder = is_holder
+        if is_holder != self.is_holder:
+            self.is_holder = is_holder
             self._log.note(
                 LOGGER,
                 "coordinates" if is_holder else "coordinates no more",
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -29,6 +29,7 @@
     followers,
     front,
     loads,
+    peers,
     placing,
     rules,
 )
@@ -86,7 +87,7 @@
             middlewares=(connections.send_once,),
         )
         self.store = stores.PlatformStore(
-            self._session, settings.store.address, settings.store.timeout_ms
+            self._session, settings.store.address, settings.store.timeout_ms, self.metrics
         )
         self._dialect = headers.PlatformDialect()
         self._exchanger = exchange.Exchanger(self._dialect)
@@ -108,15 +109,25 @@
             self.clock,
             self.log,
             self.metrics,
+            self._tell_silent,
         )
         self.front = front.Front(relay, self._dialect, self.clock, self.log, self.metrics)
+        record = followers.DaemonRecord(settings.failure_domain, settings.peers)
         self.directory = followers.DaemonDirectory(
-            self.store,
+            self.store, settings.name, record, self.clock, self.log
+        )
+        self.peers = peers.Peers(
             settings.name,
-            followers.DaemonRecord(settings.failure_domain, settings.peers),
+            settings.peers,
+            self.directory,
+            self.register,
+            self.book,
             self.clock,
+            self._rng,
             self.log,
+            self.metrics,
         )
+        record.address = self.peers.address
         await self._listen(
             front.build_readiness_app(self._is_ready), settings.readiness, ASIDE_CONNECTIONS
         )
@@ -147,6 +158,7 @@
             task.cancel()
         for opened in self._listeners:
             await opened.stop()
+        self.peers.close()
         await self._exchanger.close()
         await self._session.close()
         self.lifecycle.apply("stop")
@@ -198,6 +210,7 @@
             entries.decode_entry,
             self.view,
             self.book,
+            lambda: self._coordinator.is_holder,
             self.clock,
             self.log,
         )
@@ -229,6 +242,8 @@
             lambda: self.front.has_served,
         )
         self._start_task("coordinator", self._coordinator.run)
+        self._start_task("notices in", self.peers.receive)
+        self._start_task("notices out", self.peers.tell_loads)
         self._start_task("readiness", self._follow_readiness)
 
     def _start_task(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -257,5 +272,8 @@
             self._repeats.daemons = len(self.directory.daemons)
             await self.clock.sleep_ms(READY_CHECK_MS)
 
+    def _tell_silent(self, upstream_id: str) -> None:
+        self.peers.tell_silent(upstream_id)
+
     def _note_state(self, state: str) -> None:
         self.log.note(LOGGER, "state changed", state=state)
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -15,7 +15,8 @@
 DAEMON_PREFIX = "tanagerfork/daemons/"
 DAEMON_LEASE_MS = 6000  # A daemon that is cut off for a moment stays listed.
 DAEMON_RENEW_MS = 2000
-GATHER_MS = 150  # Changes that come together are read by one call.
+GATHER_MS = 500  # Changes that come together are read by one call; a quarter of the time to drain.
+URGENT_GATHER_MS = 50  # The same for a coordinator, whose repairs wait for each change.
 CONFIG_SILENCE_MS = 3500  # Longer than one call of a watch; past it the key is read again.
 
 RulesDecoder = Callable[[bytes], result.Result[rules.Rules, errors.PlatformError]]
@@ -132,11 +133,13 @@
     :param decode: decodes an entry.
     :param view: fleet.
     :param book: loads of the upstreams.
+    :param is_urgent: whether changes are needed at once, at the price of more calls.
     :param clock: clock to wait on.
     :param log: decision log.
     """
 
     __slots__ = (
+        "_is_urgent",
         "_store",
         "_prefix",
         "_decode",
@@ -155,9 +158,11 @@
         decode: EntryDecoder,
         view: fleet.Fleet,
         book: loads.LoadBook,
+        is_urgent: Callable[[], bool],
         clock: clocks.Clock,
         log: decisions.DecisionLog,
     ) -> None:
+        self._is_urgent = is_urgent
         self._store = store
         self._prefix = prefix
         self._decode = decode
@@ -182,7 +187,8 @@
                 async for changes in self._store.watch_prefix(self._prefix, revision):
                     self._take(changes)
                     if changes.written or changes.removed:
-                        await self._clock.sleep_ms(GATHER_MS)
+                        gather_ms = URGENT_GATHER_MS if self._is_urgent() else GATHER_MS
+                        await self._clock.sleep_ms(gather_ms)
             await self._clock.sleep_ms(RETRY_MS)
 
     def _take(self, changes: key_value.Changes) -> None:
--- a/src/tanagerfork/relay/loads.py
+++ b/src/tanagerfork/relay/loads.py
@@ -4,10 +4,13 @@
 
 from tanagerfork.relay import calls
 
+FRESH_MS = 150  # A told load that is younger than what the peers tell.
 FADE_MS = 1000.0  # About the time a usual answer takes: half of the told requests have ended.
 FAILURE_SMOOTHING = 0.3  # Three failures in a row outweigh any success before them.
 WAIT_SMOOTHING = 0.2  # The mean of about the last ten answers.
-SUSPECT_MS = 3000  # Past two beats of the directory it shows whether the upstream is gone.
+SUSPECT_MS = 1500  # By then the coordinator has asked the upstream and changed its group.
+HEARD_MS = 200  # Three times the gap between two events of a busy group.
+PEER_TTL_MS = 1200  # Four rounds of the peers.
 OLD_FAILURE_MS = 4000  # A failure counts half after so long, so that an upstream is tried again.
 
 
@@ -25,6 +28,8 @@
     heard_at_ms: float = -1e12
     suspect_until_ms: float = -1e12
     wait_ms: float = 0.0
+    peer_open: int = 0
+    peer_unread_tokens: int = 0
 
     def estimate_others(self, now_ms: float) -> float:
         """Return how many requests of other daemons it holds.
@@ -32,9 +37,10 @@
         :param now_ms: monotonic clock, in milliseconds.
         """
         if self.told is None:
-            return 0.0
+            return float(self.peer_open)
         others = max(0, self.told.running + self.told.waiting - self.open_when_told)
-        return others * FADE_MS / (FADE_MS + now_ms - self.told_at_ms)
+        faded = others * FADE_MS / (FADE_MS + now_ms - self.told_at_ms)
+        return max(faded, self.peer_open) if now_ms - self.told_at_ms < FRESH_MS else self.peer_open
 
     def estimate_failure(self, now_ms: float) -> float:
         """Return the share of requests that are expected to fail.
@@ -45,13 +51,76 @@
         return self.failure_share * OLD_FAILURE_MS / (OLD_FAILURE_MS + max(0.0, age_ms))
 
 
+@dataclasses.dataclass(slots=True)
+class PeerLoads:
+    """What one other daemon has open, as it told last."""
+
+    told_at_ms: float
+    open: dict[str, tuple[int, int]]
+
+
 class LoadBook:
     """Loads of all upstreams, by id."""
 
-    __slots__ = ("_loads",)
+    __slots__ = ("_loads", "_peers")
 
     def __init__(self) -> None:
         self._loads: dict[str, UpstreamLoad] = {}
+        self._peers: dict[str, PeerLoads] = {}
+
+    def note_peer(self, daemon: str, told: dict[str, tuple[int, int]], now_ms: float) -> None:
+        """Take in all that another daemon has open.
+
+        :param daemon: the other daemon.
+        :param told: requests and unread prompt tokens by upstream.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        before = self._peers.get(daemon)
+        if before is not None:
+            self._add(before.open, -1)
+        self._peers[daemon] = PeerLoads(now_ms, told)
+        self._add(told, 1)
+
+    def drop_old_peers(self, now_ms: float) -> None:
+        """Forget what daemons told that have been silent since.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        for daemon, peer in list(self._peers.items()):
+            if now_ms - peer.told_at_ms > PEER_TTL_MS:
+                self._add(peer.open, -1)
+                del self._peers[daemon]
+
+    def list_open(self) -> list[tuple[str, int, int]]:
+        """Return upstream, requests and unread prompt tokens of what this daemon has open."""
+        return [
+            (key, load.open, max(0, load.open_prompt_tokens))
+            for key, load in self._loads.items()
+            if load.open
+        ]
+
+    def count_peers(self) -> int:
+        """Return how many daemons told their loads a moment ago."""
+        return len(self._peers)
+
+    def suspect_by_peer(self, upstream_id: str, now_ms: float) -> bool:
+        """Suspect an upstream that another daemon found silent.
+
+        :param upstream_id: id of the upstream.
+        :param now_ms: monotonic clock, in milliseconds.
+        :return: whether this daemon has not heard of it just now.
+        """
+        load = self.find(upstream_id)
+        if now_ms - load.heard_at_ms < HEARD_MS:
+            return False
+        self.suspect(upstream_id, now_ms)
+        return True
+
+    def _add(self, told: dict[str, tuple[int, int]], sign: int) -> None:
+        for upstream_id, (requests, tokens) in told.items():
+            load = self.find(upstream_id)
+            load.peer_open += sign * requests
+            load.peer_unread_tokens += sign * tokens
 
     def find(self, upstream_id: str) -> UpstreamLoad:
         """Return the load of an upstream.
@@ -126,5 +195,5 @@
         :param upstream_ids: ids of the upstreams that are not gone.
         """
         for gone in self._loads.keys() - upstream_ids:
-            if not self._loads[gone].open:
+            if not self._loads[gone].open and not self._loads[gone].peer_open:
                 del self._loads[gone]
--- /dev/null
+++ b/src/tanagerfork/relay/peers.py
@@ -0,0 +1,151 @@
+"""Peers: daemons tell each other what they have open, what went silent and which rules they have.
+
+The store is the guarantee for rules and upstreams; peers only make them known sooner. What they
+tell of loads keeps a daemon that sees a twentieth of the requests from choosing a busy group.
+"""
+
+import random
+
+import msgspec
+
+from tanagerfork import clock as clocks
+from tanagerfork import decisions
+from tanagerfork import metrics as metric
+from tanagerfork.generated import notices
+from tanagerfork.peers import link
+from tanagerfork.relay import followers, loads, rules
+
+LOGGER = "relay.peers"
+INTERVAL_MS = 300  # Twice within the time that a usual request needs for its first event.
+FANOUT = 24  # Peers told in one round; all of today's, a part of them in a larger fleet.
+MESSAGE_BYTES = 64 * 1024
+
+
+class Peers:
+    """Sends and takes notices.
+
+    :param name: name of this daemon.
+    :param address: IP address and port to listen on.
+    :param directory: which daemons there are.
+    :param register: rules in force.
+    :param book: loads of the upstreams.
+    :param clock: clock of all decisions.
+    :param rng: chooses the peers of a round.
+    :param log: decision log.
+    :param metrics: counters.
+    """
+
+    __slots__ = (
+        "_name",
+        "_directory",
+        "_register",
+        "_book",
+        "_clock",
+        "_rng",
+        "_log",
+        "_metrics",
+        "_inbox",
+        "_links",
+        "newest_version",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        directory: followers.DaemonDirectory,
+        register: rules.RulesRegister,
+        book: loads.LoadBook,
+        clock: clocks.Clock,
+        rng: random.Random,
+        log: decisions.DecisionLog,
+        metrics: metric.Metrics,
+    ) -> None:
+        self._name = name
+        self._directory = directory
+        self._register = register
+        self._book = book
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._metrics = metrics
+        host, _, port = address.rpartition(":")
+        self._inbox = link.Inbox(host, int(port), MESSAGE_BYTES)
+        self._links = link.LinkTable(2 * FANOUT, clock, rng, metrics)
+        self.newest_version = 0
+
+    @property
+    def address(self) -> str:
+        """IP address and port that other daemons send to."""
+        return self._inbox.address
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._links.close()
+        self._inbox.close()
+
+    async def receive(self) -> None:
+        """Take notices in until cancelled."""
+        while True:
+            frame = await self._inbox.receive()
+            try:
+                self._take(msgspec.msgpack.decode(frame, type=notices.Notice))
+            except msgspec.MsgspecError as error:
+                self._metrics.count("relay_notices_refused_total")
+                self._log.note(LOGGER, "notice refused", reason=str(error))
+
+    async def tell_loads(self) -> None:
+        """Tell what is open in rounds until cancelled."""
+        while True:
+            now_ms = self._clock.monotonic_ms()
+            self._book.drop_old_peers(now_ms)
+            told = [
+                notices.OpenLoad(upstream=key, requests=requests, unread_tokens=tokens)
+                for key, requests, tokens in self._book.list_open()
+            ]
+            self._send(self._make(loads=told, has_loads=True))
+            await self._clock.sleep_ms(INTERVAL_MS * self._rng.uniform(0.8, 1.2))
+
+    def tell_silent(self, upstream_id: str) -> None:
+        """Tell that an upstream went silent.
+
+        :param upstream_id: id of the upstream.
+        """
+        self._send(self._make(silent=[upstream_id]))
+
+    def _make(
+        self,
+        loads: list[notices.OpenLoad] | None = None,
+        has_loads: bool = False,
+        silent: list[str] | None = None,
+    ) -> notices.Notice:
+        in_force = self._register.current
+        return notices.Notice(
+            daemon=self._name,
+            rules_version=in_force.version if in_force else 0,
+            loads=loads or [],
+            silent=silent or [],
+            has_loads=has_loads,
+        )
+
+    def _send(self, notice: notices.Notice) -> None:
+        frame = msgspec.msgpack.encode(notice)
+        others = [
+            record.address
+            for name, record in self._directory.daemons.items()
+            if name != self._name and record.address
+        ]
+        for address in self._rng.sample(others, min(FANOUT, len(others))):
+            self._links.send(address, frame)
+
+    def _take(self, notice: notices.Notice) -> None:
+        now_ms = self._clock.monotonic_ms()
+        self.newest_version = max(self.newest_version, notice.rules_version)
+        if notice.has_loads:
+            told = {load.upstream: (load.requests, load.unread_tokens) for load in notice.loads}
+            self._book.note_peer(notice.daemon, told, now_ms)
+        for upstream_id in notice.silent:
+            if self._book.suspect_by_peer(upstream_id, now_ms):
+                self._log.note(
+                    LOGGER, "upstream suspected", upstream=upstream_id, told_by=notice.daemon
+                )
--- a/src/tanagerfork/relay/placing.py
+++ b/src/tanagerfork/relay/placing.py
@@ -86,7 +86,7 @@
             load = self._book.find(group.head.id)
             others = load.estimate_others(now_ms)
             there = load.open + others
-            unread = prompt_tokens + load.open_prompt_tokens
+            unread = prompt_tokens + load.open_prompt_tokens + load.peer_unread_tokens
             expected_ms = estimate_first_event_ms(engine, group.model, there, unread)
             expected_ms += load.estimate_failure(now_ms) * FAILURE_COST_MS
             key = now_ms < load.suspect_until_ms, expected_ms * self._draw_jitter()
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -15,6 +15,7 @@
     "settings": "StrictRecord",
     "relay": "StrictRecord",
     "peers": "CompactRecord",
+    "notices": "CompactRecord",
 }
 HEADER = '"""Generated from schema/{name}.json by `make generate`; do not edit."""'
 
