--- a/src/tanagerfork/platform/config.py
+++ b/src/tanagerfork/platform/config.py
@@ -63,6 +63,7 @@
     form_ms: float = msgspec.field(default=0.0, name="formMs")
     loads_per_s: float = msgspec.field(default=1.0, name="loadsPerS")
     loads_at_once: int = 1
+    far_x: float = 1.0
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -170,5 +171,6 @@
         form_ms=engine.form_ms,
         loads_per_s=engine.loads_per_s,
         loads_at_once=engine.loads_at_once,
+        far_factor=engine.far_x,
     )
     return rules.Service(service.name, service.max_conns, spec)
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -93,6 +93,7 @@
         "_stepped_at_ms",
         "is_holder",
         "_has_served",
+        "_coverage",
         "_last_new_at_ms",
     )
 
@@ -111,6 +112,7 @@
         has_served: Callable[[], bool],
     ) -> None:
         self._has_served = has_served
+        self._coverage: dict[str, int] = {}
         self._last_new_at_ms = clock.monotonic_ms()
         self._failure_domain = failure_domain
         self._settings = settings
@@ -279,11 +281,24 @@
                 list_age_ms=self._view.measure_age(self._clock.monotonic_ms()),
                 fencing=self._keeper.state.fencing,
             )
+        self._note_coverage(service, facts, plan.record)
         if plan.record != self._record and not await self._write(plan.record):
             return
         if self._may_act():
             self._give_orders(plan.orders, facts)
 
+    def _note_coverage(
+        self,
+        service: rules.Service,
+        facts: dict[str, planner.Fact],
+        record: assignments.Assignments,
+    ) -> None:
+        """Log how many upstreams serve, join and wait, where that has changed."""
+        coverage = planner.measure_coverage(service, facts, record)
+        if coverage != self._coverage:
+            self._coverage = coverage
+            self._log.note(LOGGER, "coverage", failure_domain=self._failure_domain, **coverage)
+
     def _count_loads_left(self, service: rules.Service, facts: dict[str, planner.Fact]) -> int:
         """Return how many loads from the weight store may be started now."""
         engine = service.engine
--- a/src/tanagerfork/relay/fleet.py
+++ b/src/tanagerfork/relay/fleet.py
@@ -12,7 +12,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Group:
-    """A whole group; requests go to its head."""
+    """A whole group; requests go to its head.
+
+    `slowness` is the factor of all its times, of its model and where its members are far apart.
+    """
 
     service: str
     model: rules.ModelSpec
@@ -20,6 +23,7 @@
     epoch: int
     head: members.Upstream
     members: tuple[members.Upstream, ...]
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -183,4 +187,6 @@
         if model is None or not is_open or ranked.keys() != set(range(model.group_size)):
             return None
         in_rank = tuple(ranked[rank] for rank in range(model.group_size))
-        return Group(service, model, name, epoch, head, in_rank)
+        is_far = len({member.fabric_domain for member in in_rank}) > 1
+        slowness = model.pace * (engine.far_factor if is_far else 1.0)
+        return Group(service, model, name, epoch, head, in_rank, slowness)
--- a/src/tanagerfork/relay/placing.py
+++ b/src/tanagerfork/relay/placing.py
@@ -25,7 +25,7 @@
 
 def estimate_first_event_ms(
     engine: rules.EngineSpec,
-    model: rules.ModelSpec,
+    slowness: float,
     requests: float,
     unread_tokens: float,
 ) -> float:
@@ -35,7 +35,7 @@
     have to come free count, not the number of requests alone.
 
     :param engine: what the engines are able to do.
-    :param model: model of the group.
+    :param slowness: factor of all times of the group.
     :param requests: requests at the group before this one.
     :param unread_tokens: tokens of prompts that are read before its first event, its own included.
     """
@@ -45,7 +45,7 @@
     waiting = max(0.0, requests + 1 - engine.slots)
     answer_ms = engine.usual_answer_tokens * step_ms
     slot_ms = waiting * answer_ms / engine.slots
-    return model.pace * (reading_ms + slot_ms + EVENT_TOKENS * step_ms)
+    return slowness * (reading_ms + slot_ms + EVENT_TOKENS * step_ms)
 
 
 class Placer:
@@ -87,7 +87,7 @@
             others = load.estimate_others(now_ms)
             there = load.open + others
             unread = prompt_tokens + load.open_prompt_tokens + load.peer_unread_tokens
-            expected_ms = estimate_first_event_ms(engine, group.model, there, unread)
+            expected_ms = estimate_first_event_ms(engine, group.slowness, there, unread)
             expected_ms += load.estimate_failure(now_ms) * FAILURE_COST_MS
             key = now_ms < load.suspect_until_ms, expected_ms * self._draw_jitter()
             if best is None or key < best_key:
--- a/src/tanagerfork/relay/planner.py
+++ b/src/tanagerfork/relay/planner.py
@@ -22,6 +22,7 @@
 STAGED_COST = 1
 LAST_MODEL_COST = 0
 UNSTAGED_COST = 10
+ACROSS_DOMAINS = ""  # Such a group runs slower; it is formed where no fabric domain has enough.
 OUT_OF_GROUP = frozenset(
     (members.MemberState.JOINING, members.MemberState.READY, members.MemberState.BROKEN)
 )
@@ -128,6 +129,39 @@
     return plan
 
 
+def measure_coverage(
+    service: rules.Service, facts: Mapping[str, Fact], record: assignments.Assignments
+) -> dict[str, int]:
+    """Return how many groups serve, by model, and how many upstreams do not.
+
+    :param service: model service.
+    :param facts: what is known of its upstreams.
+    :param record: record of assignments.
+    """
+    coverage = (
+        {f"open_{model.name}": 0 for model in service.engine.models} if service.engine else {}
+    )
+    groups = [group for group in record.groups if group.service == service.name]
+    assigned = {member for group in groups for member in group.members}
+    usable = [fact for fact in facts.values() if fact.is_usable]
+    free = [fact for fact in usable if fact.upstream.id not in assigned]
+    coverage["usable"] = len(usable)
+    coverage["free_staged"] = sum(bool(fact.upstream.staged) for fact in free)
+    coverage["free_empty"] = sum(not fact.upstream.staged for fact in free)
+    coverage["forming"] = coverage["closing"] = 0
+    for group in groups:
+        head = facts.get(group.members[0])
+        mark = head.mark if head else None
+        is_open = mark is not None and mark.state is members.MemberState.OPEN
+        if group.closing:
+            coverage["closing"] += 1
+        elif is_open and _is_in(mark, group):
+            coverage[f"open_{group.model}"] += 1
+        else:
+            coverage["forming"] += 1
+    return coverage
+
+
 def _review(
     assignment: assignments.Assignment, situation: Situation, plan: Plan
 ) -> assignments.Assignment | None:
@@ -205,7 +239,7 @@
         if chosen is None:
             return formed
         model, domain, picked = chosen
-        loads_left -= sum(_cost(fact, model.name) >= UNSTAGED_COST for fact in picked)
+        loads_left -= _count_loads(picked, model)
         epoch = first_epoch + len(formed)
         group = assignments.Assignment(
             group=f"{situation.record.failure_domain}-{epoch}",
@@ -219,7 +253,10 @@
         )
         formed.append(group)
         taken = set(group.members)
-        free[domain] = [fact for fact in free[domain] if fact.upstream.id not in taken]
+        free = {
+            name: [fact for fact in facts if fact.upstream.id not in taken]
+            for name, facts in free.items()
+        }
         plan.notes.append(f"form {group.group} of {model.name} from {', '.join(group.members)}")
 
 
@@ -231,7 +268,10 @@
     heads_open = {
         (fact.mark.group, fact.mark.epoch)
         for fact in situation.facts.values()
-        if fact.mark and fact.mark.rank == 0 and fact.mark.state not in OUT_OF_GROUP
+        if fact.mark
+        and fact.mark.rank == 0
+        and fact.mark.state not in OUT_OF_GROUP
+        and (fact.is_listed or not fact.is_silent)
     }
     free: dict[str, list[Fact]] = {}
     live: dict[str, int] = {}
@@ -256,20 +296,21 @@
 ) -> tuple[rules.ModelSpec, str, list[Fact]] | None:
     """Return the group to form next: of the model that lacks most against its share."""
     smallest_set = sum(model.group_size for model in engine.models)
-    for model in sorted(engine.models, key=lambda spec: _measure_cover(spec, groups)):
+    for rank, model in enumerate(
+        sorted(engine.models, key=lambda spec: _measure_cover(spec, groups))
+    ):
+        # A model that lacks less may not use up what the neediest one waits for.
+        most_loads = loads_left if rank == 0 else 0
         best: tuple[tuple[int, int, int], str, list[Fact]] | None = None
         for domain, facts in free.items():
-            spare = max(
-                0, min(math.ceil(live[domain] / SPARE_DIVISOR), live[domain] - smallest_set)
-            )
-            has_own = any(g.model == model.name and g.fabric_domain == domain for g in groups)
-            if len(facts) < model.group_size + (spare if has_own else 0):
+            spare = _count_spares(live[domain], smallest_set)
+            same = sum(g.model == model.name and g.fabric_domain == domain for g in groups)
+            if len(facts) < model.group_size + (spare if same else 0):
                 continue
-            picked = sorted(facts, key=lambda fact: _rank(fact, model, engine))[: model.group_size]
-            loads = sum(_cost(fact, model.name) >= UNSTAGED_COST for fact in picked)
-            if loads > loads_left:
+            picked = _pick(facts, model, engine)
+            loads = _count_loads(picked, model)
+            if loads > most_loads:
                 continue
-            same = sum(g.model == model.name and g.fabric_domain == domain for g in groups)
             key = (loads, same, -len(facts))
             if best is None or key < best[0]:
                 best = (key, domain, picked)
@@ -277,9 +318,21 @@
             return model, best[1], best[2]
         if not situation.is_settled:
             return None
+        everywhere = [fact for facts in free.values() for fact in facts]
+        picked = _pick(everywhere, model, engine)
+        if len(picked) == model.group_size and not _count_loads(picked, model):
+            return model, ACROSS_DOMAINS, picked
     return None
 
 
+def _pick(facts: Sequence[Fact], model: rules.ModelSpec, engine: rules.EngineSpec) -> list[Fact]:
+    return sorted(facts, key=lambda fact: _rank(fact, model, engine))[: model.group_size]
+
+
+def _count_loads(picked: Sequence[Fact], model: rules.ModelSpec) -> int:
+    return sum(not fact.holds(model.name) for fact in picked)
+
+
 def _count_spares(live: int, smallest_set: int) -> int:
     """Return how many upstreams of a fabric domain stay free once each model has a group there."""
     return max(0, min(math.ceil(live / SPARE_DIVISOR), live - smallest_set))
@@ -357,32 +410,40 @@
 
 
 def _stage_spares(situation: Situation, plan: Plan) -> None:
-    """Load weights onto the hosts of spares ahead of need, the largest model first."""
+    """Load weights onto the hosts of spares ahead of need, so that a repair need not wait for it.
+
+    Each fabric domain is to have one spare for each model, the largest first; further spares get
+    the model that lacks most against its share.
+    """
     engine = situation.service.engine
     groups = [group for group in plan.record.groups if group.service == situation.service.name]
-    forming = any(
-        not _is_in(situation.facts[member].mark, group)
-        for group in groups
-        for member in group.members
-        if member in situation.facts and not group.closing
-    )
-    if engine is None or forming or not situation.is_settled:
+    if engine is None or not situation.is_settled:
+        return
+    if not situation.record.has_served and _is_any_forming(groups, situation.facts):
         return
     free, _ = _find_free(situation, groups)
     left = situation.may_load
     for facts in free.values():
-        wanted = sorted(engine.models, key=lambda model: -model.group_size)
-        spares = sorted(facts, key=lambda fact: fact.upstream.id)
-        for index in range(len(spares)):
-            model = wanted[index % len(wanted)].name
-            if any(model in fact.upstream.staged for fact in spares):
-                holder = next(fact for fact in spares if model in fact.upstream.staged)
-                spares.remove(holder)
+        held = {model for fact in facts for model in fact.upstream.staged}
+        wanted = [
+            model.name
+            for model in sorted(engine.models, key=lambda spec: -spec.group_size)
+            if model.name not in held
+        ]
+        neediest = min(engine.models, key=lambda spec: _measure_cover(spec, groups)).name
+        for fact in sorted(facts, key=lambda known: known.upstream.id):
+            if fact.upstream.staged or left < 1:
                 continue
-            unstaged = [fact for fact in spares if not fact.upstream.staged]
-            if not unstaged or left < 1:
-                break
             left -= 1
-            spares.remove(unstaged[0])
-            upstream = unstaged[0].upstream
+            model = wanted.pop(0) if wanted else neediest
+            upstream = fact.upstream
             plan.orders.append(Order(STAGE, upstream.id, upstream.address, model=model))
+
+
+def _is_any_forming(groups: Sequence[assignments.Assignment], facts: Mapping[str, Fact]) -> bool:
+    return any(
+        not _is_in(facts[member].mark, group)
+        for group in groups
+        for member in group.members
+        if member in facts and not group.closing
+    )
--- a/src/tanagerfork/relay/rules.py
+++ b/src/tanagerfork/relay/rules.py
@@ -87,7 +87,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineSpec:
-    """What a model service's engines are able to do; times are per group of pace 1."""
+    """What a model service's engines are able to do; times are per group of pace 1.
+
+    `far_factor` is how many times slower a group runs whose members are in several fabric domains.
+    """
 
     models: tuple[ModelSpec, ...]
     slots: int
@@ -100,6 +103,7 @@
     form_ms: float
     loads_per_s: float
     loads_at_once: int
+    far_factor: float = 1.0
 
     def find_model(self, name: str) -> ModelSpec | None:
         """Return a model by its name; None where the engine does not serve it.
