Free the members of a group only when its head was heard of; keep a coordinator in its place

Ruled out: reports that lag (the head was never asked) and late orders (none were). Now a coordinator asks every member that the record names, at the address kept there, and a head that was neither listed nor asked is no head that is gone; a coordinator keeps its place.

--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -53,8 +53,8 @@
     failures: int = 0
     order_count: int | None = None
     mark: members.GroupMark | None = None
-    born_at_ms: int = 0
     is_asking: bool = False
+    was_answered: bool = False
 
 
 class Coordinator:
@@ -203,13 +203,20 @@
                 self._seen[upstream.id] = Observation(upstream, now_ms)
             else:
                 seen.upstream, seen.listed_at_ms = upstream, now_ms
+        self._observe_assigned(now_ms)
+
+    def _observe_assigned(self, now_ms: int) -> None:
+        for group in self._groups():
+            for rank, member in enumerate(group.members):
+                if member not in self._seen:
+                    self._seen[member] = Observation(_recall(group, rank, self._failure_domain), -1)
+        assigned = {member for group in self._groups() for member in group.members}
         for gone in [
             upstream_id
             for upstream_id, seen in self._seen.items()
-            if now_ms - seen.listed_at_ms > FORGET_MS
+            if now_ms - seen.listed_at_ms > FORGET_MS and upstream_id not in assigned
         ]:
             del self._seen[gone]
-        assigned = {member for group in self._groups() for member in group.members}
         interval_ms = self._settings.members.probe_interval_ms
         for upstream_id in assigned & self._seen.keys():
             seen = self._seen[upstream_id]
@@ -240,8 +247,10 @@
                 )
             return
         seen.failures = 0
+        seen.was_answered = True
         report = told.ok_value
-        seen.born_at_ms = report.born_at_ms
+        if report.born_at_ms and report.born_at_ms != seen.upstream.born_at_ms:
+            seen.upstream = dataclasses.replace(seen.upstream, born_at_ms=report.born_at_ms)
         seen.order_count = report.order_count
         seen.mark = report.mark
 
@@ -252,6 +261,9 @@
                 is_listed=seen.listed_at_ms == now_ms,
                 is_silent=seen.failures >= SILENT_PROBES,
                 mark=seen.upstream.mark if seen.listed_at_ms == now_ms else seen.mark,
+                is_known=seen.listed_at_ms == now_ms
+                or seen.was_answered
+                or seen.failures >= SILENT_PROBES,
             )
             for upstream_id, seen in self._seen.items()
             if seen.upstream.service == service.name
@@ -364,3 +376,17 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _recall(group: assignments.Assignment, rank: int, failure_domain: str) -> members.Upstream:
+    """Return a member whose directory entry this coordinator has not seen."""
+    return members.Upstream(
+        id=group.members[rank],
+        service=group.service,
+        address=group.addresses[rank],
+        failure_domain=failure_domain,
+        is_leaving=False,
+        slots=0,
+        born_at_ms=group.born_at_ms[rank],
+        fabric_domain=group.fabric_domain,
+    )
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -1,7 +1,6 @@
 """The relaying daemon: wires its parts together, serves, and stops without cutting anything off."""
 
 import asyncio
-import functools
 import pathlib
 import random
 import traceback
@@ -226,7 +225,7 @@
                 self.store,
                 self.clock,
                 self.settings.members.lease_ttl_ms,
-                functools.partial(self.directory.list_names, self.settings.failure_domain),
+                self._list_candidates,
             ),
             self.store,
             runners.RunnerClient(
@@ -272,6 +271,12 @@
             self._repeats.daemons = len(self.directory.daemons)
             await self.clock.sleep_ms(READY_CHECK_MS)
 
+    def _list_candidates(self) -> list[str]:
+        """Return the daemons that may coordinate; a coordinator is not displaced by new ones."""
+        if self._coordinator.is_holder:
+            return [self.settings.name]
+        return self.directory.list_names(self.settings.failure_domain)
+
     def _tell_silent(self, upstream_id: str) -> None:
         self.peers.tell_silent(upstream_id)
 
--- a/src/tanagerfork/relay/planner.py
+++ b/src/tanagerfork/relay/planner.py
@@ -32,13 +32,15 @@
 class Fact:
     """What the coordinator knows of one upstream.
 
-    `is_listed` says whether the directory has an entry, `is_silent` that it answers no question.
+    `is_listed` says whether the directory has an entry, `is_silent` that it answers no question;
+    `is_known` is False as long as it is neither listed nor was asked.
     """
 
     upstream: members.Upstream
     is_listed: bool
     is_silent: bool
     mark: members.GroupMark | None
+    is_known: bool = True
 
     @property
     def is_usable(self) -> bool:
@@ -206,8 +208,8 @@
 def _is_released(assignment: assignments.Assignment, facts: Mapping[str, Fact]) -> bool:
     """Return whether the head of a closing group surely serves no more."""
     fact = facts.get(assignment.members[0])
-    if fact is None:
-        return True
+    if fact is None or not fact.is_known:
+        return False
     if fact.upstream.born_at_ms != assignment.born_at_ms[0]:
         return True
     if not fact.is_listed and fact.is_silent:
--- /dev/null
+++ b/tests/relay/test_planner.py
@@ -0,0 +1,222 @@
+"""Which groups are formed and dissolved, and what is ordered for it."""
+
+import dataclasses
+
+import msgspec
+import pytest
+
+from tanagerfork.generated import assignments
+from tanagerfork.relay import members, planner, rules
+
+STATE = members.MemberState
+LARGE = rules.ModelSpec("large", 4, 0.67, 1.0, 16.0, 1.6)
+SMALL = rules.ModelSpec("small", 2, 0.33, 0.6, 12.0, 1.1)
+ENGINE = rules.EngineSpec((LARGE, SMALL), 13, 700_000, 6, 0.5, 0.01, 46_000, 116, 300, 4, 6, 4)
+SERVICE = rules.Service("writer", 100, ENGINE)
+
+
+def make_fact(
+    name: str, domain: str = "d0", staged: tuple[str, ...] = (), **changes: object
+) -> planner.Fact:
+    upstream = members.Upstream(
+        id=name,
+        service="writer",
+        address=f"10.0.0.1:{name}",
+        failure_domain="a",
+        is_leaving=False,
+        slots=13,
+        born_at_ms=1,
+        fabric_domain=domain,
+        staged=staged,
+        models=staged,
+    )
+    fact = planner.Fact(upstream, is_listed=True, is_silent=False, mark=None)
+    return dataclasses.replace(fact, **changes)
+
+
+def make_facts(
+    count: int, domain: str = "d0", staged: tuple[str, ...] = ()
+) -> dict[str, planner.Fact]:
+    return {
+        f"{domain}-{index}": make_fact(f"{domain}-{index}", domain, staged)
+        for index in range(count)
+    }
+
+
+def make_record(*groups: assignments.Assignment) -> assignments.Assignments:
+    return assignments.Assignments(
+        failure_domain="a", next_epoch=10, groups=list(groups), has_served=True
+    )
+
+
+def make_group(names: list[str], model: str = "small", epoch: int = 5) -> assignments.Assignment:
+    return assignments.Assignment(
+        group=f"a-{epoch}",
+        epoch=epoch,
+        service="writer",
+        model=model,
+        fabric_domain="d0",
+        members=names,
+        addresses=[f"10.0.0.1:{name}" for name in names],
+        born_at_ms=[1] * len(names),
+    )
+
+
+def plan(
+    facts: dict[str, planner.Fact],
+    record: assignments.Assignments,
+    may_load: int = 100,
+    is_settled: bool = True,
+) -> planner.Plan:
+    return planner.make_plan(planner.Situation(SERVICE, facts, record, may_load, is_settled))
+
+
+def mark_as(
+    facts: dict[str, planner.Fact], group: assignments.Assignment, head: members.MemberState
+) -> None:
+    for rank, name in enumerate(group.members):
+        state = head if rank == 0 else STATE.READY
+        mark = members.GroupMark(group.group, group.epoch, rank, state)
+        facts[name] = dataclasses.replace(facts[name], mark=mark)
+
+
+def kinds(made: planner.Plan) -> set[tuple[str, str]]:
+    return {(order.kind, order.upstream_id) for order in made.orders}
+
+
+class TestForming:
+    def test_first_groups_keep_to_the_shares(self) -> None:
+        made = plan(make_facts(8) | make_facts(8, "d1"), make_record())
+        sizes = [(group.model, group.fabric_domain) for group in made.record.groups]
+        assert sorted(sizes) == [
+            ("large", "d0"),
+            ("large", "d1"),
+            ("small", "d0"),
+            ("small", "d1"),
+        ]
+
+    def test_neediest_model_waits_while_upstreams_come(self) -> None:
+        assert not plan(make_facts(2), make_record(), is_settled=False).record.groups
+
+    def test_members_with_the_weights_come_first(self) -> None:
+        facts = make_facts(4) | {
+            f"z{index}": make_fact(f"z{index}", staged=("small",)) for index in range(2)
+        }
+        made = plan(facts, make_record())
+        small = next(group for group in made.record.groups if group.model == "small")
+        assert sorted(small.members) == ["z0", "z1"]
+
+    def test_too_few_in_each_domain_join_across(self) -> None:
+        facts = make_facts(2, "d0", ("large",)) | make_facts(2, "d1", ("large",))
+        made = plan(facts, make_record(), may_load=0)
+        assert [group.fabric_domain for group in made.record.groups] == [planner.ACROSS_DOMAINS]
+
+    def test_model_that_lacks_less_loads_nothing(self) -> None:
+        """Survivors of a large group are not loaded with the small model while large lacks more."""
+        made = plan(make_facts(3, staged=("large",)), make_record(), may_load=10)
+        assert not made.record.groups
+
+    def test_open_waits_for_every_member(self) -> None:
+        facts = make_facts(2)
+        group = make_group(["d0-0", "d0-1"])
+        mark_as(facts, group, STATE.READY)
+        assert ("open", "d0-0") in kinds(plan(facts, make_record(group)))
+        waiting = members.GroupMark(group.group, group.epoch, 1, STATE.JOINING)
+        facts["d0-1"] = dataclasses.replace(facts["d0-1"], mark=waiting)
+        assert ("open", "d0-0") not in kinds(plan(facts, make_record(group)))
+
+
+class TestDissolving:
+    @pytest.mark.parametrize(
+        "change, reason",
+        [
+            ({"is_silent": True}, "does not answer"),
+            ({"is_listed": False}, "no longer listed"),
+            ({"leaves": True}, "leaving"),
+            ({"is_reborn": True}, "started anew"),
+        ],
+    )
+    def test_lost_member(self, change: dict[str, bool], reason: str) -> None:
+        facts = make_facts(2)
+        group = make_group(["d0-0", "d0-1"])
+        mark_as(facts, group, STATE.OPEN)
+        upstream = facts["d0-1"].upstream
+        if change.pop("leaves", False):
+            change["upstream"] = dataclasses.replace(upstream, is_leaving=True)
+        if change.pop("is_reborn", False):
+            change["upstream"] = dataclasses.replace(upstream, born_at_ms=2)
+        facts["d0-1"] = dataclasses.replace(facts["d0-1"], **change)
+        made = plan(facts, make_record(group))
+        assert made.record.groups[0].closing
+        assert reason in made.record.groups[0].reason
+        assert ("close", "d0-0") in kinds(made)
+
+    @pytest.mark.parametrize(
+        "head, is_dropped",
+        [
+            (None, False),  # A new coordinator has not heard of a head whose entry has lapsed.
+            ({"is_listed": False, "is_silent": True}, True),
+            ({"is_listed": False, "is_silent": False}, False),
+            ({"is_listed": True, "is_silent": True}, False),
+            ({"is_listed": False, "is_silent": False, "is_known": False}, False),
+            ({"mark": None}, True),
+            ({"mark": members.GroupMark("a-5", 5, 0, STATE.READY)}, False),
+            ({"mark": members.GroupMark("a-5", 5, 0, STATE.CLOSING)}, False),
+            ({"mark": members.GroupMark("a-9", 9, 0, STATE.OPEN)}, True),
+        ],
+    )
+    def test_members_are_free_once_the_head_is_out(
+        self, head: dict[str, object] | None, is_dropped: bool
+    ) -> None:
+        facts = make_facts(2)
+        group = msgspec.structs.replace(
+            make_group(["d0-0", "d0-1"]), closing=True, reason="d0-1 does not answer"
+        )
+        mark_as(facts, group, STATE.OPEN)
+        facts["d0-1"] = dataclasses.replace(facts["d0-1"], is_silent=True)
+        if head is None:
+            del facts["d0-0"]
+        else:
+            facts["d0-0"] = dataclasses.replace(facts["d0-0"], **head)
+        kept = [kept.group for kept in plan(facts, make_record(group)).record.groups]
+        assert (group.group not in kept) == is_dropped
+
+    def test_members_of_a_dead_head_are_free(self) -> None:
+        facts = make_facts(4, staged=("large",)) | {"h": make_fact("h", staged=("large",))}
+        gone = members.GroupMark("a-5", 5, 0, STATE.OPEN)
+        facts["h"] = dataclasses.replace(facts["h"], mark=gone, is_listed=False, is_silent=True)
+        for rank in range(4):
+            mark = members.GroupMark("a-5", 5, rank + 1, STATE.READY)
+            name = f"d0-{rank}"
+            facts[name] = dataclasses.replace(facts[name], mark=mark)
+        assert len(plan(facts, make_record()).record.groups) == 1
+
+    def test_closed_head_is_told_to_leave(self) -> None:
+        """A late order to open finds no group then."""
+        facts = make_facts(2)
+        group = msgspec.structs.replace(make_group(["d0-0", "d0-1"]), closing=True)
+        mark_as(facts, group, STATE.READY)
+        assert ("leave", "d0-0") in kinds(plan(facts, make_record(group)))
+
+    def test_group_that_no_record_names_is_closed(self) -> None:
+        facts = make_facts(2)
+        mark_as(facts, make_group(["d0-0", "d0-1"]), STATE.OPEN)
+        made = plan(facts, make_record())
+        assert ("close", "d0-0") in kinds(made)
+        assert not made.record.groups
+
+
+class TestStaging:
+    def test_spares_get_the_weights_of_each_model(self) -> None:
+        facts = make_facts(3)
+        made = plan(facts, make_record(), may_load=0)
+        assert not [order for order in made.orders if order.kind == "stage"]
+        facts = make_facts(8)
+        large, small = make_group([f"d0-{n}" for n in range(4)], "large"), make_group(
+            ["d0-4", "d0-5"], epoch=6
+        )
+        mark_as(facts, large, STATE.OPEN)
+        mark_as(facts, small, STATE.OPEN)
+        made = plan(facts, make_record(large, small), may_load=10)
+        staged = {order.model for order in made.orders if order.kind == "stage"}
+        assert staged == {"large", "small"}
