--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -26,6 +26,7 @@
 REPEAT_ORDER_MS = 1500  # An order that showed no effect is given again.
 CEILING_WINDOW_MS = 5000  # Window in which loads from the weight store are counted.
 SETTLED_MS = 1500  # Upstreams of one start come within three seconds of each other.
+LOAD_LIMIT_FACTOR = 3  # A load that takes so much longer than alone has failed.
 FORGET_MS = 20_000  # An upstream that has left the list serves at most so much longer.
 
 
@@ -88,7 +89,8 @@
         "_record",
         "_revision",
         "_ordered_at_ms",
-        "_loads",
+        "_load_times",
+        "_loading",
         "_tasks",
         "_stepped_at_ms",
         "is_holder",
@@ -128,7 +130,8 @@
         self._record: assignments.Assignments | None = None
         self._revision = key_value.ABSENT
         self._ordered_at_ms: dict[tuple[str, str, int], int] = {}
-        self._loads: list[int] = []
+        self._load_times: list[int] = []
+        self._loading: dict[str, tuple[str, int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._stepped_at_ms = clock.monotonic_ms()
         self.is_holder = False
@@ -276,12 +279,14 @@
         facts = self._make_facts(service, self._stepped_at_ms)
         if self._has_served() and not record.has_served:
             record = msgspec.structs.replace(record, has_served=True)
+        self._find_loading(service, facts)
         situation = planner.Situation(
             service,
             facts,
             record,
             self._count_loads_left(service, facts),
             is_settled=record.has_served or self._stepped_at_ms - self._last_new_at_ms > SETTLED_MS,
+            loading=frozenset(self._loading),
         )
         plan = planner.make_plan(situation)
         for note in plan.notes:
@@ -319,10 +324,23 @@
         if self._record is not None and not self._record.has_served:
             return len(facts)
         now_ms = self._clock.monotonic_ms()
-        self._loads = [at_ms for at_ms in self._loads if now_ms - at_ms < CEILING_WINDOW_MS]
+        self._load_times = [at for at in self._load_times if now_ms - at < CEILING_WINDOW_MS]
         domains = max(1, len(self._settings.failure_domains))
         allowed = engine.loads_per_s * CEILING_WINDOW_MS / 1000 / domains
-        return max(0, int(allowed) - len(self._loads))
+        at_once = -(-engine.loads_at_once // domains)
+        return max(0, min(int(allowed) - len(self._load_times), at_once - len(self._loading)))
+
+    def _find_loading(self, service: rules.Service, facts: dict[str, planner.Fact]) -> None:
+        """Forget the loads that have ended; more at once would only slow each other down."""
+        engine = service.engine
+        now_ms = self._clock.monotonic_ms()
+        for upstream_id, (model, began_ms) in list(self._loading.items()):
+            fact = facts.get(upstream_id)
+            spec = engine.find_model(model) if engine else None
+            limit_ms = LOAD_LIMIT_FACTOR * spec.load_s * 1000 if spec else 0
+            is_over = fact is None or not fact.is_usable or fact.holds(model)
+            if is_over or now_ms - began_ms > limit_ms:
+                del self._loading[upstream_id]
 
     async def _write(self, record: assignments.Assignments) -> bool:
         changed = msgspec.structs.replace(
@@ -348,7 +366,8 @@
                 continue
             self._ordered_at_ms[key] = now_ms
             if order.model and fact is not None and not fact.holds(order.model):
-                self._loads.append(now_ms)
+                self._load_times.append(now_ms)
+                self._loading[order.upstream_id] = order.model, now_ms
             self._start(self._give(order))
 
     async def _give(self, order: planner.Order) -> None:
--- a/src/tanagerfork/relay/planner.py
+++ b/src/tanagerfork/relay/planner.py
@@ -22,6 +22,7 @@
 STAGED_COST = 1
 LAST_MODEL_COST = 0
 UNSTAGED_COST = 10
+COVERED_SHARE = 0.75  # The rest are spares with weights: a load takes longer than a loss is away.
 ACROSS_DOMAINS = ""  # Such a group runs slower; it is formed where no fabric domain has enough.
 OUT_OF_GROUP = frozenset(
     (members.MemberState.JOINING, members.MemberState.READY, members.MemberState.BROKEN)
@@ -82,7 +83,7 @@
 
     `may_load` is how many loads from the weight store may be started now. `is_settled` says that no
     upstream has come for a while; until then more are expected, and the model that lacks most waits
-    for enough of them.
+    for enough of them. `loading` are upstreams that load weights.
     """
 
     service: rules.Service
@@ -90,6 +91,7 @@
     record: assignments.Assignments
     may_load: int
     is_settled: bool = True
+    loading: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -297,36 +299,63 @@
     loads_left: int,
 ) -> tuple[rules.ModelSpec, str, list[Fact]] | None:
     """Return the group to form next: of the model that lacks most against its share."""
-    smallest_set = sum(model.group_size for model in engine.models)
     for rank, model in enumerate(
         sorted(engine.models, key=lambda spec: _measure_cover(spec, groups))
     ):
         # A model that lacks less may not use up what the neediest one waits for.
         most_loads = loads_left if rank == 0 else 0
-        best: tuple[tuple[int, int, int], str, list[Fact]] | None = None
-        for domain, facts in free.items():
-            spare = _count_spares(live[domain], smallest_set)
-            same = sum(g.model == model.name and g.fabric_domain == domain for g in groups)
-            if len(facts) < model.group_size + (spare if same else 0):
-                continue
-            picked = _pick(facts, model, engine)
-            loads = _count_loads(picked, model)
-            if loads > most_loads:
-                continue
-            key = (loads, same, -len(facts))
-            if best is None or key < best[0]:
-                best = (key, domain, picked)
-        if best is not None:
-            return model, best[1], best[2]
+        chosen = _choose_within(engine, model, free, live, groups, most_loads)
+        if chosen is None and situation.is_settled:
+            chosen = _choose_across(engine, model, free, live, groups)
+        if chosen is not None:
+            return model, *chosen
         if not situation.is_settled:
             return None
-        everywhere = [fact for facts in free.values() for fact in facts]
-        picked = _pick(everywhere, model, engine)
-        if len(picked) == model.group_size and not _count_loads(picked, model):
-            return model, ACROSS_DOMAINS, picked
     return None
 
 
+def _choose_within(
+    engine: rules.EngineSpec,
+    model: rules.ModelSpec,
+    free: Mapping[str, list[Fact]],
+    live: Mapping[str, int],
+    groups: Sequence[assignments.Assignment],
+    most_loads: int,
+) -> tuple[str, list[Fact]] | None:
+    """Return the fabric domain that can form a group of a model soonest, and its members."""
+    smallest_set = sum(spec.group_size for spec in engine.models)
+    best: tuple[tuple[int, int, int], str, list[Fact]] | None = None
+    for domain, facts in free.items():
+        spare = _count_spares(live[domain], smallest_set)
+        same = sum(g.model == model.name and g.fabric_domain == domain for g in groups)
+        if len(facts) < model.group_size + (spare if same else 0):
+            continue
+        picked = _pick(facts, model, engine)
+        loads = _count_loads(picked, model)
+        if loads > most_loads:
+            continue
+        key = (loads, same, -len(facts))
+        if best is None or key < best[0]:
+            best = (key, domain, picked)
+    return (best[1], best[2]) if best else None
+
+
+def _choose_across(
+    engine: rules.EngineSpec,
+    model: rules.ModelSpec,
+    free: Mapping[str, list[Fact]],
+    live: Mapping[str, int],
+    groups: Sequence[assignments.Assignment],
+) -> tuple[str, list[Fact]] | None:
+    """Return members of several fabric domains for a model that lacks groups."""
+    if _measure_cover(model, groups)[0] >= COVERED_SHARE * sum(live.values()):
+        return None
+    picked = _pick([fact for facts in free.values() for fact in facts], model, engine)
+    if len(picked) < model.group_size or _count_loads(picked, model):
+        return None
+    return ACROSS_DOMAINS, picked
+
+
 def _pick(facts: Sequence[Fact], model: rules.ModelSpec, engine: rules.EngineSpec) -> list[Fact]:
     return sorted(facts, key=lambda fact: _rank(fact, model, engine))[: model.group_size]
 
@@ -434,7 +463,9 @@
         ]
         neediest = min(engine.models, key=lambda spec: _measure_cover(spec, groups)).name
         for fact in sorted(facts, key=lambda known: known.upstream.id):
-            if fact.upstream.staged or left < 1:
+            if left < 1 or fact.upstream.id in situation.loading:
+                continue
+            if fact.upstream.staged and not _is_needless(fact, facts, wanted, engine):
                 continue
             left -= 1
             model = wanted.pop(0) if wanted else neediest
@@ -442,6 +473,16 @@
             plan.orders.append(Order(STAGE, upstream.id, upstream.address, model=model))
 
 
+def _is_needless(
+    fact: Fact, facts: Sequence[Fact], wanted: Sequence[str], engine: rules.EngineSpec
+) -> bool:
+    """Return whether a spare should hold another model: the largest one, that no spare holds."""
+    largest = max(engine.models, key=lambda spec: spec.group_size).name
+    if largest not in wanted or any(not other.upstream.staged for other in facts):
+        return False
+    return fact.upstream.staged[-1] != largest
+
+
 def _is_any_forming(groups: Sequence[assignments.Assignment], facts: Mapping[str, Fact]) -> bool:
     return any(
         not _is_in(facts[member].mark, group)
