Stop requests that crash the upstreams that run them, at every daemon

A reset says little of a request: an upstream that broke off is asked whether it has started anew, and only then is what was in flight blamed. The second crash quarantines a fingerprint of path, team and body; peers are told.

--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -228,6 +228,12 @@
     kind = "upstream_lost"
 
 
+class UpstreamFailed(UpstreamLost):
+    """The upstream answered with a failure of its own."""
+
+    kind = "upstream_failed"
+
+
 class UpstreamSilent(UpstreamLost):
     """The upstream stayed silent for longer than its token gap allows."""
 
--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -12,6 +12,7 @@
 from tanagerfork.relay import (
     budget,
     calls,
+    crashes,
     events,
     exchange,
     fleet,
@@ -48,6 +49,7 @@
     :param log: decision log.
     :param metrics: counters.
     :param tell_silent: tells the other daemons of an upstream that went silent.
+    :param crash_watch: finds requests that crash their upstreams.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "_log",
         "_metrics",
         "_tell_silent",
+        "_crash_watch",
     )
 
     def __init__(
@@ -77,7 +80,9 @@
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
         tell_silent: Callable[[str], None],
+        crash_watch: crashes.CrashWatch,
     ) -> None:
+        self._crash_watch = crash_watch
         self._tell_silent = tell_silent
         self._register = register
         self._view = view
@@ -114,6 +119,10 @@
         service = in_force.services.get(route.choose_service(request.facts.request_id))
         if service is None:
             raise errors.NotRun(f"the service of route {route.name} is not known", RETRY_SOON_MS)
+        fingerprint = crashes.make_fingerprint(request, team.name if team else "")
+        quarantine_ms = self._crash_watch.quarantine_left_ms(fingerprint)
+        if quarantine_ms:
+            raise errors.NotRun("the request crashed upstreams that ran it; wait", quarantine_ms)
         limit_ms = min(request.facts.deadline_ms, route.timeout_ms)
         return progresses.Progress(
             route=route,
@@ -121,6 +130,7 @@
             team=team.name if team else "",
             ends_at_ms=request.arrived_at_ms + limit_ms,
             last_event_id=request.facts.last_event_id,
+            fingerprint=fingerprint,
         )
 
     async def _run(
@@ -192,8 +202,13 @@
             outcome = sent.unwrap_or(calls.Outcome.ANSWERED)
             if isinstance(sent, result.Err):
                 outcome, reason = _judge(sent.err_value), sent.err_value.message
+                if type(sent.err_value) is errors.UpstreamLost:
+                    self._crash_watch.note_break(
+                        progress.fingerprint, upstream, request.facts.request_id
+                    )
             else:
                 reason = ""
+                self._crash_watch.note_whole(progress.fingerprint)
         except asyncio.CancelledError:
             progress.may_have_run = True  # Its time is over, or its caller left.
             outcome = calls.Outcome.REFUSED  # Neither a success nor the upstream's failure.
@@ -278,7 +293,9 @@
         if 200 <= answer.status < 300 and not facts.has_receipt:
             return errors.UpstreamConfused("a success without a receipt; go elsewhere")
         if answer.status in PASSED_FAILURES:
-            return errors.UpstreamLost(f"failed with {answer.status}; whether it ran is not known")
+            return errors.UpstreamFailed(
+                f"failed with {answer.status}; whether it ran is not known"
+            )
         return None
 
     async def _pass_whole(
@@ -288,9 +305,9 @@
         headers = self._dialect.pass_headers(answer.headers)
         if answer.status >= 500 and progress.can_move:
             progress.kept_failure = progresses.KeptFailure(answer.status, headers, body)
-            return result.Err(errors.UpstreamLost(f"failed with {answer.status}; go elsewhere"))
+            return result.Err(errors.UpstreamFailed(f"failed with {answer.status}; go elsewhere"))
         if sink.has_begun:  # A stream that went on elsewhere and failed there.
-            return result.Err(errors.UpstreamLost(f"failed with {answer.status}; go elsewhere"))
+            return result.Err(errors.UpstreamFailed(f"failed with {answer.status}; go elsewhere"))
         await sink.answer(answer.status, headers, body)
         return result.Ok(calls.Outcome.ANSWERED)
 
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -23,6 +23,7 @@
     attempts,
     budget,
     coordinator,
+    crashes,
     exchange,
     fleet,
     followers,
@@ -32,6 +33,7 @@
     placing,
     rules,
 )
+from tanagerfork.routing import poison
 from tanagerfork.upstream import connections
 
 LOGGER = "relay.daemon"
@@ -97,6 +99,10 @@
                 settings.bounds.repeat_window_ms,
             )
         )
+        suspects = poison.PoisonRegister()
+        self._client = runners.RunnerClient(
+            self._session, settings.members.probe_timeout_ms, settings.members.order_timeout_ms
+        )
         relay = attempts.Relay(
             self.register,
             self.view,
@@ -108,7 +114,14 @@
             self.clock,
             self.log,
             self.metrics,
-            self._tell_silent,
+            lambda upstream_id: self.peers.tell_silent(upstream_id),
+            crashes.CrashWatch(
+                suspects,
+                self._client,
+                lambda word: self.peers.tell_suspect(word),
+                self.clock,
+                self.log,
+            ),
         )
         self.front = front.Front(relay, self._dialect, self.clock, self.log, self.metrics)
         record = followers.DaemonRecord(settings.failure_domain, settings.peers)
@@ -121,6 +134,7 @@
             self.directory,
             self.register,
             self.book,
+            suspects,
             self.clock,
             self._rng,
             self.log,
@@ -228,11 +242,7 @@
                 self._list_candidates,
             ),
             self.store,
-            runners.RunnerClient(
-                self._session,
-                self.settings.members.probe_timeout_ms,
-                self.settings.members.order_timeout_ms,
-            ),
+            self._client,
             self.register,
             self.view,
             self.clock,
@@ -277,8 +287,5 @@
             return [self.settings.name]
         return self.directory.list_names(self.settings.failure_domain)
 
-    def _tell_silent(self, upstream_id: str) -> None:
-        self.peers.tell_silent(upstream_id)
-
     def _note_state(self, state: str) -> None:
         self.log.note(LOGGER, "state changed", state=state)
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -14,6 +14,8 @@
 from tanagerfork.generated import notices
 from tanagerfork.peers import link
 from tanagerfork.relay import followers, loads, rules
+from tanagerfork.routing import fleet as fleets
+from tanagerfork.routing import poison
 
 LOGGER = "relay.peers"
 INTERVAL_MS = 300  # Twice within the time that a usual request needs for its first event.
@@ -29,6 +31,7 @@
     :param directory: which daemons there are.
     :param register: rules in force.
     :param book: loads of the upstreams.
+    :param suspects: requests that may crash upstreams.
     :param clock: clock of all decisions.
     :param rng: chooses the peers of a round.
     :param log: decision log.
@@ -40,6 +43,7 @@
         "_directory",
         "_register",
         "_book",
+        "_suspects",
         "_clock",
         "_rng",
         "_log",
@@ -56,6 +60,7 @@
         directory: followers.DaemonDirectory,
         register: rules.RulesRegister,
         book: loads.LoadBook,
+        suspects: poison.PoisonRegister,
         clock: clocks.Clock,
         rng: random.Random,
         log: decisions.DecisionLog,
@@ -65,6 +70,7 @@
         self._directory = directory
         self._register = register
         self._book = book
+        self._suspects = suspects
         self._clock = clock
         self._rng = rng
         self._log = log
@@ -113,11 +119,25 @@
         """
         self._send(self._make(silent=[upstream_id]))
 
+    def tell_suspect(self, word: fleets.PoisonNotice) -> None:
+        """Tell of a request that was in flight when an upstream crashed.
+
+        :param word: what is known of it.
+        """
+        suspect = notices.Suspect(
+            fingerprint=word.fingerprint,
+            crashes=word.crashes,
+            is_quarantined=word.is_quarantined,
+            expires_in_ms=word.expires_in_ms,
+        )
+        self._send(self._make(suspects=[suspect]))
+
     def _make(
         self,
         loads: list[notices.OpenLoad] | None = None,
         has_loads: bool = False,
         silent: list[str] | None = None,
+        suspects: list[notices.Suspect] | None = None,
     ) -> notices.Notice:
         in_force = self._register.current
         return notices.Notice(
@@ -126,6 +146,7 @@
             loads=loads or [],
             silent=silent or [],
             has_loads=has_loads,
+            suspects=suspects or [],
         )
 
     def _send(self, notice: notices.Notice) -> None:
@@ -144,6 +165,18 @@
         if notice.has_loads:
             told = {load.upstream: (load.requests, load.unread_tokens) for load in notice.loads}
             self._book.note_peer(notice.daemon, told, now_ms)
+        for suspect in notice.suspects:
+            word = fleets.PoisonNotice(
+                suspect.fingerprint, suspect.crashes, suspect.is_quarantined, suspect.expires_in_ms
+            )
+            self._suspects.hear(word, 0, now_ms)
+            self._log.note(
+                LOGGER,
+                "request suspected",
+                fingerprint=suspect.fingerprint,
+                crashes=suspect.crashes,
+                told_by=notice.daemon,
+            )
         for upstream_id in notice.silent:
             if self._book.suspect_by_peer(upstream_id, now_ms):
                 self._log.note(
--- a/src/tanagerfork/relay/progress.py
+++ b/src/tanagerfork/relay/progress.py
@@ -57,6 +57,7 @@
     team: str
     ends_at_ms: float
     last_event_id: str
+    fingerprint: str
     sends: int = 0
     unreached: int = 0
     may_have_run: bool = False
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -24,6 +24,7 @@
     FULL_SILENTLY = "full_silently"  # Refused without that promise.
     FAILS = "fails"  # Runs and fails with a status of its own.
     RESETS = "resets"  # Runs, and the connection is reset before the answer.
+    CRASHES = "crashes"  # The runner starts anew, and all its connections are reset.
     RESETS_MIDWAY = "resets_midway"  # The connection is reset within the answer.
     TRUNCATES = "truncates"  # The answer ends before its stated length.
     UNFRAMED = "unframed"  # The answer has no length and ends with the connection.
@@ -270,7 +271,10 @@
         assert isinstance(transport, asyncio.Transport)
         if fault is Fault.HANGS:
             await asyncio.Event().wait()
-        if fault is Fault.RESETS:
+        if fault is Fault.CRASHES:
+            self.born_ms += 1
+            self.tell()
+        if fault in (Fault.RESETS, Fault.CRASHES):
             transport.abort()
         if fault in _STATUSES:
             return aiohttp.web.Response(status=_STATUSES[fault], headers=headers, body=b"failed")
