--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -32,6 +32,7 @@
     peers,
     placing,
     rules,
+    sending,
 )
 from tanagerfork.routing import poison
 from tanagerfork.upstream import connections
@@ -109,12 +110,16 @@
             self.book,
             placing.Placer(self._rng, self.book),
             self._repeats,
-            self._exchanger,
-            self._dialect,
+            sending.Sender(
+                self.book,
+                self._exchanger,
+                self._dialect,
+                self.clock,
+                lambda upstream_id: self.peers.tell_silent(upstream_id),
+            ),
             self.clock,
             self.log,
             self.metrics,
-            lambda upstream_id: self.peers.tell_silent(upstream_id),
             crashes.CrashWatch(
                 suspects,
                 self._client,
--- a/src/tanagerfork/relay/progress.py
+++ b/src/tanagerfork/relay/progress.py
@@ -5,6 +5,8 @@
 
 from tanagerfork.relay import calls, rules
 
+LEAST_LEFT_MS = 20  # Below this no upstream can answer.
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class KeptFailure:
@@ -70,3 +72,10 @@
     def can_move(self) -> bool:
         """Whether one upstream more may get it after the one that has it now."""
         return self.route.is_repeatable and self.sends + 1 < self.route.attempts
+
+    def left_ms(self, now_ms: float) -> float:
+        """Return the time that is left, in milliseconds.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        return self.ends_at_ms - now_ms
