--- a/src/tanagerfork/platform/runners.py
+++ b/src/tanagerfork/platform/runners.py
@@ -8,10 +8,10 @@
 
 from tanagerfork import errors
 from tanagerfork.platform import entries, headers
-from tanagerfork.relay import members, planner
+from tanagerfork.relay import members, plans
 from tanagerfork.upstream import connections
 
-KINDS = {planner.STAGE: "phase"}  # Loads weights onto the host; the other orders keep their names.
+KINDS = {plans.STAGE: "phase"}  # Loads weights onto the host; the other orders keep their names.
 BEGUN = (200, 202)
 
 
@@ -69,7 +69,7 @@
         return result.Ok(report)
 
     async def give(
-        self, order: planner.Order, fencing: int, order_count: int | None
+        self, order: plans.Order, fencing: int, order_count: int | None
     ) -> result.Result[int, errors.UpstreamError]:
         """Give an order.
 
@@ -78,7 +78,7 @@
         :param order_count: orders that the upstream has accepted as far as known; None if unknown.
         :return: status of the answer, or why it is not known whether the order was accepted.
         """
-        mode = ("cut" if order.cuts else "wait") if order.kind == planner.CLOSE else ""
+        mode = ("cut" if order.cuts else "wait") if order.kind == plans.CLOSE else ""
         body = _Order(
             op=KINDS.get(order.kind, order.kind),
             group=order.group,
--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -20,7 +20,7 @@
 from tanagerfork.relay import progress as progresses
 
 LOGGER = "relay.attempts"
-MAX_UNREACHED = 3  # Upstreams that take no connection, before the caller is told.
+MAX_UNREACHED = 8  # A failure domain that is cut off takes away a third of the groups at once.
 RETRY_SOON_MS = 200  # About the time in which the list shows a group that was formed anew.
 MAX_RETRY_MS = 2000
 
@@ -200,7 +200,9 @@
             self._sender.end_reading(progress, upstream.id, tokens)
             self._book.end(upstream.id, outcome, now_ms - began_ms, now_ms)
             self._note_send(request, progress, choice, outcome, reason, now_ms - began_ms)
-        if outcome is not calls.Outcome.UNREACHED:
+        if outcome is calls.Outcome.UNREACHED:
+            self._book.suspect(upstream.id, self._clock.monotonic_ms())
+        else:
             progress.sends += 1
         if outcome is calls.Outcome.LOST:
             progress.may_have_run = True
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -15,7 +15,8 @@
 from tanagerfork.generated import assignments
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.groups import lease
-from tanagerfork.relay import fleet, members, planner, rules
+from tanagerfork.relay import coverage as coverages
+from tanagerfork.relay import fleet, loading, members, planner, plans, rules
 from tanagerfork.storage import key_value, swap
 
 LOGGER = "relay.coordinator"
@@ -24,9 +25,7 @@
 SILENT_PROBES = 2  # One probe lost by the network is no sign of death.
 STALLED_MS = 1000  # A coordinator that stood still so long knows nothing of who was silent.
 REPEAT_ORDER_MS = 1500  # An order that showed no effect is given again.
-CEILING_WINDOW_MS = 5000  # Window in which loads from the weight store are counted.
 SETTLED_MS = 1500  # Upstreams of one start come within three seconds of each other.
-LOAD_LIMIT_FACTOR = 3  # A load that takes so much longer than alone has failed.
 FORGET_MS = 20_000  # An upstream that has left the list serves at most so much longer.
 
 
@@ -39,7 +38,7 @@
         """Ask an upstream for its state."""
 
     async def give(
-        self, order: planner.Order, fencing: int, order_count: int | None
+        self, order: plans.Order, fencing: int, order_count: int | None
     ) -> result.Result[int, errors.UpstreamError]:
         """Give an order; return the status of its answer."""
 
@@ -72,6 +71,7 @@
     :param log: decision log.
     :param metrics: counters.
     :param has_served: whether this daemon has seen a request.
+    :param tell_closed: tells all daemons of a head that is told to close.
     """
 
     __slots__ = (
@@ -89,12 +89,12 @@
         "_record",
         "_revision",
         "_ordered_at_ms",
-        "_load_times",
-        "_loading",
+        "_pacer",
         "_tasks",
         "_stepped_at_ms",
         "is_holder",
         "_has_served",
+        "_tell_closed",
         "_coverage",
         "_last_new_at_ms",
     )
@@ -112,7 +112,9 @@
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
         has_served: Callable[[], bool],
+        tell_closed: Callable[[str], None],
     ) -> None:
+        self._tell_closed = tell_closed
         self._has_served = has_served
         self._coverage: dict[str, int] = {}
         self._last_new_at_ms = clock.monotonic_ms()
@@ -130,8 +132,7 @@
         self._record: assignments.Assignments | None = None
         self._revision = key_value.ABSENT
         self._ordered_at_ms: dict[tuple[str, str, int], int] = {}
-        self._load_times: list[int] = []
-        self._loading: dict[str, tuple[str, int]] = {}
+        self._pacer = loading.LoadPacer(len(settings.failure_domains))
         self._tasks: set[asyncio.Task[None]] = set()
         self._stepped_at_ms = clock.monotonic_ms()
         self.is_holder = False
@@ -257,9 +258,9 @@
         seen.order_count = report.order_count
         seen.mark = report.mark
 
-    def _make_facts(self, service: rules.Service, now_ms: int) -> dict[str, planner.Fact]:
+    def _make_facts(self, service: rules.Service, now_ms: int) -> dict[str, plans.Fact]:
         return {
-            upstream_id: planner.Fact(
+            upstream_id: plans.Fact(
                 upstream=seen.upstream,
                 is_listed=seen.listed_at_ms == now_ms,
                 is_silent=seen.failures >= SILENT_PROBES,
@@ -279,14 +280,18 @@
         facts = self._make_facts(service, self._stepped_at_ms)
         if self._has_served() and not record.has_served:
             record = msgspec.structs.replace(record, has_served=True)
-        self._find_loading(service, facts)
-        situation = planner.Situation(
+        self._pacer.forget_ended(service, facts, self._stepped_at_ms)
+        situation = plans.Situation(
             service,
             facts,
             record,
-            self._count_loads_left(service, facts),
+            (
+                self._pacer.count_left(service.engine, self._stepped_at_ms)
+                if record.has_served
+                else len(facts)
+            ),  # Before the first request, loads are not counted.
             is_settled=record.has_served or self._stepped_at_ms - self._last_new_at_ms > SETTLED_MS,
-            loading=frozenset(self._loading),
+            loading=self._pacer.loading,
         )
         plan = planner.make_plan(situation)
         for note in plan.notes:
@@ -307,41 +312,15 @@
     def _note_coverage(
         self,
         service: rules.Service,
-        facts: dict[str, planner.Fact],
+        facts: dict[str, plans.Fact],
         record: assignments.Assignments,
     ) -> None:
         """Log how many upstreams serve, join and wait, where that has changed."""
-        coverage = planner.measure_coverage(service, facts, record)
+        coverage = coverages.measure_coverage(service, facts, record)
         if coverage != self._coverage:
             self._coverage = coverage
             self._log.note(LOGGER, "coverage", failure_domain=self._failure_domain, **coverage)
 
-    def _count_loads_left(self, service: rules.Service, facts: dict[str, planner.Fact]) -> int:
-        """Return how many loads from the weight store may be started now."""
-        engine = service.engine
-        if engine is None:
-            return 0
-        if self._record is not None and not self._record.has_served:
-            return len(facts)
-        now_ms = self._clock.monotonic_ms()
-        self._load_times = [at for at in self._load_times if now_ms - at < CEILING_WINDOW_MS]
-        domains = max(1, len(self._settings.failure_domains))
-        allowed = engine.loads_per_s * CEILING_WINDOW_MS / 1000 / domains
-        at_once = -(-engine.loads_at_once // domains)
-        return max(0, min(int(allowed) - len(self._load_times), at_once - len(self._loading)))
-
-    def _find_loading(self, service: rules.Service, facts: dict[str, planner.Fact]) -> None:
-        """Forget the loads that have ended; more at once would only slow each other down."""
-        engine = service.engine
-        now_ms = self._clock.monotonic_ms()
-        for upstream_id, (model, began_ms) in list(self._loading.items()):
-            fact = facts.get(upstream_id)
-            spec = engine.find_model(model) if engine else None
-            limit_ms = LOAD_LIMIT_FACTOR * spec.load_s * 1000 if spec else 0
-            is_over = fact is None or not fact.is_usable or fact.holds(model)
-            if is_over or now_ms - began_ms > limit_ms:
-                del self._loading[upstream_id]
-
     async def _write(self, record: assignments.Assignments) -> bool:
         changed = msgspec.structs.replace(
             record, fencing=self._keeper.state.fencing, token=uuid.uuid4().hex
@@ -355,22 +334,23 @@
         self._record, self._revision = changed, written.ok_value
         return True
 
-    def _give_orders(self, orders: Sequence[planner.Order], facts: dict[str, planner.Fact]) -> None:
+    def _give_orders(self, orders: Sequence[plans.Order], facts: dict[str, plans.Fact]) -> None:
         now_ms = self._clock.monotonic_ms()
         for order in orders:
             key = order.kind, order.upstream_id, order.epoch
             if now_ms - self._ordered_at_ms.get(key, -REPEAT_ORDER_MS) < REPEAT_ORDER_MS:
                 continue
             fact = facts.get(order.upstream_id)
-            if fact is not None and fact.is_silent and order.kind != planner.CLOSE:
+            if fact is not None and fact.is_silent and order.kind != plans.CLOSE:
                 continue
             self._ordered_at_ms[key] = now_ms
             if order.model and fact is not None and not fact.holds(order.model):
-                self._load_times.append(now_ms)
-                self._loading[order.upstream_id] = order.model, now_ms
+                self._pacer.note(order.upstream_id, order.model, now_ms)
             self._start(self._give(order))
 
-    async def _give(self, order: planner.Order) -> None:
+    async def _give(self, order: plans.Order) -> None:
+        if order.kind == plans.CLOSE:
+            self._tell_closed(order.upstream_id)
         seen = self._seen.get(order.upstream_id)
         fencing = self._keeper.state.fencing
         given = await self._client.give(order, fencing, seen.order_count if seen else None)
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -254,6 +254,7 @@
             self.log,
             self.metrics,
             lambda: self.front.has_served,
+            self.peers.tell_closed,
         )
         self._start_task("coordinator", self._coordinator.run)
         self._start_task("notices in", self.peers.receive)
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -119,6 +119,14 @@
         """
         self._send(self._make(silent=[upstream_id]))
 
+    def tell_closed(self, upstream_id: str) -> None:
+        """Tell, also this daemon, that a head was told to close its group.
+
+        :param upstream_id: id of the head.
+        """
+        self._book.suspect(upstream_id, self._clock.monotonic_ms())
+        self._send(self._make(closed=[upstream_id]))
+
     def tell_suspect(self, word: fleets.PoisonNotice) -> None:
         """Tell of a request that was in flight when an upstream crashed.
 
@@ -138,6 +146,7 @@
         has_loads: bool = False,
         silent: list[str] | None = None,
         suspects: list[notices.Suspect] | None = None,
+        closed: list[str] | None = None,
     ) -> notices.Notice:
         in_force = self._register.current
         return notices.Notice(
@@ -147,6 +156,7 @@
             silent=silent or [],
             has_loads=has_loads,
             suspects=suspects or [],
+            closed=closed or [],
         )
 
     def _send(self, notice: notices.Notice) -> None:
@@ -177,6 +187,9 @@
                 crashes=suspect.crashes,
                 told_by=notice.daemon,
             )
+        for upstream_id in notice.closed:
+            self._book.suspect(upstream_id, now_ms)
+            self._log.note(LOGGER, "group is closed", upstream=upstream_id, told_by=notice.daemon)
         for upstream_id in notice.silent:
             if self._book.suspect_by_peer(upstream_id, now_ms):
                 self._log.note(
--- /dev/null
+++ b/src/tanagerfork/relay/plans.py
@@ -0,0 +1,92 @@
+"""Plans: facts that a decision on groups rests on, and the orders that follow from it."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from tanagerfork.generated import assignments
+from tanagerfork.relay import members, rules
+
+JOIN = "join"
+OPEN = "open"
+CLOSE = "close"
+LEAVE = "leave"
+STAGE = "stage"
+OUT_OF_GROUP = frozenset(
+    (members.MemberState.JOINING, members.MemberState.READY, members.MemberState.BROKEN)
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fact:
+    """What the coordinator knows of one upstream.
+
+    `is_listed` says whether the directory has an entry, `is_silent` that it answers no question;
+    `is_known` is False as long as it is neither listed nor was asked.
+    """
+
+    upstream: members.Upstream
+    is_listed: bool
+    is_silent: bool
+    mark: members.GroupMark | None
+    is_known: bool = True
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it may be assigned to a group."""
+        return self.is_listed and not self.is_silent and not self.upstream.is_leaving
+
+    def holds(self, model: str) -> bool:
+        """Return whether it can join a group of a model without a load from the weight store.
+
+        :param model: name of the model.
+        """
+        return model in self.upstream.staged or model in self.upstream.models
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Order:
+    """One order to an upstream."""
+
+    kind: str
+    upstream_id: str
+    address: str
+    group: str = ""
+    epoch: int = 0
+    model: str = ""
+    members: tuple[str, ...] = ()
+    cuts: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Situation:
+    """What a decision rests on.
+
+    `may_load` is how many loads from the weight store may be started now. `is_settled` says that no
+    upstream has come for a while; until then more are expected, and the model that lacks most waits
+    for enough of them. `loading` are upstreams that load weights.
+    """
+
+    service: rules.Service
+    facts: Mapping[str, Fact]
+    record: assignments.Assignments
+    may_load: int
+    is_settled: bool = True
+    loading: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """A changed record, to be written before the orders are sent, and why it changed."""
+
+    record: assignments.Assignments
+    orders: list[Order]
+    notes: list[str]
+
+
+def is_in(mark: members.GroupMark | None, assignment: assignments.Assignment) -> bool:
+    """Return whether a mark is that of an assignment.
+
+    :param mark: mark of an upstream, None for no group.
+    :param assignment: assignment.
+    """
+    return mark is not None and mark.group == assignment.group and mark.epoch == assignment.epoch
--- a/src/tanagerfork/relay/program.py
+++ b/src/tanagerfork/relay/program.py
@@ -1,7 +1,6 @@
 """The relaying daemon's program: reads its settings and runs until a signal ends it."""
 
 import asyncio
-import os
 import pathlib
 import signal
 import sys
@@ -12,10 +11,10 @@
 from tanagerfork import decisions, errors
 from tanagerfork import settings as settings_files
 from tanagerfork.generated import relay as settings_records
+from tanagerfork.platform import environment
 from tanagerfork.relay import daemon as daemons
 
 USAGE_STATUS = 2
-SETTINGS_VARIABLE = "TANAGERFORK_SETTINGS"
 STANDARD_OUTPUT = 1
 
 
@@ -41,7 +40,7 @@
 
 def main() -> None:
     """Run the program."""
-    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    path = environment.find_settings()
     try:
         loaded = settings_files.load_record(path, settings_records.RelaySettings)
     except errors.SettingsError as error:
