--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -140,14 +140,15 @@
     async def run(self) -> None:
         """Coordinate until cancelled."""
         while True:
-            await self._take_step()
+            await self.take_step()
             await self._clock.sleep_ms(PLAN_INTERVAL_MS)
 
     async def stop(self) -> None:
         """Give the lease back at a planned stop, so that the next coordinator need not wait."""
         await self._keeper.give_back()
 
-    async def _take_step(self) -> None:
+    async def take_step(self) -> None:
+        """Renew the lease, observe, plan and order once."""
         await self._keeper.take_step(self._record.fencing if self._record else 0)
         now_ms = self._clock.monotonic_ms()
         if now_ms - self._stepped_at_ms > STALLED_MS:
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -158,6 +158,11 @@
         self.lifecycle.apply("listen")
         self._start_tasks()
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer is told to send new connections."""
+        return self._is_ready.is_set()
+
     async def stop(self) -> None:
         """Say that the daemon is not ready, finish what is in flight, then close everything."""
         self.lifecycle.apply("drain")
--- /dev/null
+++ b/tests/relay/test_coordinator.py
@@ -0,0 +1,130 @@
+"""A coordinator whose VM was suspended, or whose lease another one holds."""
+
+import asyncio
+
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import decisions
+from tanagerfork import metrics as metric
+from tanagerfork.generated import relay as settings_records
+from tanagerfork.groups import lease
+from tanagerfork.relay import coordinator, fleet, members, plans, rules
+from tests import fakes
+from tests.relay import deployments, test_fleet, test_planner
+
+TTL_MS = 3000
+
+
+class CountingClient:
+    """Answers every question and takes every order."""
+
+    def __init__(self) -> None:
+        self.orders: list[plans.Order] = []
+
+    async def ask(self, upstream: members.Upstream) -> result.Result[members.Report, Exception]:
+        return result.Ok(members.Report(1, 0, False, (), upstream.mark, 1.0, 0, 0))
+
+    async def give(
+        self, order: plans.Order, fencing: int, order_count: int | None
+    ) -> result.Result[int, Exception]:
+        self.orders.append(order)
+        return result.Ok(202)
+
+
+class Scene:
+    """One coordinator over a store in memory and a clock that is told to move."""
+
+    def __init__(self, store: fakes.MemoryKeyValue, name: str = "d1") -> None:
+        self.clock = clocks.ManualClock()
+        self.client = CountingClient()
+        self.view = fleet.Fleet()
+        self.view.take_rules(test_fleet.IN_FORCE)
+        register = rules.RulesRegister()
+        register.take(test_fleet.IN_FORCE)
+        log = decisions.DecisionLog(name, self.clock, deployments.LineList())
+        settings = settings_records.RelaySettings(
+            name=name,
+            failure_domain="a",
+            failure_domains=["a"],
+            callers="127.0.0.1:1",
+            readiness="127.0.0.1:1",
+            metrics="127.0.0.1:1",
+            peers="127.0.0.1:1",
+            store=settings_records.StoreSettings(address="127.0.0.1:1"),
+        )
+        self.closed: list[str] = []
+        keeper = lease.LeaseKeeper("a", name, store, self.clock, TTL_MS, lambda: [name])
+        self.one = coordinator.Coordinator(
+            "a",
+            settings,
+            keeper,
+            store,
+            self.client,
+            register,
+            self.view,
+            self.clock,
+            log,
+            metric.Metrics(),
+            lambda: True,
+            self.closed.append,
+        )
+
+    async def step(self, advance_ms: int = 100) -> None:
+        self.clock.advance(advance_ms)
+        await self.one.take_step()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    def list_upstreams(self, count: int = 2) -> None:
+        found = [
+            test_planner.make_fact(f"u{index}", staged=("small",)).upstream
+            for index in range(count)
+        ]
+        self.view.take_list(found, self.clock.monotonic_ms())
+
+
+class TestHolder:
+    async def test_forms_groups_while_it_holds_the_lease(self) -> None:
+        scene = Scene(fakes.MemoryKeyValue())
+        scene.list_upstreams()
+        for _ in range(20):
+            await scene.step()
+        assert {order.kind for order in scene.client.orders} == {plans.JOIN}
+        assert scene.one.is_holder
+
+    async def test_suspended_holder_gives_no_order(self) -> None:
+        """The clock that counts suspended time shows that the lease has ended."""
+        store = fakes.MemoryKeyValue()
+        scene = Scene(store)
+        await scene.step()
+        await scene.step()
+        assert scene.one.is_holder
+        store.is_away = True  # Its renewal does not reach the store after the suspension.
+        scene.list_upstreams()
+        await scene.step(TTL_MS)
+        assert not scene.client.orders and not scene.one.is_holder
+
+    async def test_holder_that_was_replaced_gives_no_order(self) -> None:
+        store = fakes.MemoryKeyValue()
+        first, second = Scene(store, "d1"), Scene(store, "d2")
+        await first.step()
+        await first.step()
+        for _ in range(TTL_MS // 100 + 20):
+            await second.step()
+        assert second.one.is_holder
+        first.list_upstreams()
+        await first.step(TTL_MS * 2)  # Its clock has counted the time that it stood still.
+        assert not first.client.orders
+
+    async def test_assignments_survive_a_new_holder(self) -> None:
+        store = fakes.MemoryKeyValue()
+        first, second = Scene(store, "d1"), Scene(store, "d2")
+        first.list_upstreams()
+        for _ in range(5):
+            await first.step()
+        second.list_upstreams()
+        for _ in range(TTL_MS // 100 + 20):
+            await second.step()
+        joins = [order for order in second.client.orders if order.kind == plans.JOIN]
+        assert {order.group for order in joins} == {"a-1"}
--- /dev/null
+++ b/tests/relay/test_fleet.py
@@ -0,0 +1,105 @@
+"""Which upstreams count, and which groups are whole."""
+
+import dataclasses
+
+import pytest
+
+from tanagerfork.relay import fleet, members, rules
+from tests.relay import test_planner
+
+STATE = members.MemberState
+LIMITS = rules.CallerLimits(16_384, 1_000_000, 3000, 15_000)
+IN_FORCE = rules.Rules(1, [], [test_planner.SERVICE, rules.Service("ledger", 100)], {}, LIMITS)
+
+
+def make_member(name: str, rank: int, **changes: object) -> members.Upstream:
+    upstream = test_planner.make_fact(name, staged=("small",)).upstream
+    mark = members.GroupMark("g", 5, rank, STATE.OPEN if rank == 0 else STATE.READY)
+    return dataclasses.replace(upstream, **{"mark": mark, **changes})
+
+
+def make_fleet() -> fleet.Fleet:
+    view = fleet.Fleet()
+    view.take_rules(IN_FORCE)
+    return view
+
+
+def count_groups(view: fleet.Fleet) -> int:
+    return len(view.list_groups("writer", "small"))
+
+
+class TestWhole:
+    def test_head_open_and_all_ranks(self) -> None:
+        view = make_fleet()
+        view.take_list([make_member("a", 0), make_member("b", 1)], 0)
+        assert count_groups(view) == 1
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"mark": None},
+            {"mark": members.GroupMark("g", 5, 1, STATE.JOINING)},
+            {"mark": members.GroupMark("g", 4, 1, STATE.READY)},
+            {"mark": members.GroupMark("h", 5, 1, STATE.READY)},
+            {"mark": members.GroupMark("g", 5, 2, STATE.READY)},
+            {"mark": members.GroupMark("g", 5, 1, STATE.BROKEN)},
+            {"is_leaving": True},
+            {"service": "unknown"},
+        ],
+    )
+    def test_member_that_does_not_fit(self, changes: dict[str, object]) -> None:
+        view = make_fleet()
+        view.take_list([make_member("a", 0), make_member("b", 1, **changes)], 0)
+        assert count_groups(view) == 0
+
+    @pytest.mark.parametrize("state", [STATE.READY, STATE.CLOSING, STATE.BROKEN, STATE.JOINING])
+    def test_head_that_is_not_open(self, state: members.MemberState) -> None:
+        view = make_fleet()
+        head = make_member("a", 0, mark=members.GroupMark("g", 5, 0, state))
+        view.take_list([head, make_member("b", 1)], 0)
+        assert count_groups(view) == 0
+
+    def test_group_across_fabric_domains_is_slower(self) -> None:
+        view = make_fleet()
+        view.take_list([make_member("a", 0), make_member("b", 1, fabric_domain="d1")], 0)
+        slowness = view.list_groups("writer", "small")[0].slowness
+        assert slowness == pytest.approx(test_planner.SMALL.pace * test_planner.ENGINE.far_factor)
+
+
+class TestAway:
+    def test_missing_entry_is_gone_at_once(self) -> None:
+        view = make_fleet()
+        view.take_list([make_member("a", 0), make_member("b", 1)], 0)
+        view.take_list([make_member("a", 0)], 100)
+        assert count_groups(view) == 0
+
+    def test_lapsed_entries_hold_for_the_grace(self) -> None:
+        view = make_fleet()
+        view.take_list([make_member("a", 0), make_member("b", 1)], 0)
+        view.note_away()
+        view.take_list([], 1000)
+        assert count_groups(view) == 1
+        view.end_grace(1000 + fleet.RETURN_GRACE_MS - 1)
+        assert count_groups(view) == 1
+        view.end_grace(1000 + fleet.RETURN_GRACE_MS)
+        assert count_groups(view) == 0 and not list(view.upstreams)
+
+    def test_long_silence_counts_as_away(self) -> None:
+        view = make_fleet()
+        view.take_list([make_member("a", 0), make_member("b", 1)], 0)
+        view.take_list([], fleet.AWAY_MS + 1)
+        assert count_groups(view) == 1
+
+    def test_leaving_counts_also_in_the_grace(self) -> None:
+        view = make_fleet()
+        view.take_list([make_member("a", 0), make_member("b", 1)], 0)
+        view.note_away()
+        change = view.take_list([make_member("a", 0, is_leaving=True)], 1000)
+        assert change.leaving == ("a",) and count_groups(view) == 0
+
+    def test_first_read_has_no_grace(self) -> None:
+        view = make_fleet()
+        view.note_away()
+        view.take_list([make_member("a", 0)], 5000)
+        view.take_list([], 5100)
+        assert not list(view.upstreams)
--- /dev/null
+++ b/tests/relay/test_rules.py
@@ -0,0 +1,98 @@
+"""Rules: routes, teams, and that they never go back."""
+
+import msgspec
+import pytest
+
+from tanagerfork import errors
+from tanagerfork.platform import config
+from tanagerfork.relay import rules
+from tanagerfork_standins.platform import site
+
+
+def make_route(prefix: str, **changes: object) -> dict[str, object]:
+    return {
+        "name": prefix,
+        "host": "h",
+        "prefix": prefix,
+        "type": "safe",
+        "service": "s",
+        **changes,
+    }
+
+
+def decode(version: int = 1, **fields: object) -> rules.Rules:
+    value = {"version": version, "routes": [], "services": [], **fields}
+    return config.decode_rules(msgspec.json.encode(value)).unwrap()
+
+
+class TestRoutes:
+    @pytest.mark.parametrize(
+        "path, name",
+        [("/a/x", "/a/"), ("/a/b/x", "/a/b/"), ("/a/b", "/a/"), ("/c", "/"), ("/a/b/c/d", "/a/b/")],
+    )
+    def test_longest_prefix(self, path: str, name: str) -> None:
+        routes = [make_route(prefix) for prefix in ("/", "/a/", "/a/b/")]
+        assert decode(routes=routes).match("h", path).name == name
+
+    def test_no_match(self) -> None:
+        with pytest.raises(errors.NotFound):
+            decode(routes=[make_route("/a/")]).match("h", "/b/x")
+        with pytest.raises(errors.NotFound):
+            decode(routes=[make_route("/a/")]).match("other", "/a/x")
+
+    @pytest.mark.parametrize(
+        "kind, resumable, repeats",
+        [
+            ("safe", False, True),
+            ("unsafe", True, False),
+            ("stream", True, True),
+            ("stream", False, False),
+        ],
+    )
+    def test_type_says_what_may_be_repeated(
+        self, kind: str, resumable: bool, repeats: bool
+    ) -> None:
+        routes = [make_route("/safe-looking/", type=kind, resumable=resumable)]
+        assert decode(routes=routes).routes[0].is_repeatable is repeats
+
+    def test_split_keeps_to_its_weights_and_to_an_id(self) -> None:
+        split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        route = decode(routes=[make_route("/a/", split=split)]).routes[0]
+        chosen = [route.choose_service(f"r{number}") for number in range(2000)]
+        assert 0.07 < chosen.count("b") / 2000 < 0.13
+        assert chosen == [route.choose_service(f"r{number}") for number in range(2000)]
+
+
+class TestTeams:
+    def test_key_names_its_team(self) -> None:
+        found = decode(
+            routes=[make_route("/a/"), make_route("/p/", public=True)],
+            tenants=[{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}],
+        )
+        private, public = found.routes
+        team = found.identify(private, "k2")
+        assert team is not None and team.name == "t"
+        assert found.identify(public, "") is None
+        with pytest.raises(errors.Unauthorized):
+            found.identify(private, "k3")
+
+    def test_no_tenants_ask_for_no_key(self) -> None:
+        found = decode(routes=[make_route("/a/")])
+        assert found.identify(found.routes[0], "") is None
+
+
+class TestVersions:
+    def test_older_ones_are_refused(self) -> None:
+        register = rules.RulesRegister()
+        assert register.take(decode(7))
+        assert not register.take(decode(6)) and not register.take(decode(7))
+        assert register.take(decode(12))
+        assert register.current is not None and register.current.version == 12
+
+    @pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"version": "x", "routes": []}'])
+    def test_unreadable_configuration(self, value: bytes) -> None:
+        assert config.decode_rules(value).is_err()
+
+    def test_unknown_fields_are_passed_over(self) -> None:
+        value = {**site.Site(engines=0, plain=0).describe_config(), "new": {"a": 1}}
+        assert config.decode_rules(msgspec.json.encode(value)).is_ok()
--- /dev/null
+++ b/tests/relay/test_stop.py
@@ -0,0 +1,35 @@
+"""A planned stop cuts off nothing, and tells the balancer at once."""
+
+import asyncio
+
+from tests.relay import deployments
+
+
+class TestStop:
+    async def test_stream_in_flight_ends_whole(self) -> None:
+        async with deployments.deploy() as deployed:
+            await deployed.wait_for_group()
+            daemon = deployed.daemons[0]
+            for member in deployed.site.runners:
+                member.holds_stream.clear()
+            asking = asyncio.create_task(deployed.ask("/stream/x", "POST", b"hello"))
+            await deployed.wait_until(lambda: daemon.front.open_requests, "a request is open")
+            stopping = asyncio.create_task(daemon.stop())
+            await asyncio.sleep(0.05)
+            assert not daemon.is_ready
+            for member in deployed.site.runners:
+                member.holds_stream.set()
+            got = await asking
+            assert got.is_whole and got.body.count(b"id:") == 5
+            await stopping
+            deployed.daemons.clear()
+
+    async def test_new_request_during_the_stop_is_served_and_closes(self) -> None:
+        async with deployments.deploy(engines=0) as deployed:
+            await deployed.wait_for_rules()
+            stopping = asyncio.create_task(deployed.daemons[0].stop())
+            await asyncio.sleep(0.05)
+            got = await deployed.ask("/safe/x")
+            assert got.status == 200 and got.headers["Connection"] == "close"
+            await stopping
+            deployed.daemons.clear()
--- /dev/null
+++ b/tests/relay/test_store.py
@@ -0,0 +1,121 @@
+"""The platform's store as a key-value service, against its stand-in."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import errors
+from tanagerfork import metrics as metric
+from tanagerfork.platform import store as stores
+from tanagerfork_standins import listener
+from tanagerfork_standins.platform import store as standins
+
+
+@contextlib.asynccontextmanager
+async def open_store(
+    timeout_ms: int = 300,
+) -> AsyncIterator[tuple[standins.Store, stores.PlatformStore]]:
+    standin = standins.Store(clocks.SystemClock())
+    opened = listener.Listener()
+    standin.serve(opened.app)
+    await opened.start()
+    async with aiohttp.ClientSession() as session:
+        address = f"{listener.LOOPBACK}:{opened.port}"
+        yield standin, stores.PlatformStore(session, address, timeout_ms, metric.Metrics())
+    await opened.stop()
+
+
+class TestKeys:
+    async def test_read_and_swap(self) -> None:
+        async with open_store() as (_, store):
+            assert (await store.read("a/x")).unwrap() is None
+            revision = (await store.swap("a/x", b"\x00one", 0)).unwrap()
+            entry = (await store.read("a/x")).unwrap()
+            assert entry is not None and (entry.value, entry.revision) == (b"\x00one", revision)
+            assert isinstance((await store.swap("a/x", b"two", 0)).unwrap_err(), errors.Conflict)
+            assert (await store.swap("a/x", b"two", revision)).is_ok()
+
+    async def test_pages_are_read_to_the_end(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(standins, "ENTRIES_PER_PAGE", 3)
+        async with open_store() as (standin, store):
+            for index in range(8):
+                standin.put(f"a/{index}", b"x")
+            standin.put("b/0", b"x")
+            found = (await store.read_prefix("a/")).unwrap()
+            assert [entry.key for entry in found] == [f"a/{index}" for index in range(8)]
+
+    async def test_delete_range(self) -> None:
+        async with open_store() as (standin, store):
+            for key in ("a/1", "a/2", "a/3"):
+                standin.put(key, b"x")
+            assert (await store.delete_range("a/1", "a/3")).unwrap() == 2
+            assert list(standin.items) == ["a/3"]
+
+    async def test_lease_takes_its_keys_along(self) -> None:
+        async with open_store() as (standin, store):
+            lease = (await store.grant_lease(60_000)).unwrap()
+            assert (await store.put_leased("d/x", b"1", lease)).is_ok()
+            assert (await store.renew_lease(lease)).unwrap()
+            assert (await store.end_lease(lease)).unwrap()
+            assert not standin.items
+            assert not (await store.renew_lease(lease)).unwrap()
+            gone = (await store.put_leased("d/x", b"1", lease)).unwrap_err()
+            assert isinstance(gone, errors.Conflict)
+
+
+class TestFaults:
+    @pytest.mark.parametrize("status", [429, 503, 500])
+    async def test_refusal_has_no_effect(self, status: int) -> None:
+        async with open_store() as (standin, store):
+            standin.faults.refuses = status
+            error = (await store.swap("a/x", b"1", 0)).unwrap_err()
+            assert isinstance(error, errors.PlatformUnavailable)
+
+    async def test_lost_answer_is_told_apart(self) -> None:
+        async with open_store() as (standin, store):
+            standin.faults.loses_answers = 1
+            error = (await store.swap("a/x", b"1", 0)).unwrap_err()
+            assert isinstance(error, errors.AnswerLost)
+            assert standin.items["a/x"].value == b"1"
+
+    async def test_silence_ends_with_the_deadline(self) -> None:
+        async with open_store(timeout_ms=50) as (standin, store):
+            standin.faults.is_silent = True
+            assert isinstance((await store.read("a/x")).unwrap_err(), errors.AnswerLost)
+
+
+class TestWatches:
+    async def test_changes_come_in_order(self) -> None:
+        async with open_store() as (standin, store):
+            standin.put("a/x", b"1")
+            snapshot = (await store.read_snapshot("a/")).unwrap()
+            standin.put("a/y", b"2")
+            standin.remove("a/x")
+            async for changes in store.watch_prefix("a/", snapshot.revision):
+                assert [entry.key for entry in changes.written] == ["a/y"]
+                assert changes.removed == ["a/x"]
+                break
+
+    async def test_dropped_history_ends_the_watch(self) -> None:
+        async with open_store() as (standin, store):
+            standin.put("a/x", b"1")
+            standin.forget_history()
+            assert [changes async for changes in store.watch_prefix("a/", 1)] == []
+
+    async def test_one_key(self) -> None:
+        async with open_store() as (standin, store):
+            standin.put("op/config", b"1")
+            standin.put("op/config-other", b"no")
+            async for entry in store.watch("op/config", 1):
+                assert (entry.key, entry.value) == ("op/config", b"1")
+                break
+
+    async def test_refusal_ends_the_watch(self) -> None:
+        async with open_store() as (standin, store):
+            standin.faults.refuses = 503
+            assert [changes async for changes in store.watch_prefix("a/", 1)] == []
+            assert isinstance(await store.read_snapshot("a/"), result.Err)
