Give each model the upstreams that its requests need, and let spares serve across fabric domains meanwhile

Ruled out: refusals (few) and loads (two at once, as before). Open requests now shift the share, and spares form groups across domains that give way to a repair within a domain.

--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -16,6 +16,7 @@
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.groups import lease
 from tanagerfork.relay import coverage as coverages
+from tanagerfork.relay import demand as demands
 from tanagerfork.relay import fleet, loading, members, planner, plans, rules
 from tanagerfork.storage import key_value, swap
 
@@ -70,6 +71,7 @@
     :param clock: clock of all decisions.
     :param log: decision log.
     :param metrics: counters.
+    :param demand: what each model needs by its requests.
     :param has_served: whether this daemon has seen a request.
     :param tell_closed: tells all daemons of a head that is told to close.
     """
@@ -95,6 +97,7 @@
         "is_holder",
         "_has_served",
         "_tell_closed",
+        "_demand",
         "_coverage",
         "_last_new_at_ms",
     )
@@ -111,10 +114,12 @@
         clock: clocks.Clock,
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
+        demand: demands.Demand,
         has_served: Callable[[], bool],
         tell_closed: Callable[[str], None],
     ) -> None:
         self._tell_closed = tell_closed
+        self._demand = demand
         self._has_served = has_served
         self._coverage: dict[str, int] = {}
         self._last_new_at_ms = clock.monotonic_ms()
@@ -293,6 +298,7 @@
             ),  # Before the first request, loads are not counted.
             is_settled=record.has_served or self._stepped_at_ms - self._last_new_at_ms > SETTLED_MS,
             loading=self._pacer.loading,
+            demand=self._demand.measure(service, self._view, self._stepped_at_ms),
         )
         plan = planner.make_plan(situation)
         for note in plan.notes:
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -24,6 +24,7 @@
     budget,
     coordinator,
     crashes,
+    demand,
     exchange,
     fleet,
     followers,
@@ -258,6 +259,7 @@
             self.clock,
             self.log,
             self.metrics,
+            demand.Demand(self.book),
             lambda: self.front.has_served,
             self.peers.tell_closed,
         )
--- /dev/null
+++ b/src/tanagerfork/relay/demand.py
@@ -0,0 +1,51 @@
+"""Demand: the part of the upstreams that each model needs by the requests that are open."""
+
+from tanagerfork.relay import fleet, loads, rules
+
+SMOOTHING_MS = 5000.0  # Longer than a usual answer, shorter than the time between two losses.
+MEASURED_WEIGHT = 0.5  # The rest is the configuration's share: open requests fall with the groups.
+
+
+class Demand:
+    """Follows the open requests of each model, own ones and those that the peers told.
+
+    A group serves the same number of requests at once whatever its size, so that a model needs
+    upstreams in proportion to its open requests and to the size of its groups.
+
+    :param book: loads of the upstreams.
+    """
+
+    __slots__ = ("_book", "_work", "_measured_at_ms")
+
+    def __init__(self, book: loads.LoadBook) -> None:
+        self._book = book
+        self._work: dict[str, float] = {}
+        self._measured_at_ms = 0.0
+
+    def measure(self, service: rules.Service, view: fleet.Fleet, now_ms: float) -> dict[str, float]:
+        """Return the part of the upstreams that each model needs; empty before any request.
+
+        :param service: model service.
+        :param view: fleet.
+        :param now_ms: clock of the coordinator, in milliseconds.
+        """
+        if service.engine is None:
+            return {}
+        weight = min(1.0, max(0.0, now_ms - self._measured_at_ms) / SMOOTHING_MS)
+        self._measured_at_ms = now_ms
+        for model in service.engine.models:
+            found = [
+                self._book.find(group.head.id)
+                for group in view.list_groups(service.name, model.name)
+            ]
+            work = model.group_size * sum(load.open + load.peer_open for load in found)
+            before = self._work.get(model.name, 0.0)
+            self._work[model.name] = before + weight * (work - before)
+        total = sum(self._work.values())
+        if total < 1:
+            return {}
+        return {
+            model.name: model.share
+            + MEASURED_WEIGHT * (self._work[model.name] / total - model.share)
+            for model in service.engine.models
+        }
--- a/src/tanagerfork/relay/forming.py
+++ b/src/tanagerfork/relay/forming.py
@@ -96,13 +96,13 @@
 ) -> tuple[rules.ModelSpec, str, list[plans.Fact]] | None:
     """Return the group to form next: of the model that lacks most against its share."""
     for rank, model in enumerate(
-        sorted(engine.models, key=lambda spec: measure_cover(spec, groups))
+        sorted(engine.models, key=lambda spec: measure_cover(situation, spec, groups))
     ):
         # A model that lacks less may not use up what the neediest one waits for.
         most_loads = loads_left if rank == 0 else 0
         chosen = _choose_within(engine, model, free, live, groups, most_loads)
         if chosen is None and situation.is_settled:
-            chosen = _choose_across(engine, model, free, live, groups)
+            chosen = _choose_across(situation, engine, model, free, live, groups)
         if chosen is not None:
             return model, *chosen
         if not situation.is_settled:
@@ -137,6 +137,7 @@
 
 
 def _choose_across(
+    situation: plans.Situation,
     engine: rules.EngineSpec,
     model: rules.ModelSpec,
     free: Mapping[str, list[plans.Fact]],
@@ -144,7 +145,7 @@
     groups: Sequence[assignments.Assignment],
 ) -> tuple[str, list[plans.Fact]] | None:
     """Return members of several fabric domains for a model that lacks groups."""
-    if measure_cover(model, groups)[0] >= COVERED_SHARE * sum(live.values()):
+    if measure_cover(situation, model, groups)[0] >= COVERED_SHARE * sum(live.values()):
         return None
     picked = _pick([fact for facts in free.values() for fact in facts], model, engine)
     if len(picked) < model.group_size or _count_loads(picked, model):
@@ -168,15 +169,18 @@
 
 
 def measure_cover(
-    model: rules.ModelSpec, groups: Sequence[assignments.Assignment]
+    situation: plans.Situation,
+    model: rules.ModelSpec,
+    groups: Sequence[assignments.Assignment],
 ) -> tuple[float, int]:
     """Return how well a model is covered against its share; the least covered one sorts first.
 
+    :param situation: what the decision rests on.
     :param model: model.
     :param groups: assignments.
     """
     count = sum(group.model == model.name and not group.closing for group in groups)
-    return count * model.group_size / max(model.share, 1e-6), -model.group_size
+    return count * model.group_size / situation.find_share(model), -model.group_size
 
 
 def _cost(fact: plans.Fact, model: str) -> int:
@@ -191,3 +195,30 @@
     others = {spec.name for spec in engine.models} - {model.name}
     serves_others = bool(others & {*fact.upstream.staged, *fact.upstream.models})
     return _cost(fact, model.name), serves_others, fact.upstream.id
+
+
+def find_replaceable(
+    situation: plans.Situation, groups: Sequence[assignments.Assignment]
+) -> assignments.Assignment | None:
+    """Return a group across fabric domains whose members complete one within a domain.
+
+    Such groups are spares that serve meanwhile.
+
+    :param situation: what the decision rests on.
+    :param groups: assignments of the service.
+    """
+    engine = situation.service.engine
+    free, _ = find_free(situation, groups)
+    for group in groups:
+        model = engine.find_model(group.model) if engine else None
+        if group.fabric_domain != ACROSS_DOMAINS or group.closing or model is None:
+            continue
+        for domain, facts in free.items():
+            able = sum(fact.holds(model.name) for fact in facts)
+            members = [situation.facts.get(member) for member in group.members]
+            near = sum(
+                fact is not None and fact.upstream.fabric_domain == domain for fact in members
+            )
+            if able < model.group_size <= able + near:
+                return group
+    return None
--- a/src/tanagerfork/relay/planner.py
+++ b/src/tanagerfork/relay/planner.py
@@ -33,6 +33,12 @@
         if updated is not None:
             kept.append(updated)
     epoch = max(situation.record.next_epoch, 1 + _find_highest_epoch(situation.facts))
+    replaced = forming.find_replaceable(situation, _of_service(kept, situation))
+    if replaced is not None:
+        plan.notes.append(f"dissolve {replaced.group}: its members are needed within a domain")
+        kept[kept.index(replaced)] = msgspec.structs.replace(
+            replaced, closing=True, reason="leaving for a group within a fabric domain"
+        )
     formed = forming.form_groups(situation, kept, epoch, plan)
     plan.record = msgspec.structs.replace(
         situation.record, groups=kept + formed, next_epoch=epoch + len(formed)
@@ -47,6 +53,12 @@
     return plan
 
 
+def _of_service(
+    groups: list[assignments.Assignment], situation: plans.Situation
+) -> list[assignments.Assignment]:
+    return [group for group in groups if group.service == situation.service.name]
+
+
 def _review(
     assignment: assignments.Assignment, situation: plans.Situation, plan: plans.Plan
 ) -> assignments.Assignment | None:
--- a/src/tanagerfork/relay/plans.py
+++ b/src/tanagerfork/relay/plans.py
@@ -11,6 +11,7 @@
 CLOSE = "close"
 LEAVE = "leave"
 STAGE = "stage"
+LEAST_SHARE = 0.05  # A model that nobody asks for at the moment is still covered.
 OUT_OF_GROUP = frozenset(
     (members.MemberState.JOINING, members.MemberState.READY, members.MemberState.BROKEN)
 )
@@ -63,7 +64,8 @@
 
     `may_load` is how many loads from the weight store may be started now. `is_settled` says that no
     upstream has come for a while; until then more are expected, and the model that lacks most waits
-    for enough of them. `loading` are upstreams that load weights.
+    for enough of them. `loading` are upstreams that load weights. `demand` is the part of the
+    upstreams that each model needs by its requests, where that is known.
     """
 
     service: rules.Service
@@ -72,6 +74,14 @@
     may_load: int
     is_settled: bool = True
     loading: frozenset[str] = frozenset()
+    demand: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+    def find_share(self, model: rules.ModelSpec) -> float:
+        """Return the part of the upstreams that a model needs.
+
+        :param model: model.
+        """
+        return max(self.demand.get(model.name, model.share), LEAST_SHARE)
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/tanagerfork/relay/staging.py
+++ b/src/tanagerfork/relay/staging.py
@@ -27,7 +27,9 @@
             for model in sorted(engine.models, key=lambda spec: -spec.group_size)
             if model.name not in held
         ]
-        neediest = min(engine.models, key=lambda spec: forming.measure_cover(spec, groups)).name
+        neediest = min(
+            engine.models, key=lambda spec: forming.measure_cover(situation, spec, groups)
+        ).name
         for fact in sorted(facts, key=lambda known: known.upstream.id):
             if left < 1 or fact.upstream.id in situation.loading:
                 continue
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -9,7 +9,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.groups import lease
-from tanagerfork.relay import coordinator, fleet, members, plans, rules
+from tanagerfork.relay import coordinator, demand, fleet, loads, members, plans, rules
 from tests import fakes
 from tests.relay import deployments, test_fleet, test_planner
 
@@ -66,6 +66,7 @@
             self.clock,
             log,
             metric.Metrics(),
+            demand.Demand(loads.LoadBook()),
             lambda: True,
             self.closed.append,
         )
--- a/tests/relay/test_planner.py
+++ b/tests/relay/test_planner.py
@@ -206,6 +206,41 @@
         assert not made.record.groups
 
 
+class TestAcross:
+    def test_members_complete_a_group_within_a_domain(self) -> None:
+        """A group across fabric domains is a spare that serves meanwhile."""
+        facts = {
+            "a": make_fact("a", "d0", ("small",)),
+            "b": make_fact("b", "d1", ("small",)),
+            "survivor": make_fact("survivor", "d0", ("small",)),
+        }
+        across = msgspec.structs.replace(
+            make_group(["a", "b"]), fabric_domain=forming.ACROSS_DOMAINS
+        )
+        mark_as(facts, across, STATE.OPEN)
+        made = plan(facts, make_record(across))
+        assert made.record.groups[0].closing
+        closing = next(order for order in made.orders if order.kind == plans.CLOSE)
+        assert not closing.cuts
+
+    def test_it_serves_on_where_it_is_of_no_help(self) -> None:
+        facts = {"a": make_fact("a", "d0", ("small",)), "b": make_fact("b", "d1", ("small",))}
+        across = msgspec.structs.replace(
+            make_group(["a", "b"]), fabric_domain=forming.ACROSS_DOMAINS
+        )
+        mark_as(facts, across, STATE.OPEN)
+        assert not plan(facts, make_record(across)).record.groups[0].closing
+
+
+class TestDemand:
+    def test_requests_shift_what_a_model_needs(self) -> None:
+        facts = make_facts(2, "d0", ("small",))
+        held = make_group([f"x{index}" for index in range(2)])
+        situation = plans.Situation(SERVICE, facts, make_record(held), 0, demand={"small": 0.8})
+        covered = forming.measure_cover(situation, SMALL, [held])[0]
+        assert covered == pytest.approx(2 / 0.8)
+
+
 class TestStaging:
     def test_spares_get_the_weights_of_each_model(self) -> None:
         facts = make_facts(3)
