Have members leave their former group before they join another, and wait for no silent head

Members now leave first, so that the head stands still; with that, a silent head need not lapse from the directory before the repair, which took 2 s of each loss of a head. A coordinator that most members do not answer takes itself for cut off and stops renewing its lease.

--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -25,6 +25,8 @@
 PLAN_INTERVAL_MS = 100  # A tenth of what a repair takes.
 SILENT_PROBES = 2  # One probe lost by the network is no sign of death.
 STALLED_MS = 1000  # A coordinator that stood still so long knows nothing of who was silent.
+BLIND_LEAST = 4  # Fewer silent members are no sign that this daemon is cut off.
+BLIND_MS = 5000  # Another daemon has taken the lease by then.
 REPEAT_ORDER_MS = 1500  # An order that showed no effect is given again.
 SETTLED_MS = 1500  # Upstreams of one start come within three seconds of each other.
 FORGET_MS = 20_000  # An upstream that has left the list serves at most so much longer.
@@ -91,6 +93,7 @@
         "_record",
         "_revision",
         "_ordered_at_ms",
+        "_blind_until_ms",
         "_pacer",
         "_tasks",
         "_stepped_at_ms",
@@ -136,6 +139,7 @@
         self._seen: dict[str, Observation] = {}
         self._record: assignments.Assignments | None = None
         self._revision = key_value.ABSENT
+        self._blind_until_ms = -BLIND_MS
         self._ordered_at_ms: dict[tuple[str, str, int], int] = {}
         self._pacer = loading.LoadPacer(len(settings.failure_domains))
         self._tasks: set[asyncio.Task[None]] = set()
@@ -154,6 +158,8 @@
 
     async def take_step(self) -> None:
         """Renew the lease, observe, plan and order once."""
+        if self._is_blind():
+            return
         await self._keeper.take_step(self._record.fencing if self._record else 0)
         now_ms = self._clock.monotonic_ms()
         if now_ms - self._stepped_at_ms > STALLED_MS:
@@ -179,6 +185,30 @@
         for service in self._register.current.list_engines():
             await self._plan(service)
 
+    def _is_blind(self) -> bool:
+        """Return whether this daemon, and not the upstreams, seems to be cut off.
+
+        It stops renewing the lease then, so that another daemon takes over.
+        """
+        assigned = {member for group in self._groups() for member in group.members}
+        asked = [self._seen[member] for member in assigned if member in self._seen]
+        silent = sum(seen.failures >= SILENT_PROBES for seen in asked)
+        is_blind = self.is_holder and len(asked) >= BLIND_LEAST and silent > len(asked) / 2
+        now_ms = self._clock.monotonic_ms()
+        if is_blind:
+            self._log.note(
+                LOGGER,
+                "coordinates no more, as most members do not answer",
+                failure_domain=self._failure_domain,
+                silent=silent,
+                asked=len(asked),
+            )
+            self._blind_until_ms = now_ms + BLIND_MS
+            self.is_holder = False
+            self._record = None
+            self._seen.clear()
+        return now_ms < self._blind_until_ms
+
     def _may_act(self) -> bool:
         now_ms = self._clock.monotonic_ms()
         return self._keeper.state.may_act(now_ms, self._settings.members.order_timeout_ms)
--- a/src/tanagerfork/relay/forming.py
+++ b/src/tanagerfork/relay/forming.py
@@ -71,7 +71,7 @@
         if fact.mark
         and fact.mark.rank == 0
         and fact.mark.state not in plans.OUT_OF_GROUP
-        and (fact.is_listed or not fact.is_silent)
+        and not fact.is_silent
     }
     free: dict[str, list[plans.Fact]] = {}
     live: dict[str, int] = {}
--- a/src/tanagerfork/relay/planner.py
+++ b/src/tanagerfork/relay/planner.py
@@ -1,11 +1,13 @@
 """Planner: which groups to form, which to dissolve, and what to order for it.
 
-Decides over explicit facts, without I/O. Safety rests on three rules:
+Decides over explicit facts, without I/O. Safety rests on four rules:
 
 * An upstream is in at most one assignment, and the record of assignments changes by
   compare-and-swap only.
-* An assignment is dropped only once its head is seen out of it (closed, broken, started anew, in
-  another group) or gone; only then may its members be ordered elsewhere.
+* An assignment is dropped only once its head is seen out of it (closed and left, started anew, in
+  another group) or does not answer; only then may its members be ordered elsewhere.
+* A member leaves its former group before it joins another one: a head that nobody reaches may
+  still be open.
 * A head is told to open only once every member reports the group, its epoch and readiness.
 """
 
@@ -97,17 +99,17 @@
 
 
 def _is_released(assignment: assignments.Assignment, facts: Mapping[str, plans.Fact]) -> bool:
-    """Return whether the head of a closing group surely serves no more."""
+    """Return whether nothing more can be done to a closing group at its head.
+
+    A silent head may still be open: its members leave the group before they join another one, so
+    that it stands still and nothing begins to run there.
+    """
     fact = facts.get(assignment.members[0])
     if fact is None or not fact.is_known:
         return False
     if fact.upstream.born_at_ms != assignment.born_at_ms[0]:
         return True
-    if not fact.is_listed and fact.is_silent:
-        return True
-    if fact.is_silent:
-        return False
-    return not plans.is_in(fact.mark, assignment)
+    return fact.is_silent or not plans.is_in(fact.mark, assignment)
 
 
 def _find_highest_epoch(facts: Mapping[str, plans.Fact]) -> int:
@@ -134,28 +136,47 @@
         for rank, member in enumerate(assignment.members)
         if member not in facts or not plans.is_in(facts[member].mark, assignment)
     ]
-    for rank in missing:
-        plan.orders.append(
-            plans.Order(
-                plans.JOIN,
-                assignment.members[rank],
-                assignment.addresses[rank],
-                assignment.group,
-                assignment.epoch,
-                assignment.model,
-                tuple(assignment.members),
-            )
-        )
-    if missing:
-        return
-    marks = [facts[member].mark for member in assignment.members]
-    states = [mark.state for mark in marks if mark]
-    if all(state is members.MemberState.READY for state in states):
+    plan.orders.extend(_order_member(assignment, rank, facts) for rank in missing)
+    if _may_open(assignment, facts):
         plan.orders.append(
             plans.Order(plans.OPEN, head_id, head_address, assignment.group, assignment.epoch)
         )
 
 
+def _may_open(assignment: assignments.Assignment, facts: Mapping[str, plans.Fact]) -> bool:
+    """Return whether every member reports the group and readiness."""
+    marks = [facts[member].mark if member in facts else None for member in assignment.members]
+    return all(
+        mark is not None
+        and plans.is_in(mark, assignment)
+        and mark.state is members.MemberState.READY
+        for mark in marks
+    )
+
+
+def _order_member(
+    assignment: assignments.Assignment, rank: int, facts: Mapping[str, plans.Fact]
+) -> plans.Order:
+    """Return the order that brings a member nearer to its group.
+
+    A member leaves its former group first: a head that nobody reaches may still be open.
+    """
+    member, address = assignment.members[rank], assignment.addresses[rank]
+    fact = facts.get(member)
+    former = fact.mark if fact else None
+    if former is not None:
+        return plans.Order(plans.LEAVE, member, address, former.group, former.epoch)
+    return plans.Order(
+        plans.JOIN,
+        member,
+        address,
+        assignment.group,
+        assignment.epoch,
+        assignment.model,
+        tuple(assignment.members),
+    )
+
+
 def _order_strays(situation: plans.Situation, plan: plans.Plan) -> None:
     """Close groups that no record names, so that their members become free."""
     named = {(group.group, group.epoch) for group in plan.record.groups}
