--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -22,13 +22,14 @@
     :param closes: whether the connection ends after the answer.
     """
 
-    __slots__ = ("_request", "_response", "_closes", "has_begun", "status")
+    __slots__ = ("_request", "_response", "_closes", "has_begun", "was_cut", "status")
 
     def __init__(self, request: aiohttp.web.Request, closes: bool) -> None:
         self._request = request
         self._closes = closes
         self._response: aiohttp.web.StreamResponse | None = None
         self.has_begun = False
+        self.was_cut = False
         self.status = 0
 
     @property
@@ -62,6 +63,7 @@
 
     def cut(self) -> None:
         """End the connection at once; see `progress.Sink.cut`."""
+        self.was_cut = True
         if self._request.transport is not None:
             self._request.transport.abort()
 
@@ -139,7 +141,7 @@
             facts = self._dialect.read_request(request.headers)
             asked = await self._read(request, facts, arrived_at_ms)
             await self._relay.serve(asked, sink)
-            outcome = "answered"
+            outcome = "cut" if sink.was_cut else "answered"
         except errors.CallerError as error:
             outcome = error.kind
             await self._refuse(sink, facts, error)
--- a/tests/relay/test_faults.py
+++ b/tests/relay/test_faults.py
@@ -134,6 +134,7 @@
                 member.faults = [FAULT.RESETS_MIDWAY]
             got = await deployed.ask("/stream/x", "POST", b"hello")
             assert not got.is_whole
+            assert deployed.log.find('"outcome":"cut"')
 
 
 class TestCallersLeave:
