--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -146,6 +146,12 @@
         self._stepped_at_ms = clock.monotonic_ms()
         self.is_holder = False
 
+    @property
+    def is_repairing(self) -> bool:
+        """Whether this daemon waits for groups to form or to close."""
+        waiting = self._coverage.get("forming", 0) + self._coverage.get("closing", 0)
+        return self.is_holder and waiting > 0
+
     async def run(self) -> None:
         """Coordinate until cancelled."""
         while True:
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -227,27 +227,24 @@
         return await opened.start()
 
     def _start_tasks(self) -> None:
-        follow_rules = followers.RulesFollower(
-            self.store,
-            config.CONFIG_KEY,
-            config.decode_rules,
-            self.register,
-            self.view,
-            self.clock,
-            self.log,
-        )
-        follow_list = followers.ListFollower(
-            self.store,
-            entries.SERVERS_PREFIX,
-            entries.decode_entry,
-            self.view,
-            self.book,
-            lambda: self._coordinator.is_holder,
-            self.clock,
-            self.log,
+        parts: list[followers.Part] = [
+            followers.RulesPart(
+                config.CONFIG_KEY, config.decode_rules, self.register, self.view, self.log
+            ),
+            followers.ListPart(
+                entries.SERVERS_PREFIX,
+                entries.decode_entry,
+                self.view,
+                self.book,
+                self.clock,
+                self.log,
+            ),
+            self.directory,
+        ]
+        follow = followers.StoreFollower(
+            self.store, parts, lambda: self._coordinator.is_repairing, self.clock, self.log
         )
-        self._start_task("rules", follow_rules.run)
-        self._start_task("list", follow_list.run)
+        self._start_task("store", follow.run)
         self._start_task("daemons", self.directory.run)
         self._coordinator = coordinator.Coordinator(
             self.settings.failure_domain,
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -1,6 +1,7 @@
 """Followers: keep rules, upstreams and daemons as the store has them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
 import msgspec
 import result
@@ -16,8 +17,7 @@
 DAEMON_LEASE_MS = 6000  # A daemon that is cut off for a moment stays listed.
 DAEMON_RENEW_MS = 2000
 GATHER_MS = 900  # Changes that come together are read by one call; under half the time to drain.
-URGENT_GATHER_MS = 50  # The same for a coordinator, whose repairs wait for each change.
-CONFIG_SILENCE_MS = 3500  # Longer than one call of a watch; past it the key is read again.
+URGENT_GATHER_MS = 50  # The same for a coordinator whose repairs wait for each change.
 
 RulesDecoder = Callable[[bytes], result.Result[rules.Rules, errors.PlatformError]]
 EntryDecoder = Callable[[str, bytes], members.Upstream | None]
@@ -54,52 +54,131 @@
             self._log.note(LOGGER, "dependency regained", dependency=self._name, away_ms=away_ms)
 
 
-class RulesFollower:
-    """Puts each newer configuration in force as soon as the store shows it.
+class Part(Protocol):
+    """What keeps one part of the store's keys."""
+
+    prefix: str
+
+    def take_all(self, entries: Sequence[key_value.Entry]) -> None:
+        """Take in all keys of the part, as a read showed them.
+
+        :param entries: entries whose keys begin with the prefix.
+        """
+
+    def take_changes(self, changes: key_value.Changes) -> None:
+        """Take in changes of the part; empty ones are a sign of life.
+
+        :param changes: changes of keys that begin with the prefix.
+        """
+
+    def note_away(self) -> None:
+        """Note that the store did not answer."""
+
+
+class StoreFollower:
+    """Keeps all parts by one watch: reads them whole, then follows what changes.
+
+    One watch over all keys costs one call where one for each part would cost several. A watch that
+    ends may have missed changes, such as a leaving upstream in a history that the store has
+    dropped, so the parts are read whole again.
 
     :param store: store.
+    :param parts: what keeps the parts.
+    :param is_urgent: whether changes are needed at once, at the price of more calls.
+    :param clock: clock to wait on.
+    :param log: decision log.
+    """
+
+    __slots__ = ("_store", "_parts", "_is_urgent", "_clock", "_link")
+
+    def __init__(
+        self,
+        store: key_value.LeasingKeyValue,
+        parts: Sequence[Part],
+        is_urgent: Callable[[], bool],
+        clock: clocks.Clock,
+        log: decisions.DecisionLog,
+    ) -> None:
+        self._store = store
+        self._parts = parts
+        self._is_urgent = is_urgent
+        self._clock = clock
+        self._link = Connection("store", clock, log)
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            revision = await self._read_parts()
+            if revision is not None:
+                async for changes in self._store.watch_prefix("", revision):
+                    self._pass_on(changes)
+                    if changes.written or changes.removed:
+                        gather_ms = URGENT_GATHER_MS if self._is_urgent() else GATHER_MS
+                        await self._clock.sleep_ms(gather_ms)
+            await self._clock.sleep_ms(RETRY_MS)
+
+    async def _read_parts(self) -> int | None:
+        """Read all parts; return the revision that all of them show at least."""
+        revisions = []
+        for part in self._parts:
+            found = await self._store.read_snapshot(part.prefix)
+            self._link.note(found.err_value if isinstance(found, result.Err) else None)
+            if isinstance(found, result.Err):
+                for other in self._parts:
+                    other.note_away()
+                return None
+            part.take_all(found.ok_value.entries)
+            revisions.append(found.ok_value.revision)
+        return min(revisions)
+
+    def _pass_on(self, changes: key_value.Changes) -> None:
+        for part in self._parts:
+            part.take_changes(
+                key_value.Changes(
+                    [entry for entry in changes.written if entry.key.startswith(part.prefix)],
+                    [key for key in changes.removed if key.startswith(part.prefix)],
+                )
+            )
+
+
+class RulesPart:
+    """Puts each newer configuration in force as soon as the store shows it.
+
     :param key: key of the configuration.
     :param decode: decodes its value.
     :param register: rules in force.
     :param view: fleet, whose groups depend on the rules.
-    :param clock: clock to wait on.
     :param log: decision log.
     """
 
-    __slots__ = ("_store", "_key", "_decode", "_register", "_view", "_clock", "_log", "_link")
+    __slots__ = ("prefix", "_decode", "_register", "_view", "_log")
 
     def __init__(
         self,
-        store: key_value.KeyValue,
         key: str,
         decode: RulesDecoder,
         register: rules.RulesRegister,
         view: fleet.Fleet,
-        clock: clocks.Clock,
         log: decisions.DecisionLog,
     ) -> None:
-        self._store = store
-        self._key = key
+        self.prefix = key
         self._decode = decode
         self._register = register
         self._view = view
-        self._clock = clock
         self._log = log
-        self._link = Connection("configuration", clock, log)
 
-    async def run(self) -> None:
-        """Follow until cancelled."""
-        while True:
-            found = await self._store.read(self._key)
-            self._link.note(found.err_value if isinstance(found, result.Err) else None)
-            entry = found.ok_value if isinstance(found, result.Ok) else None
-            if entry is None:
-                await self._clock.sleep_ms(RETRY_MS)
-                continue
-            self._take(entry)
-            async for newer in self._store.watch(self._key, entry.revision + 1):
-                self._take(newer)
-            await self._clock.sleep_ms(RETRY_MS)
+    def take_all(self, entries: Sequence[key_value.Entry]) -> None:
+        """Take in the configuration; see `Part.take_all`."""
+        self.take_changes(key_value.Changes(list(entries), []))
+
+    def take_changes(self, changes: key_value.Changes) -> None:
+        """Take in newer configurations; see `Part.take_changes`."""
+        for entry in changes.written:
+            if entry.key == self.prefix:
+                self._take(entry)
+
+    def note_away(self) -> None:
+        """Keep the rules in force; see `Part.note_away`."""
 
     def _take(self, entry: key_value.Entry) -> None:
         decoded = self._decode(entry.value)
@@ -122,76 +201,47 @@
             )
 
 
-class ListFollower:
-    """Keeps the list of upstreams: reads it whole, then follows its changes.
+class ListPart:
+    """Keeps the list of upstreams.
 
-    A watch that ends may have missed changes, such as a leaving upstream in a history that the
-    store has dropped, so the list is read whole again.
-
-    :param store: store.
     :param prefix: prefix of the entries' keys.
     :param decode: decodes an entry.
     :param view: fleet.
     :param book: loads of the upstreams.
-    :param is_urgent: whether changes are needed at once, at the price of more calls.
-    :param clock: clock to wait on.
+    :param clock: clock that counts suspended time.
     :param log: decision log.
     """
 
-    __slots__ = (
-        "_is_urgent",
-        "_store",
-        "_prefix",
-        "_decode",
-        "_view",
-        "_book",
-        "_clock",
-        "_log",
-        "_link",
-        "_listed",
-    )
+    __slots__ = ("prefix", "_decode", "_view", "_book", "_clock", "_log", "_listed")
 
     def __init__(
         self,
-        store: key_value.LeasingKeyValue,
         prefix: str,
         decode: EntryDecoder,
         view: fleet.Fleet,
         book: loads.LoadBook,
-        is_urgent: Callable[[], bool],
         clock: clocks.Clock,
         log: decisions.DecisionLog,
     ) -> None:
-        self._is_urgent = is_urgent
-        self._store = store
-        self._prefix = prefix
+        self.prefix = prefix
         self._decode = decode
         self._view = view
         self._book = book
         self._clock = clock
         self._log = log
-        self._link = Connection("list of upstreams", clock, log)
         self._listed: dict[str, members.Upstream] = {}
 
-    async def run(self) -> None:
-        """Follow until cancelled."""
-        while True:
-            found = await self._store.read_snapshot(self._prefix)
-            self._link.note(found.err_value if isinstance(found, result.Err) else None)
-            if isinstance(found, result.Err):
-                self._view.note_away()
-            else:
-                self._listed = {}
-                self._take(key_value.Changes(found.ok_value.entries, []))
-                revision = found.ok_value.revision
-                async for changes in self._store.watch_prefix(self._prefix, revision):
-                    self._take(changes)
-                    if changes.written or changes.removed:
-                        gather_ms = URGENT_GATHER_MS if self._is_urgent() else GATHER_MS
-                        await self._clock.sleep_ms(gather_ms)
-            await self._clock.sleep_ms(RETRY_MS)
+    def note_away(self) -> None:
+        """Keep what may have lapsed meanwhile; see `Part.note_away`."""
+        self._view.note_away()
+
+    def take_all(self, entries: Sequence[key_value.Entry]) -> None:
+        """Take in the whole list; see `Part.take_all`."""
+        self._listed = {}
+        self.take_changes(key_value.Changes(list(entries), []))
 
-    def _take(self, changes: key_value.Changes) -> None:
+    def take_changes(self, changes: key_value.Changes) -> None:
+        """Take in changes of the list; see `Part.take_changes`."""
         for entry in changes.written:
             upstream = self._decode(entry.key, entry.value)
             if upstream is not None:
@@ -232,7 +282,7 @@
     :param log: decision log.
     """
 
-    __slots__ = ("_store", "_name", "_record", "_clock", "_log", "_lease", "daemons", "_link")
+    __slots__ = ("prefix", "_store", "_name", "_record", "_clock", "_log", "_lease", "daemons")
 
     def __init__(
         self,
@@ -242,6 +292,7 @@
         clock: clocks.Clock,
         log: decisions.DecisionLog,
     ) -> None:
+        self.prefix = DAEMON_PREFIX
         self._store = store
         self._name = name
         self._record = record
@@ -249,7 +300,6 @@
         self._log = log
         self._lease = 0
         self.daemons: dict[str, DaemonRecord] = {name: record}
-        self._link = Connection("list of daemons", clock, log)
 
     def list_names(self, failure_domain: str) -> list[str]:
         """Return the daemons of a failure domain.
@@ -264,7 +314,6 @@
         """Stay listed until cancelled."""
         while True:
             await self._stay_listed()
-            await self._read()
             await self._clock.sleep_ms(DAEMON_RENEW_MS)
 
     async def leave(self) -> None:
@@ -272,6 +321,35 @@
         if self._lease:
             await self._store.end_lease(self._lease)
 
+    def note_away(self) -> None:
+        """Keep the daemons that are known; see `Part.note_away`."""
+
+    def take_all(self, entries: Sequence[key_value.Entry]) -> None:
+        """Take in all daemons; see `Part.take_all`."""
+        self.daemons = {self._name: self._record}
+        self.take_changes(key_value.Changes(list(entries), []))
+
+    def take_changes(self, changes: key_value.Changes) -> None:
+        """Take in daemons that came or went; see `Part.take_changes`."""
+        before = set(self.daemons)
+        for entry in changes.written:
+            try:
+                record = msgspec.json.decode(entry.value, type=DaemonRecord)
+            except msgspec.MsgspecError as error:
+                self._log.note(LOGGER, "daemon entry unreadable", key=entry.key, reason=str(error))
+                continue
+            self.daemons[entry.key.removeprefix(self.prefix)] = record
+        for key in changes.removed:
+            self.daemons.pop(key.removeprefix(self.prefix), None)
+        self.daemons[self._name] = self._record
+        if before != set(self.daemons):
+            self._log.note(
+                LOGGER,
+                "list of daemons changed",
+                came=sorted(set(self.daemons) - before),
+                went=sorted(before - set(self.daemons)),
+            )
+
     async def _stay_listed(self) -> None:
         if self._lease:
             kept = await self._store.renew_lease(self._lease)
@@ -286,20 +364,3 @@
         put = await self._store.put_leased(DAEMON_PREFIX + self._name, value, granted.ok_value)
         if isinstance(put, result.Ok):
             self._lease = granted.ok_value
-
-    async def _read(self) -> None:
-        found = await self._store.read_snapshot(DAEMON_PREFIX, may_be_stale=True)
-        self._link.note(found.err_value if isinstance(found, result.Err) else None)
-        if isinstance(found, result.Err):
-            return
-        daemons = {self._name: self._record}
-        for entry in found.ok_value.entries:
-            try:
-                record = msgspec.json.decode(entry.value, type=DaemonRecord)
-            except msgspec.MsgspecError as error:
-                self._log.note(LOGGER, "daemon entry unreadable", key=entry.key, reason=str(error))
-                continue
-            daemons[entry.key.removeprefix(DAEMON_PREFIX)] = record
-        if daemons.keys() != self.daemons.keys():
-            self._log.note(LOGGER, "list of daemons changed", daemons=sorted(daemons))
-        self.daemons = daemons
