--- /dev/null
+++ b/bench/player.py
@@ -0,0 +1,239 @@
+"""Plays the users' load over groups by the engines' formula, and compares ways of placing it.
+
+A group works in passes: it reads up to a chunk of waiting prompts, then makes one event of each
+request that writes. Daemons see only their own sends, the load that answers tell, and what peers
+told a moment ago. Time is explicit, and a seed gives the same run.
+"""
+
+import dataclasses
+import heapq
+import random
+import sys
+from collections.abc import Sequence
+
+from hdrh import histogram
+
+from tanagerfork.relay import calls, fleet, loads, members, placing, rules
+
+SMALL = rules.ModelSpec("small", 2, 0.33, 0.6, 12.0, 1.1)
+ENGINE = rules.EngineSpec((SMALL,), 13, 700_000, 6.07, 0.482, 0.01, 46_000, 116, 300, 4, 6, 4)
+CHUNK_TOKENS = 2048
+EVENT_TOKENS = 5
+NOTE_PROMPT_TOKENS, NOTE_EVENTS = 674, 27
+GOAL_MS, GAP_GOAL_MS = 300, 200
+PEER_INTERVAL_MS = 300
+HIGHEST_MS = 60_000
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One caller's request on its way through a group."""
+
+    came_ms: float
+    daemon: int
+    unread: int
+    prompt: int
+    events_left: int
+    first_ms: float = -1.0
+    last_ms: float = 0.0
+    longest_gap_ms: float = 0.0
+
+    @property
+    def is_in_goal(self) -> bool:
+        """Whether its first event and every gap were within the goals."""
+        return self.first_ms - self.came_ms <= GOAL_MS and self.longest_gap_ms <= GAP_GOAL_MS
+
+
+@dataclasses.dataclass(slots=True)
+class Group:
+    """One group that works in passes."""
+
+    view: fleet.Group
+    pace: float
+    waiting: list[Request] = dataclasses.field(default_factory=list)
+    running: list[Request] = dataclasses.field(default_factory=list)
+    is_busy: bool = False
+
+    def begin_pass(self) -> float:
+        """Admit what has a slot, read a chunk, and return how long the pass takes."""
+        while self.waiting and len(self.running) < ENGINE.slots:
+            self.running.append(self.waiting.pop(0))
+        room = CHUNK_TOKENS
+        for request in self.running:
+            taken = min(room, request.unread)
+            request.unread -= taken
+            room -= taken
+        writing = sum(not request.unread for request in self.running)
+        reading_ms = (CHUNK_TOKENS - room) / ENGINE.read_tokens_per_s * 1000
+        step_ms = ENGINE.step_ms + ENGINE.sequence_step_ms * writing
+        return self.pace * (reading_ms + EVENT_TOKENS * step_ms)
+
+    def end_pass(self, now_ms: float) -> list[Request]:
+        """Make an event of each request that writes; return those that are finished."""
+        for request in self.running:
+            if request.unread:
+                continue
+            request.events_left -= 1
+            if request.first_ms < 0:
+                request.first_ms = now_ms
+            else:
+                gap_ms = now_ms - request.last_ms
+                request.longest_gap_ms = max(request.longest_gap_ms, gap_ms)
+            request.last_ms = now_ms
+        done = [request for request in self.running if request.events_left <= 0]
+        self.running = [request for request in self.running if request.events_left > 0]
+        return done
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Load:
+    """What is played; `slow_pace` slows the first group down."""
+
+    groups: int = 6
+    daemons: int = 20
+    per_s: float = 42.5
+    length_ms: float = 30_000
+    slow_pace: float = 1.0
+
+
+class Player:
+    """Plays one load.
+
+    :param load: what is played.
+    :param policy: "expected", "own" (without peers) or "turns" (round robin).
+    :param seed: seed of arrivals and choices.
+    """
+
+    def __init__(self, load: Load, policy: str, seed: int) -> None:
+        self.load = load
+        self.policy = policy
+        self.rng = random.Random(seed)
+        self.groups = [
+            Group(make_group(index), SMALL.pace * (load.slow_pace if not index else 1.0))
+            for index in range(load.groups)
+        ]
+        self.books = [loads.LoadBook() for _ in range(load.daemons)]
+        self.placers = [
+            placing.Placer(random.Random(seed + n), b) for n, b in enumerate(self.books)
+        ]
+        self.turns = [self.rng.randrange(load.groups) for _ in range(load.daemons)]
+        self.done: list[Request] = []
+        self._times: list[tuple[float, int, str, int]] = []
+        self._count = 0
+
+    def play(self) -> "Player":
+        """Play the load to its end."""
+        at_ms = 0.0
+        while (at_ms := at_ms + self.rng.expovariate(self.load.per_s / 1000)) < self.load.length_ms:
+            self._plan(at_ms, "arrive", self.rng.randrange(self.load.daemons))
+        for number in range(int(self.load.length_ms / PEER_INTERVAL_MS)):
+            self._plan(number * PEER_INTERVAL_MS, "tell", 0)
+        while self._times:
+            now_ms, _, kind, index = heapq.heappop(self._times)
+            getattr(self, f"_{kind}")(now_ms, index)
+        return self
+
+    def share_in_goal(self) -> float:
+        """Return the share of requests that were in their goals."""
+        return sum(request.is_in_goal for request in self.done) / len(self.done)
+
+    def measure_first_ms(self, percentile: float) -> float:
+        """Return a percentile of the time to the first event, in milliseconds."""
+        times = histogram.HdrHistogram(1, HIGHEST_MS, 3)
+        for request in self.done:
+            times.record_value(max(1, min(HIGHEST_MS, int(request.first_ms - request.came_ms))))
+        return times.get_value_at_percentile(percentile)
+
+    def _plan(self, at_ms: float, kind: str, index: int) -> None:
+        self._count += 1
+        heapq.heappush(self._times, (at_ms, self._count, kind, index))
+
+    def _arrive(self, now_ms: float, daemon: int) -> None:
+        prompt = max(20, int(self.rng.lognormvariate(6.2, 0.75)))
+        events = max(1, int(self.rng.lognormvariate(3.05, 0.65)))
+        request = Request(now_ms, daemon, prompt, prompt, min(events, 67))
+        index = self._choose(daemon, prompt, now_ms)
+        group = self.groups[index]
+        self.books[daemon].begin(group.view.head.id, prompt)
+        group.waiting.append(request)
+        if not group.is_busy:
+            self._begin(now_ms, index)
+
+    def _choose(self, daemon: int, prompt: int, now_ms: float) -> int:
+        if self.policy == "turns":
+            self.turns[daemon] = (self.turns[daemon] + 1) % self.load.groups
+            return self.turns[daemon]
+        views = [group.view for group in self.groups]
+        choice = self.placers[daemon].choose_group(views, ENGINE, prompt, (), now_ms)
+        assert choice is not None
+        return next(n for n, view in enumerate(views) if view.head is choice.upstream)
+
+    def _begin(self, now_ms: float, index: int) -> None:
+        group = self.groups[index]
+        group.is_busy = bool(group.waiting or group.running)
+        if group.is_busy:
+            self._plan(now_ms + group.begin_pass(), "end", index)
+
+    def _end(self, now_ms: float, index: int) -> None:
+        group = self.groups[index]
+        head = group.view.head.id
+        for request in group.running:
+            if request.first_ms < 0 and not request.unread:
+                book = self.books[request.daemon]
+                book.end_reading(head, request.prompt)
+                told = calls.Load(len(group.running), len(group.waiting), ENGINE.slots)
+                book.note_load(head, told, now_ms)
+        for request in group.end_pass(now_ms):
+            took_ms = now_ms - request.came_ms
+            self.books[request.daemon].end(head, calls.Outcome.ANSWERED, took_ms, now_ms)
+            self.done.append(request)
+        self._begin(now_ms, index)
+
+    def _tell(self, now_ms: float, index: int) -> None:
+        if self.policy != "expected":
+            return
+        told = [
+            {key: (requests, tokens) for key, requests, tokens in book.list_open()}
+            for book in self.books
+        ]
+        for receiver, book in enumerate(self.books):
+            for sender, open_there in enumerate(told):
+                if sender != receiver:
+                    book.note_peer(f"d{sender}", open_there, now_ms)
+
+
+def make_group(index: int) -> fleet.Group:
+    """Return a group as a daemon knows it.
+
+    :param index: number of the group.
+    """
+    head = members.Upstream(f"h{index}", "writer", "", "a", False, ENGINE.slots)
+    return fleet.Group("writer", SMALL, f"g{index}", 1, head, (head,), SMALL.pace)
+
+
+def print_table(load: Load, policies: Sequence[str], seed: int) -> None:
+    """Print what callers get from each policy under one load.
+
+    :param load: what is played.
+    :param policies: policies.
+    :param seed: seed.
+    """
+    for policy in policies:
+        played = Player(load, policy, seed).play()
+        print(
+            f"{load.groups} groups, slow x{load.slow_pace:g}, seed {seed}, {policy:9}"
+            f" in goal {played.share_in_goal():.3f}"
+            f" first event p50 {played.measure_first_ms(50):.0f} ms"
+            f" p95 {played.measure_first_ms(95):.0f} ms"
+        )
+
+
+def main() -> None:
+    """Print the tables of the usual load, the load after losses, and a straggler."""
+    seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
+    for load in (Load(), Load(groups=4), Load(slow_pace=3.0)):
+        print_table(load, ("turns", "own", "expected"), seed)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/tanagerfork/relay/placing.py
+++ b/src/tanagerfork/relay/placing.py
@@ -8,6 +8,7 @@
 
 PLAIN_USUAL_MS = 50.0  # Work of a plain request before any was measured.
 FAILURE_COST_MS = 2000.0  # What a failed send costs its caller: a new try within its deadline.
+CHOICES = 2  # Best of two at random: daemons that see the same loads do not all take one group.
 JITTER = 0.15  # Spreads daemons that see the same loads; the error of an estimate is larger.
 EVENT_TOKENS = 5  # Tokens of the first event of a stream.
 
@@ -69,7 +70,11 @@
         avoided: Collection[str],
         now_ms: float,
     ) -> Choice | None:
-        """Choose a group for a model's request.
+        """Choose a group for a model's request: the better one of two at random.
+
+        Answers many daemons that each see a part of the load, and all of it some time ago. Taking
+        the best of all by the same old loads makes them all take the same group. A slower group,
+        such as one across fabric domains, is a third one to choose from.
 
         :param groups: whole groups of the model.
         :param engine: what the engines are able to do.
@@ -78,23 +83,36 @@
         :param now_ms: monotonic clock, in milliseconds.
         :return: the choice, None where there is no group.
         """
-        best: Choice | None = None
-        best_key = (True, 0.0)
-        for group in groups:
-            if group.head.id in avoided:
-                continue
-            load = self._book.find(group.head.id)
-            others = load.estimate_others(now_ms)
-            there = load.open + others
-            unread = prompt_tokens + load.open_prompt_tokens + load.peer_unread_tokens
-            expected_ms = estimate_first_event_ms(engine, group.slowness, there, unread)
-            expected_ms += load.estimate_failure(now_ms) * FAILURE_COST_MS
-            key = now_ms < load.suspect_until_ms, expected_ms * self._draw_jitter()
-            if best is None or key < best_key:
-                age_ms = now_ms - load.told_at_ms if load.told else -1
-                best = Choice(group.head, expected_ms, there, age_ms, len(groups))
-                best_key = key
-        return best
+        usable = [group for group in groups if group.head.id not in avoided]
+        alive = [
+            group for group in usable if now_ms >= self._book.find(group.head.id).suspect_until_ms
+        ]
+        usable = alive or usable
+        if not usable:
+            return None
+        fastest = min(group.slowness for group in usable)
+        near = [group for group in usable if group.slowness <= fastest]
+        far = [group for group in usable if group.slowness > fastest]
+        drawn = [
+            self._expect(group, engine, prompt_tokens, now_ms)
+            for group in (
+                *self._rng.sample(near, min(CHOICES, len(near))),
+                *self._rng.sample(far, min(1, len(far))),
+            )
+        ]
+        best = min(drawn, key=lambda choice: choice.expected_ms)
+        return dataclasses.replace(best, candidates=len(groups))
+
+    def _expect(
+        self, group: fleet.Group, engine: rules.EngineSpec, prompt_tokens: int, now_ms: float
+    ) -> Choice:
+        load = self._book.find(group.head.id)
+        there = load.open + load.estimate_others(now_ms)
+        unread = prompt_tokens + load.open_prompt_tokens + load.peer_unread_tokens
+        expected_ms = estimate_first_event_ms(engine, group.slowness, there, unread)
+        expected_ms += load.estimate_failure(now_ms) * FAILURE_COST_MS
+        age_ms = now_ms - load.told_at_ms if load.told else -1
+        return Choice(group.head, expected_ms, there, age_ms, 0)
 
     def choose_plain(
         self,
