--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo run test check format generate bench capacity clean
+.PHONY: install demo run test check format generate bench capacity soak clean
 
 install: $(STAMP)
 
@@ -35,6 +35,9 @@
 	$(BIN)/pip install --quiet -r requirements-generate.txt
 	$(BIN)/python -m tools.generate
 
+soak: install
+	$(BIN)/python -m tools.soak $(or $(SEED),1)
+
 capacity: install
 	$(BIN)/python -m bench.capacity
 
--- a/src/tanagerfork/relay/loads.py
+++ b/src/tanagerfork/relay/loads.py
@@ -10,7 +10,7 @@
 WAIT_SMOOTHING = 0.2  # The mean of about the last ten answers.
 SUSPECT_MS = 1500  # By then the coordinator has asked the upstream and changed its group.
 HEARD_MS = 200  # Three times the gap between two events of a busy group.
-PEER_TTL_MS = 1200  # Four rounds of the peers.
+PEER_TTL_MS = 1200  # Four rounds of peers that are told in each of them.
 OLD_FAILURE_MS = 4000  # A failure counts half after so long, so that an upstream is tried again.
 
 
@@ -81,13 +81,14 @@
         self._peers[daemon] = PeerLoads(now_ms, told)
         self._add(told, 1)
 
-    def drop_old_peers(self, now_ms: float) -> None:
+    def drop_old_peers(self, now_ms: float, ttl_ms: float = PEER_TTL_MS) -> None:
         """Forget what daemons told that have been silent since.
 
         :param now_ms: monotonic clock, in milliseconds.
+        :param ttl_ms: time for which their word counts, in milliseconds.
         """
         for daemon, peer in list(self._peers.items()):
-            if now_ms - peer.told_at_ms > PEER_TTL_MS:
+            if now_ms - peer.told_at_ms > ttl_ms:
                 self._add(peer.open, -1)
                 del self._peers[daemon]
 
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -104,7 +104,8 @@
         """Tell what is open in rounds until cancelled."""
         while True:
             now_ms = self._clock.monotonic_ms()
-            self._book.drop_old_peers(now_ms)
+            rounds = max(1.0, (len(self._directory.daemons) - 1) / FANOUT)
+            self._book.drop_old_peers(now_ms, loads.PEER_TTL_MS * rounds)
             told = [
                 notices.OpenLoad(upstream=key, requests=requests, unread_tokens=tokens)
                 for key, requests, tokens in self._book.list_open()
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -5,6 +5,7 @@
 import enum
 import socket
 import struct
+from collections.abc import Callable
 
 import aiohttp.web
 import msgspec
@@ -101,6 +102,7 @@
         self.holds_stream.set()
         self._registry = registry
         self.address = ""
+        self.observe: Callable[[Runner, str], None] = lambda runner, what: None
         self._listener = listener.Listener()
         self._listener.app.router.add_get("/report", self._report)
         self._listener.app.router.add_post("/order", self._order)
@@ -123,6 +125,15 @@
         """Close the port without a word to the store."""
         await self._listener.stop()
 
+    async def crash(self) -> None:
+        """End without a word, forget everything, and come back under the same id."""
+        await self._listener.stop()
+        self.born_ms += 1
+        self.mark, self.model = None, ""
+        self.order_count = self.highest_epoch = 0
+        await self._listener.start()
+        self.tell()
+
     def tell(self) -> None:
         """Write the entry as it is now."""
         if self.is_listed:
@@ -220,6 +231,7 @@
                 return 412
             if mark is not None and (mark.name, mark.epoch) == (order["group"], epoch):
                 return 200 if mark.members == members else 412
+            self.observe(self, "join")
             self.highest_epoch = epoch
             self.model = str(order["model"])
             self.staged = [self.model]
@@ -260,6 +272,7 @@
             headers["Tanagerfork-Not-Run"] = "1"
             return aiohttp.web.Response(status=421 if is_other else 503, headers=headers)
         if request.headers.get("Tanagerfork-Model"):
+            self.observe(self, "run")
             return await self._stream(request, headers, fault)
         return await self._answer(request, headers, fault)
 
