--- a/src/tanagerfork/decisions.py
+++ b/src/tanagerfork/decisions.py
@@ -1,6 +1,7 @@
 """Decision log: one JSON line on standard output for each decision, bounded and never blocking."""
 
 import datetime
+import logging
 import os
 from typing import Protocol
 
@@ -100,3 +101,26 @@
             return False
         self._allowed -= 1
         return True
+
+
+class LibraryLines(logging.Handler):
+    """Writes what libraries log as lines of the decision log.
+
+    :param log: decision log.
+    """
+
+    def __init__(self, log: DecisionLog) -> None:
+        super().__init__(logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record; see `logging.Handler.emit`."""
+        reason = str(record.exc_info[1]) if record.exc_info else ""
+        kind = record.exc_info[0].__name__ if record.exc_info and record.exc_info[0] else ""
+        self._log.note(
+            record.name,
+            record.getMessage(),
+            level=record.levelname.lower(),
+            error=kind,
+            reason=reason,
+        )
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -1,6 +1,7 @@
 """Front: the callers' listener, which takes any request and passes on whatever answer it gets."""
 
 import asyncio
+import contextlib
 
 import aiohttp.web
 import msgspec
@@ -144,7 +145,8 @@
             outcome = "cut" if sink.was_cut else "answered"
         except errors.CallerError as error:
             outcome = error.kind
-            await self._refuse(sink, facts, error)
+            with contextlib.suppress(ConnectionError):  # The caller has left meanwhile.
+                await self._refuse(sink, facts, error)
         except (ConnectionError, asyncio.CancelledError):
             raise  # The caller is gone; there is no one to answer.
         finally:
--- a/src/tanagerfork/relay/program.py
+++ b/src/tanagerfork/relay/program.py
@@ -1,6 +1,7 @@
 """The relaying daemon's program: reads its settings and runs until a signal ends it."""
 
 import asyncio
+import logging
 import pathlib
 import signal
 import sys
@@ -28,6 +29,7 @@
     :param writer: where the decision log goes.
     """
     daemon = daemons.RelayDaemon(settings, clocks.SystemClock(), writer)
+    logging.basicConfig(handlers=[decisions.LibraryLines(daemon.log)], force=True)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """Tests of the decision log."""
 
+import logging
 import os
 
 import msgspec
@@ -29,6 +30,18 @@
         log.note("x", "y")
         assert msgspec.json.decode(lines.lines[-1])["lines_dropped_before"] == 50
 
+    def test_libraries_write_lines_of_the_same_form(self):
+        lines = deployments.LineList()
+        handler = decisions.LibraryLines(decisions.DecisionLog("d1", clocks.ManualClock(), lines))
+        try:
+            raise ConnectionError("gone")
+        except ConnectionError as error:
+            failure = (type(error), error, None)
+        record = logging.LogRecord("aiohttp.server", 40, "", 1, "failed", (), failure)
+        handler.handle(record)
+        told = msgspec.json.decode(lines.lines[0])
+        assert told["logger"] == "aiohttp.server" and told["error"] == "ConnectionError"
+
     def test_full_pipe_drops_lines_and_never_blocks(self):
         reading, writing = os.pipe()
         try:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -119,6 +119,7 @@
         self._path.write_text(json.dumps(settings))
         self._log = (folder / f"{name}.log").open("ab")
         self.process: asyncio.subprocess.Process | None = None
+        self._restarting = asyncio.Lock()
 
     async def start(self) -> None:
         """Start the process."""
@@ -147,10 +148,11 @@
 
         :param number: signal.
         """
-        self.send(number)
-        assert self.process is not None
-        await self.process.wait()
-        await self.start()
+        async with self._restarting:
+            self.send(number)
+            assert self.process is not None
+            await self.process.wait()
+            await self.start()
 
 
 class Soak:
@@ -318,10 +320,13 @@
         await self.rng.choice(self.daemons).restart(signal.SIGTERM)
 
     async def _pause(self) -> None:
-        daemon = self.rng.choice(self.daemons)
-        daemon.send(signal.SIGSTOP)
+        process = self.rng.choice(self.daemons).process
+        assert process is not None
+        if process.returncode is None:
+            process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self.rng.uniform(0.1, 2.5))
-        daemon.send(signal.SIGCONT)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
 
     async def _reload(self) -> None:
         self.rng.choice(self.daemons).send(signal.SIGHUP)
