--- a/Makefile
+++ b/Makefile
@@ -23,13 +23,13 @@
 	$(BIN)/python -m pytest -n 4
 
 check: install
-	$(BIN)/black --check --quiet src tests bench examples tools
-	$(BIN)/ruff check --quiet src tests bench examples tools
+	$(BIN)/black --check --quiet src tests bench examples tools deploy
+	$(BIN)/ruff check --quiet src tests bench examples tools deploy
 	$(BIN)/mypy --no-error-summary
 
 format: install
 	$(BIN)/ruff check --quiet --fix src tests bench examples tools || true
-	$(BIN)/black --quiet src tests bench examples tools
+	$(BIN)/black --quiet src tests bench examples tools deploy
 
 generate: install
 	$(BIN)/pip install --quiet -r requirements-generate.txt
