Refuse what comes late after the signal to stop, as it may not end within the grace time

From 2.5 s on, when the balancer has taken the daemon out, new requests get 503 with the time to come back; they are not sent anywhere. The new test failed before (the late request ran).

--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -175,8 +175,10 @@
         limit_ms = self.settings.bounds.grace_ms - STOP_MARGIN_MS
         handing_over = asyncio.create_task(self._hand_over())
         while (waited_ms := self.clock.monotonic_ms() - began_ms) < limit_ms:
-            if waited_ms >= BALANCER_MS and not self.front.open_requests:
-                break
+            if waited_ms >= BALANCER_MS:
+                self.front.is_closed = True  # What came now might not end within the grace time.
+                if not self.front.open_requests:
+                    break
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
         self.log.note(LOGGER, "stop", waited_ms=waited_ms, cut_off=self.front.open_requests)
         for task in [*self._tasks, handing_over]:
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -13,6 +13,7 @@
 from tanagerfork.relay import attempts, calls
 
 LOGGER = "relay.front"
+STOPPING_RETRY_MS = 10  # Another daemon takes the request at once.
 JSON_TYPE = ("Content-Type", "application/json")
 
 
@@ -97,6 +98,7 @@
         "_metrics",
         "open_requests",
         "is_draining",
+        "is_closed",
         "has_served",
     )
 
@@ -115,6 +117,7 @@
         self._metrics = metrics
         self.open_requests = 0
         self.is_draining = False
+        self.is_closed = False
         self.has_served = False
 
     def build_app(self, body_limit_bytes: int) -> aiohttp.web.Application:
@@ -140,6 +143,8 @@
         outcome = "caller left"
         try:
             facts = self._dialect.read_request(request.headers)
+            if self.is_closed:
+                raise errors.NotRun("the daemon is stopping; send it again", STOPPING_RETRY_MS)
             asked = await self._read(request, facts, arrived_at_ms)
             await self._relay.serve(asked, sink)
             outcome = "cut" if sink.was_cut else "answered"
--- a/tests/relay/test_stop.py
+++ b/tests/relay/test_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from tanagerfork.relay import daemon as daemons
 from tanagerfork_standins.platform import runner
 from tests.relay import deployments
 
@@ -48,3 +49,21 @@
                 await daemon.stop()
             deployed.daemons.clear()
             asking.cancel()
+
+    async def test_late_request_is_refused_and_not_run(self) -> None:
+        """One that came on a kept connection 4.7 s after the signal was cut off at the end."""
+        async with deployments.deploy(engines=0, plain=1) as deployed:
+            await deployed.wait_for_rules()
+            daemon = deployed.daemons[0]
+            daemon.settings.bounds.grace_ms = daemons.BALANCER_MS + 3000
+            deployed.site.plain[0].faults = [runner.Fault.HANGS]
+            asking = asyncio.create_task(deployed.ask("/unsafe/x", "POST", deadline_ms=60_000))
+            await deployed.wait_until(lambda: daemon.front.open_requests, "a request is open")
+            stopping = asyncio.create_task(daemon.stop())
+            await asyncio.sleep((daemons.BALANCER_MS + 200) / 1000)
+            got = await deployed.ask("/safe/late")
+            assert got.status == 503 and float(got.headers["Retry-After"]) > 0
+            assert [run.target for run in deployed.site.plain[0].runs] == ["/unsafe/x"]
+            await stopping
+            deployed.daemons.clear()
+            asking.cancel()
