--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -18,7 +18,6 @@
 WATCH_SLACK_MS = 700  # Two slow answers of the store.
 RETRY_PAUSE_MS = 250
 PAGE_LIMIT = 100  # Pages of one range; 50,000 items, more than any deployment holds.
-LEASE_MISSING = (404,)
 
 
 class _Item(msgspec.Struct):
--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -22,7 +22,6 @@
 LOGGER = "relay.attempts"
 MAX_UNREACHED = 8  # A failure domain that is cut off takes away a third of the groups at once.
 RETRY_SOON_MS = 200  # About the time in which the list shows a group that was formed anew.
-MAX_RETRY_MS = 2000
 
 
 class Relay:
@@ -242,7 +241,7 @@
 
     def _find_retry_ms(self, progress: progresses.Progress) -> int:
         left_ms = progress.left_ms(self._clock.monotonic_ms())
-        return round(max(1, min(MAX_RETRY_MS, RETRY_SOON_MS, left_ms / 3)))
+        return round(max(1, min(RETRY_SOON_MS, left_ms / 3)))
 
     def _note_send(
         self,
--- a/src/tanagerfork/relay/loads.py
+++ b/src/tanagerfork/relay/loads.py
@@ -100,10 +100,6 @@
             if load.open
         ]
 
-    def count_peers(self) -> int:
-        """Return how many daemons told their loads a moment ago."""
-        return len(self._peers)
-
     def suspect_by_peer(self, upstream_id: str, now_ms: float) -> bool:
         """Suspect an upstream that another daemon found silent.
 
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -50,7 +50,6 @@
         "_metrics",
         "_inbox",
         "_links",
-        "newest_version",
     )
 
     def __init__(
@@ -78,7 +77,6 @@
         host, _, port = address.rpartition(":")
         self._inbox = link.Inbox(host, int(port), MESSAGE_BYTES)
         self._links = link.LinkTable(2 * FANOUT, clock, rng, metrics)
-        self.newest_version = 0
 
     @property
     def address(self) -> str:
@@ -172,7 +170,6 @@
 
     def _take(self, notice: notices.Notice) -> None:
         now_ms = self._clock.monotonic_ms()
-        self.newest_version = max(self.newest_version, notice.rules_version)
         if notice.has_loads:
             told = {load.upstream: (load.requests, load.unread_tokens) for load in notice.loads}
             self._book.note_peer(notice.daemon, told, now_ms)
