Count an upstream's accepted orders from their answers, as its reports lag

Cause: a repair of a group took 5 to 6 s where the engine needs 2. Ruled out: slow closing (the head was back to ready within 0.3 s), slow joins (0.2 to 1.6 s). The coordinator now counts by the answers to its orders, a report never lowers the count, and a refused order is given again after 0.3 s.

--- a/src/tanagerfork/platform/runners.py
+++ b/src/tanagerfork/platform/runners.py
@@ -12,7 +12,7 @@
 from tanagerfork.upstream import connections
 
 KINDS = {plans.STAGE: "phase"}  # Loads weights onto the host; the other orders keep their names.
-BEGUN = (200, 202)
+ACCEPTANCES = {200: plans.Acceptance.DONE, 202: plans.Acceptance.BEGUN}
 
 
 class _Order(msgspec.Struct, rename="camel", omit_defaults=True):
@@ -70,13 +70,13 @@
 
     async def give(
         self, order: plans.Order, fencing: int, order_count: int | None
-    ) -> result.Result[int, errors.UpstreamError]:
+    ) -> result.Result[plans.Acceptance, errors.UpstreamError]:
         """Give an order.
 
         :param order: order.
         :param fencing: fencing number of the coordinator.
         :param order_count: orders that the upstream has accepted as far as known; None if unknown.
-        :return: status of the answer, or why it is not known whether the order was accepted.
+        :return: whether the upstream begins it, or why that is not known or refused.
         """
         mode = ("cut" if order.cuts else "wait") if order.kind == plans.CLOSE else ""
         body = _Order(
@@ -98,7 +98,8 @@
                     await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return result.Err(connections.describe_failure(order.upstream_id, error))
-        if response.status in BEGUN:
-            return result.Ok(response.status)
+        acceptance = ACCEPTANCES.get(response.status)
+        if acceptance is not None:
+            return result.Ok(acceptance)
         message = f"{order.upstream_id} refused {order.kind} ({response.status}); look again"
         return result.Err(errors.UpstreamRefused(message))
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -1,7 +1,6 @@
 """Coordinator: observes the members of one failure domain, writes the plan, gives the orders."""
 
 import asyncio
-import dataclasses
 import uuid
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Protocol
@@ -17,17 +16,17 @@
 from tanagerfork.groups import lease
 from tanagerfork.relay import coverage as coverages
 from tanagerfork.relay import demand as demands
-from tanagerfork.relay import fleet, loading, members, planner, plans, rules
+from tanagerfork.relay import fleet, loading, members, observations, planner, plans, rules
 from tanagerfork.storage import key_value, swap
 
 LOGGER = "relay.coordinator"
 ASSIGNMENTS_PREFIX = "tanagerfork/assignments/"
 PLAN_INTERVAL_MS = 100  # A tenth of what a repair takes.
-SILENT_PROBES = 2  # One probe lost by the network is no sign of death.
 STALLED_MS = 1000  # A coordinator that stood still so long knows nothing of who was silent.
 BLIND_LEAST = 4  # Fewer silent members are no sign that this daemon is cut off.
 BLIND_MS = 5000  # Another daemon has taken the lease by then.
 REPEAT_ORDER_MS = 1500  # An order that showed no effect is given again.
+REPEAT_REFUSED_MS = 300  # Reports are some hundred milliseconds old; another one is in by then.
 SETTLED_MS = 1500  # Upstreams of one start come within three seconds of each other.
 FORGET_MS = 20_000  # An upstream that has left the list serves at most so much longer.
 
@@ -42,22 +41,8 @@
 
     async def give(
         self, order: plans.Order, fencing: int, order_count: int | None
-    ) -> result.Result[int, errors.UpstreamError]:
-        """Give an order; return the status of its answer."""
-
-
-@dataclasses.dataclass(slots=True)
-class Observation:
-    """What asking one upstream showed."""
-
-    upstream: members.Upstream
-    listed_at_ms: int
-    asked_at_ms: int = -1_000_000
-    failures: int = 0
-    order_count: int | None = None
-    mark: members.GroupMark | None = None
-    is_asking: bool = False
-    was_answered: bool = False
+    ) -> result.Result[plans.Acceptance, errors.UpstreamError]:
+        """Give an order; return whether the upstream begins it."""
 
 
 class Coordinator:
@@ -136,7 +121,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._seen: dict[str, Observation] = {}
+        self._seen: dict[str, observations.Observation] = {}
         self._record: assignments.Assignments | None = None
         self._revision = key_value.ABSENT
         self._blind_until_ms = -BLIND_MS
@@ -198,7 +183,7 @@
         """
         assigned = {member for group in self._groups() for member in group.members}
         asked = [self._seen[member] for member in assigned if member in self._seen]
-        silent = sum(seen.failures >= SILENT_PROBES for seen in asked)
+        silent = sum(seen.is_silent for seen in asked)
         is_blind = self.is_holder and len(asked) >= BLIND_LEAST and silent > len(asked) / 2
         now_ms = self._clock.monotonic_ms()
         if is_blind:
@@ -246,7 +231,7 @@
             seen = self._seen.get(upstream.id)
             if seen is None or seen.upstream.born_at_ms != upstream.born_at_ms:
                 self._last_new_at_ms = now_ms
-                self._seen[upstream.id] = Observation(upstream, now_ms)
+                self._seen[upstream.id] = observations.Observation(upstream, now_ms)
             else:
                 seen.upstream, seen.listed_at_ms = upstream, now_ms
         self._observe_assigned(now_ms)
@@ -255,7 +240,8 @@
         for group in self._groups():
             for rank, member in enumerate(group.members):
                 if member not in self._seen:
-                    self._seen[member] = Observation(_recall(group, rank, self._failure_domain), -1)
+                    recalled = _recall(group, rank, self._failure_domain)
+                    self._seen[member] = observations.Observation(recalled, -1)
         assigned = {member for group in self._groups() for member in group.members}
         for gone in [
             upstream_id
@@ -277,13 +263,13 @@
     def _groups(self) -> Sequence[assignments.Assignment]:
         return self._record.groups if self._record else []
 
-    async def _ask(self, seen: Observation) -> None:
+    async def _ask(self, seen: observations.Observation) -> None:
         told = await self._client.ask(seen.upstream)
         seen.is_asking = False
         self._metrics.count("relay_probes_total", is_answered=str(isinstance(told, result.Ok)))
         if isinstance(told, result.Err):
             seen.failures += 1
-            if seen.failures == SILENT_PROBES:
+            if seen.failures == observations.SILENT_PROBES:
                 self._log.note(
                     LOGGER,
                     "member does not answer",
@@ -292,24 +278,16 @@
                     reason=told.err_value.message,
                 )
             return
-        seen.failures = 0
-        seen.was_answered = True
-        report = told.ok_value
-        if report.born_at_ms and report.born_at_ms != seen.upstream.born_at_ms:
-            seen.upstream = dataclasses.replace(seen.upstream, born_at_ms=report.born_at_ms)
-        seen.order_count = report.order_count
-        seen.mark = report.mark
+        seen.note_report(told.ok_value)
 
     def _make_facts(self, service: rules.Service, now_ms: int) -> dict[str, plans.Fact]:
         return {
             upstream_id: plans.Fact(
                 upstream=seen.upstream,
                 is_listed=seen.listed_at_ms == now_ms,
-                is_silent=seen.failures >= SILENT_PROBES,
+                is_silent=seen.is_silent,
                 mark=seen.upstream.mark if seen.listed_at_ms == now_ms else seen.mark,
-                is_known=seen.listed_at_ms == now_ms
-                or seen.was_answered
-                or seen.failures >= SILENT_PROBES,
+                is_known=seen.listed_at_ms == now_ms or seen.was_answered or seen.is_silent,
             )
             for upstream_id, seen in self._seen.items()
             if seen.upstream.service == service.name
@@ -396,8 +374,11 @@
             self._tell_closed(order.upstream_id)
         seen = self._seen.get(order.upstream_id)
         fencing = self._keeper.state.fencing
-        given = await self._client.give(order, fencing, seen.order_count if seen else None)
-        outcome = "accepted" if isinstance(given, result.Ok) else given.err_value.message
+        order_count = seen.order_count if seen else None
+        if seen is not None:
+            seen.note_order_sent()
+        given = await self._client.give(order, fencing, order_count)
+        outcome = given.ok_value.value if isinstance(given, result.Ok) else given.err_value.message
         self._log.note(
             LOGGER,
             "order",
@@ -410,10 +391,18 @@
             outcome=outcome,
         )
         self._metrics.count("relay_orders_total", kind=order.kind)
+        if isinstance(given, result.Err) and isinstance(given.err_value, errors.UpstreamRefused):
+            self._repeat_soon(order)
         if seen is not None:
-            seen.order_count = None  # Known again with the next report.
+            if given.ok() is plans.Acceptance.BEGUN:
+                seen.note_order_begun()
             seen.asked_at_ms = -1_000_000
 
+    def _repeat_soon(self, order: plans.Order) -> None:
+        """Let a refused order be given again once a report can show what it rested on."""
+        key = order.kind, order.upstream_id, order.epoch
+        self._ordered_at_ms[key] = self._clock.monotonic_ms() - REPEAT_ORDER_MS + REPEAT_REFUSED_MS
+
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/src/tanagerfork/relay/plans.py
+++ b/src/tanagerfork/relay/plans.py
@@ -1,6 +1,7 @@
 """Plans: facts that a decision on groups rests on, and the orders that follow from it."""
 
 import dataclasses
+import enum
 from collections.abc import Mapping
 
 from tanagerfork.generated import assignments
@@ -17,6 +18,13 @@
 )
 
 
+class Acceptance(enum.Enum):
+    """What an upstream said to an order that it did not refuse."""
+
+    BEGUN = "begun"  # It counts the order among those that it has accepted.
+    DONE = "done"  # Its state is already as ordered.
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Fact:
     """What the coordinator knows of one upstream.
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -1,11 +1,12 @@
-"""A coordinator whose VM was suspended, or whose lease another one holds."""
+"""A coordinator whose VM was suspended, whose lease another one holds, or whose reports lag."""
 
 import asyncio
+import dataclasses
 
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import decisions
+from tanagerfork import decisions, errors
 from tanagerfork import metrics as metric
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.groups import lease
@@ -17,19 +18,28 @@
 
 
 class CountingClient:
-    """Answers every question and takes every order."""
+    """Answers every question, and takes every order that expects the right number of orders."""
 
     def __init__(self) -> None:
         self.orders: list[plans.Order] = []
+        self.refused: list[plans.Order] = []
+        self.accepted: dict[str, int] = {}
+        self.reported: dict[str, int] = {}  # Stays behind what was accepted, as reports lag.
 
     async def ask(self, upstream: members.Upstream) -> result.Result[members.Report, Exception]:
-        return result.Ok(members.Report(1, 0, False, (), upstream.mark, 1.0, 0, 0))
+        count = self.reported.get(upstream.id, 0)
+        return result.Ok(members.Report(1, count, False, (), upstream.mark, 1.0, 0, 0))
 
     async def give(
         self, order: plans.Order, fencing: int, order_count: int | None
-    ) -> result.Result[int, Exception]:
+    ) -> result.Result[plans.Acceptance, Exception]:
+        accepted = self.accepted.get(order.upstream_id, 0)
+        if order_count is not None and order_count != accepted:
+            self.refused.append(order)
+            return result.Err(errors.UpstreamRefused("another order came first; look again"))
+        self.accepted[order.upstream_id] = accepted + 1
         self.orders.append(order)
-        return result.Ok(202)
+        return result.Ok(plans.Acceptance.BEGUN)
 
 
 class Scene:
@@ -129,3 +139,38 @@
             await second.step()
         joins = [order for order in second.client.orders if order.kind == plans.JOIN]
         assert {order.group for order in joins} == {"a-1"}
+
+
+class TestOrderCounts:
+    """An upstream's own count of its orders is some hundred milliseconds old in its reports."""
+
+    async def test_next_order_expects_the_one_before(self) -> None:
+        scene = Scene(fakes.MemoryKeyValue())
+        scene.list_upstreams()
+        for _ in range(20):
+            await scene.step()
+        joined = {order.upstream_id: order for order in scene.client.orders}
+        ready = members.MemberState.READY
+        marked = [
+            dataclasses.replace(
+                test_planner.make_fact(key, staged=("small",)).upstream,
+                mark=members.GroupMark(order.group, order.epoch, order.members.index(key), ready),
+            )
+            for key, order in joined.items()
+        ]
+        scene.view.take_list(marked, scene.clock.monotonic_ms())
+        for _ in range(5):
+            await scene.step()
+        assert plans.OPEN in {order.kind for order in scene.client.orders}
+        assert not scene.client.refused
+
+    async def test_refused_order_is_given_again_with_the_next_report(self) -> None:
+        scene = Scene(fakes.MemoryKeyValue())
+        scene.list_upstreams()
+        scene.client.accepted["u0"] = 3  # Another coordinator ordered it; the reports lag.
+        for _ in range(5):
+            await scene.step()
+        scene.client.reported["u0"] = 3
+        for _ in range(coordinator.REPEAT_REFUSED_MS // 100 + 2):
+            await scene.step()
+        assert {order.upstream_id for order in scene.client.orders} == {"u0", "u1"}
