Repair groups without loads and without dissolving the last one; keep spares warm

Now no group waits for a load once requests are served (staging loads onto hosts meanwhile), the last group of a model serves on, and a spare joins a standby group that never opens, so that its engine holds the model.

--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -313,6 +313,7 @@
             is_settled=record.has_served or self._stepped_at_ms - self._last_new_at_ms > SETTLED_MS,
             loading=self._pacer.loading,
             demand=self._demand.measure(service, self._view, self._stepped_at_ms),
+            serving=self._view.count_near(service.name),
         )
         plan = planner.make_plan(situation)
         for note in plan.notes:
--- a/src/tanagerfork/relay/fleet.py
+++ b/src/tanagerfork/relay/fleet.py
@@ -14,7 +14,8 @@
 class Group:
     """A whole group; requests go to its head.
 
-    `slowness` is the factor of all its times, of its model and where its members are far apart.
+    `slowness` is the factor of all its times, of its model and where its members are far apart, in
+    several fabric domains.
     """
 
     service: str
@@ -24,6 +25,7 @@
     head: members.Upstream
     members: tuple[members.Upstream, ...]
     slowness: float = 1.0
+    is_far: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -147,6 +149,17 @@
             group for key, found in self._groups.items() if key[0] == service for group in found
         ]
 
+    def count_near(self, service: str) -> dict[str, int]:
+        """Return how many whole groups of each model lie in one fabric domain.
+
+        :param service: service.
+        """
+        return {
+            model: sum(not group.is_far for group in found)
+            for (owner, model), found in self._groups.items()
+            if owner == service
+        }
+
     def list_plain(self, service: str) -> Sequence[members.Upstream]:
         """Return the upstreams of a plain service that take new work.
 
@@ -189,4 +202,4 @@
         in_rank = tuple(ranked[rank] for rank in range(model.group_size))
         is_far = len({member.fabric_domain for member in in_rank}) > 1
         slowness = model.pace * (engine.far_factor if is_far else 1.0)
-        return Group(service, model, name, epoch, head, in_rank, slowness)
+        return Group(service, model, name, epoch, head, in_rank, slowness, is_far)
--- a/src/tanagerfork/relay/forming.py
+++ b/src/tanagerfork/relay/forming.py
@@ -33,7 +33,8 @@
     free, live = find_free(situation, kept)
     held = [group for group in kept if group.service == situation.service.name]
     formed: list[assignments.Assignment] = []
-    loads_left = situation.may_load
+    # Later on a load takes ten times as long and is left to staging, which hinders no group.
+    loads_left = 0 if situation.record.has_served else situation.may_load
     while True:
         chosen = _choose_next(situation, engine, free, live, [*held, *formed], loads_left)
         if chosen is None:
@@ -202,7 +203,8 @@
 ) -> assignments.Assignment | None:
     """Return a group across fabric domains whose members complete one within a domain.
 
-    Such groups are spares that serve meanwhile.
+    Such groups are spares that serve meanwhile. The last groups of a model serve on, as closing
+    one takes as long as its longest answer.
 
     :param situation: what the decision rests on.
     :param groups: assignments of the service.
@@ -213,6 +215,8 @@
         model = engine.find_model(group.model) if engine else None
         if group.fabric_domain != ACROSS_DOMAINS or group.closing or model is None:
             continue
+        if not situation.serving.get(model.name, 0):
+            continue
         for domain, facts in free.items():
             able = sum(fact.holds(model.name) for fact in facts)
             members = [situation.facts.get(member) for member in group.members]
--- a/src/tanagerfork/relay/loading.py
+++ b/src/tanagerfork/relay/loading.py
@@ -24,9 +24,9 @@
         self._loading: dict[str, tuple[str, int]] = {}
 
     @property
-    def loading(self) -> frozenset[str]:
-        """Ids of the upstreams that load weights."""
-        return frozenset(self._loading)
+    def loading(self) -> dict[str, str]:
+        """Models whose weights are loaded, by the id of the upstream."""
+        return {upstream_id: model for upstream_id, (model, _) in self._loading.items()}
 
     def note(self, upstream_id: str, model: str, now_ms: int) -> None:
         """Note that a load was ordered.
--- a/src/tanagerfork/relay/plans.py
+++ b/src/tanagerfork/relay/plans.py
@@ -72,8 +72,9 @@
 
     `may_load` is how many loads from the weight store may be started now. `is_settled` says that no
     upstream has come for a while; until then more are expected, and the model that lacks most waits
-    for enough of them. `loading` are upstreams that load weights. `demand` is the part of the
-    upstreams that each model needs by its requests, where that is known.
+    for enough of them. `loading` names the model that an upstream loads the weights of. `demand` is
+    the part of the upstreams that each model needs by its requests, where that is known. `serving`
+    counts the whole groups of each model, in all failure domains, that lie in one fabric domain.
     """
 
     service: rules.Service
@@ -81,8 +82,9 @@
     record: assignments.Assignments
     may_load: int
     is_settled: bool = True
-    loading: frozenset[str] = frozenset()
+    loading: Mapping[str, str] = dataclasses.field(default_factory=dict)
     demand: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    serving: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
     def find_share(self, model: rules.ModelSpec) -> float:
         """Return the part of the upstreams that a model needs.
--- a/src/tanagerfork/relay/staging.py
+++ b/src/tanagerfork/relay/staging.py
@@ -1,16 +1,18 @@
-"""Staging: weights loaded onto the hosts of spares ahead of need."""
+"""Staging: spares get weights onto their hosts, and a model into their engines, ahead of need."""
 
 from collections.abc import Mapping, Sequence
 
 from tanagerfork.generated import assignments
 from tanagerfork.relay import forming, plans, rules
 
+STANDBY = "standby"  # Name of the groups that never open, in which spares wait.
+
 
 def stage_spares(situation: plans.Situation, plan: plans.Plan) -> None:
     """Load weights onto the hosts of spares ahead of need, so that a repair need not wait for it.
 
-    Each fabric domain is to have one spare for each model, the largest first; further spares get
-    the model that lacks most against its share.
+    :param situation: what the decision rests on.
+    :param plan: plan, whose record holds the groups and whose orders grow.
     """
     engine = situation.service.engine
     groups = [group for group in plan.record.groups if group.service == situation.service.name]
@@ -21,32 +23,98 @@
     free, _ = forming.find_free(situation, groups)
     left = situation.may_load
     for facts in free.values():
-        held = {model for fact in facts for model in fact.upstream.staged}
-        wanted = [
-            model.name
-            for model in sorted(engine.models, key=lambda spec: -spec.group_size)
-            if model.name not in held
+        _warm_spares(situation, engine, facts, plan)
+        held = _count_held(situation, facts)
+        empty = [
+            fact
+            for fact in facts
+            if fact.upstream.id not in situation.loading
+            and (not fact.upstream.staged or _is_needless(fact, facts, held, engine))
         ]
-        neediest = min(
-            engine.models, key=lambda spec: forming.measure_cover(situation, spec, groups)
-        ).name
-        for fact in sorted(facts, key=lambda known: known.upstream.id):
-            if left < 1 or fact.upstream.id in situation.loading:
-                continue
-            if fact.upstream.staged and not _is_needless(fact, facts, wanted, engine):
-                continue
+        for index, fact in enumerate(sorted(empty, key=lambda known: known.upstream.id)[:left]):
+            model = _choose_model(situation, engine, groups, held, len(empty) - index)
+            held[model] = held.get(model, 0) + 1
             left -= 1
-            model = wanted.pop(0) if wanted else neediest
             upstream = fact.upstream
             plan.orders.append(plans.Order(plans.STAGE, upstream.id, upstream.address, model=model))
 
 
+def _warm_spares(
+    situation: plans.Situation,
+    engine: rules.EngineSpec,
+    facts: Sequence[plans.Fact],
+    plan: plans.Plan,
+) -> None:
+    """Have spares join a group of their own that never opens.
+
+    An upstream joins the next group of the same model in a fraction of the time then.
+    """
+    for fact in facts:
+        upstream = fact.upstream
+        is_warm = bool(upstream.models) or fact.mark is not None
+        if is_warm or not upstream.staged or upstream.id in situation.loading:
+            continue
+        if engine.find_model(upstream.staged[-1]) is None:
+            continue
+        plan.orders.append(
+            plans.Order(
+                plans.JOIN,
+                upstream.id,
+                upstream.address,
+                group=f"{STANDBY}-{upstream.id}",
+                epoch=max(1, plan.record.next_epoch - 1),
+                model=upstream.staged[-1],
+                members=(upstream.id,),
+            )
+        )
+
+
+def _count_held(situation: plans.Situation, facts: Sequence[plans.Fact]) -> dict[str, int]:
+    """Return how many spares hold or load each model."""
+    held: dict[str, int] = {}
+    for fact in facts:
+        loaded = situation.loading.get(fact.upstream.id)
+        for model in {*fact.upstream.staged, *fact.upstream.models, *([loaded] if loaded else [])}:
+            held[model] = held.get(model, 0) + 1
+    return held
+
+
+def _choose_model(
+    situation: plans.Situation,
+    engine: rules.EngineSpec,
+    groups: Sequence[assignments.Assignment],
+    held: Mapping[str, int],
+    empty: int,
+) -> str:
+    """Return the model that the next empty spare of a fabric domain is to hold.
+
+    A group that the empty spares can complete comes first, then one spare for each model, the
+    largest first, then the model that lacks most against its share.
+    """
+    by_size = sorted(engine.models, key=lambda spec: -spec.group_size)
+    for model in by_size:
+        partial = held.get(model.name, 0) % model.group_size
+        if partial and model.group_size - partial <= empty:
+            return model.name
+    for model in by_size:
+        if not held.get(model.name, 0):
+            return model.name
+    return min(
+        by_size,
+        key=lambda spec: forming.measure_cover(situation, spec, groups)[0]
+        + held.get(spec.name, 0) / situation.find_share(spec),
+    ).name
+
+
 def _is_needless(
-    fact: plans.Fact, facts: Sequence[plans.Fact], wanted: Sequence[str], engine: rules.EngineSpec
+    fact: plans.Fact,
+    facts: Sequence[plans.Fact],
+    held: Mapping[str, int],
+    engine: rules.EngineSpec,
 ) -> bool:
     """Return whether a spare should hold another model: the largest one, that no spare holds."""
     largest = max(engine.models, key=lambda spec: spec.group_size).name
-    if largest not in wanted or any(not other.upstream.staged for other in facts):
+    if held.get(largest, 0) or any(not other.upstream.staged for other in facts):
         return False
     return fact.upstream.staged[-1] != largest
 
