Hold spares for the model that loses members soonest; replace slow groups one by one

Slow groups now count by their speed, spares go to the model that lacks most by members, a group across domains is formed only where its model has none within one, and slow ones are replaced one after another.

--- a/src/tanagerfork/platform/runners.py
+++ b/src/tanagerfork/platform/runners.py
@@ -98,6 +98,8 @@
                     await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return result.Err(connections.describe_failure(order.upstream_id, error))
+        if response.status == 200 and order.kind == plans.LEAVE:
+            return result.Ok(plans.Acceptance.BEGUN)  # It is over at once, and counted.
         acceptance = ACCEPTANCES.get(response.status)
         if acceptance is not None:
             return result.Ok(acceptance)
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -313,7 +313,7 @@
             is_settled=record.has_served or self._stepped_at_ms - self._last_new_at_ms > SETTLED_MS,
             loading=self._pacer.loading,
             demand=self._demand.measure(service, self._view, self._stepped_at_ms),
-            serving=self._view.count_near(service.name),
+            open_groups=self._view.list_groups(service.name, ""),
         )
         plan = planner.make_plan(situation)
         for note in plan.notes:
@@ -392,10 +392,13 @@
             outcome=outcome,
         )
         self._metrics.count("relay_orders_total", kind=order.kind)
-        if isinstance(given, result.Err) and isinstance(given.err_value, errors.UpstreamRefused):
+        is_refused = isinstance(given.err(), errors.UpstreamRefused)
+        if is_refused:
             self._repeat_soon(order)
         if seen is not None:
-            if given.ok() is plans.Acceptance.BEGUN:
+            if is_refused:
+                seen.note_order_refused()
+            elif given.ok() is plans.Acceptance.BEGUN:
                 seen.note_order_begun()
             seen.asked_at_ms = -1_000_000
 
--- a/src/tanagerfork/relay/fleet.py
+++ b/src/tanagerfork/relay/fleet.py
@@ -149,17 +149,6 @@
             group for key, found in self._groups.items() if key[0] == service for group in found
         ]
 
-    def count_near(self, service: str) -> dict[str, int]:
-        """Return how many whole groups of each model lie in one fabric domain.
-
-        :param service: service.
-        """
-        return {
-            model: sum(not group.is_far for group in found)
-            for (owner, model), found in self._groups.items()
-            if owner == service
-        }
-
     def list_plain(self, service: str) -> Sequence[members.Upstream]:
         """Return the upstreams of a plain service that take new work.
 
--- a/src/tanagerfork/relay/forming.py
+++ b/src/tanagerfork/relay/forming.py
@@ -10,7 +10,6 @@
 STAGED_COST = 1
 LAST_MODEL_COST = 0
 UNSTAGED_COST = 10
-COVERED_SHARE = 0.75  # The rest are spares with weights: a load takes longer than a loss is away.
 ACROSS_DOMAINS = ""  # Such a group runs slower; it is formed where no fabric domain has enough.
 
 
@@ -103,7 +102,7 @@
         most_loads = loads_left if rank == 0 else 0
         chosen = _choose_within(engine, model, free, live, groups, most_loads)
         if chosen is None and situation.is_settled:
-            chosen = _choose_across(situation, engine, model, free, live, groups)
+            chosen = _choose_across(engine, model, free, groups)
         if chosen is not None:
             return model, *chosen
         if not situation.is_settled:
@@ -138,15 +137,19 @@
 
 
 def _choose_across(
-    situation: plans.Situation,
     engine: rules.EngineSpec,
     model: rules.ModelSpec,
     free: Mapping[str, list[plans.Fact]],
-    live: Mapping[str, int],
     groups: Sequence[assignments.Assignment],
 ) -> tuple[str, list[plans.Fact]] | None:
-    """Return members of several fabric domains for a model that lacks groups."""
-    if measure_cover(situation, model, groups)[0] >= COVERED_SHARE * sum(live.values()):
+    """Return members of several fabric domains for a model that has no group within one.
+
+    Where it has one, they are of more use as spares, which a repair need not wait for.
+    """
+    if any(
+        group.model == model.name and not group.closing and group.fabric_domain != ACROSS_DOMAINS
+        for group in groups
+    ):
         return None
     picked = _pick([fact for facts in free.values() for fact in facts], model, engine)
     if len(picked) < model.group_size or _count_loads(picked, model):
@@ -176,11 +179,19 @@
 ) -> tuple[float, int]:
     """Return how well a model is covered against its share; the least covered one sorts first.
 
+    A group across fabric domains serves as much less as it is slower.
+
     :param situation: what the decision rests on.
     :param model: model.
     :param groups: assignments.
     """
-    count = sum(group.model == model.name and not group.closing for group in groups)
+    engine = situation.service.engine
+    far_factor = engine.far_factor if engine else 1.0
+    count = sum(
+        1 / far_factor if group.fabric_domain == ACROSS_DOMAINS else 1.0
+        for group in groups
+        if group.model == model.name and not group.closing
+    )
     return count * model.group_size / situation.find_share(model), -model.group_size
 
 
@@ -203,8 +214,8 @@
 ) -> assignments.Assignment | None:
     """Return a group across fabric domains whose members complete one within a domain.
 
-    Such groups are spares that serve meanwhile. The last groups of a model serve on, as closing
-    one takes as long as its longest answer.
+    Such groups are spares that serve meanwhile. Closing one takes as long as its longest answer, so
+    that another group of the model must serve, and slow ones are replaced one after another.
 
     :param situation: what the decision rests on.
     :param groups: assignments of the service.
@@ -215,7 +226,7 @@
         model = engine.find_model(group.model) if engine else None
         if group.fabric_domain != ACROSS_DOMAINS or group.closing or model is None:
             continue
-        if not situation.serving.get(model.name, 0):
+        if not _may_close(group, situation):
             continue
         for domain, facts in free.items():
             able = sum(fact.holds(model.name) for fact in facts)
@@ -226,3 +237,18 @@
             if able < model.group_size <= able + near:
                 return group
     return None
+
+
+def _may_close(group: assignments.Assignment, situation: plans.Situation) -> bool:
+    """Return whether other groups of the model serve while a slow one closes.
+
+    Coordinators of all failure domains see the same groups, and let the first one go first.
+    """
+    others = [
+        other
+        for other in situation.open_groups
+        if other.model.name == group.model and other.name != group.group
+    ]
+    if any(not other.is_far for other in others):
+        return True
+    return bool(others) and all(group.group < other.name for other in others)
--- a/src/tanagerfork/relay/observations.py
+++ b/src/tanagerfork/relay/observations.py
@@ -53,3 +53,8 @@
         """Note that the upstream has accepted an order and begins to carry it out."""
         self.least_order_count += 1
         self.order_count = self.least_order_count
+
+    def note_order_refused(self) -> None:
+        """Note that the upstream refused an order, so that its own count is to be believed."""
+        self.least_order_count = 0
+        self.order_count = None
--- a/src/tanagerfork/relay/plans.py
+++ b/src/tanagerfork/relay/plans.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 import enum
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from tanagerfork.generated import assignments
-from tanagerfork.relay import members, rules
+from tanagerfork.relay import fleet, members, rules
 
 JOIN = "join"
 OPEN = "open"
@@ -73,8 +73,8 @@
     `may_load` is how many loads from the weight store may be started now. `is_settled` says that no
     upstream has come for a while; until then more are expected, and the model that lacks most waits
     for enough of them. `loading` names the model that an upstream loads the weights of. `demand` is
-    the part of the upstreams that each model needs by its requests, where that is known. `serving`
-    counts the whole groups of each model, in all failure domains, that lie in one fabric domain.
+    the part of the upstreams that each model needs by its requests, where that is known.
+    `open_groups` are the whole groups of all failure domains.
     """
 
     service: rules.Service
@@ -84,7 +84,7 @@
     is_settled: bool = True
     loading: Mapping[str, str] = dataclasses.field(default_factory=dict)
     demand: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    serving: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    open_groups: Sequence[fleet.Group] = ()
 
     def find_share(self, model: rules.ModelSpec) -> float:
         """Return the part of the upstreams that a model needs.
--- a/src/tanagerfork/relay/staging.py
+++ b/src/tanagerfork/relay/staging.py
@@ -88,22 +88,20 @@
 ) -> str:
     """Return the model that the next empty spare of a fabric domain is to hold.
 
-    A group that the empty spares can complete comes first, then one spare for each model, the
-    largest first, then the model that lacks most against its share.
+    A group that the empty spares can complete comes first, then the model that lacks most. A group
+    of more members loses them sooner, so that its model needs as many more spares.
     """
     by_size = sorted(engine.models, key=lambda spec: -spec.group_size)
     for model in by_size:
         partial = held.get(model.name, 0) % model.group_size
         if partial and model.group_size - partial <= empty:
             return model.name
-    for model in by_size:
-        if not held.get(model.name, 0):
-            return model.name
-    return min(
-        by_size,
-        key=lambda spec: forming.measure_cover(situation, spec, groups)[0]
-        + held.get(spec.name, 0) / situation.find_share(spec),
-    ).name
+
+    def measure(spec: rules.ModelSpec) -> float:
+        spares = held.get(spec.name, 0) / situation.find_share(spec)
+        return (forming.measure_cover(situation, spec, groups)[0] + spares) / spec.group_size
+
+    return min(by_size, key=measure).name
 
 
 def _is_needless(
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+import aiohttp
 import result
 
 from tanagerfork import clock as clocks
@@ -10,7 +11,17 @@
 from tanagerfork import metrics as metric
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.groups import lease
-from tanagerfork.relay import coordinator, demand, fleet, loads, members, plans, rules
+from tanagerfork.platform import runners
+from tanagerfork.relay import (
+    coordinator,
+    demand,
+    fleet,
+    loads,
+    members,
+    observations,
+    plans,
+    rules,
+)
 from tests import fakes
 from tests.relay import deployments, test_fleet, test_planner
 
@@ -174,3 +185,28 @@
         for _ in range(coordinator.REPEAT_REFUSED_MS // 100 + 2):
             await scene.step()
         assert {order.upstream_id for order in scene.client.orders} == {"u0", "u1"}
+
+    async def test_refusal_makes_the_upstreams_own_count_believed(self) -> None:
+        seen = observations.Observation(test_planner.make_fact("u0").upstream, 0)
+        report = members.Report(1, 2, False, (), None, 1.0, 0, 0)
+        seen.note_report(report)
+        seen.note_order_sent()
+        seen.note_order_begun()
+        seen.note_report(report)  # As of before the order.
+        assert seen.order_count == 3
+        seen.note_order_refused()
+        assert seen.order_count is None
+        seen.note_report(report)
+        assert seen.order_count == 2
+
+    async def test_leave_is_counted_although_it_is_over_at_once(self) -> None:
+        async with deployments.deploy() as deployed:
+            await deployed.wait_for_group()
+            member = next(one for one in deployed.site.runners if one.mark)
+            mark, count = member.mark, member.order_count
+            async with aiohttp.ClientSession() as session:
+                client = runners.RunnerClient(session, 1000, 1000)
+                order = plans.Order(plans.LEAVE, member.id, member.address, mark.name, mark.epoch)
+                given = await client.give(order, 1, count)
+            assert given.ok() is plans.Acceptance.BEGUN
+            assert member.order_count > count
