Take most daemons off the store: two of a cohort watch it and feed the others

Ruled out: longer gathering, which delays configurations, and cheaper stale reads, which a watch has not. The store stays the guarantee: silence, a gap or an older state sends a daemon to the store itself. A key that is removed and written again within one answer was taken for removed; it now stays.

--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -139,27 +139,26 @@
                 break
         return result.Ok(key_value.Snapshot(found, revision or 0))
 
-    async def watch_prefix(self, prefix: str, revision: int) -> AsyncIterator[key_value.Changes]:
-        """Follow all keys with a prefix; see `key_value.LeasingKeyValue.watch_prefix`."""
-        after = revision
-        while True:
-            query = f"/kv-watch?prefix={_quote(prefix)}&after={after}&waitMs={WATCH_WAIT_MS}"
-            wait_s = (WATCH_WAIT_MS + WATCH_SLACK_MS) / 1000
-            answer = await self._call("GET", query, None, (200,), wait_s)
-            if isinstance(answer, result.Err):
-                return
-            told = _decode(answer.ok_value[1], _Watch)
-            if isinstance(told, result.Err):
-                return
-            changes = key_value.Changes([], [])
-            for item in told.ok_value.events:
-                entry = _to_entry(item)
-                if item.removed:
-                    changes.removed.append(item.key)
-                elif isinstance(entry, result.Ok):
-                    changes.written.append(entry.ok_value)
-            yield changes
-            after = max(after, told.ok_value.store_revision)
+    async def await_changes(
+        self, prefix: str, revision: int, wait_ms: int
+    ) -> result.Result[key_value.Changes, errors.PlatformError]:
+        """Wait for changes; see `key_value.LeasingKeyValue.await_changes`."""
+        query = f"/kv-watch?prefix={_quote(prefix)}&after={revision}&waitMs={wait_ms}"
+        answer = await self._call("GET", query, None, (200,), (wait_ms + WATCH_SLACK_MS) / 1000)
+        if isinstance(answer, result.Err):
+            return answer
+        told = _decode(answer.ok_value[1], _Watch)
+        if isinstance(told, result.Err):
+            return told
+        last = {item.key: item for item in told.ok_value.events}  # Events are in their order.
+        written = [_to_entry(item) for item in last.values() if not item.removed]
+        return result.Ok(
+            key_value.Changes(
+                [entry.ok_value for entry in written if isinstance(entry, result.Ok)],
+                [item.key for item in last.values() if item.removed],
+                max(revision, told.ok_value.store_revision),
+            )
+        )
 
     async def swap(
         self, key: str, value: bytes, revision: int
@@ -184,8 +183,13 @@
 
     async def watch(self, key: str, revision: int) -> AsyncIterator[key_value.Entry]:
         """Follow one key; see `key_value.KeyValue.watch`."""
-        async for changes in self.watch_prefix(key, revision - 1):
-            for entry in changes.written:
+        after = revision - 1
+        while True:
+            changes = await self.await_changes(key, after, WATCH_WAIT_MS)
+            if isinstance(changes, result.Err):
+                return
+            after = changes.ok_value.revision
+            for entry in changes.ok_value.written:
                 if entry.key == key:
                     yield entry
 
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -27,6 +27,7 @@
     crashes,
     demand,
     exchange,
+    feeds,
     fleet,
     followers,
     front,
@@ -136,6 +137,14 @@
         self.directory = followers.DaemonDirectory(
             self.store, settings.name, record, self.clock, self.log
         )
+        self.feed = feeds.ChangeFeed(
+            settings.name,
+            settings.failure_domain,
+            self.directory,
+            lambda: self._coordinator.is_holder,
+            self.clock,
+            self.metrics,
+        )
         self.peers = peers.Peers(
             settings.name,
             settings.peers,
@@ -143,6 +152,7 @@
             self.register,
             self.book,
             suspects,
+            self.feed,
             self.clock,
             self._rng,
             self.log,
@@ -244,7 +254,12 @@
             self.directory,
         ]
         follow = followers.StoreFollower(
-            self.store, parts, lambda: self._coordinator.is_repairing, self.clock, self.log
+            self.store,
+            parts,
+            self.feed,
+            lambda: self._coordinator.is_repairing,
+            self.clock,
+            self.log,
         )
         self._start_task("store", follow.run)
         self._start_task("daemons", self.directory.run)
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -16,6 +16,8 @@
 DAEMON_PREFIX = "tanagerfork/daemons/"
 DAEMON_LEASE_MS = 6000  # A daemon that is cut off for a moment stays listed.
 DAEMON_RENEW_MS = 2000
+WATCH_WAIT_MS = 1000  # Those who are fed by this daemon hear within it that nothing has changed.
+LATE_MS = 300  # An answer that took longer is too old to tell others that nothing has changed.
 GATHER_MS = 900  # Changes that come together are read by one call; under half the time to drain.
 URGENT_GATHER_MS = 50  # The same for a coordinator whose repairs wait for each change.
 
@@ -75,32 +77,56 @@
         """Note that the store did not answer."""
 
 
+class Feed(Protocol):
+    """Changes that other daemons read."""
+
+    def is_source(self) -> bool:
+        """Return whether this daemon watches the store itself."""
+
+    def publish(self, after: int, changes: key_value.Changes) -> None:
+        """Pass on what the store told just now.
+
+        :param after: revision that the changes follow.
+        :param changes: all changes since then.
+        """
+
+    async def wait(self, revision: int) -> key_value.Changes | None:
+        """Wait for the changes that follow a revision.
+
+        :param revision: last revision that is known.
+        :return: the changes; None where the store is to be asked.
+        """
+
+
 class StoreFollower:
     """Keeps all parts by one watch: reads them whole, then follows what changes.
 
-    One watch over all keys costs one call where one for each part would cost several. A watch that
-    ends may have missed changes, such as a leaving upstream in a history that the store has
-    dropped, so the parts are read whole again.
+    One watch over all keys costs one call where one for each part would cost several, and most
+    daemons take the changes from others. A watch that ends may have missed changes, such as a
+    leaving upstream in a history that the store has dropped, so the parts are read whole again.
 
     :param store: store.
     :param parts: what keeps the parts.
+    :param feed: changes that other daemons read.
     :param is_urgent: whether changes are needed at once, at the price of more calls.
     :param clock: clock to wait on.
     :param log: decision log.
     """
 
-    __slots__ = ("_store", "_parts", "_is_urgent", "_clock", "_link")
+    __slots__ = ("_store", "_parts", "_feed", "_is_urgent", "_clock", "_link")
 
     def __init__(
         self,
         store: key_value.LeasingKeyValue,
         parts: Sequence[Part],
+        feed: Feed,
         is_urgent: Callable[[], bool],
         clock: clocks.Clock,
         log: decisions.DecisionLog,
     ) -> None:
         self._store = store
         self._parts = parts
+        self._feed = feed
         self._is_urgent = is_urgent
         self._clock = clock
         self._link = Connection("store", clock, log)
@@ -109,14 +135,29 @@
         """Follow until cancelled."""
         while True:
             revision = await self._read_parts()
-            if revision is not None:
-                async for changes in self._store.watch_prefix("", revision):
-                    self._pass_on(changes)
-                    if changes.written or changes.removed:
-                        gather_ms = URGENT_GATHER_MS if self._is_urgent() else GATHER_MS
-                        await self._clock.sleep_ms(gather_ms)
+            while revision is not None:
+                revision = await self._follow(revision)
             await self._clock.sleep_ms(RETRY_MS)
 
+    async def _follow(self, revision: int) -> int | None:
+        """Take in what follows a revision; return the next one, None where some may be missed."""
+        if not self._feed.is_source():
+            fed = await self._feed.wait(revision)
+            if fed is not None:
+                self._pass_on(fed)
+                return fed.revision
+        began_ms = self._clock.monotonic_ms()
+        told = await self._store.await_changes("", revision, WATCH_WAIT_MS)
+        if isinstance(told, result.Err):
+            return None
+        changes = told.ok_value
+        self._pass_on(changes)
+        if self._clock.monotonic_ms() - began_ms <= WATCH_WAIT_MS + LATE_MS:
+            self._feed.publish(revision, changes)
+        if changes.written or changes.removed:
+            await self._clock.sleep_ms(URGENT_GATHER_MS if self._is_urgent() else GATHER_MS)
+        return changes.revision
+
     async def _read_parts(self) -> int | None:
         """Read all parts; return the revision that all of them show at least."""
         revisions = []
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -13,7 +13,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.generated import notices
 from tanagerfork.peers import link
-from tanagerfork.relay import followers, loads, rules
+from tanagerfork.relay import feeds, followers, loads, rules
 from tanagerfork.routing import fleet as fleets
 from tanagerfork.routing import poison
 
@@ -32,6 +32,7 @@
     :param register: rules in force.
     :param book: loads of the upstreams.
     :param suspects: requests that may crash upstreams.
+    :param feed: takes in what others read from the store.
     :param clock: clock of all decisions.
     :param rng: chooses the peers of a round.
     :param log: decision log.
@@ -44,6 +45,7 @@
         "_register",
         "_book",
         "_suspects",
+        "_feed",
         "_clock",
         "_rng",
         "_log",
@@ -60,6 +62,7 @@
         register: rules.RulesRegister,
         book: loads.LoadBook,
         suspects: poison.PoisonRegister,
+        feed: feeds.ChangeFeed,
         clock: clocks.Clock,
         rng: random.Random,
         log: decisions.DecisionLog,
@@ -70,13 +73,15 @@
         self._register = register
         self._book = book
         self._suspects = suspects
+        self._feed = feed
+        feed.send = self.tell_changes
         self._clock = clock
         self._rng = rng
         self._log = log
         self._metrics = metrics
         host, _, port = address.rpartition(":")
         self._inbox = link.Inbox(host, int(port), MESSAGE_BYTES)
-        self._links = link.LinkTable(2 * FANOUT, clock, rng, metrics)
+        self._links = link.LinkTable(2 * FANOUT + feeds.COHORT, clock, rng, metrics)
 
     @property
     def address(self) -> str:
@@ -127,6 +132,23 @@
         self._book.note_closed(head_id, epoch, self._clock.monotonic_ms())
         self._send(self._make(closed=[notices.ClosedGroup(head=head_id, epoch=epoch)]))
 
+    def tell_changes(self, batch: notices.ChangeBatch, names: list[str]) -> None:
+        """Tell some daemons what the store told.
+
+        :param batch: changes.
+        :param names: daemons.
+        """
+        frame = msgspec.msgpack.encode(self._make(changes=batch))
+        if len(frame) > MESSAGE_BYTES:  # Who gets none of it sees the gap and asks the store.
+            batch = notices.ChangeBatch(
+                after=batch.revision, revision=batch.revision, written=[], removed=[]
+            )
+            frame = msgspec.msgpack.encode(self._make(changes=batch))
+        for name in names:
+            record = self._directory.daemons.get(name)
+            if record is not None and record.address:
+                self._links.send(record.address, frame)
+
     def tell_suspect(self, word: fleets.PoisonNotice) -> None:
         """Tell of a request that was in flight when an upstream crashed.
 
@@ -147,6 +169,7 @@
         silent: list[str] | None = None,
         suspects: list[notices.Suspect] | None = None,
         closed: list[notices.ClosedGroup] | None = None,
+        changes: notices.ChangeBatch | None = None,
     ) -> notices.Notice:
         in_force = self._register.current
         return notices.Notice(
@@ -157,6 +180,7 @@
             has_loads=has_loads,
             suspects=suspects or [],
             closed=closed or [],
+            changes=changes,
         )
 
     def _send(self, notice: notices.Notice) -> None:
@@ -174,6 +198,8 @@
         if notice.has_loads:
             told = {load.upstream: (load.requests, load.unread_tokens) for load in notice.loads}
             self._book.note_peer(notice.daemon, told, now_ms)
+        if notice.changes is not None:
+            self._feed.take(notice.changes)
         for suspect in notice.suspects:
             word = fleets.PoisonNotice(
                 suspect.fingerprint, suspect.crashes, suspect.is_quarantined, suspect.expires_in_ms
--- a/src/tanagerfork/storage/key_value.py
+++ b/src/tanagerfork/storage/key_value.py
@@ -78,10 +78,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Changes:
-    """What changed below a prefix, in the order of the changes of each key."""
+    """What changed below a prefix up to a revision, as it stands there: each key once."""
 
     written: list[Entry]
     removed: list[str]
+    revision: int = ABSENT
 
 
 class LeasingKeyValue(KeyValue, Protocol):
@@ -97,12 +98,16 @@
         :return: keys and revision, or why they could not be read.
         """
 
-    def watch_prefix(self, prefix: str, revision: int) -> AsyncIterator[Changes]:
-        """Follow all keys with a prefix.
+    async def await_changes(
+        self, prefix: str, revision: int, wait_ms: int
+    ) -> result.Result[Changes, errors.PlatformError]:
+        """Wait for changes of the keys with a prefix.
 
         :param prefix: start of the keys.
         :param revision: last revision that is known.
-        :return: changes as they come, empty ones as a sign of life; ends where some may be missed.
+        :param wait_ms: longest time to wait for a change, in milliseconds.
+        :return: all changes since the revision, empty ones as a sign of life, or why some may be
+            missed.
         """
 
     async def grant_lease(self, ttl_ms: int) -> result.Result[int, errors.PlatformError]:
--- /dev/null
+++ b/tests/relay/test_feeds.py
@@ -0,0 +1,120 @@
+"""Changes of the store that daemons take from each other, and when they ask the store instead."""
+
+import pytest
+
+from tanagerfork import clock as clocks
+from tanagerfork import decisions
+from tanagerfork import metrics as metric
+from tanagerfork.generated import notices
+from tanagerfork.relay import feeds, followers
+from tanagerfork.storage import key_value
+from tests import fakes
+from tests.relay import deployments
+
+CONFIG_APPLY_MS = 2000  # The platform's bound from a confirmed configuration to its effect.
+
+
+def make_feed(name: str, daemons: list[str], is_coordinator: bool = False) -> feeds.ChangeFeed:
+    clock = clocks.SystemClock()
+    log = decisions.DecisionLog(name, clock, deployments.LineList())
+    record = followers.DaemonRecord("a", "127.0.0.1:1")
+    directory = followers.DaemonDirectory(fakes.MemoryKeyValue(), name, record, clock, log)
+    for other in daemons:
+        directory.daemons[other] = followers.DaemonRecord("a", "127.0.0.1:2")
+    directory.daemons["elsewhere"] = followers.DaemonRecord("b", "127.0.0.1:3")
+    return feeds.ChangeFeed(name, "a", directory, lambda: is_coordinator, clock, metric.Metrics())
+
+
+def make_batch(after: int, revision: int, *keys: str) -> notices.ChangeBatch:
+    written = [notices.WrittenKey(key=key, value="MQ==", revision=revision) for key in keys]
+    return notices.ChangeBatch(after=after, revision=revision, written=written, removed=[])
+
+
+class TestSources:
+    def test_two_of_a_cohort_and_the_coordinator(self) -> None:
+        names = [f"d{index:03}" for index in range(5)]
+        assert [name for name in names if make_feed(name, names).is_source()] == names[:2]
+        assert make_feed("d004", names, is_coordinator=True).is_source()
+
+    def test_large_domain_has_sources_for_each_cohort(self) -> None:
+        names = [f"d{index:03}" for index in range(3 * feeds.COHORT)]
+        sources = [name for name in names if make_feed(name, names).is_source()]
+        assert len(sources) == 3 * feeds.SOURCES
+
+    def test_others_publish_nothing(self) -> None:
+        names = [f"d{index:03}" for index in range(5)]
+        sent: list[list[str]] = []
+        for name in names:
+            feed = make_feed(name, names)
+            feed.send = lambda batch, to: sent.append(to)
+            feed.publish(1, key_value.Changes([], [], 2))
+        assert sent == [[name for name in names if name != source] for source in names[:2]]
+
+
+class TestBatches:
+    async def test_next_one_and_signs_of_life_are_taken(self) -> None:
+        feed = make_feed("d9", ["d0", "d1"])
+        feed.take(make_batch(5, 8, "k"))
+        changes = await feed.wait(6)  # It repeats what this daemon knows, up to a later state.
+        assert changes is not None and changes.revision == 8
+        assert changes.written == [key_value.Entry("k", b"1", 8)]
+        feed.take(make_batch(8, 8))
+        assert await feed.wait(8) == key_value.Changes([], [], 8)
+
+    async def test_gap_is_for_the_store(self) -> None:
+        feed = make_feed("d9", ["d0", "d1"])
+        feed.take(make_batch(7, 8, "k"))
+        assert await feed.wait(6) is None
+
+    async def test_older_batches_and_silence_are_for_the_store(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A source that stood still tells an old state; it says nothing of the present."""
+        monkeypatch.setattr(feeds, "FRESH_MS", 30)
+        feed = make_feed("d9", ["d0", "d1"])
+        feed.take(make_batch(1, 4, "k"))
+        assert await feed.wait(6) is None
+
+
+class TestDeployment:
+    async def test_most_daemons_do_not_ask_the_store(self) -> None:
+        async with deployments.deploy(engines=0, daemon_count=5) as deployed:
+            await wait_for_version(deployed, 1)
+            feeding = [daemon for daemon in deployed.daemons if daemon.feed.is_source()]
+            assert len(feeding) <= feeds.SOURCES + 1
+            fed = [daemon for daemon in deployed.daemons if daemon not in feeding]
+            await deployed.wait_until(
+                lambda: all(daemon.metrics.counted("relay_feed_batches_total") for daemon in fed),
+                "changes of the sources",
+            )
+            before = [count_watches(daemon) for daemon in fed]
+            for version in range(2, 6):
+                deployed.site.write_config()
+                await wait_for_version(deployed, version)
+            assert [count_watches(daemon) for daemon in fed] == before
+
+    async def test_silent_sources_are_done_without(self) -> None:
+        async with deployments.deploy(engines=0, daemon_count=5) as deployed:
+            await wait_for_version(deployed, 1)
+            for daemon in deployed.daemons:
+                daemon.feed.send = lambda batch, names: None
+            began_ms = deployed.daemons[0].clock.monotonic_ms()
+            deployed.site.write_config()
+            await wait_for_version(deployed, 2)
+            assert deployed.daemons[0].clock.monotonic_ms() - began_ms < CONFIG_APPLY_MS
+
+
+def count_watches(daemon) -> float:
+    return daemon.metrics.counted("store_calls_total", call="kv-watch")
+
+
+async def wait_for_version(deployed: deployments.Deployment, version: int) -> None:
+    def is_in_force() -> bool:
+        return all(
+            daemon.register.current is not None
+            and daemon.register.current.version >= version
+            and len(daemon.directory.daemons) == len(deployed.daemons)
+            for daemon in deployed.daemons
+        )
+
+    await deployed.wait_until(is_in_force, f"version {version} everywhere")
--- a/tests/relay/test_store.py
+++ b/tests/relay/test_store.py
@@ -95,16 +95,27 @@
             snapshot = (await store.read_snapshot("a/")).unwrap()
             standin.put("a/y", b"2")
             standin.remove("a/x")
-            async for changes in store.watch_prefix("a/", snapshot.revision):
-                assert [entry.key for entry in changes.written] == ["a/y"]
-                assert changes.removed == ["a/x"]
-                break
+            changes = (await store.await_changes("a/", snapshot.revision, 500)).unwrap()
+            assert [entry.key for entry in changes.written] == ["a/y"]
+            assert changes.removed == ["a/x"]
+            assert changes.revision == standin.revision
+
+    async def test_key_that_is_written_again_stays(self) -> None:
+        async with open_store() as (standin, store):
+            before = standin.put("a/x", b"1")
+            standin.remove("a/x")
+            standin.put("a/x", b"2")
+            standin.put("a/y", b"3")
+            standin.remove("a/y")
+            changes = (await store.await_changes("a/", before, 500)).unwrap()
+            assert [entry.value for entry in changes.written] == [b"2"]
+            assert changes.removed == ["a/y"]
 
     async def test_dropped_history_ends_the_watch(self) -> None:
         async with open_store() as (standin, store):
             standin.put("a/x", b"1")
             standin.forget_history()
-            assert [changes async for changes in store.watch_prefix("a/", 1)] == []
+            assert isinstance(await store.await_changes("a/", 1, 500), result.Err)
 
     async def test_one_key(self) -> None:
         async with open_store() as (standin, store):
@@ -117,5 +128,5 @@
     async def test_refusal_ends_the_watch(self) -> None:
         async with open_store() as (standin, store):
             standin.faults.refuses = 503
-            assert [changes async for changes in store.watch_prefix("a/", 1)] == []
+            assert isinstance(await store.await_changes("a/", 1, 500), result.Err)
             assert isinstance(await store.read_snapshot("a/"), result.Err)
