--- a/src/tanagerfork/relay/forming.py
+++ b/src/tanagerfork/relay/forming.py
@@ -10,6 +10,7 @@
 STAGED_COST = 1
 LAST_MODEL_COST = 0
 UNSTAGED_COST = 10
+COVERED_SHARE = 0.75  # The rest are spares with weights: a load takes longer than a loss is away.
 ACROSS_DOMAINS = ""  # Such a group runs slower; it is formed where no fabric domain has enough.
 
 
@@ -102,7 +103,7 @@
         most_loads = loads_left if rank == 0 else 0
         chosen = _choose_within(engine, model, free, live, groups, most_loads)
         if chosen is None and situation.is_settled:
-            chosen = _choose_across(engine, model, free, groups)
+            chosen = _choose_across(situation, engine, model, free, live, groups)
         if chosen is not None:
             return model, *chosen
         if not situation.is_settled:
@@ -137,19 +138,15 @@
 
 
 def _choose_across(
+    situation: plans.Situation,
     engine: rules.EngineSpec,
     model: rules.ModelSpec,
     free: Mapping[str, list[plans.Fact]],
+    live: Mapping[str, int],
     groups: Sequence[assignments.Assignment],
 ) -> tuple[str, list[plans.Fact]] | None:
-    """Return members of several fabric domains for a model that has no group within one.
-
-    Where it has one, they are of more use as spares, which a repair need not wait for.
-    """
-    if any(
-        group.model == model.name and not group.closing and group.fabric_domain != ACROSS_DOMAINS
-        for group in groups
-    ):
+    """Return members of several fabric domains for a model that lacks groups."""
+    if measure_cover(situation, model, groups)[0] >= COVERED_SHARE * sum(live.values()):
         return None
     picked = _pick([fact for facts in free.values() for fact in facts], model, engine)
     if len(picked) < model.group_size or _count_loads(picked, model):
--- a/src/tanagerfork/relay/staging.py
+++ b/src/tanagerfork/relay/staging.py
@@ -88,8 +88,8 @@
 ) -> str:
     """Return the model that the next empty spare of a fabric domain is to hold.
 
-    A group that the empty spares can complete comes first, then the model that lacks most. A group
-    of more members loses them sooner, so that its model needs as many more spares.
+    A group that the empty spares can complete comes first, then the model that lacks most against
+    its share, spares included.
     """
     by_size = sorted(engine.models, key=lambda spec: -spec.group_size)
     for model in by_size:
@@ -99,7 +99,7 @@
 
     def measure(spec: rules.ModelSpec) -> float:
         spares = held.get(spec.name, 0) / situation.find_share(spec)
-        return (forming.measure_cover(situation, spec, groups)[0] + spares) / spec.group_size
+        return forming.measure_cover(situation, spec, groups)[0] + spares
 
     return min(by_size, key=measure).name
 
