Sum up loads by cohorts in a fleet of more than 24 daemons

Now a daemon tells its two sources and hears the sum of all from them; up to 24 daemons all is as before.

--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -23,6 +23,7 @@
 from tanagerfork.relay import (
     attempts,
     budget,
+    cohorts,
     coordinator,
     crashes,
     demand,
@@ -137,10 +138,9 @@
         self.directory = followers.DaemonDirectory(
             self.store, settings.name, record, self.clock, self.log
         )
+        own_cohorts = cohorts.Cohorts(settings.name, settings.failure_domain, self.directory)
         self.feed = feeds.ChangeFeed(
-            settings.name,
-            settings.failure_domain,
-            self.directory,
+            own_cohorts,
             lambda: self._coordinator.is_holder,
             self.clock,
             self.metrics,
@@ -153,6 +153,7 @@
             self.book,
             suspects,
             self.feed,
+            own_cohorts,
             self.clock,
             self._rng,
             self.log,
--- a/src/tanagerfork/relay/feeds.py
+++ b/src/tanagerfork/relay/feeds.py
@@ -13,11 +13,9 @@
 from tanagerfork import clock as clocks
 from tanagerfork import metrics as metric
 from tanagerfork.generated import notices
-from tanagerfork.relay import followers
+from tanagerfork.relay import cohorts
 from tanagerfork.storage import key_value
 
-COHORT = 64  # Links that a source holds open; a fleet of thousands has as many more sources.
-SOURCES = 2  # One may stop or be cut off without any other daemon asking the store.
 FRESH_MS = 1200  # With the way of one call, well within the time to put a configuration in force.
 KEPT_BATCHES = 16  # More than sources send within `FRESH_MS`.
 
@@ -25,18 +23,14 @@
 class ChangeFeed:
     """Publishes the changes that this daemon read, and takes in those that others did.
 
-    :param name: name of this daemon.
-    :param failure_domain: failure domain of this daemon.
-    :param directory: which daemons there are.
+    :param own_cohorts: which daemons this one feeds, or is fed with.
     :param is_coordinator: whether this daemon coordinates, and so watches the store anyway.
     :param clock: clock to wait on.
     :param metrics: counters.
     """
 
     __slots__ = (
-        "_name",
-        "_failure_domain",
-        "_directory",
+        "_cohorts",
         "_is_coordinator",
         "_clock",
         "_metrics",
@@ -47,16 +41,12 @@
 
     def __init__(
         self,
-        name: str,
-        failure_domain: str,
-        directory: followers.DaemonDirectory,
+        own_cohorts: cohorts.Cohorts,
         is_coordinator: Callable[[], bool],
         clock: clocks.Clock,
         metrics: metric.Metrics,
     ) -> None:
-        self._name = name
-        self._failure_domain = failure_domain
-        self._directory = directory
+        self._cohorts = own_cohorts
         self._is_coordinator = is_coordinator
         self._clock = clock
         self._metrics = metrics
@@ -66,15 +56,9 @@
         self._has_come = asyncio.Event()
         self.send: Callable[[notices.ChangeBatch, list[str]], None] = _send_nowhere
 
-    def list_cohort(self) -> list[str]:
-        """Return the daemons that are fed together with this one, the sources first."""
-        names = sorted(self._directory.list_names(self._failure_domain))
-        start = names.index(self._name) // COHORT * COHORT
-        return names[start : start + COHORT]
-
     def is_source(self) -> bool:
         """Return whether this daemon watches the store for its cohort."""
-        return self._is_coordinator() or self._name in self.list_cohort()[:SOURCES]
+        return self._is_coordinator() or self._cohorts.is_source()
 
     def publish(self, after: int, changes: key_value.Changes) -> None:
         """Pass on what the store told just now; empty changes say that nothing has changed.
@@ -97,7 +81,7 @@
             ],
             removed=changes.removed,
         )
-        self.send(batch, [name for name in self.list_cohort() if name != self._name])
+        self.send(batch, self._cohorts.list_own())
 
     def take(self, batch: notices.ChangeBatch) -> None:
         """Take in a batch of a source.
--- a/src/tanagerfork/relay/loads.py
+++ b/src/tanagerfork/relay/loads.py
@@ -1,6 +1,7 @@
 """Loads: what each upstream has to do, by own sends and by what it told, and how it fares."""
 
 import dataclasses
+from collections.abc import Collection
 
 from tanagerfork.relay import calls
 
@@ -103,6 +104,32 @@
                 self._add(peer.open, -1)
                 del self._peers[daemon]
 
+    def sum_open(self, without: Collection[str] = ()) -> dict[str, tuple[int, int]]:
+        """Return requests and unread prompt tokens of this daemon and its peers, by upstream.
+
+        :param without: peers that are left out.
+        """
+        summed = {
+            key: [load.open + load.peer_open, load.open_prompt_tokens + load.peer_unread_tokens]
+            for key, load in self._loads.items()
+            if load.open or load.peer_open
+        }
+        for peer in without:
+            for key, (requests, tokens) in self._peers[peer].open.items():
+                if key in summed:
+                    summed[key][0] -= requests
+                    summed[key][1] -= tokens
+        return {
+            key: (requests, max(0, tokens))
+            for key, (requests, tokens) in summed.items()
+            if requests > 0
+        }
+
+    @property
+    def peers(self) -> Collection[str]:
+        """Those whose word on what they have open counts."""
+        return self._peers.keys()
+
     def list_open(self) -> list[tuple[str, int, int]]:
         """Return upstream, requests and unread prompt tokens of what this daemon has open."""
         return [
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -5,6 +5,8 @@
 """
 
 import random
+from collections.abc import Mapping, Sequence
+from typing import Literal
 
 import msgspec
 
@@ -13,13 +15,15 @@
 from tanagerfork import metrics as metric
 from tanagerfork.generated import notices
 from tanagerfork.peers import link
-from tanagerfork.relay import feeds, followers, loads, rules
+from tanagerfork.relay import cohorts, feeds, followers, loads, rules
 from tanagerfork.routing import fleet as fleets
 from tanagerfork.routing import poison
 
 LOGGER = "relay.peers"
 INTERVAL_MS = 300  # Twice within the time that a usual request needs for its first event.
-FANOUT = 24  # Peers told in one round; all of today's, a part of them in a larger fleet.
+FANOUT = 24  # Daemons that are told one by one; in a larger fleet the sources of cohorts sum up.
+COHORT_SUM = "cohort "  # Begins the name under which the sum of another cohort is kept.
+TOTAL = "all"  # Name under which the sum of all daemons is kept.
 MESSAGE_BYTES = 64 * 1024
 
 
@@ -33,6 +37,7 @@
     :param book: loads of the upstreams.
     :param suspects: requests that may crash upstreams.
     :param feed: takes in what others read from the store.
+    :param own_cohorts: who sums up loads in a large fleet.
     :param clock: clock of all decisions.
     :param rng: chooses the peers of a round.
     :param log: decision log.
@@ -46,6 +51,8 @@
         "_book",
         "_suspects",
         "_feed",
+        "_cohorts",
+        "_told",
         "_clock",
         "_rng",
         "_log",
@@ -63,6 +70,7 @@
         book: loads.LoadBook,
         suspects: poison.PoisonRegister,
         feed: feeds.ChangeFeed,
+        own_cohorts: cohorts.Cohorts,
         clock: clocks.Clock,
         rng: random.Random,
         log: decisions.DecisionLog,
@@ -73,6 +81,8 @@
         self._register = register
         self._book = book
         self._suspects = suspects
+        self._cohorts = own_cohorts
+        self._told: dict[str, tuple[int, int]] = {}
         self._feed = feed
         feed.send = self.tell_changes
         self._clock = clock
@@ -81,7 +91,7 @@
         self._metrics = metrics
         host, _, port = address.rpartition(":")
         self._inbox = link.Inbox(host, int(port), MESSAGE_BYTES)
-        self._links = link.LinkTable(2 * FANOUT + feeds.COHORT, clock, rng, metrics)
+        self._links = link.LinkTable(2 * FANOUT + cohorts.COHORT, clock, rng, metrics)
 
     @property
     def address(self) -> str:
@@ -106,16 +116,51 @@
     async def tell_loads(self) -> None:
         """Tell what is open in rounds until cancelled."""
         while True:
-            now_ms = self._clock.monotonic_ms()
-            rounds = max(1.0, (len(self._directory.daemons) - 1) / FANOUT)
-            self._book.drop_old_peers(now_ms, loads.PEER_TTL_MS * rounds)
-            told = [
-                notices.OpenLoad(upstream=key, requests=requests, unread_tokens=tokens)
-                for key, requests, tokens in self._book.list_open()
-            ]
-            self._send(self._make(loads=told, has_loads=True))
+            self._book.drop_old_peers(self._clock.monotonic_ms())
+            self._told = {
+                key: (requests, tokens) for key, requests, tokens in self._book.list_open()
+            }
+            own = self._make_loads(self._told)
+            if len(self._directory.daemons) - 1 <= FANOUT:
+                self._send(own)
+            else:
+                self._tell_sums(own)
             await self._clock.sleep_ms(INTERVAL_MS * self._rng.uniform(0.8, 1.2))
 
+    def _tell_sums(self, own: notices.Notice) -> None:
+        """Tell the sources of the cohort, or as a source tell the cohort and the other sources.
+
+        Answers fleets in which each daemon would have to hear a hundred others several times a
+        second: it hears its two sources instead.
+        """
+        cohort = self._cohorts.list_own()
+        self._send_to(cohort[: cohorts.SOURCES], own)
+        if not self._cohorts.is_source():
+            return
+        self._send_to(
+            cohort[cohorts.SOURCES :], self._make_loads(self._book.sum_open(), covers="all")
+        )
+        others = [name for name in self._book.peers if name.startswith(COHORT_SUM)]
+        summed = self._book.sum_open(without=others)
+        self._send_to(
+            self._cohorts.list_other_sources(),
+            self._make_loads(summed, covers="cohort", cohort=cohort[0]),
+        )
+
+    def _make_loads(
+        self,
+        told: Mapping[str, tuple[int, int]],
+        covers: Literal["daemon", "cohort", "all"] = "daemon",
+        cohort: str = "",
+    ) -> notices.Notice:
+        loads = [
+            notices.OpenLoad(upstream=key, requests=requests, unread_tokens=max(0, tokens))
+            for key, (requests, tokens) in told.items()
+        ]
+        notice = self._make(loads=loads, has_loads=True)
+        notice.covers, notice.cohort = covers, cohort
+        return notice
+
     def tell_silent(self, upstream_id: str) -> None:
         """Tell that an upstream went silent.
 
@@ -138,16 +183,12 @@
         :param batch: changes.
         :param names: daemons.
         """
-        frame = msgspec.msgpack.encode(self._make(changes=batch))
-        if len(frame) > MESSAGE_BYTES:  # Who gets none of it sees the gap and asks the store.
-            batch = notices.ChangeBatch(
+        notice = self._make(changes=batch)
+        if len(msgspec.msgpack.encode(notice)) > MESSAGE_BYTES:
+            notice.changes = notices.ChangeBatch(  # Those who see the gap ask the store.
                 after=batch.revision, revision=batch.revision, written=[], removed=[]
             )
-            frame = msgspec.msgpack.encode(self._make(changes=batch))
-        for name in names:
-            record = self._directory.daemons.get(name)
-            if record is not None and record.address:
-                self._links.send(record.address, frame)
+        self._send_to(names, notice)
 
     def tell_suspect(self, word: fleets.PoisonNotice) -> None:
         """Tell of a request that was in flight when an upstream crashed.
@@ -184,20 +225,37 @@
         )
 
     def _send(self, notice: notices.Notice) -> None:
+        """Send to all daemons; in a large fleet to the cohort and to some others."""
+        names = [name for name in self._directory.daemons if name != self._name]
+        if len(names) > FANOUT:
+            names = list({*self._cohorts.list_own(), *self._rng.sample(names, FANOUT)})
+        self._send_to(names, notice)
+
+    def _send_to(self, names: Sequence[str], notice: notices.Notice) -> None:
         frame = msgspec.msgpack.encode(notice)
-        others = [
-            record.address
-            for name, record in self._directory.daemons.items()
-            if name != self._name and record.address
-        ]
-        for address in self._rng.sample(others, min(FANOUT, len(others))):
-            self._links.send(address, frame)
+        for name in names:
+            record = self._directory.daemons.get(name)
+            if name != self._name and record is not None and record.address:
+                self._links.send(record.address, frame)
+
+    def _note_loads(self, notice: notices.Notice, now_ms: float) -> None:
+        told = {load.upstream: (load.requests, load.unread_tokens) for load in notice.loads}
+        if notice.covers == "daemon":
+            self._book.note_peer(notice.daemon, told, now_ms)
+        elif notice.covers == "cohort":
+            self._book.note_peer(COHORT_SUM + notice.cohort, told, now_ms)
+        elif not self._cohorts.is_source():
+            others = {}
+            for key, (requests, tokens) in told.items():
+                own_requests, own_tokens = self._told.get(key, (0, 0))
+                if requests > own_requests:
+                    others[key] = requests - own_requests, max(0, tokens - own_tokens)
+            self._book.note_peer(TOTAL, others, now_ms)
 
     def _take(self, notice: notices.Notice) -> None:
         now_ms = self._clock.monotonic_ms()
         if notice.has_loads:
-            told = {load.upstream: (load.requests, load.unread_tokens) for load in notice.loads}
-            self._book.note_peer(notice.daemon, told, now_ms)
+            self._note_loads(notice, now_ms)
         if notice.changes is not None:
             self._feed.take(notice.changes)
         for suspect in notice.suspects:
--- a/tests/relay/test_feeds.py
+++ b/tests/relay/test_feeds.py
@@ -6,7 +6,7 @@
 from tanagerfork import decisions
 from tanagerfork import metrics as metric
 from tanagerfork.generated import notices
-from tanagerfork.relay import feeds, followers
+from tanagerfork.relay import cohorts, feeds, followers
 from tanagerfork.storage import key_value
 from tests import fakes
 from tests.relay import deployments
@@ -22,7 +22,8 @@
     for other in daemons:
         directory.daemons[other] = followers.DaemonRecord("a", "127.0.0.1:2")
     directory.daemons["elsewhere"] = followers.DaemonRecord("b", "127.0.0.1:3")
-    return feeds.ChangeFeed(name, "a", directory, lambda: is_coordinator, clock, metric.Metrics())
+    own_cohorts = cohorts.Cohorts(name, "a", directory)
+    return feeds.ChangeFeed(own_cohorts, lambda: is_coordinator, clock, metric.Metrics())
 
 
 def make_batch(after: int, revision: int, *keys: str) -> notices.ChangeBatch:
@@ -37,9 +38,9 @@
         assert make_feed("d004", names, is_coordinator=True).is_source()
 
     def test_large_domain_has_sources_for_each_cohort(self) -> None:
-        names = [f"d{index:03}" for index in range(3 * feeds.COHORT)]
+        names = [f"d{index:03}" for index in range(3 * cohorts.COHORT)]
         sources = [name for name in names if make_feed(name, names).is_source()]
-        assert len(sources) == 3 * feeds.SOURCES
+        assert len(sources) == 3 * cohorts.SOURCES
 
     def test_others_publish_nothing(self) -> None:
         names = [f"d{index:03}" for index in range(5)]
@@ -48,7 +49,7 @@
             feed = make_feed(name, names)
             feed.send = lambda batch, to: sent.append(to)
             feed.publish(1, key_value.Changes([], [], 2))
-        assert sent == [[name for name in names if name != source] for source in names[:2]]
+        assert sent == [names, names]
 
 
 class TestBatches:
@@ -81,7 +82,7 @@
         async with deployments.deploy(engines=0, daemon_count=5) as deployed:
             await wait_for_version(deployed, 1)
             feeding = [daemon for daemon in deployed.daemons if daemon.feed.is_source()]
-            assert len(feeding) <= feeds.SOURCES + 1
+            assert len(feeding) <= cohorts.SOURCES + 1
             fed = [daemon for daemon in deployed.daemons if daemon not in feeding]
             await deployed.wait_until(
                 lambda: all(daemon.metrics.counted("relay_feed_batches_total") for daemon in fed),
--- /dev/null
+++ b/tests/relay/test_peers.py
@@ -0,0 +1,55 @@
+"""What daemons tell each other of their loads, one by one or through the sources of cohorts."""
+
+import asyncio
+
+import pytest
+
+from tanagerfork.relay import loads, peers
+from tanagerfork_standins.platform import site
+from tests.relay import deployments
+
+
+class TestLoads:
+    @pytest.mark.parametrize("fanout", [24, 1])
+    async def test_each_daemon_knows_what_all_others_have_open(
+        self, monkeypatch: pytest.MonkeyPatch, fanout: int
+    ) -> None:
+        """With the smaller figure the five daemons are a large fleet, whose sources sum up."""
+        monkeypatch.setattr(peers, "FANOUT", fanout)
+        async with deployments.deploy(daemon_count=5) as deployed:
+            await deployed.wait_for_group()
+            await deployed.wait_until(
+                lambda: all(len(daemon.directory.daemons) == 5 for daemon in deployed.daemons),
+                "five daemons",
+            )
+            view = deployed.daemons[0].view
+            head_id = view.list_groups(site.ENGINE_SERVICE, site.SMALL_MODEL)[0].head.id
+            for member in deployed.site.runners:
+                member.holds_stream.clear()
+            asking = asyncio.create_task(deployed.ask("/stream/x", "POST", b"hello"))
+
+            def count_others(daemon) -> int:
+                return daemon.book.find(head_id).peer_open
+
+            await deployed.wait_until(
+                lambda: [count_others(daemon) for daemon in deployed.daemons] == [0, 1, 1, 1, 1],
+                "the load of the first daemon at the others",
+            )
+            await asyncio.sleep(2 * peers.INTERVAL_MS / 1000)  # It is told again and again.
+            assert [count_others(daemon) for daemon in deployed.daemons] == [0, 1, 1, 1, 1]
+            for member in deployed.site.runners:
+                member.holds_stream.set()
+            assert (await asking).status == 200
+            await deployed.wait_until(
+                lambda: not any(count_others(daemon) for daemon in deployed.daemons), "no load"
+            )
+
+
+class TestSums:
+    def test_sum_leaves_out_what_other_cohorts_told(self) -> None:
+        book = loads.LoadBook()
+        book.begin("h", 10)
+        book.note_peer("d2", {"h": (2, 20)}, 0)
+        book.note_peer("cohort x", {"h": (5, 50), "g": (1, 1)}, 0)
+        assert book.sum_open() == {"h": (8, 80), "g": (1, 1)}
+        assert book.sum_open(without=["cohort x"]) == {"h": (3, 30)}
