--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -392,6 +392,8 @@
             outcome=outcome,
         )
         self._metrics.count("relay_orders_total", kind=order.kind)
+        if order.kind == plans.STAGE and given.ok() is plans.Acceptance.DONE:
+            self._pacer.note_needless(order.upstream_id)
         is_refused = isinstance(given.err(), errors.UpstreamRefused)
         if is_refused:
             self._repeat_soon(order)
--- a/src/tanagerfork/relay/loading.py
+++ b/src/tanagerfork/relay/loading.py
@@ -38,6 +38,14 @@
         self._began_ms.append(now_ms)
         self._loading[upstream_id] = model, now_ms
 
+    def note_needless(self, upstream_id: str) -> None:
+        """Note that no load was begun, as the weights were there or on their way already.
+
+        :param upstream_id: id of the upstream that was ordered to load them.
+        """
+        if upstream_id in self._loading and self._began_ms:
+            self._began_ms.pop()
+
     def count_left(self, engine: rules.EngineSpec | None, now_ms: int) -> int:
         """Return how many loads may be started now.
 
--- a/src/tanagerfork/relay/staging.py
+++ b/src/tanagerfork/relay/staging.py
@@ -29,10 +29,10 @@
             fact
             for fact in facts
             if fact.upstream.id not in situation.loading
-            and (not fact.upstream.staged or _is_needless(fact, facts, held, engine))
+            and (not _list_held(fact) or _is_needless(fact, facts, held, engine))
         ]
-        for index, fact in enumerate(sorted(empty, key=lambda known: known.upstream.id)[:left]):
-            model = _choose_model(situation, engine, groups, held, len(empty) - index)
+        for fact in sorted(empty, key=lambda known: known.upstream.id)[:left]:
+            model = _choose_model(situation, engine, groups, held)
             held[model] = held.get(model, 0) + 1
             left -= 1
             upstream = fact.upstream
@@ -74,34 +74,32 @@
     held: dict[str, int] = {}
     for fact in facts:
         loaded = situation.loading.get(fact.upstream.id)
-        for model in {*fact.upstream.staged, *fact.upstream.models, *([loaded] if loaded else [])}:
+        for model in _list_held(fact) | ({loaded} if loaded else set()):
             held[model] = held.get(model, 0) + 1
     return held
 
 
+def _list_held(fact: plans.Fact) -> set[str]:
+    """Return the models that an upstream need not load."""
+    return {*fact.upstream.staged, *fact.upstream.models}
+
+
 def _choose_model(
     situation: plans.Situation,
     engine: rules.EngineSpec,
     groups: Sequence[assignments.Assignment],
     held: Mapping[str, int],
-    empty: int,
 ) -> str:
-    """Return the model that the next empty spare of a fabric domain is to hold.
+    """Return the model that the next empty spare is to hold: the one that lacks most.
 
-    A group that the empty spares can complete comes first, then the model that lacks most against
-    its share, spares included.
+    Spares of the same fabric domain count like members of groups.
     """
-    by_size = sorted(engine.models, key=lambda spec: -spec.group_size)
-    for model in by_size:
-        partial = held.get(model.name, 0) % model.group_size
-        if partial and model.group_size - partial <= empty:
-            return model.name
 
     def measure(spec: rules.ModelSpec) -> float:
         spares = held.get(spec.name, 0) / situation.find_share(spec)
         return forming.measure_cover(situation, spec, groups)[0] + spares
 
-    return min(by_size, key=measure).name
+    return min(sorted(engine.models, key=lambda spec: -spec.group_size), key=measure).name
 
 
 def _is_needless(
@@ -112,9 +110,9 @@
 ) -> bool:
     """Return whether a spare should hold another model: the largest one, that no spare holds."""
     largest = max(engine.models, key=lambda spec: spec.group_size).name
-    if held.get(largest, 0) or any(not other.upstream.staged for other in facts):
+    if held.get(largest, 0) or any(not _list_held(other) for other in facts):
         return False
-    return fact.upstream.staged[-1] != largest
+    return largest not in _list_held(fact)
 
 
 def _is_any_forming(
