--- a/src/tanagerfork/relay/forming.py
+++ b/src/tanagerfork/relay/forming.py
@@ -120,13 +120,11 @@
     most_loads: int,
 ) -> tuple[str, list[plans.Fact]] | None:
     """Return the fabric domain that can form a group of a model soonest, and its members."""
-    smallest_set = sum(spec.group_size for spec in engine.models)
     best: tuple[tuple[int, int, int], str, list[plans.Fact]] | None = None
     for domain, facts in free.items():
-        spare = _count_spares(live[domain], smallest_set)
-        same = sum(g.model == model.name and g.fabric_domain == domain for g in groups)
-        if len(facts) < model.group_size + (spare if same else 0):
+        if len(facts) < _count_needed(engine, model, domain, live, groups):
             continue
+        same = _count_same(model, domain, groups)
         picked = _pick(facts, model, engine)
         loads = _count_loads(picked, model)
         if loads > most_loads:
@@ -137,6 +135,25 @@
     return (best[1], best[2]) if best else None
 
 
+def _count_needed(
+    engine: rules.EngineSpec,
+    model: rules.ModelSpec,
+    domain: str,
+    live: Mapping[str, int],
+    groups: Sequence[assignments.Assignment],
+) -> int:
+    """Return how many upstreams of a fabric domain must be free for a group of a model there."""
+    smallest_set = sum(spec.group_size for spec in engine.models)
+    spares = _count_spares(live[domain], smallest_set)
+    return model.group_size + (spares if _count_same(model, domain, groups) else 0)
+
+
+def _count_same(
+    model: rules.ModelSpec, domain: str, groups: Sequence[assignments.Assignment]
+) -> int:
+    return sum(group.model == model.name and group.fabric_domain == domain for group in groups)
+
+
 def _choose_across(
     situation: plans.Situation,
     engine: rules.EngineSpec,
@@ -218,9 +235,11 @@
     :param groups: assignments of the service.
     """
     engine = situation.service.engine
-    free, _ = find_free(situation, groups)
+    if engine is None:
+        return None
+    free, live = find_free(situation, groups)
     for group in groups:
-        model = engine.find_model(group.model) if engine else None
+        model = engine.find_model(group.model)
         if group.fabric_domain != ACROSS_DOMAINS or group.closing or model is None:
             continue
         if not _may_close(group, situation):
@@ -231,7 +250,9 @@
             near = sum(
                 fact is not None and fact.upstream.fabric_domain == domain for fact in members
             )
-            if able < model.group_size <= able + near:
+            least = _count_needed(engine, model, domain, live, groups)
+            can_now = able >= model.group_size and len(facts) >= least
+            if not can_now and able + near >= model.group_size and len(facts) + near >= least:
                 return group
     return None
 
--- a/tests/relay/test_planner.py
+++ b/tests/relay/test_planner.py
@@ -268,6 +268,18 @@
             made = plan(facts, make_record(across), open_groups=(make_open(other, is_far=True),))
             assert made.record.groups[0].closing == closes
 
+    def test_it_is_not_replaced_by_another_slow_one(self) -> None:
+        """Of eight upstreams one is kept as a spare, so that none within the domain is formed."""
+        facts = make_facts(8, "d0", ("small",)) | make_facts(1, "d1", ("small",))
+        near = [make_group([f"d0-{n}", f"d0-{n + 1}"], epoch=n + 1) for n in (0, 2, 6)]
+        across = msgspec.structs.replace(
+            make_group(["d0-4", "d1-0"], epoch=9), fabric_domain=forming.ACROSS_DOMAINS
+        )
+        for group in (*near, across):
+            mark_as(facts, group, STATE.OPEN)
+        made = plan(facts, make_record(*near, across), open_groups=(make_open("b-1"),))
+        assert made.record.groups == [*near, across]
+
     def test_it_serves_on_where_it_is_of_no_help(self) -> None:
         facts = {"a": make_fact("a", "d0", ("small",)), "b": make_fact("b", "d1", ("small",))}
         across = msgspec.structs.replace(
