--- a/src/tanagerfork/relay/fleet.py
+++ b/src/tanagerfork/relay/fleet.py
@@ -98,6 +98,15 @@
         self._listed = {upstream.id: upstream for upstream in listed}
         return self._apply(now_ms)
 
+    def note_unchanged(self, now_ms: int) -> None:
+        """Take in that the directory shows the same list as before.
+
+        :param now_ms: clock that counts suspended time, in milliseconds.
+        """
+        if self._was_away or self.measure_age(now_ms) > AWAY_MS:
+            self.take_list(list(self._listed.values()), now_ms)
+        self._read_at_ms = now_ms
+
     def note_away(self) -> None:
         """Note that the list could not be read, so that entries may lapse meanwhile."""
         self._was_away = self._read_at_ms is not None
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -279,10 +279,16 @@
     def take_all(self, entries: Sequence[key_value.Entry]) -> None:
         """Take in the whole list; see `Part.take_all`."""
         self._listed = {}
-        self.take_changes(key_value.Changes(list(entries), []))
+        self._apply(key_value.Changes(list(entries), []))
 
     def take_changes(self, changes: key_value.Changes) -> None:
         """Take in changes of the list; see `Part.take_changes`."""
+        if changes.written or changes.removed:
+            self._apply(changes)
+        else:
+            self._view.note_unchanged(self._clock.monotonic_ms())
+
+    def _apply(self, changes: key_value.Changes) -> None:
         for entry in changes.written:
             upstream = self._decode(entry.key, entry.value)
             if upstream is not None:
@@ -293,8 +299,6 @@
         for key in changes.removed:
             self._listed.pop(key, None)
         change = self._view.take_list(list(self._listed.values()), self._clock.monotonic_ms())
-        if not changes.written and not changes.removed:
-            return
         self._book.keep_only({upstream.id for upstream in self._view.upstreams})
         if change.added or change.removed or change.leaving:
             self._log.note(
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -90,6 +90,22 @@
         view.take_list([], fleet.AWAY_MS + 1)
         assert count_groups(view) == 1
 
+    def test_unchanged_list_is_as_fresh_as_one_that_is_read(self) -> None:
+        view = make_fleet()
+        view.take_list([make_member("a", 0), make_member("b", 1)], 0)
+        view.note_unchanged(fleet.AWAY_MS)
+        assert view.measure_age(fleet.AWAY_MS) == 0
+        view.take_list([], fleet.AWAY_MS + 100)
+        assert count_groups(view) == 0
+
+    def test_unchanged_list_after_a_silence_begins_the_grace(self) -> None:
+        view = make_fleet()
+        view.take_list([make_member("a", 0), make_member("b", 1)], 0)
+        view.note_away()
+        view.note_unchanged(1000)
+        view.take_list([], 1100)
+        assert count_groups(view) == 1
+
     def test_leaving_counts_also_in_the_grace(self) -> None:
         view = make_fleet()
         view.take_list([make_member("a", 0), make_member("b", 1)], 0)
