--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -22,6 +22,7 @@
 LOGGER = "relay.coordinator"
 ASSIGNMENTS_PREFIX = "tanagerfork/assignments/"
 PLAN_INTERVAL_MS = 100  # A tenth of what a repair takes.
+STANDBY_INTERVAL_MS = 250  # A fraction of the lease's time, which passes before any takeover.
 STALLED_MS = 1000  # A coordinator that stood still so long knows nothing of who was silent.
 BLIND_LEAST = 4  # Fewer silent members are no sign that this daemon is cut off.
 BLIND_MS = 5000  # Another daemon has taken the lease by then.
@@ -141,7 +142,7 @@
         """Coordinate until cancelled."""
         while True:
             await self.take_step()
-            await self._clock.sleep_ms(PLAN_INTERVAL_MS)
+            await self._clock.sleep_ms(PLAN_INTERVAL_MS if self.is_holder else STANDBY_INTERVAL_MS)
 
     async def stop(self) -> None:
         """Give the lease back at a planned stop, so that the next coordinator need not wait."""
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -12,7 +12,8 @@
 from tanagerfork.storage import key_value
 
 LOGGER = "relay.followers"
-RETRY_MS = 250  # A store that refuses is asked four times a second.
+RETRY_MS = 250  # A store that refuses is asked four times a second by those who feed others.
+FED_RETRY_MS = 1000  # By the others once, so that an outage is no load; well within the catch-up.
 DAEMON_PREFIX = "tanagerfork/daemons/"
 DAEMON_LEASE_MS = 6000  # A daemon that is cut off for a moment stays listed.
 DAEMON_RENEW_MS = 2000
@@ -137,7 +138,7 @@
             revision = await self._read_parts()
             while revision is not None:
                 revision = await self._follow(revision)
-            await self._clock.sleep_ms(RETRY_MS)
+            await self._clock.sleep_ms(RETRY_MS if self._feed.is_source() else FED_RETRY_MS)
 
     async def _follow(self, revision: int) -> int | None:
         """Take in what follows a revision; return the next one, None where some may be missed."""
