Cut off a group only where it stands still; count only arrivals against the budget

A member whose entry goes without a word before serves on as long as its head has work, like one that says that it leaves; the group's requests were cut off there, as a text in the reason decided. What the members report decides now, each time the order is given.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -20,7 +20,7 @@
 from tanagerfork.relay import progress as progresses
 
 LOGGER = "relay.attempts"
-MAX_REFUSED = 8  # A failure domain that is cut off takes away a third of the groups at once.
+MAX_NOT_RUN = 8  # A failure domain that is cut off takes away a third of the groups at once.
 REPAIR_MS = 2500.0  # A group is found broken in 1 s, closed in 0.5 s, and open 1 s later.
 MOST_COME_BACK_SHARE = 1 / 3  # Callers wait for a third of the time that they have left.
 
@@ -137,9 +137,7 @@
                 await self._fail(request, progress, sink, "the time left is too short")
                 return
             now_ms = self._clock.monotonic_ms()
-            if (progress.sends or progress.refused) and not self._repeats.take(
-                progress.service.name, now_ms
-            ):
+            if progress.has_arrived and not self._repeats.take(progress.service.name, now_ms):
                 await self._fail(request, progress, sink, "the budget of second sends is used up")
                 return
             outcome = await self._send(request, progress, choice, sink)
@@ -171,8 +169,8 @@
 
     def _may_send_again(self, progress: progresses.Progress, outcome: calls.Outcome) -> bool:
         if outcome in NOT_RUN:
-            progress.refused += 1
-            return progress.refused < MAX_REFUSED
+            progress.not_run += 1
+            return progress.not_run < MAX_NOT_RUN
         return progress.sends < progress.route.attempts and progress.route.is_repeatable
 
     async def _send(
@@ -215,8 +213,9 @@
             self._note_send(request, progress, choice, outcome, reason, now_ms - began_ms)
         if outcome is calls.Outcome.UNREACHED:
             self._book.suspect(upstream.id, self._clock.monotonic_ms())
-        elif outcome is not calls.Outcome.REFUSED:
-            progress.sends += 1
+        else:
+            progress.has_arrived = True
+            progress.sends += outcome is not calls.Outcome.REFUSED
         if outcome is calls.Outcome.LOST:
             progress.may_have_run = True
         progress.reason = reason
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -126,7 +126,7 @@
         self._record: assignments.Assignments | None = None
         self._revision = key_value.ABSENT
         self._blind_until_ms = -BLIND_MS
-        self._ordered_at_ms: dict[tuple[str, str, int], int] = {}
+        self._ordered_at_ms: dict[tuple[str, str, int, bool], int] = {}
         self._pacer = loading.LoadPacer(len(settings.failure_domains))
         self._tasks: set[asyncio.Task[None]] = set()
         self._stepped_at_ms = clock.monotonic_ms()
@@ -360,7 +360,7 @@
     def _give_orders(self, orders: Sequence[plans.Order], facts: dict[str, plans.Fact]) -> None:
         now_ms = self._clock.monotonic_ms()
         for order in orders:
-            key = order.kind, order.upstream_id, order.epoch
+            key = order.key
             if now_ms - self._ordered_at_ms.get(key, -REPEAT_ORDER_MS) < REPEAT_ORDER_MS:
                 continue
             fact = facts.get(order.upstream_id)
@@ -407,8 +407,8 @@
 
     def _repeat_soon(self, order: plans.Order) -> None:
         """Let a refused order be given again once a report can show what it rested on."""
-        key = order.kind, order.upstream_id, order.epoch
-        self._ordered_at_ms[key] = self._clock.monotonic_ms() - REPEAT_ORDER_MS + REPEAT_REFUSED_MS
+        sent_at_ms = self._clock.monotonic_ms() - REPEAT_ORDER_MS
+        self._ordered_at_ms[order.key] = sent_at_ms + REPEAT_REFUSED_MS
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/src/tanagerfork/relay/planner.py
+++ b/src/tanagerfork/relay/planner.py
@@ -39,7 +39,7 @@
     if replaced is not None:
         plan.notes.append(f"dissolve {replaced.group}: its members are needed within a domain")
         kept[kept.index(replaced)] = msgspec.structs.replace(
-            replaced, closing=True, reason="leaving for a group within a fabric domain"
+            replaced, closing=True, reason="for a group within a fabric domain"
         )
     formed = forming.form_groups(situation, kept, epoch, plan)
     plan.record = msgspec.structs.replace(
@@ -112,6 +112,27 @@
     return fact.is_silent or not plans.is_in(fact.mark, assignment)
 
 
+def _stands_still(assignment: assignments.Assignment, facts: Mapping[str, plans.Fact]) -> bool:
+    """Return whether a group cannot finish what it has begun.
+
+    A member that leaves as planned, with or without a word before its entry goes, serves as long
+    as its head has work.
+    """
+    for rank, upstream_id in enumerate(assignment.members):
+        fact = facts.get(upstream_id)
+        if fact is None or fact.is_silent:
+            return True
+        if not fact.is_known:
+            continue
+        if fact.upstream.born_at_ms != assignment.born_at_ms[rank]:
+            return True
+        if not plans.is_in(fact.mark, assignment):
+            return True
+        if fact.mark is not None and fact.mark.state is members.MemberState.BROKEN:
+            return True
+    return False
+
+
 def _find_highest_epoch(facts: Mapping[str, plans.Fact]) -> int:
     return max((fact.mark.epoch for fact in facts.values() if fact.mark), default=0)
 
@@ -126,9 +147,15 @@
             return
         is_out = head.mark.state in plans.OUT_OF_GROUP
         kind = plans.LEAVE if is_out else plans.CLOSE
-        cuts = "leaving" not in assignment.reason
         plan.orders.append(
-            plans.Order(kind, head_id, head_address, assignment.group, assignment.epoch, cuts=cuts)
+            plans.Order(
+                kind,
+                head_id,
+                head_address,
+                assignment.group,
+                assignment.epoch,
+                cuts=_stands_still(assignment, facts),
+            )
         )
         return
     missing = [
--- a/src/tanagerfork/relay/plans.py
+++ b/src/tanagerfork/relay/plans.py
@@ -65,6 +65,11 @@
     members: tuple[str, ...] = ()
     cuts: bool = False
 
+    @property
+    def key(self) -> tuple[str, str, int, bool]:
+        """What makes two orders the same one, given again."""
+        return self.kind, self.upstream_id, self.epoch, self.cuts
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Situation:
--- a/src/tanagerfork/relay/progress.py
+++ b/src/tanagerfork/relay/progress.py
@@ -62,7 +62,8 @@
     last_event_id: str
     fingerprint: str
     sends: int = 0  # Sends that may have run; what an upstream refuses does not count.
-    refused: int = 0  # Sends that reached no upstream or were refused as not run.
+    not_run: int = 0  # Sends that reached no upstream or were refused as not run.
+    has_arrived: bool = False  # Whether it reached an upstream, so that each further one counts.
     may_have_run: bool = False
     avoided: set[str] = dataclasses.field(default_factory=set)
     reason: str = ""
--- a/tests/relay/test_faults.py
+++ b/tests/relay/test_faults.py
@@ -68,6 +68,25 @@
                 if got.status == 503:
                     assert float(got.headers["Retry-After"]) > 0
 
+    async def test_only_what_reached_an_upstream_uses_the_budget(self) -> None:
+        """The rule counts arrivals; an upstream that cannot be reached is none."""
+        for fault, status in ((None, 200), (FAULT.FULL, 503)):
+            async with deployments.deploy(engines=0) as deployed:
+                await deployed.wait_for_rules()
+                repeats = deployed.daemons[0]._repeats
+                while repeats.take(site.PLAIN_SERVICE, deployed.daemons[0].clock.monotonic_ms()):
+                    pass
+                plain = deployed.site.plain
+                if fault is None:
+                    await plain[0].stop()
+                else:
+                    first = [fault]
+                    plain[0].faults = plain[1].faults = first
+                for index in range(4):
+                    got = await deployed.ask(f"/unsafe/{index}", "POST")
+                    if fault is None or index == 0:
+                        assert got.status == status
+
     async def test_refusal_by_all_is_a_promise(self) -> None:
         async with deployments.deploy(engines=0) as deployed:
             await deployed.wait_for_rules()
--- a/tests/relay/test_planner.py
+++ b/tests/relay/test_planner.py
@@ -148,15 +148,17 @@
 
 class TestDissolving:
     @pytest.mark.parametrize(
-        "change, reason",
+        "change, reason, cuts",
         [
-            ({"is_silent": True}, "does not answer"),
-            ({"is_listed": False}, "no longer listed"),
-            ({"leaves": True}, "leaving"),
-            ({"is_reborn": True}, "started anew"),
+            ({"is_silent": True}, "does not answer", True),
+            ({"is_listed": False}, "no longer listed", False),
+            ({"is_listed": False, "is_silent": True}, "no longer listed", True),
+            ({"leaves": True}, "leaving", False),
+            ({"is_reborn": True}, "started anew", True),
         ],
     )
-    def test_lost_member(self, change: dict[str, bool], reason: str) -> None:
+    def test_lost_member(self, change: dict[str, bool], reason: str, cuts: bool) -> None:
+        """Only a group that stands still is cut off; one that a member leaves ends its work."""
         facts = make_facts(2)
         group = make_group(["d0-0", "d0-1"])
         mark_as(facts, group, STATE.OPEN)
@@ -169,7 +171,8 @@
         made = plan(facts, make_record(group))
         assert made.record.groups[0].closing
         assert reason in made.record.groups[0].reason
-        assert ("close", "d0-0") in kinds(made)
+        close = next(order for order in made.orders if order.kind == plans.CLOSE)
+        assert (close.upstream_id, close.cuts) == ("d0-0", cuts)
 
     @pytest.mark.parametrize(
         "head, is_dropped",
