--- a/tools/soak.py
+++ b/tools/soak.py
@@ -29,6 +29,7 @@
 CALLERS = 8
 STEP_S = 0.4  # Time between two faults, so that they overlap with the repairs of earlier ones.
 START_S = 15.0
+WAITED_PATHS = ("/safe/", "/stream/")
 SETTLE_S = 6.0  # All faults are over by then; a request must be served again.
 
 
@@ -220,14 +221,18 @@
         return self.verdict
 
     async def _wait_until_served(self) -> None:
-        served: set[str] = set()
-        async with asyncio.timeout(START_S), aiohttp.ClientSession() as session:
-            while len(served) < 2 * len(self.daemons):
-                for daemon in self.daemons:
-                    for path in ("/safe/", "/stream/"):
-                        if await self._call(session, daemon, path) == 200:
-                            served.add(daemon.name + path)
-                await asyncio.sleep(0.1)
+        missing = {(daemon.name, path) for daemon in self.daemons for path in WAITED_PATHS}
+        try:
+            async with asyncio.timeout(START_S), aiohttp.ClientSession() as session:
+                while missing:
+                    for daemon in self.daemons:
+                        for path in WAITED_PATHS:
+                            if await self._call(session, daemon, path) == 200:
+                                missing.discard((daemon.name, path))
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            ends = {one.name: one.process.returncode for one in self.daemons if one.process}
+            self.verdict.check(False, f"RECOVER: {sorted(missing)} not served, exits {ends}")
 
     async def _call_on(self, stop: asyncio.Event) -> None:
         async with aiohttp.ClientSession() as session:
@@ -389,10 +394,7 @@
     is_broken = False
     for seed in arguments.seeds:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        try:
-            verdict = asyncio.run(Soak(seed, arguments.daemons, folder).run(arguments.seconds))
-        except TimeoutError:
-            verdict = Verdict(["RECOVER: a daemon serves nothing after the faults"])
+        verdict = asyncio.run(Soak(seed, arguments.daemons, folder).run(arguments.seconds))
         is_broken |= bool(verdict.broken)
         word = "broken" if verdict.broken else "kept"
         statuses = dict(sorted(verdict.statuses.items()))
