--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -23,8 +23,6 @@
 MAX_NOT_RUN = 8  # A failure domain that is cut off takes away a third of the groups at once.
 REPAIR_MS = 2500.0  # A group is found broken in 1 s, closed in 0.5 s, and open 1 s later.
 MOST_COME_BACK_SHARE = 1 / 3  # Callers wait for a third of the time that they have left.
-
-
 NOT_RUN = frozenset((calls.Outcome.UNREACHED, calls.Outcome.REFUSED))
 
 
