Build the body of an error in one place

The relay's front built the same record as the callers' listener. It now calls the function that the callers' and operators' listeners call, in a module of its own, so that the relay does not import the chat front for it.

--- a/src/tanagerfork/front/callers.py
+++ b/src/tanagerfork/front/callers.py
@@ -13,7 +13,7 @@
 from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import register
-from tanagerfork.front import attempts, chat, journal, services, sink, teams
+from tanagerfork.front import attempts, chat, error_bodies, journal, services, sink, teams
 from tanagerfork.generated import bundle, callers
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.routing import admission
@@ -262,7 +262,7 @@
             headers["Retry-After"] = str(-(-error.retry_after_ms // 1000))
         return aiohttp.web.Response(
             status=error.status,
-            body=encode_error(error, request_id),
+            body=error_bodies.encode_error(error, request_id),
             content_type="application/json",
             headers=headers,
         )
@@ -271,27 +271,10 @@
         self, error: errors.CallerError, request_id: str, answer: sink.AnswerSink
     ) -> aiohttp.web.StreamResponse:
         self._metrics.count("answers_cut_total", kind=error.kind)
-        event = b"event: error\ndata: " + encode_error(error, request_id) + b"\n\n"
+        event = b"event: error\ndata: " + error_bodies.encode_error(error, request_id) + b"\n\n"
         return await answer.cut(event)
 
 
-def encode_error(error: errors.TanagerforkError, request_id: str) -> bytes:
-    """Return the body of an error.
-
-    :param error: error.
-    :param request_id: request.
-    :return: JSON by the callers' schema.
-    """
-    body = callers.ErrorBody(
-        kind=error.kind,
-        message=error.message,
-        request_id=request_id,
-        retry_after_ms=error.retry_after_ms,
-        ran=error.ran,
-    )
-    return msgspec.json.encode(callers.ErrorAnswer(error=body))
-
-
 def _take_request_id(request: aiohttp.web.Request, made: str) -> str:
     taken = request.headers.get(REQUEST_ID_HEADER)
     if taken is None:
--- a/src/tanagerfork/front/last_resort.py
+++ b/src/tanagerfork/front/last_resort.py
@@ -7,7 +7,7 @@
 from absl import logging
 
 from tanagerfork import errors
-from tanagerfork.front import callers, journal
+from tanagerfork.front import callers, error_bodies, journal
 
 Handler = Callable[[aiohttp.web.Request], Awaitable[aiohttp.web.StreamResponse]]
 
@@ -51,7 +51,7 @@
     request_id = taken if callers.REQUEST_ID_FORM.fullmatch(taken) else uuid.uuid4().hex
     return aiohttp.web.Response(
         status=error.status,
-        body=callers.encode_error(error, request_id),
+        body=error_bodies.encode_error(error, request_id),
         content_type="application/json",
         headers={callers.REQUEST_ID_HEADER: request_id},
     )
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -16,9 +16,8 @@
 from tanagerfork.bundles import document, register
 from tanagerfork.bundles import head as heads
 from tanagerfork.bundles import manifest as manifests
-from tanagerfork.front import callers as callers_front
+from tanagerfork.front import error_bodies, teams
 from tanagerfork.front import journal as journals
-from tanagerfork.front import teams
 from tanagerfork.generated import bundle, events, operators
 from tanagerfork.storage import key_value
 from tanagerfork.timeline import kinds, ring
@@ -271,6 +270,6 @@
 def _refuse(error: errors.TanagerforkError) -> aiohttp.web.Response:
     return aiohttp.web.Response(
         status=error.status,
-        body=callers_front.encode_error(error, ""),
+        body=error_bodies.encode_error(error, ""),
         content_type="application/json",
     )
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -4,12 +4,11 @@
 import contextlib
 
 import aiohttp.web
-import msgspec
 
 from tanagerfork import clock as clocks
 from tanagerfork import decisions, errors
 from tanagerfork import metrics as metric
-from tanagerfork.generated import callers
+from tanagerfork.front import error_bodies
 from tanagerfork.relay import attempts, calls
 
 LOGGER = "relay.front"
@@ -183,18 +182,9 @@
         self, sink: WebSink, facts: calls.CallerFacts | None, error: errors.CallerError
     ) -> None:
         request_id = facts.request_id if facts else ""
-        body = callers.ErrorBody(
-            kind=error.kind,
-            message=error.message,
-            request_id=request_id,
-            retry_after_ms=error.retry_after_ms,
-            ran=error.ran,
-        )
         headers = self._dialect.refuse_headers(request_id, error.retry_after_ms)
         headers.append(JSON_TYPE)
-        await sink.answer(
-            error.status, headers, msgspec.json.encode(callers.ErrorAnswer(error=body))
-        )
+        await sink.answer(error.status, headers, error_bodies.encode_error(error, request_id))
 
     def _note_end(
         self,
