Divide daemons into cohorts in one place, encode a batch once, wire the feed at the root

list_own and list_other_sources each sliced the names; a source encoded each batch twice, once for its size; the peers set the feed's way out in their constructor, over a stand-in that sent nowhere. Loads were kept from going below zero a second time. Behaviour is as before.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -213,7 +213,8 @@
             self._book.suspect(upstream.id, self._clock.monotonic_ms())
         else:
             progress.has_arrived = True
-            progress.sends += outcome is not calls.Outcome.REFUSED
+            if outcome is not calls.Outcome.REFUSED:
+                progress.sends += 1
         if outcome is calls.Outcome.LOST:
             progress.may_have_run = True
         progress.reason = reason
--- a/src/tanagerfork/relay/cohorts.py
+++ b/src/tanagerfork/relay/cohorts.py
@@ -1,5 +1,7 @@
 """Cohorts: daemons of one failure domain that two of them serve with what all need to know."""
 
+from collections.abc import Sequence
+
 from tanagerfork.relay import followers
 
 COHORT = 64  # Links that a source holds open; a fleet of thousands has as many more sources.
@@ -25,9 +27,8 @@
 
     def list_own(self) -> list[str]:
         """Return the daemons of this daemon's cohort in order; the sources come first."""
-        names = sorted(self._directory.list_names(self._failure_domain))
-        start = names.index(self._name) // COHORT * COHORT
-        return names[start : start + COHORT]
+        cohorts = _divide(self._directory.list_names(self._failure_domain))
+        return next(cohort for cohort in cohorts if self._name in cohort)
 
     def is_source(self) -> bool:
         """Return whether this daemon is a source of its cohort."""
@@ -35,14 +36,17 @@
 
     def list_other_sources(self) -> list[str]:
         """Return the sources of all other cohorts."""
-        own = set(self.list_own())
-        by_domain: dict[str, list[str]] = {}
-        for name, record in sorted(self._directory.daemons.items()):
-            by_domain.setdefault(record.failure_domain, []).append(name)
+        domains = sorted({record.failure_domain for record in self._directory.daemons.values()})
         return [
             name
-            for names in by_domain.values()
-            for start in range(0, len(names), COHORT)
-            for name in names[start : start + SOURCES]
-            if name not in own
+            for domain in domains
+            for cohort in _divide(self._directory.list_names(domain))
+            if self._name not in cohort
+            for name in cohort[:SOURCES]
         ]
+
+
+def _divide(names: Sequence[str]) -> list[list[str]]:
+    """Return the daemons of a failure domain by cohorts."""
+    in_order = sorted(names)
+    return [in_order[start : start + COHORT] for start in range(0, len(in_order), COHORT)]
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -141,6 +141,7 @@
         own_cohorts = cohorts.Cohorts(settings.name, settings.failure_domain, self.directory)
         self.feed = feeds.ChangeFeed(
             own_cohorts,
+            lambda batch, names: self.peers.tell_changes(batch, names),
             lambda: self._coordinator.is_holder,
             self.clock,
             self.metrics,
--- a/src/tanagerfork/relay/feeds.py
+++ b/src/tanagerfork/relay/feeds.py
@@ -24,6 +24,7 @@
     """Publishes the changes that this daemon read, and takes in those that others did.
 
     :param own_cohorts: which daemons this one feeds, or is fed with.
+    :param send: sends a batch to daemons.
     :param is_coordinator: whether this daemon coordinates, and so watches the store anyway.
     :param clock: clock to wait on.
     :param metrics: counters.
@@ -42,6 +43,7 @@
     def __init__(
         self,
         own_cohorts: cohorts.Cohorts,
+        send: Callable[[notices.ChangeBatch, list[str]], None],
         is_coordinator: Callable[[], bool],
         clock: clocks.Clock,
         metrics: metric.Metrics,
@@ -54,7 +56,7 @@
             maxlen=KEPT_BATCHES
         )
         self._has_come = asyncio.Event()
-        self.send: Callable[[notices.ChangeBatch, list[str]], None] = _send_nowhere
+        self.send = send
 
     def is_source(self) -> bool:
         """Return whether this daemon watches the store for its cohort."""
@@ -119,10 +121,6 @@
                 continue
 
 
-def _send_nowhere(batch: notices.ChangeBatch, names: list[str]) -> None:
-    """Stand for the peers until they are there."""
-
-
 def _decode(batch: notices.ChangeBatch) -> key_value.Changes:
     written = [
         key_value.Entry(entry.key, base64.b64decode(entry.value), entry.revision)
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -84,7 +84,6 @@
         self._cohorts = own_cohorts
         self._told: dict[str, tuple[int, int]] = {}
         self._feed = feed
-        feed.send = self.tell_changes
         self._clock = clock
         self._rng = rng
         self._log = log
@@ -154,7 +153,7 @@
         cohort: str = "",
     ) -> notices.Notice:
         loads = [
-            notices.OpenLoad(upstream=key, requests=requests, unread_tokens=max(0, tokens))
+            notices.OpenLoad(upstream=key, requests=requests, unread_tokens=tokens)
             for key, (requests, tokens) in told.items()
         ]
         notice = self._make(loads=loads, has_loads=True)
@@ -183,12 +182,13 @@
         :param batch: changes.
         :param names: daemons.
         """
-        notice = self._make(changes=batch)
-        if len(msgspec.msgpack.encode(notice)) > MESSAGE_BYTES:
-            notice.changes = notices.ChangeBatch(  # Those who see the gap ask the store.
+        frame = msgspec.msgpack.encode(self._make(changes=batch))
+        if len(frame) > MESSAGE_BYTES:  # Those who see the gap ask the store.
+            gap = notices.ChangeBatch(
                 after=batch.revision, revision=batch.revision, written=[], removed=[]
             )
-        self._send_to(names, notice)
+            frame = msgspec.msgpack.encode(self._make(changes=gap))
+        self._send_frame(names, frame)
 
     def tell_suspect(self, word: fleets.PoisonNotice) -> None:
         """Tell of a request that was in flight when an upstream crashed.
@@ -232,7 +232,9 @@
         self._send_to(names, notice)
 
     def _send_to(self, names: Sequence[str], notice: notices.Notice) -> None:
-        frame = msgspec.msgpack.encode(notice)
+        self._send_frame(names, msgspec.msgpack.encode(notice))
+
+    def _send_frame(self, names: Sequence[str], frame: bytes) -> None:
         for name in names:
             record = self._directory.daemons.get(name)
             if name != self._name and record is not None and record.address:
--- a/tests/relay/test_feeds.py
+++ b/tests/relay/test_feeds.py
@@ -23,7 +23,9 @@
         directory.daemons[other] = followers.DaemonRecord("a", "127.0.0.1:2")
     directory.daemons["elsewhere"] = followers.DaemonRecord("b", "127.0.0.1:3")
     own_cohorts = cohorts.Cohorts(name, "a", directory)
-    return feeds.ChangeFeed(own_cohorts, lambda: is_coordinator, clock, metric.Metrics())
+    return feeds.ChangeFeed(
+        own_cohorts, lambda batch, names: None, lambda: is_coordinator, clock, metric.Metrics()
+    )
 
 
 def make_batch(after: int, revision: int, *keys: str) -> notices.ChangeBatch:
