--- a/src/tanagerfork/groups/lifecycle.py
+++ b/src/tanagerfork/groups/lifecycle.py
@@ -5,6 +5,7 @@
 
 import transitions
 
+from tanagerfork import lifecycle
 from tanagerfork.groups import presence
 
 FORMING = presence.GroupState.FORMING.value
@@ -71,9 +72,7 @@
         :param trigger: name of the transition.
         :return: whether it was taken.
         """
-        if not getattr(self, f"may_{trigger}")():
-            return False
-        return bool(getattr(self, trigger)())
+        return lifecycle.take_transition(self, trigger)
 
     def _note_missing(self, generation: int, now_ms: int) -> None:
         if self.state in (WHOLE, DRAINING):
--- a/src/tanagerfork/lifecycle.py
+++ b/src/tanagerfork/lifecycle.py
@@ -51,9 +51,19 @@
         :param trigger: name of the transition.
         :return: whether it was taken.
         """
-        if not getattr(self, f"may_{trigger}")():
-            return False
-        return bool(getattr(self, trigger)())
+        return take_transition(self, trigger)
 
     def _tell(self) -> None:
         self._on_change(self.state)
+
+
+def take_transition(model: object, trigger: str) -> bool:
+    """Take a transition of a model of a state machine, if its state allows it.
+
+    :param model: model that the machine has given its triggers.
+    :param trigger: name of the transition.
+    :return: whether it was taken.
+    """
+    if not getattr(model, f"may_{trigger}")():
+        return False
+    return bool(getattr(model, trigger)())
