Say that the outcome is unknown where the record of a key was not read

Cause: a re-send of an Idempotency-Key whose record could not be read before the deadline, or while the store was away, got not_run. That attempt does not run, but an earlier one under the key may have, and only the record tells; a caller who believes the answer and uses a new key records its pressing twice. test_daemon_crash_after_the_first_byte showed it on a busy machine: its deadline of 300 ms passed before the claim was answered. Now outcome_unknown, with the time to come back, as a re-send under the same key is safe.

Tests: new, a key that ran is sent again while the store is away or slow, from a daemon that has read the watermark and from one that has not (not_run in all four before). Seven expectations of not_run for a key whose record was not read were wrong for the same reason: they expect outcome_unknown now, and as before that nothing ran and that the key can be claimed later. Ruled out: load as the only cause (the same answer follows from a slow store on an idle machine).

--- a/src/tanagerfork/claims/book.py
+++ b/src/tanagerfork/claims/book.py
@@ -140,7 +140,8 @@
         while True:
             checked = await self._watermark.check(location)
             if isinstance(checked, result.Err):
-                return checked
+                is_unread = isinstance(checked.err_value, errors.NotRun)
+                return result.Err(_make_unread_error() if is_unread else checked.err_value)
             requested = self._make_record(location, request)
             call = claims.ClaimCall(shard=location.shard, record=requested)
             replied = await self._submit_until(call, deadline_at_ms)
@@ -252,8 +253,7 @@
         if not isinstance(error, errors.PlatformUnavailable):
             # The write of the claim may still take effect, so record that the attempt never ran.
             self.settle(granted, Outcome("not_run"))
-        message = "the key-value service did not confirm the claim; send the same key again later"
-        return result.Err(errors.NotRun(message, RETRY_AFTER_MS))
+        return result.Err(_make_unread_error())
 
     async def _wait_for_outcome(
         self, shard: str, record: claims.ClaimRecord, deadline_at_ms: int
@@ -308,6 +308,18 @@
         self._metrics.count("claims_left_unsettled_total")
 
 
+def _make_unread_error() -> errors.OutcomeUnknown:
+    """Return the error for a key whose record could not be read.
+
+    This attempt never runs, but only the record tells whether an earlier one under the key has.
+    """
+    message = (
+        "the record of the key could not be read; this attempt does not run, an earlier one under "
+        "the key may have: send the same key again later"
+    )
+    return errors.OutcomeUnknown(message, RETRY_AFTER_MS)
+
+
 def _describe_refusal(reply: claims.ClaimReply) -> errors.CallerError:
     if reply.verdict == "full":
         message = (
