Wait for a port that is taken, and be ready as soon as a bundle is in force

Cause 2: readiness was set by a task each 100 ms, so that a daemon with a bundle and whole groups could answer 503 to /readyz (seen once in tests/test_daemon.py). The register tells the daemon now. Both tests failed before. test_requests_avoid_its_head took longer than the 4 s for which a refusal counts when the machine was busy: with 350 ms between its requests the old test's head gets two (run by hand), so the test holds that time now; same bound.

--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -11,7 +11,7 @@
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import lifecycle, logs
+from tanagerfork import lifecycle, logs, ports
 from tanagerfork import measures as measure
 from tanagerfork import metrics as metric
 from tanagerfork import settings as settings_files
@@ -72,6 +72,7 @@
         )
         self.lifecycle = lifecycle.Lifecycle(self._record_state)
         self.bundles = register.BundleRegister(settings.operator_keys)
+        self.bundles.subscribe(lambda in_force: self._update_readiness())
         self.groups = directory.GroupDirectory(presence.Presence(settings.groups.presence_ttl_ms))
         self.groups.subscribe(functools.partial(changes.record_change, self.timeline))
         self.groups.subscribe_layouts(self._observe_layout_time)
@@ -243,7 +244,12 @@
             certificate,
         )
         self._listeners.append(opened)
-        return await opened.start()
+        return await ports.open_port(
+            f"{listener_settings.host}:{listener_settings.port}",
+            opened.start,
+            self.clock,
+            lambda reason: self.timeline.record(kinds.EventKind.PORT_TAKEN, reason),
+        )
 
     def _start_tasks(self) -> None:
         bundle_follower = follower.BundleFollower(
@@ -333,12 +339,15 @@
 
     async def _update_periodically(self) -> None:
         while True:
-            is_ready = self.bundles.current is not None
-            self.lifecycle.apply("become_ready" if is_ready else "lose_readiness")
+            self._update_readiness()
             self._update_measures()
             self.journal.refusals.flush(self.clock.monotonic_ms())
             await self.clock.sleep_ms(READINESS_INTERVAL_MS)
 
+    def _update_readiness(self) -> None:
+        is_ready = self.bundles.current is not None
+        self.lifecycle.apply("become_ready" if is_ready else "lose_readiness")
+
     def _update_measures(self) -> None:
         in_force = self.bundles.current
         models = in_force.bundle.models if in_force else ()
--- a/src/tanagerfork/front/listener.py
+++ b/src/tanagerfork/front/listener.py
@@ -130,11 +130,13 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> int:
-        """Open the port.
+        """Open the port; may be called again after it was found taken.
 
         :return: the bound port.
+        :raises OSError: the address cannot be bound.
         """
-        await self._runner.setup()
+        if self._runner.server is None:
+            await self._runner.setup()
         self._server = await asyncio.get_running_loop().create_server(
             self._make_protocol,
             self._host,
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -5,19 +5,20 @@
 import pathlib
 import random
 import traceback
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 import aiohttp
 import aiohttp.web
 
 from tanagerfork import clock as clocks
-from tanagerfork import decisions, errors, lifecycle
+from tanagerfork import decisions, errors, lifecycle, ports
 from tanagerfork import metrics as metric
 from tanagerfork import settings as settings_files
 from tanagerfork.front import listener
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.groups import lease
+from tanagerfork.peers import link
 from tanagerfork.platform import config, entries, headers, runners
 from tanagerfork.platform import store as stores
 from tanagerfork.relay import (
@@ -53,6 +54,8 @@
 TASK_RESTART_DELAY_MS = 500
 TRACE_FRAMES = -4  # The innermost frames; more do not fit into a log line.
 
+T = TypeVar("T")
+
 
 class RelayDaemon:
     """One relay daemon: the composition root.
@@ -83,7 +86,10 @@
         self.callers_port = 0
 
     async def start(self) -> None:
-        """Open the listeners and start the background tasks."""
+        """Open the listeners and start the background tasks.
+
+        :raises SettingsError: a listener's address cannot be bound.
+        """
         settings = self.settings
         self.log.note(LOGGER, "start", failure_domain=settings.failure_domain)
         self._session = aiohttp.ClientSession(
@@ -148,7 +154,7 @@
         )
         self.peers = peers.Peers(
             settings.name,
-            settings.peers,
+            await self._open_port(settings.peers, self._open_inbox),
             self.directory,
             self.register,
             self.book,
@@ -238,7 +244,21 @@
             idle_s=CALLER_IDLE_TIMEOUT_S,
         )
         self._listeners.append(http_listener)
-        return await http_listener.start()
+        return await self._open_port(address, http_listener.start)
+
+    async def _open_inbox(self) -> link.Inbox:
+        host, _, port = self.settings.peers.rpartition(":")
+        return link.Inbox(host, int(port), peers.MAX_NOTICE_BYTES)
+
+    async def _open_port(self, address: str, listen: Callable[[], Awaitable[T]]) -> T:
+        return await ports.open_port(
+            address,
+            listen,
+            self.clock,
+            lambda reason: self.log.note(
+                LOGGER, "port is taken, trying again", address=address, reason=reason
+            ),
+        )
 
     def _start_tasks(self) -> None:
         key_followers: list[followers.KeyFollower] = [
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -31,7 +31,7 @@
     """Sends and receives notices.
 
     :param name: name of this daemon.
-    :param address: IP address and port to listen on.
+    :param inbox: receives notices; closed with this object.
     :param directory: list of daemons.
     :param register: rules in force.
     :param book: loads of the upstreams.
@@ -64,7 +64,7 @@
     def __init__(
         self,
         name: str,
-        address: str,
+        inbox: link.Inbox,
         directory: followers.DaemonDirectory,
         register: rules.RulesRegister,
         book: loads.LoadBook,
@@ -88,8 +88,7 @@
         self._rng = rng
         self._log = log
         self._metrics = metrics
-        host, _, port = address.rpartition(":")
-        self._inbox = link.Inbox(host, int(port), MAX_NOTICE_BYTES)
+        self._inbox = inbox
         self._links = link.LinkTable(2 * FANOUT + cohorts.COHORT_SIZE, clock, rng, metrics)
 
     @property
--- a/src/tanagerfork/relay/program.py
+++ b/src/tanagerfork/relay/program.py
@@ -41,14 +41,14 @@
 
 
 def main() -> None:
-    """Load the settings and run the daemon; exit with 2 if the settings are invalid."""
+    """Load the settings and run the daemon; exit with 2 if they are invalid or a port is taken."""
     path = environment.find_settings()
     try:
         loaded = settings_files.load_record(path, settings_records.RelaySettings)
+        asyncio.run(serve(loaded, path, decisions.DescriptorWriter(STANDARD_OUTPUT)))
     except errors.SettingsError as error:
         print(msgspec.json.encode({"logger": "relay.program", "error": error.message}).decode())
         sys.exit(USAGE_STATUS)
-    asyncio.run(serve(loaded, path, decisions.DescriptorWriter(STANDARD_OUTPUT)))
 
 
 if __name__ == "__main__":
--- a/src/tanagerfork/timeline/kinds.py
+++ b/src/tanagerfork/timeline/kinds.py
@@ -7,6 +7,7 @@
     """Kind of an event; the part before the dot is its subject."""
 
     DAEMON_STATE = "daemon.state"
+    PORT_TAKEN = "daemon.port_taken"
     BUNDLE_ACCEPTED = "bundle.accepted"
     BUNDLE_REFUSED = "bundle.refused"
     GROUP_FORMED = "group.formed"
--- a/tests/relay/test_faults.py
+++ b/tests/relay/test_faults.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tanagerfork.relay import loads
 from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
@@ -135,7 +136,9 @@
 class TestClosedGroup:
     """A head refuses requests once its group is closed, before the list shows it."""
 
-    async def test_requests_avoid_its_head(self) -> None:
+    async def test_requests_avoid_its_head(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        # The refusal counts throughout the test, however long its 20 requests take.
+        monkeypatch.setattr(loads, "CLOSED_TTL_MS", 3_600_000)
         async with deployments.deploy(engines=6) as deployed:
             await deployed.wait_until(
                 lambda: len(deployed.daemons[0].view.list_groups(site.ENGINE_SERVICE, "")) == 2,
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import pathlib
+import socket
 import sys
 
+from tests.relay import deployments
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 # Runs the start script with a stand-in for the program that sends itself SIGHUP.
 SIGNALLED_START = """
@@ -28,3 +31,16 @@
         )
         output, _ = await process.communicate()
         assert (process.returncode, output) == (0, b"started\n")
+
+
+class TestTakenPort:
+    async def test_daemon_serves_once_its_port_is_released(self) -> None:
+        async with deployments.deploy(engines=0) as deployed:
+            with socket.create_server(("127.0.0.1", 0)) as holder:
+                address = f"127.0.0.1:{holder.getsockname()[1]}"
+                starting = asyncio.create_task(deployed.add_daemon(callers=address))
+                await deployed.wait_until(
+                    lambda: deployed.log.find("port is taken", address), "a taken port"
+                )
+            daemon = await starting
+            assert f"127.0.0.1:{daemon.callers_port}" == address
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -6,6 +6,7 @@
 import pytest
 import yarl
 
+from tanagerfork import daemon as daemons
 from tanagerfork.generated import events
 from tanagerfork.timeline import kinds, merge
 from tanagerfork_standins import listener
@@ -165,6 +166,11 @@
 
 
 class TestOperatorsListener:
+    async def test_daemon_is_ready_as_soon_as_a_bundle_is_in_force(self, monkeypatch):
+        monkeypatch.setattr(daemons, "READINESS_INTERVAL_MS", 3_600_000)
+        async with sites.run_site(groups=1, vms=4) as running:
+            assert await get_page(running, "/readyz") == (200, "serving\n")
+
     async def test_health_readiness_and_metrics(self):
         async with sites.run_site(groups=1, vms=4) as running:
             assert await get_page(running, "/healthz") == (200, "ok\n")
