Keep free upstreams for the group within their fabric domain, and fewer spares

They wait now, and one such group closes at a time. One spare for 16 upstreams, at least one; what groups leave over stays spare too (3 of 27, 5 of 37, 3 of 19, 2 of 11 and 8).

--- a/src/tanagerfork/relay/forming.py
+++ b/src/tanagerfork/relay/forming.py
@@ -1,12 +1,13 @@
 """Forming: chooses the upstreams that form groups, and the models that the groups run."""
 
-import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from tanagerfork.generated import assignments
 from tanagerfork.relay import plans, rules
 
-UPSTREAMS_PER_SPARE = 8  # In each fabric domain, once each model has a group there.
+# In each fabric domain, at least one spare, once each model has a group there. More of them would
+# keep a whole group from forming, and from forming again after the loss of one member.
+UPSTREAMS_PER_SPARE = 16
 STAGED_COST = 1
 LOADED_COST = 0
 UNSTAGED_COST = 10
@@ -15,6 +16,7 @@
 # the weight store takes longer than a lost upstream is away.
 COVERED_SHARE = 0.75
 CROSS_DOMAIN = ""  # Fabric domain of a group whose members are in several ones.
+REPLACED = "for a group within a fabric domain"  # Why a group across fabric domains closes.
 
 
 def form_groups(
@@ -35,13 +37,14 @@
         return []
     free, usable_counts = find_free(situation, kept)
     service_groups = [group for group in kept if group.service == situation.service.name]
+    awaited = _find_awaited_domains(situation, free, usable_counts, service_groups)
     formed: list[assignments.Assignment] = []
     # Once requests are served, a load takes ten times as long; staging loads ahead of need then,
     # so that no group waits for it.
     loads_left = 0 if situation.record.has_served else situation.max_loads
     while True:
         chosen = _choose_next(
-            situation, engine, free, usable_counts, [*service_groups, *formed], loads_left
+            situation, engine, free, usable_counts, [*service_groups, *formed], loads_left, awaited
         )
         if chosen is None:
             return formed
@@ -109,8 +112,12 @@
     usable_counts: Mapping[str, int],
     groups: Sequence[assignments.Assignment],
     loads_left: int,
+    awaited: Collection[str],
 ) -> tuple[rules.ModelSpec, str, list[plans.UpstreamStatus]] | None:
-    """Return the group to form next, preferably of the model furthest below its share."""
+    """Return the group to form next, preferably of the model furthest below its share.
+
+    Free upstreams of an awaited fabric domain join no group across fabric domains.
+    """
     for rank, model in enumerate(
         sorted(engine.models, key=lambda spec: measure_model_coverage(situation, spec, groups))
     ):
@@ -118,7 +125,8 @@
         loads_allowed = loads_left if rank == 0 else 0
         chosen = _choose_in_domain(engine, model, free, usable_counts, groups, loads_allowed)
         if chosen is None and situation.is_settled:
-            chosen = _choose_cross_domain(situation, engine, model, free, usable_counts, groups)
+            others = {domain: found for domain, found in free.items() if domain not in awaited}
+            chosen = _choose_cross_domain(situation, engine, model, others, usable_counts, groups)
         if chosen is not None:
             return model, *chosen
         if not situation.is_settled:
@@ -216,7 +224,8 @@
     :param usable_count: usable upstreams of the fabric domain.
     :param smallest_set: upstreams that one group of each model takes.
     """
-    return max(0, min(math.ceil(usable_count / UPSTREAMS_PER_SPARE), usable_count - smallest_set))
+    wanted = max(1, usable_count // UPSTREAMS_PER_SPARE)
+    return max(0, min(wanted, usable_count - smallest_set))
 
 
 def measure_model_coverage(
@@ -270,33 +279,67 @@
     :param groups: assignments of the service.
     :return: the group to close, None where there is none.
     """
-    engine = situation.service.engine
-    if engine is None:
+    if any(group.closing and group.reason == REPLACED for group in groups):
         return None
     free, usable_counts = find_free(situation, groups)
     for group in groups:
-        model = engine.find_model(group.model)
-        if group.fabric_domain != CROSS_DOMAIN or group.closing or model is None:
-            continue
-        if not _may_close(group, situation):
+        if group.fabric_domain != CROSS_DOMAIN or group.closing:
             continue
-        for domain, statuses in free.items():
-            holding = sum(status.holds(model.name) for status in statuses)
-            members = [situation.statuses.get(member) for member in group.members]
-            in_domain = sum(
-                status is not None and status.upstream.fabric_domain == domain for status in members
-            )
-            needed = _count_needed(engine, model, domain, usable_counts, groups)
-            can_form = holding >= model.group_size and len(statuses) >= needed
-            if (
-                not can_form
-                and holding + in_domain >= model.group_size
-                and len(statuses) + in_domain >= needed
-            ):
-                return group
+        if _may_close(group, situation) and _find_completed_domain(
+            group, situation, free, usable_counts, groups
+        ):
+            return group
     return None
 
 
+def _find_awaited_domains(
+    situation: plans.Situation,
+    free: Mapping[str, list[plans.UpstreamStatus]],
+    usable_counts: Mapping[str, int],
+    groups: Sequence[assignments.Assignment],
+) -> set[str]:
+    """Return the fabric domains that form a group once one across fabric domains has closed.
+
+    Without them, the free upstreams there would join the next group across fabric domains, which
+    would be replaced in turn, and so on without end.
+    """
+    awaited = (
+        _find_completed_domain(group, situation, free, usable_counts, groups)
+        for group in groups
+        if group.closing and group.reason == REPLACED
+    )
+    return {domain for domain in awaited if domain}
+
+
+def _find_completed_domain(
+    group: assignments.Assignment,
+    situation: plans.Situation,
+    free: Mapping[str, list[plans.UpstreamStatus]],
+    usable_counts: Mapping[str, int],
+    groups: Sequence[assignments.Assignment],
+) -> str:
+    """Return the fabric domain that forms a group only with members of one across domains."""
+    engine = situation.service.engine
+    model = engine.find_model(group.model) if engine else None
+    if engine is None or model is None:
+        return ""
+    for domain, statuses in free.items():
+        holding = sum(status.holds(model.name) for status in statuses)
+        members = [situation.statuses.get(member) for member in group.members]
+        in_domain = sum(
+            status is not None and status.upstream.fabric_domain == domain for status in members
+        )
+        needed = _count_needed(engine, model, domain, usable_counts, groups)
+        can_form = holding >= model.group_size and len(statuses) >= needed
+        if (
+            not can_form
+            and holding + in_domain >= model.group_size
+            and len(statuses) + in_domain >= needed
+        ):
+            return domain
+    return ""
+
+
 def _may_close(group: assignments.Assignment, situation: plans.Situation) -> bool:
     """Return whether other groups of the model serve while one across fabric domains closes.
 
--- a/src/tanagerfork/relay/planner.py
+++ b/src/tanagerfork/relay/planner.py
@@ -40,7 +40,7 @@
     if replaced is not None:
         plan.notes.append(f"dissolve {replaced.group}: its members are needed within a domain")
         kept[kept.index(replaced)] = msgspec.structs.replace(
-            replaced, closing=True, reason="for a group within a fabric domain"
+            replaced, closing=True, reason=forming.REPLACED
         )
     formed = forming.form_groups(situation, kept, epoch, plan)
     plan.record = msgspec.structs.replace(
--- a/tests/relay/test_planner.py
+++ b/tests/relay/test_planner.py
@@ -112,6 +112,23 @@
     def test_model_furthest_below_its_share_waits_while_upstreams_appear(self) -> None:
         assert not plan(make_statuses(2), make_record(), is_settled=False).record.groups
 
+    @pytest.mark.parametrize("lost", [0, 1, 2])
+    def test_domain_of_27_holds_three_groups_of_12_and_6(self, lost: int) -> None:
+        """A ninth of the upstreams is left over, which leaves spares also after two losses."""
+        engine = dataclasses.replace(
+            ENGINE,
+            models=(
+                dataclasses.replace(LARGE, group_size=12, share=0.5),
+                dataclasses.replace(SMALL, group_size=6, share=0.5),
+            ),
+        )
+        service = rules.Service("writer", 100, engine)
+        situation = plans.Situation(
+            service, make_statuses(27 - lost), make_record(has_served=False), 100
+        )
+        made = planner.make_plan(situation)
+        assert sorted(group.model for group in made.record.groups) == ["large", "small", "small"]
+
     def test_upstreams_with_the_weights_are_preferred(self) -> None:
         statuses = make_statuses(4) | {
             f"z{index}": make_status(f"z{index}", staged=("small",)) for index in range(2)
@@ -297,6 +314,28 @@
         )
         assert made.record.groups == [*in_domain, cross_domain]
 
+    def test_free_upstreams_wait_for_the_group_within_their_domain(self) -> None:
+        """They form no other group across fabric domains, which would be replaced in turn."""
+        statuses = {
+            name: make_status(name, domain, ("large",))
+            for name, domain in [
+                *((f"a{index}", "d0") for index in range(2)),
+                *((f"b{index}", "d1") for index in range(2)),
+                *((f"free-a{index}", "d0") for index in range(2)),
+                *((f"free-b{index}", "d1") for index in range(2)),
+            ]
+        }
+        group = make_group(["a0", "a1", "b0", "b1"], model="large")
+        group = msgspec.structs.replace(group, fabric_domain=forming.CROSS_DOMAIN)
+        set_memberships(statuses, group, STATE.OPEN)
+        others = (make_open_group("b-1", LARGE),)
+        record = plan(statuses, make_record(group), open_groups=others).record
+        assert [made.closing for made in record.groups] == [True]
+        for name in group.members:
+            statuses[name] = dataclasses.replace(statuses[name], membership=None)
+        record = plan(statuses, record, open_groups=others).record
+        assert sorted(made.fabric_domain for made in record.groups) == ["d0", "d1"]
+
     def test_it_stays_where_its_members_complete_no_group(self) -> None:
         statuses = {
             "a": make_status("a", "d0", ("small",)),
