Refuse at once what would only make others late; tokens of an event by the configuration

Answers bursts and lost groups. Change: a full group takes another request only while its queue leaves 0.8 of the service's shortest goal (0.4 for a request that is late already); otherwise 503 at once with a Retry-After drawn between half and all of a third of its time. The own prompt is not counted, so that long prompts are refused no more often. All groups are looked at before a refusal; a free slot is always used.

--- a/bench/player.py
+++ b/bench/player.py
@@ -13,14 +13,16 @@
 
 from hdrh import histogram
 
-from tanagerfork.relay import calls, fleet, loads, members, placing, rules
+from tanagerfork.relay import admission, calls, fleet, loads, members, placing, rules
 
 SMALL = rules.ModelSpec("small", 2, 0.33, 0.6, 12.0, 1.1)
-ENGINE = rules.EngineSpec((SMALL,), 13, 700_000, 6.07, 0.482, 0.01, 46_000, 116, 300, 4, 6, 4)
+ENGINE = rules.EngineSpec(
+    (SMALL,), 13, 700_000, 6.07, 0.482, 0.01, 46_000, 116, 300, 4, 6, 4, event_tokens=5
+)
 CHUNK_TOKENS = 2048
-EVENT_TOKENS = 5
 NOTE_PROMPT_TOKENS, NOTE_EVENTS = 674, 27
 GOAL_MS, GAP_GOAL_MS = 300, 200
+RETURN_AFTER_MS = (1000, 2000)  # A caller comes back once after it was refused.
 PEER_INTERVAL_MS = 300
 HISTOGRAM_LIMIT_MS = 60_000
 
@@ -66,7 +68,7 @@
         writing = sum(not request.unread for request in self.running)
         reading_ms = (CHUNK_TOKENS - room) / ENGINE.read_tokens_per_s * 1000
         step_ms = ENGINE.step_ms + ENGINE.sequence_step_ms * writing
-        return self.pace * (reading_ms + EVENT_TOKENS * step_ms)
+        return self.pace * (reading_ms + ENGINE.event_tokens * step_ms)
 
     def end_pass(self, now_ms: float) -> list[Request]:
         """Emit an event of each generating request; return the finished requests."""
@@ -87,20 +89,26 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Load:
-    """Parameters of a load; `slow_pace` is the slowdown factor of the first group."""
+    """Parameters of a load.
+
+    `slow_pace` is the slowdown factor of the first group, `burst` the factor on the arrivals
+    between a quarter and three quarters of the time.
+    """
 
     groups: int = 6
     daemons: int = 20
     per_s: float = 42.5
     length_ms: float = 30_000
     slow_pace: float = 1.0
+    burst: float = 1.0
 
 
 class Player:
     """Simulates one load under one policy.
 
     :param load: parameters of the load.
-    :param policy: "expected", "own" (without peers) or "turns" (round robin).
+    :param policy: "admitted" (refuses in overload), "expected" (does not), "own" (without peers)
+        or "turns" (round robin).
     :param seed: seed of arrivals and choices.
     """
 
@@ -118,13 +126,15 @@
         ]
         self.turns = [self.rng.randrange(load.groups) for _ in range(load.daemons)]
         self.done: list[Request] = []
+        self.refused_count = 0  # Refused for good, when they came back.
         self._scheduled: list[tuple[float, int, str, int]] = []
         self._scheduled_count = 0
+        self._returning: dict[int, Request] = {}
 
     def play(self) -> "Player":
         """Run the load to its end and return this player."""
         at_ms = 0.0
-        while (at_ms := at_ms + self.rng.expovariate(self.load.per_s / 1000)) < self.load.length_ms:
+        while (at_ms := at_ms + self._draw_interval_ms(at_ms)) < self.load.length_ms:
             self._schedule(at_ms, "arrive", self.rng.randrange(self.load.daemons))
         for number in range(int(self.load.length_ms / PEER_INTERVAL_MS)):
             self._schedule(number * PEER_INTERVAL_MS, "tell", 0)
@@ -134,8 +144,13 @@
         return self
 
     def share_in_goal(self) -> float:
-        """Return the share of requests that met their goals."""
-        return sum(request.is_in_goal for request in self.done) / len(self.done)
+        """Return the share of all requests that met their goals."""
+        count = len(self.done) + self.refused_count
+        return sum(request.is_in_goal for request in self.done) / count
+
+    def share_served(self) -> float:
+        """Return the share of all requests that were answered, in time or late."""
+        return len(self.done) / (len(self.done) + self.refused_count)
 
     def measure_first_ms(self, percentile: float) -> float:
         """Return a percentile of the time to the first event, in milliseconds."""
@@ -150,24 +165,49 @@
         self._scheduled_count += 1
         heapq.heappush(self._scheduled, (at_ms, self._scheduled_count, kind, index))
 
+    def _draw_interval_ms(self, at_ms: float) -> float:
+        is_burst = 0.25 <= at_ms / self.load.length_ms < 0.75
+        return self.rng.expovariate(self.load.per_s * (self.load.burst if is_burst else 1) / 1000)
+
     def _arrive(self, now_ms: float, daemon: int) -> None:
         prompt = max(20, int(self.rng.lognormvariate(6.2, 0.75)))
         events = max(1, int(self.rng.lognormvariate(3.05, 0.65)))
-        request = Request(now_ms, daemon, prompt, prompt, min(events, 67))
-        index = self._choose(daemon, prompt, now_ms)
+        self._send(Request(now_ms, daemon, prompt, prompt, min(events, 67)), now_ms)
+
+    def _return(self, now_ms: float, index: int) -> None:
+        self._send(self._returning.pop(index), now_ms)
+
+    def _send(self, request: Request, now_ms: float) -> None:
+        index = self._choose(request, now_ms)
+        if index is None and now_ms > request.arrived_ms:
+            self.refused_count += 1
+            return
+        if index is None:
+            number = self._scheduled_count
+            self._returning[number] = request
+            self._schedule(now_ms + self.rng.uniform(*RETURN_AFTER_MS), "return", number)
+            return
         group = self.groups[index]
-        self.books[daemon].begin(group.view.head.id, prompt)
+        self.books[request.daemon].begin(group.view.head.id, request.prompt)
         group.waiting.append(request)
         if not group.is_busy:
             self._begin(now_ms, index)
 
-    def _choose(self, daemon: int, prompt: int, now_ms: float) -> int:
+    def _choose(self, request: Request, now_ms: float) -> int | None:
+        daemon = request.daemon
         if self.policy == "turns":
             self.turns[daemon] = (self.turns[daemon] + 1) % self.load.groups
             return self.turns[daemon]
         views = [group.view for group in self.groups]
-        choice = self.placers[daemon].choose_group(views, ENGINE, prompt, (), now_ms)
+        arrival = admission.Arrival(
+            GOAL_MS, now_ms - request.arrived_ms, must_continue=self.policy != "admitted"
+        )
+        choice = self.placers[daemon].choose_group(
+            views, ENGINE, request.prompt, (), now_ms, admission.compute_wait_limit_ms(arrival)
+        )
         assert choice is not None
+        if not choice.is_admitted:
+            return None
         return next(n for n, view in enumerate(views) if view.head is choice.upstream)
 
     def _begin(self, now_ms: float, index: int) -> None:
@@ -192,7 +232,7 @@
         self._begin(now_ms, index)
 
     def _tell(self, now_ms: float, index: int) -> None:
-        if self.policy != "expected":
+        if self.policy not in ("expected", "admitted"):
             return
         told = [
             {key: (requests, tokens) for key, requests, tokens in book.list_open()}
@@ -223,18 +263,18 @@
     for policy in policies:
         played = Player(load, policy, seed).play()
         print(
-            f"{load.groups} groups, slow x{load.slow_pace:g}, seed {seed}, {policy:9}"
-            f" in goal {played.share_in_goal():.3f}"
+            f"{load.groups} groups, slow x{load.slow_pace:g}, burst x{load.burst:g}, seed {seed},"
+            f" {policy:9} in goal {played.share_in_goal():.3f} served {played.share_served():.3f}"
             f" first event p50 {played.measure_first_ms(50):.0f} ms"
             f" p95 {played.measure_first_ms(95):.0f} ms"
         )
 
 
 def main() -> None:
-    """Print the tables of the usual load, the load after losses, and a straggler."""
+    """Print the tables of the usual load, the load after losses, a straggler and a burst."""
     seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
-    for load in (Load(), Load(groups=4), Load(slow_pace=3.0)):
-        print_table(load, ("turns", "own", "expected"), seed)
+    for load in (Load(), Load(groups=4), Load(slow_pace=3.0), Load(burst=2.0)):
+        print_table(load, ("turns", "own", "expected", "admitted"), seed)
 
 
 if __name__ == "__main__":
--- a/src/tanagerfork/platform/config.py
+++ b/src/tanagerfork/platform/config.py
@@ -50,7 +50,10 @@
 
 
 class _Engine(msgspec.Struct):
-    """The platform's format mixes snake case and camel case in these names."""
+    """The platform's format mixes snake case and camel case in these names.
+
+    `stride` is the number of steps, and so of tokens, between two events of a stream.
+    """
 
     slots: int = 1
     kv_capacity: int = msgspec.field(default=0, name="kvCapacity")
@@ -64,6 +67,7 @@
     loads_per_s: float = msgspec.field(default=1.0, name="loadsPerS")
     loads_at_once: int = 1
     far_x: float = 1.0
+    stride: int = 1
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -172,5 +176,6 @@
         loads_per_s=engine.loads_per_s,
         loads_at_once=engine.loads_at_once,
         cross_domain_factor=engine.far_x,
+        event_tokens=engine.stride,
     )
     return rules.Service(service.name, service.max_conns, spec)
--- /dev/null
+++ b/src/tanagerfork/relay/admission.py
@@ -0,0 +1,53 @@
+"""Admission: refuses a request at once where it could only make others late.
+
+Answers bursts and lost groups, when more requests arrive than the groups of a model can begin in
+time. Were all of them sent, the queues at the groups would grow until every answer is late. A full
+group therefore gets no further request once its queue uses up the goal; the caller is told when to
+come back. Requests that are late already are sent while the queue is shorter, so that they take
+no place from requests that can still be in time.
+"""
+
+import dataclasses
+
+GOAL_SHARE = 0.8  # Of the goal that a queue may use; estimates are off by about a fifth.
+LATE_GOAL_SHARE = 0.4  # The same for a request that is late already.
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Arrival:
+    """What the decision needs to know of a request.
+
+    :param goal_ms: shortest goal for the first event among the routes of the service, so that all
+        of them are refused alike.
+    :param waited_ms: time since the caller's first attempt, as far as its deadline tells.
+    :param must_continue: whether the request was sent before or resumes a stream.
+    """
+
+    goal_ms: float
+    waited_ms: float
+    must_continue: bool
+
+
+def compute_wait_limit_ms(arrival: Arrival) -> float:
+    """Return how long a request may wait at a full group, without the time to read its own prompt.
+
+    The own prompt is left out, so that long prompts are not refused more often than short ones.
+
+    :param arrival: request.
+    :return: limit in milliseconds; infinite for a request that must go on.
+    """
+    if arrival.must_continue:
+        return float("inf")
+    is_late = arrival.waited_ms >= arrival.goal_ms
+    return arrival.goal_ms * (LATE_GOAL_SHARE if is_late else GOAL_SHARE)
+
+
+def is_admitted(wait_ms: float, requests: float, slots: int, limit_ms: float) -> bool:
+    """Return whether a request is sent to the group with the shortest wait.
+
+    :param wait_ms: expected time to the first event there, without reading the own prompt.
+    :param requests: estimated number of requests that the group has.
+    :param slots: requests that the group runs at once.
+    :param limit_ms: longest wait; see `compute_wait_limit_ms`.
+    """
+    return requests < slots or wait_ms <= limit_ms
--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -1,6 +1,7 @@
 """Sends a caller's request to one upstream after another until one answers or it must stop."""
 
 import asyncio
+import random
 
 import result
 
@@ -8,6 +9,7 @@
 from tanagerfork import decisions, errors
 from tanagerfork import metrics as metric
 from tanagerfork.relay import (
+    admission,
     budget,
     calls,
     crashes,
@@ -23,6 +25,7 @@
 MAX_NOT_RUN_SENDS = 8  # A failure domain that is cut off takes a third of the groups with it.
 GROUP_REPAIR_MS = 2500.0  # Finding a group broken takes 1 s, closing it 0.5 s, reopening it 1 s.
 MAX_RETRY_AFTER_SHARE = 1 / 3  # Bounds Retry-After by the time that is left.
+RETURN_SPREAD = (0.5, 1.0)  # Of the longest Retry-After, for callers that an overload turns away.
 NOT_RUN = frozenset((calls.Outcome.UNREACHED, calls.Outcome.REFUSED))
 
 
@@ -39,9 +42,11 @@
     :param log: decision log.
     :param metrics: counters.
     :param crash_watch: detects requests that crash upstreams.
+    :param rng: spreads the callers that come back.
     """
 
     __slots__ = (
+        "_rng",
         "_register",
         "_view",
         "_book",
@@ -66,7 +71,9 @@
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
         crash_watch: crashes.CrashWatch,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._crash_watch = crash_watch
         self._register = register
         self._view = view
@@ -123,6 +130,7 @@
             service=service,
             team=team.name if team else "",
             deadline_at_ms=request.arrived_at_ms + limit_ms,
+            goal_ms=in_force.find_goal_ms(service.name),
             last_event_id=request.facts.last_event_id,
             fingerprint=fingerprint,
         )
@@ -170,7 +178,12 @@
             return self._placer.choose_plain(upstreams, progress.tried_ids, now_ms)
         groups = self._view.list_groups(service.name, request.facts.model)
         choice = self._placer.choose_group(
-            groups, service.engine, request.facts.prompt_tokens, progress.tried_ids, now_ms
+            groups,
+            service.engine,
+            request.facts.prompt_tokens,
+            progress.tried_ids,
+            now_ms,
+            admission.compute_wait_limit_ms(self._describe_arrival(request, progress)),
         )
         if choice is None:
             progress.retry_after_ms = GROUP_REPAIR_MS
@@ -178,8 +191,25 @@
             progress.last_failure = "no group is expected to answer before the deadline"
             progress.retry_after_ms = choice.expected_ms
             return None
+        elif not choice.is_admitted:
+            progress.last_failure = "the queue of every group uses up the goal of its requests"
+            progress.retry_after_ms = self._draw_return_ms(progress.remaining_ms(now_ms))
+            return None
         return choice
 
+    def _describe_arrival(
+        self, request: calls.CallerRequest, progress: progresses.Progress
+    ) -> admission.Arrival:
+        return admission.Arrival(
+            goal_ms=progress.goal_ms,
+            waited_ms=progress.route.timeout_ms - request.facts.deadline_ms,
+            must_continue=progress.has_reached_upstream or bool(progress.last_event_id),
+        )
+
+    def _draw_return_ms(self, left_ms: float) -> float:
+        """Return when a refused caller may come back, drawn so that callers return spread out."""
+        return left_ms * MAX_RETRY_AFTER_SHARE * self._rng.uniform(*RETURN_SPREAD)
+
     def _may_retry(self, progress: progresses.Progress, outcome: calls.Outcome) -> bool:
         if outcome in NOT_RUN:
             progress.not_run_sends += 1
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -138,6 +138,7 @@
                 self.clock,
                 self.log,
             ),
+            self._rng,
         )
         self.front = front.Front(relay, self._dialect, self.clock, self.log, self.metrics)
         record = followers.DaemonRecord(settings.failure_domain, settings.peers)
--- a/src/tanagerfork/relay/placing.py
+++ b/src/tanagerfork/relay/placing.py
@@ -4,13 +4,12 @@
 import random
 from collections.abc import Collection, Sequence
 
-from tanagerfork.relay import fleet, loads, members, rules
+from tanagerfork.relay import admission, fleet, loads, members, rules
 
 DEFAULT_PLAIN_ANSWER_MS = 50.0  # Expected time of a plain request before any was measured.
 FAILURE_COST_MS = 2000.0  # Time that a failed send costs its caller: a retry within its deadline.
 SAMPLED_GROUPS = 2  # Daemons that see the same loads would all take the same one of all groups.
 JITTER = 0.15  # Spreads daemons that see the same loads; the error of an estimate is larger.
-EVENT_TOKENS = 5  # Tokens in one event of a stream.
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -18,7 +17,8 @@
     """Chosen upstream, with the estimates that decided for it.
 
     `load_age_ms` is -1 where the upstream has reported no load yet. `candidates` is the number of
-    upstreams or groups to choose from.
+    upstreams or groups to choose from. `wait_ms` is the part of `expected_ms` that is not spent on
+    reading the own prompt. `is_admitted` says whether the request may be sent there.
     """
 
     upstream: members.Upstream
@@ -27,6 +27,8 @@
     load_age_ms: float
     candidates: int
     epoch: int = 0
+    wait_ms: float = 0.0
+    is_admitted: bool = True
 
 
 def estimate_first_event_ms(
@@ -51,7 +53,7 @@
     waiting = max(0.0, requests + 1 - engine.slots)
     answer_ms = engine.usual_answer_tokens * step_ms
     slot_ms = waiting * answer_ms / engine.slots
-    return slowness * (reading_ms + slot_ms + EVENT_TOKENS * step_ms)
+    return slowness * (reading_ms + slot_ms + engine.event_tokens * step_ms)
 
 
 class Placer:
@@ -74,18 +76,21 @@
         prompt_tokens: int,
         avoided: Collection[str],
         now_ms: float,
+        wait_limit_ms: float = float("inf"),
     ) -> Choice | None:
         """Choose a group for a model's request: the better of two that are drawn at random.
 
         Each daemon sees its own part of the load immediately, and the rest with a delay. Daemons
         that all took the best group by the same stale loads would all take the same one. A slower
-        group, such as one across fabric domains, is a third candidate.
+        group, such as one across fabric domains, is a third candidate. Where none of these admits
+        the request, one is drawn of all the groups that do.
 
         :param groups: whole groups of the model.
         :param engine: performance of the engines.
         :param prompt_tokens: tokens of the request's prompt.
         :param avoided: ids of heads that failed the request before.
         :param now_ms: monotonic clock, in milliseconds.
+        :param wait_limit_ms: longest wait at a full group; see `admission`.
         :return: the choice, None where no group can take the request.
         """
         usable = [
@@ -104,25 +109,47 @@
         fast = [group for group in usable if group.slowness <= fastest]
         slow = [group for group in usable if group.slowness > fastest]
         drawn = [
-            self._estimate(group, engine, prompt_tokens, now_ms)
+            self._estimate(group, engine, prompt_tokens, now_ms, wait_limit_ms)
             for group in (
                 *self._rng.sample(fast, min(SAMPLED_GROUPS, len(fast))),
                 *self._rng.sample(slow, min(1, len(slow))),
             )
         ]
         best = min(drawn, key=lambda choice: choice.expected_ms)
+        if not best.is_admitted:
+            estimates = (
+                self._estimate(group, engine, prompt_tokens, now_ms, wait_limit_ms)
+                for group in usable
+            )
+            admitting = [choice for choice in estimates if choice.is_admitted]
+            best = self._rng.choice(admitting) if admitting else best
         return dataclasses.replace(best, candidates=len(groups))
 
     def _estimate(
-        self, group: fleet.Group, engine: rules.EngineSpec, prompt_tokens: int, now_ms: float
+        self,
+        group: fleet.Group,
+        engine: rules.EngineSpec,
+        prompt_tokens: int,
+        now_ms: float,
+        wait_limit_ms: float,
     ) -> Choice:
         load = self._book.find(group.head.id)
         requests = load.open + load.estimate_other_requests(now_ms)
         unread = prompt_tokens + load.open_prompt_tokens + load.peer_unread_tokens
         expected_ms = estimate_first_event_ms(engine, group.slowness, requests, unread)
         expected_ms += load.estimate_failure_share(now_ms) * FAILURE_COST_MS
-        age_ms = now_ms - load.reported_at_ms if load.reported else -1
-        return Choice(group.head, expected_ms, requests, age_ms, 0, group.epoch)
+        reading_ms = group.slowness * prompt_tokens / engine.read_tokens_per_s * 1000
+        wait_ms = expected_ms - reading_ms
+        return Choice(
+            upstream=group.head,
+            expected_ms=expected_ms,
+            estimated_requests=requests,
+            load_age_ms=now_ms - load.reported_at_ms if load.reported else -1,
+            candidates=0,
+            epoch=group.epoch,
+            wait_ms=wait_ms,
+            is_admitted=admission.is_admitted(wait_ms, requests, engine.slots, wait_limit_ms),
+        )
 
     def choose_plain(
         self,
--- a/src/tanagerfork/relay/progress.py
+++ b/src/tanagerfork/relay/progress.py
@@ -59,6 +59,7 @@
     service: rules.Service
     team: str
     deadline_at_ms: float
+    goal_ms: float  # Shortest goal of the service's routes.
     last_event_id: str
     fingerprint: str
     sends: int = 0  # Sends that may have run; refused ones do not count.
--- a/src/tanagerfork/relay/rules.py
+++ b/src/tanagerfork/relay/rules.py
@@ -99,7 +99,7 @@
     """Capacity and performance of a model service's engines; times are of a group of pace 1.
 
     `cross_domain_factor` is how many times slower a group runs whose members are in several fabric
-    domains.
+    domains. `event_tokens` is the number of tokens in an event of a stream.
     """
 
     models: tuple[ModelSpec, ...]
@@ -114,6 +114,7 @@
     loads_per_s: float
     loads_at_once: int
     cross_domain_factor: float = 1.0
+    event_tokens: int = 1
 
     def find_model(self, name: str) -> ModelSpec | None:
         """Return a model by its name; None where the engine does not serve it.
@@ -152,7 +153,15 @@
     :param limits: bounds on callers.
     """
 
-    __slots__ = ("version", "routes", "services", "limits", "_routes_by_prefix", "_teams_by_key")
+    __slots__ = (
+        "version",
+        "routes",
+        "services",
+        "limits",
+        "_routes_by_prefix",
+        "_teams_by_key",
+        "_goals_ms",
+    )
 
     def __init__(
         self,
@@ -168,6 +177,11 @@
         self.limits = limits
         self._routes_by_prefix = {(route.host, route.prefix): route for route in routes}
         self._teams_by_key = teams_by_key
+        self._goals_ms: dict[str, float] = {}
+        for route in routes:
+            for target in route.targets:
+                goal_ms = self._goals_ms.get(target.service, route.goal_ms)
+                self._goals_ms[target.service] = min(goal_ms, route.goal_ms)
 
     def match(self, host: str, path: str) -> Route:
         """Return the route with the longest prefix that matches a path.
@@ -197,6 +211,13 @@
             raise errors.Unauthorized("the API key belongs to no team; send a key that is in force")
         return team
 
+    def find_goal_ms(self, service: str) -> float:
+        """Return the shortest goal among the routes of a service, in milliseconds.
+
+        :param service: name of a service that a route has as its target.
+        """
+        return self._goals_ms[service]
+
     def list_engine_services(self) -> list[Service]:
         """Return the services whose upstreams form groups."""
         return [service for service in self.services.values() if service.engine is not None]
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -96,3 +96,17 @@
     def test_unknown_fields_are_ignored(self) -> None:
         value = {**site.Site(engine_count=0, plain_count=0).make_config(), "new": {"a": 1}}
         assert config.decode_rules(msgspec.json.encode(value)).is_ok()
+
+
+class TestEngines:
+    @pytest.mark.parametrize(("fields", "tokens"), [({"stride": 8}, 8), ({}, 1)])
+    def test_tokens_of_an_event_come_from_the_configuration(
+        self, fields: dict[str, int], tokens: int
+    ) -> None:
+        engine = {**site.make_engine_config(), **fields}
+        decoded = decode(services=[{"name": "s", "engine": engine}]).services["s"].engine
+        assert decoded is not None and decoded.event_tokens == tokens
+
+    def test_goal_of_a_service_is_the_shortest_of_its_routes(self) -> None:
+        routes = [make_route("/a/", goalMs=500), make_route("/b/", goalMs=300)]
+        assert decode(routes=routes).find_goal_ms("s") == 300
