Order a join only as a report allows, and believe a report that is newer than the list

Cause: spares were never probed, so that a join went out without the number of orders that the upstream is expected to have taken, on the list's word alone. Change: a join waits for a report that counts all orders and names no other group; the report's group counts where it is newer than the list by twice the lag that the configuration tells. Ruled out: the order of leave and join, which was kept in all plans.

--- a/src/tanagerfork/platform/config.py
+++ b/src/tanagerfork/platform/config.py
@@ -68,6 +68,7 @@
     loads_at_once: int = 1
     far_x: float = 1.0
     stride: int = 1
+    report_lag_ms: float = rules.DEFAULT_REPORT_LAG_MS
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -177,5 +178,6 @@
         loads_at_once=engine.loads_at_once,
         cross_domain_factor=engine.far_x,
         event_tokens=engine.stride,
+        report_lag_ms=engine.report_lag_ms,
     )
     return rules.Service(service.name, service.max_conns, spec)
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -280,16 +280,20 @@
                     reason=reported.err_value.message,
                 )
             return
-        seen.note_report(reported.ok_value)
+        seen.note_report(reported.ok_value, self._clock.monotonic_ms())
 
     def _get_statuses(self, service: rules.Service, now_ms: int) -> dict[str, plans.UpstreamStatus]:
+        list_time_ms = now_ms - self._view.measure_age(now_ms)
+        lag_ms = service.engine.report_lag_ms if service.engine else 0.0
         return {
             upstream_id: plans.UpstreamStatus(
                 upstream=seen.upstream,
                 is_listed=seen.listed_at_ms == now_ms,
                 is_silent=seen.is_silent,
                 membership=(
-                    seen.upstream.membership if seen.listed_at_ms == now_ms else seen.membership
+                    seen.find_newest_membership(list_time_ms, lag_ms)
+                    if seen.listed_at_ms == now_ms
+                    else seen.membership
                 ),
                 is_known=seen.listed_at_ms == now_ms or seen.has_reported or seen.is_silent,
             )
@@ -371,11 +375,23 @@
             status = statuses.get(order.upstream_id)
             if status is not None and status.is_silent and order.kind != plans.CLOSE:
                 continue
+            if order.kind == plans.JOIN and not self._may_join(order):
+                continue
             self._ordered_at_ms[key] = now_ms
             if order.model and status is not None and not status.holds(order.model):
                 self._load_limiter.note_ordered(order.upstream_id, order.model, now_ms)
             self._start_task(self._send_order(order))
 
+    def _may_join(self, order: plans.Order) -> bool:
+        """Return whether a report allows an order to join; probe the upstream where it does not."""
+        seen = self._observations.get(order.upstream_id)
+        if seen is None or seen.may_join(order.group, order.epoch):
+            return seen is not None
+        if not seen.is_probing:
+            seen.is_probing, seen.probed_at_ms = True, self._clock.monotonic_ms()
+            self._start_task(self._probe(seen))
+        return False
+
     async def _send_order(self, order: plans.Order) -> None:
         if order.kind == plans.CLOSE:
             self._announce_closed(order.upstream_id, order.epoch)
--- a/src/tanagerfork/relay/observations.py
+++ b/src/tanagerfork/relay/observations.py
@@ -13,7 +13,8 @@
 
     `order_count` is the number of orders that the upstream has accepted since its start, None
     while an order is in flight or its outcome is unknown. Reports lag behind the orders by some
-    hundred milliseconds, so that a report never lowers `min_order_count`.
+    hundred milliseconds, so that a report never lowers `min_order_count`. `reported_at_ms` is when
+    the last report arrived, `reported_order_count` the number of orders that it counts.
     """
 
     upstream: members.Upstream
@@ -25,18 +26,53 @@
     membership: members.GroupMembership | None = None
     is_probing: bool = False
     has_reported: bool = False
+    reported_at_ms: float = -1e12
+    reported_order_count: int = -1
+    reported_born_at_ms: int = -1
 
     @property
     def is_silent(self) -> bool:
         """Whether it left the last probes unanswered."""
         return self.failed_probes >= SILENT_AFTER_FAILURES
 
-    def note_report(self, report: members.Report) -> None:
+    def may_join(self, group: str, epoch: int) -> bool:
+        """Return whether an order to join a group is safe by what the upstream itself has reported.
+
+        The list may be older than the upstream's present group. Its last report has to count all
+        orders, and to name no other group, or the order count guards nothing.
+
+        :param group: name of the group.
+        :param epoch: epoch of the group.
+        """
+        if self.order_count is None:
+            return False
+        if self.membership is None or self.reported_order_count != self.order_count:
+            return True
+        return (self.membership.group, self.membership.epoch) == (group, epoch)
+
+    def find_newest_membership(
+        self, list_time_ms: float, report_lag_ms: float
+    ) -> members.GroupMembership | None:
+        """Return the group of the list, or of the last report where that is surely newer.
+
+        :param list_time_ms: time at which the list was known to be current.
+        :param report_lag_ms: age of a report when it arrives.
+        """
+        is_same_start = self.reported_born_at_ms == self.upstream.born_at_ms
+        if is_same_start and self.reported_at_ms - 2 * report_lag_ms > list_time_ms:
+            return self.membership
+        return self.upstream.membership
+
+    def note_report(self, report: members.Report, now_ms: float = 0.0) -> None:
         """Record the report of an answered probe.
 
         :param report: report of the upstream.
+        :param now_ms: clock of the coordinator, in milliseconds.
         """
         self.failed_probes = 0
+        self.reported_at_ms = now_ms
+        self.reported_born_at_ms = report.born_at_ms
+        self.reported_order_count = report.order_count
         self.has_reported = True
         if report.born_at_ms and report.born_at_ms != self.upstream.born_at_ms:
             self.upstream = dataclasses.replace(self.upstream, born_at_ms=report.born_at_ms)
--- a/src/tanagerfork/relay/rules.py
+++ b/src/tanagerfork/relay/rules.py
@@ -8,6 +8,8 @@
 
 from tanagerfork import errors
 
+DEFAULT_REPORT_LAG_MS = 500.0  # Reports are some hundred milliseconds old.
+
 
 class Repetition(enum.Enum):
     """Type of a route: whether its requests may run more than once."""
@@ -99,7 +101,8 @@
     """Capacity and performance of a model service's engines; times are of a group of pace 1.
 
     `cross_domain_factor` is how many times slower a group runs whose members are in several fabric
-    domains. `event_tokens` is the number of tokens in an event of a stream.
+    domains. `event_tokens` is the number of tokens in an event of a stream. `report_lag_ms` is the
+    age of an upstream's report when it arrives.
     """
 
     models: tuple[ModelSpec, ...]
@@ -115,6 +118,7 @@
     loads_at_once: int
     cross_domain_factor: float = 1.0
     event_tokens: int = 1
+    report_lag_ms: float = DEFAULT_REPORT_LAG_MS
 
     def find_model(self, name: str) -> ModelSpec | None:
         """Return a model by its name; None where the engine does not serve it.
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -36,15 +36,20 @@
         self.refused: list[plans.Order] = []
         self.accepted: dict[str, int] = {}
         self.reported: dict[str, int] = {}  # Lags behind `accepted`.
+        self.memberships: dict[str, members.GroupMembership] = {}  # Reported instead of the list's.
+        self.expected: list[int | None] = []  # Order counts that came with orders to join.
 
     async def probe(self, upstream: members.Upstream) -> result.Result[members.Report, Exception]:
         count = self.reported.get(upstream.id, 0)
-        return result.Ok(members.Report(1, count, False, (), upstream.membership, 1.0, 0, 0))
+        membership = self.memberships.get(upstream.id, upstream.membership)
+        return result.Ok(members.Report(1, count, False, (), membership, 1.0, 0, 0))
 
     async def send_order(
         self, order: plans.Order, fencing: int, order_count: int | None
     ) -> result.Result[plans.Acceptance, Exception]:
         accepted = self.accepted.get(order.upstream_id, 0)
+        if order.kind == plans.JOIN:
+            self.expected.append(order_count)
         if order_count is not None and order_count != accepted:
             self.refused.append(order)
             return result.Err(errors.UpstreamRefused("another order came first; look again"))
@@ -212,3 +217,38 @@
                 reply = await client.send_order(order, 1, count)
             assert reply.ok() is plans.Acceptance.BEGUN
             assert member.order_count > count
+
+
+class TestStaleList:
+    """The store is silent, so that the list is older than what the upstreams report."""
+
+    GROUP = members.GroupMembership("a-9", 9, 1, members.MemberState.READY)
+
+    async def test_upstream_that_reports_another_group_is_not_ordered_to_join(self) -> None:
+        harness = Harness(fakes.MemoryKeyValue())
+        harness.list_upstreams()
+        harness.client.memberships["u1"] = self.GROUP
+        harness.client.reported["u1"] = harness.client.accepted["u1"] = 1
+        for _ in range(20):
+            await harness.step()
+        joined = {order.upstream_id for order in harness.client.orders if order.kind == plans.JOIN}
+        assert joined == {"u0"}
+
+    async def test_join_is_sent_with_the_order_count_of_a_report(self) -> None:
+        harness = Harness(fakes.MemoryKeyValue())
+        harness.list_upstreams()
+        for _ in range(20):
+            await harness.step()
+        assert harness.client.expected and None not in harness.client.expected
+
+    def test_report_counts_where_it_is_surely_newer_than_the_list(self) -> None:
+        seen = observations.Observation(test_planner.make_status("u0").upstream, 0)
+        seen.note_report(members.Report(1, 1, False, (), self.GROUP, 1.0, 0, 0), now_ms=5000)
+        assert seen.find_newest_membership(list_time_ms=4500, report_lag_ms=200) == self.GROUP
+        assert seen.find_newest_membership(list_time_ms=4700, report_lag_ms=200) is None
+
+    def test_report_of_an_earlier_start_does_not_count(self) -> None:
+        seen = observations.Observation(test_planner.make_status("u0").upstream, 0)
+        seen.note_report(members.Report(1, 1, False, (), self.GROUP, 1.0, 0, 0), now_ms=5000)
+        seen.upstream = dataclasses.replace(seen.upstream, born_at_ms=2)
+        assert seen.find_newest_membership(list_time_ms=0, report_lag_ms=200) is None
