--- a/tools/soak.py
+++ b/tools/soak.py
@@ -10,12 +10,9 @@
 import asyncio
 import collections
 import dataclasses
-import json
-import os
 import pathlib
 import random
 import signal
-import socket
 import sys
 import tempfile
 
@@ -23,8 +20,8 @@
 import yarl
 
 from tanagerfork_standins.platform import runner, site
+from tools import processes
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
 CALL_TIMEOUT_S = 3.0
 CALLER_COUNT = 8
 MEAN_FAULT_INTERVAL_S = 0.4  # Short enough that faults overlap the repair of earlier ones.
@@ -102,62 +99,6 @@
             writer.close()
 
 
-class Daemon:
-    """One daemon in its own process."""
-
-    def __init__(self, name: str, folder: pathlib.Path, store_port: int) -> None:
-        self.name = name
-        self.callers_port, *rest = find_ports(4)
-        self._path = folder / f"{name}.json5"
-        addresses = [f"127.0.0.1:{port}" for port in (self.callers_port, *rest)]
-        settings = {
-            "name": name,
-            "failure_domain": "a",
-            "failure_domains": ["a"],
-            **dict(zip(("callers", "readiness", "metrics", "peers"), addresses, strict=True)),
-            "store": {"address": f"127.0.0.1:{store_port}"},
-            "bounds": {"grace_ms": 4000},
-            "members": {"lease_ttl_ms": 1500, "probe_interval_ms": 200},
-        }
-        self._path.write_text(json.dumps(settings))
-        self._log = (folder / f"{name}.log").open("ab")
-        self.process: asyncio.subprocess.Process | None = None
-        self._restarting = asyncio.Lock()
-
-    async def start(self) -> None:
-        """Start the process."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "deploy" / "relayd.py"),
-            env={**os.environ, "TANAGERFORK_SETTINGS": str(self._path)},
-            stdout=self._log,
-            stderr=self._log,
-        )
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process if it is running.
-
-        :param number: signal.
-        """
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    def close(self) -> None:
-        """Close the log file."""
-        self._log.close()
-
-    async def restart(self, number: signal.Signals) -> None:
-        """End the process by a signal and start it again.
-
-        :param number: signal.
-        """
-        async with self._restarting:
-            self.send(number)
-            assert self.process is not None
-            await self.process.wait()
-            await self.start()
-
-
 class Soak:
     """One run of the soak test.
 
@@ -172,7 +113,7 @@
         self.site = site.Site(engine_count=8, plain_count=3)
         self._daemon_count = daemon_count
         self._folder = folder
-        self.daemons: list[Daemon] = []
+        self.daemons: list[processes.Daemon] = []
         self._request_count = 0
         self._faults = {
             "kill": self._kill_daemon,
@@ -202,7 +143,7 @@
         self.proxy = Proxy(self.site.address)
         await self.proxy.start()
         for number in range(self._daemon_count):
-            self.daemons.append(Daemon(f"d{number}", self._folder, self.proxy.port))
+            self.daemons.append(processes.Daemon(f"d{number}", self._folder, self.proxy.port))
             await self.daemons[-1].start()
         try:
             await self._wait_until_served()
@@ -235,8 +176,8 @@
                                 missing.discard((daemon.name, path))
                     await asyncio.sleep(0.1)
         except TimeoutError:
-            ends = {one.name: one.process.returncode for one in self.daemons if one.process}
-            self.verdict.check(False, f"RECOVER: {sorted(missing)} not served, exits {ends}")
+            ends = [one.describe_end() for one in self.daemons if one.has_ended]
+            self.verdict.check(False, f"RECOVER: {sorted(missing)} not served, ended {ends}")
 
     async def _call_until_stopped(self, stop: asyncio.Event) -> None:
         async with aiohttp.ClientSession() as session:
@@ -246,7 +187,9 @@
                 status = await self._call(session, daemon, path)
                 self.verdict.statuses[status] += 1
 
-    async def _call(self, session: aiohttp.ClientSession, daemon: Daemon, prefix: str) -> int:
+    async def _call(
+        self, session: aiohttp.ClientSession, daemon: processes.Daemon, prefix: str
+    ) -> int:
         self._request_count += 1
         request_id, path = f"r{self._request_count}", f"{prefix}{self._request_count}"
         headers = {
@@ -376,18 +319,6 @@
         self.site.write_config()
 
 
-def find_ports(count: int) -> list[int]:
-    """Return currently free ports.
-
-    :param count: number of ports.
-    """
-    opened = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in opened]
-    for one in opened:
-        one.close()
-    return ports
-
-
 def main() -> None:
     """Run the soak with the given seeds; exit with status 1 if a guarantee was violated."""
     parser = argparse.ArgumentParser("soak", description=__doc__)
