Learn goals and answers by model, and refuse only while a group reports a queue

Six daemons had come, 26 in all: above 24 loads are told as sums, and around that limit daemons counted others directly and within a sum. A daemon that has a sum now ignores what is in it, and no request is refused unless a group of the model has itself reported a queue within 2 s. Cause 2: the limit was the shortest goal of the service, 250 ms, also for the model whose routes have 400 ms; goals are now learned by model from the routes that its requests come on, and the mean length of an answer from the streams that pass through (the configuration's mean of all models until then).

--- a/src/tanagerfork/relay/admission.py
+++ b/src/tanagerfork/relay/admission.py
@@ -9,16 +9,18 @@
 
 import dataclasses
 
-GOAL_SHARE = 0.8  # Of the goal that a queue may use; estimates are off by about a fifth.
-LATE_GOAL_SHARE = 0.4  # The same for a request that is late already.
+LATE_GOAL_SHARE = 0.4  # Of the goal that a queue may use for a request that is late already.
+# Estimates count what other daemons told, which may be wrong for a while after daemons came or
+# went. A queue that one of the groups itself has reported within this time is certain.
+QUEUE_REPORT_MS = 2000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Arrival:
     """What the decision needs to know of a request.
 
-    :param goal_ms: shortest goal for the first event among the routes of the service, so that all
-        of them are refused alike.
+    :param goal_ms: shortest goal for the first event among the routes whose requests the groups
+        serve, so that all of them are refused alike.
     :param waited_ms: time since the caller's first attempt, as far as its deadline tells.
     :param must_continue: whether the request was sent before or resumes a stream.
     """
@@ -39,11 +41,20 @@
     if arrival.must_continue:
         return float("inf")
     is_late = arrival.waited_ms >= arrival.goal_ms
-    return arrival.goal_ms * (LATE_GOAL_SHARE if is_late else GOAL_SHARE)
+    return arrival.goal_ms * (LATE_GOAL_SHARE if is_late else 1.0)
+
+
+def has_reported_queue(waiting: int, age_ms: float) -> bool:
+    """Return whether a group's last report is evidence of an overload.
+
+    :param waiting: requests that waited for a slot by that report.
+    :param age_ms: age of the report.
+    """
+    return waiting > 0 and age_ms <= QUEUE_REPORT_MS
 
 
 def is_admitted(wait_ms: float, requests: float, slots: int, limit_ms: float) -> bool:
-    """Return whether a request is sent to the group with the shortest wait.
+    """Return whether a request is sent to a group while groups of the model report queues.
 
     :param wait_ms: expected time to the first event there, without reading the own prompt.
     :param requests: estimated number of requests that the group has.
--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -1,6 +1,7 @@
 """Sends a caller's request to one upstream after another until one answers or it must stop."""
 
 import asyncio
+import dataclasses
 import random
 
 import result
@@ -18,6 +19,7 @@
     placing,
     rules,
     sending,
+    usage,
 )
 from tanagerfork.relay import progress as progresses
 
@@ -25,7 +27,7 @@
 MAX_NOT_RUN_SENDS = 8  # A failure domain that is cut off takes a third of the groups with it.
 GROUP_REPAIR_MS = 2500.0  # Finding a group broken takes 1 s, closing it 0.5 s, reopening it 1 s.
 MAX_RETRY_AFTER_SHARE = 1 / 3  # Bounds Retry-After by the time that is left.
-RETURN_SPREAD = (0.5, 1.0)  # Of the longest Retry-After, for callers that an overload turns away.
+RETURN_SPREAD = (0.3, 1.0)  # Of the longest Retry-After, for callers that an overload turns away.
 NOT_RUN = frozenset((calls.Outcome.UNREACHED, calls.Outcome.REFUSED))
 
 
@@ -47,6 +49,7 @@
 
     __slots__ = (
         "_rng",
+        "_usages",
         "_register",
         "_view",
         "_book",
@@ -74,6 +77,7 @@
         rng: random.Random,
     ) -> None:
         self._rng = rng
+        self._usages = usage.UsageBook()
         self._crash_watch = crash_watch
         self._register = register
         self._view = view
@@ -109,6 +113,7 @@
                 "no configuration has been read from the store yet; retry later",
                 round(2 * progresses.DEFAULT_RETRY_AFTER_MS),
             )
+        self._usages.follow_version(in_force.version)
         route = in_force.match(request.host, request.path)
         team = in_force.identify(route, request.facts.key)
         service = in_force.services.get(route.choose_service(request.facts.request_id))
@@ -130,7 +135,6 @@
             service=service,
             team=team.name if team else "",
             deadline_at_ms=request.arrived_at_ms + limit_ms,
-            goal_ms=in_force.find_goal_ms(service.name),
             last_event_id=request.facts.last_event_id,
             fingerprint=fingerprint,
         )
@@ -177,13 +181,19 @@
             upstreams = self._view.list_plain(service.name)
             return self._placer.choose_plain(upstreams, progress.tried_ids, now_ms)
         groups = self._view.list_groups(service.name, request.facts.model)
+        model_usage = self._find_usage(request, progress, service.engine)
+        arrival = admission.Arrival(
+            goal_ms=model_usage.note_arrival(progress.route.name, progress.route.goal_ms),
+            waited_ms=progress.route.timeout_ms - request.facts.deadline_ms,
+            must_continue=progress.has_reached_upstream or bool(progress.last_event_id),
+        )
         choice = self._placer.choose_group(
             groups,
-            service.engine,
+            dataclasses.replace(service.engine, usual_answer_tokens=model_usage.answer_tokens),
             request.facts.prompt_tokens,
             progress.tried_ids,
             now_ms,
-            admission.compute_wait_limit_ms(self._describe_arrival(request, progress)),
+            admission.compute_wait_limit_ms(arrival),
         )
         if choice is None:
             progress.retry_after_ms = GROUP_REPAIR_MS
@@ -197,13 +207,14 @@
             return None
         return choice
 
-    def _describe_arrival(
-        self, request: calls.CallerRequest, progress: progresses.Progress
-    ) -> admission.Arrival:
-        return admission.Arrival(
-            goal_ms=progress.goal_ms,
-            waited_ms=progress.route.timeout_ms - request.facts.deadline_ms,
-            must_continue=progress.has_reached_upstream or bool(progress.last_event_id),
+    def _find_usage(
+        self,
+        request: calls.CallerRequest,
+        progress: progresses.Progress,
+        engine: rules.EngineSpec,
+    ) -> usage.ModelUsage:
+        return self._usages.find(
+            progress.service.name, request.facts.model, engine.usual_answer_tokens
         )
 
     def _draw_return_ms(self, left_ms: float) -> float:
@@ -244,6 +255,10 @@
                     )
             else:
                 reason = ""
+                if progress.service.engine is not None and progress.answer_events:
+                    self._find_usage(request, progress, progress.service.engine).note_answer(
+                        progress.answer_events * progress.service.engine.event_tokens
+                    )
                 self._crash_watch.record_success(progress.fingerprint)
         except asyncio.CancelledError:
             progress.may_have_run = True  # The deadline passed or the caller left.
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -204,10 +204,12 @@
             task.cancel()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
-                await asyncio.gather(*(http_listener.stop() for http_listener in self._listeners))
+                await asyncio.gather(
+                    *(http_listener.stop() for http_listener in self._listeners),
+                    self._upstream_client.close(),  # May wait for an upstream that went dark.
+                    self._session.close(),
+                )
         self.peers.close()
-        await self._upstream_client.close()
-        await self._session.close()
         self.lifecycle.apply("stop")
 
     async def _release_leases(self) -> None:
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -139,7 +139,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            revision = await self._read_snapshots()
+            revision = await self._read_snapshot()
             while revision is not None:
                 revision = await self._follow_once(revision)
             await self._clock.sleep_ms(
@@ -167,19 +167,20 @@
             )
         return changes.revision
 
-    async def _read_snapshots(self) -> int | None:
-        """Read all snapshots; return the oldest of their revisions, None if the store failed."""
-        revisions = []
+    async def _read_snapshot(self) -> int | None:
+        """Read all keys, in one call where they fit into a page; return the revision."""
+        found = await self._store.read_snapshot("")
+        self._store_monitor.record(found.err_value if isinstance(found, result.Err) else None)
+        if isinstance(found, result.Err):
+            for follower in self._key_followers:
+                follower.note_unreachable()
+            return None
         for follower in self._key_followers:
-            found = await self._store.read_snapshot(follower.prefix)
-            self._store_monitor.record(found.err_value if isinstance(found, result.Err) else None)
-            if isinstance(found, result.Err):
-                for other in self._key_followers:
-                    other.note_unreachable()
-                return None
-            follower.apply_snapshot(found.ok_value.entries)
-            revisions.append(found.ok_value.revision)
-        return min(revisions)
+            entries = found.ok_value.entries
+            follower.apply_snapshot(
+                [entry for entry in entries if entry.key.startswith(follower.prefix)]
+            )
+        return found.ok_value.revision
 
     def _dispatch(self, changes: key_value.Changes) -> None:
         for follower in self._key_followers:
--- a/src/tanagerfork/relay/loads.py
+++ b/src/tanagerfork/relay/loads.py
@@ -117,6 +117,14 @@
                 self._add_peer_loads(peer.open, -1)
                 del self._peers[daemon]
 
+    def drop_peers(self, without: str) -> None:
+        """Drop the reports of all other daemons but one.
+
+        :param without: name under which the report that is kept was recorded.
+        """
+        for daemon in [name for name in self._peers if name != without]:
+            self._add_peer_loads(self._peers.pop(daemon).open, -1)
+
     def sum_open(self, without: Collection[str] = ()) -> dict[str, tuple[int, int]]:
         """Return open requests and unread prompt tokens of all daemons, by upstream.
 
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -245,6 +245,8 @@
             load.upstream: (load.requests, load.unread_tokens) for load in notice.loads
         }
         if notice.covers == "daemon":
+            if self._is_in_a_sum(notice.daemon):
+                return
             self._book.note_peer_loads(notice.daemon, loads_by_upstream, now_ms)
         elif notice.covers == "cohort":
             self._book.note_peer_loads(COHORT_SUM_PREFIX + notice.cohort, loads_by_upstream, now_ms)
@@ -255,6 +257,17 @@
                 if requests > own_requests:
                     others[key] = requests - own_requests, max(0, tokens - own_tokens)
             self._book.note_peer_loads(FLEET_SUM, others, now_ms)
+            self._book.drop_peers(without=FLEET_SUM)
+
+    def _is_in_a_sum(self, daemon: str) -> bool:
+        """Return whether a sum that counts now includes a daemon's own notice of its loads.
+
+        Daemons that know fewer others still tell each of them, which must not count twice.
+        """
+        if not self._cohorts.is_source():
+            return FLEET_SUM in self._book.peers
+        has_sums = any(name.startswith(COHORT_SUM_PREFIX) for name in self._book.peers)
+        return has_sums and daemon not in self._cohorts.list_own_cohort()
 
     def _handle(self, notice: notices.Notice) -> None:
         now_ms = self._clock.monotonic_ms()
--- a/src/tanagerfork/relay/placing.py
+++ b/src/tanagerfork/relay/placing.py
@@ -17,8 +17,7 @@
     """Chosen upstream, with the estimates that decided for it.
 
     `load_age_ms` is -1 where the upstream has reported no load yet. `candidates` is the number of
-    upstreams or groups to choose from. `wait_ms` is the part of `expected_ms` that is not spent on
-    reading the own prompt. `is_admitted` says whether the request may be sent there.
+    upstreams or groups to choose from. `is_admitted` says whether the request may be sent there.
     """
 
     upstream: members.Upstream
@@ -27,7 +26,6 @@
     load_age_ms: float
     candidates: int
     epoch: int = 0
-    wait_ms: float = 0.0
     is_admitted: bool = True
 
 
@@ -116,7 +114,9 @@
             )
         ]
         best = min(drawn, key=lambda choice: choice.expected_ms)
-        if not best.is_admitted:
+        if not best.is_admitted and not self._is_any_queue_reported(usable, now_ms):
+            best = dataclasses.replace(best, is_admitted=True)
+        elif not best.is_admitted:
             estimates = (
                 self._estimate(group, engine, prompt_tokens, now_ms, wait_limit_ms)
                 for group in usable
@@ -125,6 +125,14 @@
             best = self._rng.choice(admitting) if admitting else best
         return dataclasses.replace(best, candidates=len(groups))
 
+    def _is_any_queue_reported(self, groups: Sequence[fleet.Group], now_ms: float) -> bool:
+        found = (self._book.find(group.head.id) for group in groups)
+        return any(
+            load.reported is not None
+            and admission.has_reported_queue(load.reported.waiting, now_ms - load.reported_at_ms)
+            for load in found
+        )
+
     def _estimate(
         self,
         group: fleet.Group,
@@ -147,7 +155,6 @@
             load_age_ms=now_ms - load.reported_at_ms if load.reported else -1,
             candidates=0,
             epoch=group.epoch,
-            wait_ms=wait_ms,
             is_admitted=admission.is_admitted(wait_ms, requests, engine.slots, wait_limit_ms),
         )
 
--- a/src/tanagerfork/relay/progress.py
+++ b/src/tanagerfork/relay/progress.py
@@ -59,7 +59,6 @@
     service: rules.Service
     team: str
     deadline_at_ms: float
-    goal_ms: float  # Shortest goal of the service's routes.
     last_event_id: str
     fingerprint: str
     sends: int = 0  # Sends that may have run; refused ones do not count.
@@ -69,6 +68,7 @@
     tried_ids: set[str] = dataclasses.field(default_factory=set)
     last_failure: str = ""
     retry_after_ms: float = DEFAULT_RETRY_AFTER_MS
+    answer_events: int = 0  # Events of a stream that this daemon has passed on.
     is_prompt_unread: bool = False  # Whether the present upstream has yet to read the prompt.
     kept_failure: KeptFailure | None = None
 
--- a/src/tanagerfork/relay/rules.py
+++ b/src/tanagerfork/relay/rules.py
@@ -164,7 +164,6 @@
         "limits",
         "_routes_by_prefix",
         "_teams_by_key",
-        "_goals_ms",
     )
 
     def __init__(
@@ -181,11 +180,6 @@
         self.limits = limits
         self._routes_by_prefix = {(route.host, route.prefix): route for route in routes}
         self._teams_by_key = teams_by_key
-        self._goals_ms: dict[str, float] = {}
-        for route in routes:
-            for target in route.targets:
-                goal_ms = self._goals_ms.get(target.service, route.goal_ms)
-                self._goals_ms[target.service] = min(goal_ms, route.goal_ms)
 
     def match(self, host: str, path: str) -> Route:
         """Return the route with the longest prefix that matches a path.
@@ -215,13 +209,6 @@
             raise errors.Unauthorized("the API key belongs to no team; send a key that is in force")
         return team
 
-    def find_goal_ms(self, service: str) -> float:
-        """Return the shortest goal among the routes of a service, in milliseconds.
-
-        :param service: name of a service that a route has as its target.
-        """
-        return self._goals_ms[service]
-
     def list_engine_services(self) -> list[Service]:
         """Return the services whose upstreams form groups."""
         return [service for service in self.services.values() if service.engine is not None]
--- a/src/tanagerfork/relay/sending.py
+++ b/src/tanagerfork/relay/sending.py
@@ -207,6 +207,7 @@
             await sink.start_stream(
                 response.status, self._dialect.filter_response_headers(response.headers)
             )
+        progress.answer_events += splitter.event_count
         await sink.finish_stream()
         return result.Ok(calls.Outcome.ANSWERED)
 
--- /dev/null
+++ b/src/tanagerfork/relay/usage.py
@@ -0,0 +1,67 @@
+"""Usage: what the requests of each model look like, learned from those that pass through."""
+
+import dataclasses
+
+ANSWER_SMOOTHING = 0.05  # Averages about the last forty answers of a daemon.
+
+
+@dataclasses.dataclass(slots=True)
+class ModelUsage:
+    """Requests of one model as this daemon has seen them.
+
+    `answer_tokens` is the mean length of an answer. `goals_ms` are the goals of the routes that
+    requests for the model came on, by the name of the route.
+    """
+
+    answer_tokens: float
+    goals_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def note_arrival(self, route: str, goal_ms: float) -> float:
+        """Record a request, and return the shortest goal of the model's routes.
+
+        :param route: name of the route.
+        :param goal_ms: goal of the route for the first event, in milliseconds.
+        """
+        self.goals_ms[route] = goal_ms
+        return min(self.goals_ms.values())
+
+    def note_answer(self, tokens: int) -> None:
+        """Record a complete answer.
+
+        :param tokens: length of the answer.
+        """
+        self.answer_tokens += ANSWER_SMOOTHING * (tokens - self.answer_tokens)
+
+
+class UsageBook:
+    """Usage of all models, by service and model."""
+
+    __slots__ = ("_usages", "_version")
+
+    def __init__(self) -> None:
+        self._usages: dict[tuple[str, str], ModelUsage] = {}
+        self._version = 0
+
+    def find(self, service: str, model: str, usual_answer_tokens: float) -> ModelUsage:
+        """Return the usage of a model.
+
+        :param service: name of the service.
+        :param model: name of the model.
+        :param usual_answer_tokens: mean length of an answer by the configuration, which counts
+            until answers have been seen.
+        """
+        usage = self._usages.get((service, model))
+        if usage is None:
+            usage = self._usages[service, model] = ModelUsage(usual_answer_tokens)
+        return usage
+
+    def follow_version(self, version: int) -> None:
+        """Forget the goals of another version of the configuration.
+
+        :param version: version in force.
+        """
+        if version == self._version:
+            return
+        self._version = version
+        for usage in self._usages.values():
+            usage.goals_ms.clear()
--- a/tests/relay/test_feeds.py
+++ b/tests/relay/test_feeds.py
@@ -80,6 +80,11 @@
 
 
 class TestDeployment:
+    async def test_daemon_reads_the_store_in_one_call_at_its_start(self) -> None:
+        async with deployments.deploy() as deployed:
+            await deployed.wait_for_rules()
+            assert deployed.site.store.calls["kv-range"] == 1
+
     async def test_most_daemons_do_not_watch_the_store(self) -> None:
         async with deployments.deploy(engines=0, daemon_count=5) as deployed:
             await wait_for_version(deployed, 1)
--- a/tests/relay/test_peers.py
+++ b/tests/relay/test_peers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tanagerfork.generated import notices
 from tanagerfork.relay import calls, loads, peers
 from tanagerfork_standins.platform import site
 from tests.relay import deployments
@@ -42,6 +43,28 @@
 
 
 class TestSums:
+    async def test_daemon_whose_loads_are_in_a_sum_does_not_count_twice(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Around the limit some daemons send to all others and some to the sources only."""
+        monkeypatch.setattr(peers, "FANOUT", 1)
+        async with deployments.deploy(daemon_count=5) as deployed:
+            receiver = deployed.daemons[4]
+            await deployed.wait_until(
+                lambda: peers.FLEET_SUM in receiver.book.peers, "a sum from a source"
+            )
+            notice = notices.Notice(
+                daemon="daemon-2",
+                rules_version=1,
+                silent=[],
+                suspects=[],
+                closed=[],
+                has_loads=True,
+                loads=[notices.OpenLoad(upstream="h", requests=7, unread_tokens=0)],
+            )
+            receiver.peers._record_loads(notice, receiver.clock.monotonic_ms())
+            assert receiver.book.find("h").peer_open == 0
+
     def test_sum_leaves_out_loads_of_other_cohorts(self) -> None:
         book = loads.LoadBook()
         book.begin("h", 10)
--- a/tests/relay/test_stop.py
+++ b/tests/relay/test_stop.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from tanagerfork.relay import daemon as daemons
+from tanagerfork.relay import exchange
 from tanagerfork_standins.platform import runner
 from tests.relay import deployments
 
@@ -52,6 +55,24 @@
             deployed.daemons.clear()
             request_task.cancel()
 
+    async def test_stop_ends_within_the_grace_period_with_an_upstream_that_went_dark(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The close of a connection waits for bytes that a dark upstream never takes."""
+
+        async def hang(client: exchange.UpstreamClient) -> None:
+            await asyncio.Event().wait()
+
+        async with deployments.deploy(engines=0) as deployed:
+            await deployed.wait_for_rules()
+            daemon = deployed.daemons.pop()
+            daemon.settings.bounds.grace_ms = daemons.BALANCER_REMOVAL_MS + 2000
+            with monkeypatch.context() as patched:
+                patched.setattr(exchange.UpstreamClient, "close", hang)
+                async with asyncio.timeout(daemon.settings.bounds.grace_ms / 1000):
+                    await daemon.stop()
+            await daemon._upstream_client.close()
+
     async def test_late_request_is_refused_and_not_run(self) -> None:
         """A request on a kept connection 4.7 s after the signal used to be cut off at the end."""
         async with deployments.deploy(engines=0, plain=1) as deployed:
