--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -181,7 +181,7 @@
             upstreams = self._view.list_plain(service.name)
             return self._placer.choose_plain(upstreams, progress.tried_ids, now_ms)
         groups = self._view.list_groups(service.name, request.facts.model)
-        model_usage = self._find_usage(request, progress, service.engine)
+        model_usage = self._usages.find(service.name, request.facts.model, service.engine)
         arrival = admission.Arrival(
             goal_ms=model_usage.note_arrival(progress.route.name, progress.route.goal_ms),
             waited_ms=progress.route.timeout_ms - request.facts.deadline_ms,
@@ -207,15 +207,11 @@
             return None
         return choice
 
-    def _find_usage(
-        self,
-        request: calls.CallerRequest,
-        progress: progresses.Progress,
-        engine: rules.EngineSpec,
-    ) -> usage.ModelUsage:
-        return self._usages.find(
-            progress.service.name, request.facts.model, engine.usual_answer_tokens
-        )
+    def _note_answer(self, request: calls.CallerRequest, progress: progresses.Progress) -> None:
+        engine = progress.service.engine
+        if engine is not None and progress.answer_events:
+            model_usage = self._usages.find(progress.service.name, request.facts.model, engine)
+            model_usage.note_answer(progress.answer_events * engine.event_tokens)
 
     def _draw_return_ms(self, left_ms: float) -> float:
         """Return when a refused caller may come back, drawn so that callers return spread out."""
@@ -255,10 +251,7 @@
                     )
             else:
                 reason = ""
-                if progress.service.engine is not None and progress.answer_events:
-                    self._find_usage(request, progress, progress.service.engine).note_answer(
-                        progress.answer_events * progress.service.engine.event_tokens
-                    )
+                self._note_answer(request, progress)
                 self._crash_watch.record_success(progress.fingerprint)
         except asyncio.CancelledError:
             progress.may_have_run = True  # The deadline passed or the caller left.
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -242,7 +242,7 @@
         for group in self._list_groups():
             for rank, member in enumerate(group.members):
                 if member not in self._observations:
-                    unlisted = _to_upstream(group, rank, self._failure_domain)
+                    unlisted = observations.describe_member(group, rank, self._failure_domain)
                     self._observations[member] = observations.Observation(unlisted, -1)
         assigned = {member for group in self._list_groups() for member in group.members}
         for gone in [
@@ -251,12 +251,10 @@
             if now_ms - seen.listed_at_ms > UNLISTED_RETENTION_MS and upstream_id not in assigned
         ]:
             del self._observations[gone]
-        interval_ms = self._settings.members.probe_interval_ms
-        for upstream_id in assigned & self._observations.keys():
-            seen = self._observations[upstream_id]
-            if not seen.is_probing and now_ms - seen.probed_at_ms >= interval_ms:
-                seen.is_probing, seen.probed_at_ms = True, now_ms
-                self._start_task(self._probe(seen))
+        due_ms = now_ms - self._settings.members.probe_interval_ms
+        for seen in [self._observations[key] for key in assigned & self._observations.keys()]:
+            if seen.probed_at_ms <= due_ms:
+                self._start_probe(seen)
 
     def _list_engine_services(self) -> Sequence[rules.Service]:
         in_force = self._register.current
@@ -387,10 +385,13 @@
         seen = self._observations.get(order.upstream_id)
         if seen is None or seen.may_join(order.group, order.epoch):
             return seen is not None
+        self._start_probe(seen)
+        return False
+
+    def _start_probe(self, seen: observations.Observation) -> None:
         if not seen.is_probing:
             seen.is_probing, seen.probed_at_ms = True, self._clock.monotonic_ms()
             self._start_task(self._probe(seen))
-        return False
 
     async def _send_order(self, order: plans.Order) -> None:
         if order.kind == plans.CLOSE:
@@ -428,24 +429,10 @@
 
     def _schedule_retry(self, order: plans.Order) -> None:
         """Allow a refused order again once a newer report can have corrected the order count."""
-        sent_at_ms = self._clock.monotonic_ms() - ORDER_RETRY_MS
-        self._ordered_at_ms[order.key] = sent_at_ms + REFUSED_ORDER_RETRY_MS
+        saved_ms = ORDER_RETRY_MS - REFUSED_ORDER_RETRY_MS
+        self._ordered_at_ms[order.key] = self._clock.monotonic_ms() - saved_ms
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _to_upstream(group: assignments.Assignment, rank: int, failure_domain: str) -> members.Upstream:
-    """Return a member as its assignment describes it, without a directory entry."""
-    return members.Upstream(
-        id=group.members[rank],
-        service=group.service,
-        address=group.addresses[rank],
-        failure_domain=failure_domain,
-        is_leaving=False,
-        slots=0,
-        born_at_ms=group.born_at_ms[rank],
-        fabric_domain=group.fabric_domain,
-    )
--- a/src/tanagerfork/relay/observations.py
+++ b/src/tanagerfork/relay/observations.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from tanagerfork.generated import assignments
 from tanagerfork.relay import members
 
 SILENT_AFTER_FAILURES = 2  # A single probe may be lost by the network.
@@ -94,3 +95,24 @@
         """Record that an order was refused, so that the count of the next report is taken."""
         self.min_order_count = 0
         self.order_count = None
+
+
+def describe_member(
+    group: assignments.Assignment, rank: int, failure_domain: str
+) -> members.Upstream:
+    """Return a member as its assignment describes it, without a directory entry.
+
+    :param group: assignment.
+    :param rank: rank of the member.
+    :param failure_domain: failure domain of the assignment.
+    """
+    return members.Upstream(
+        id=group.members[rank],
+        service=group.service,
+        address=group.addresses[rank],
+        failure_domain=failure_domain,
+        is_leaving=False,
+        slots=0,
+        born_at_ms=group.born_at_ms[rank],
+        fabric_domain=group.fabric_domain,
+    )
--- a/src/tanagerfork/relay/usage.py
+++ b/src/tanagerfork/relay/usage.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from tanagerfork.relay import rules
+
 ANSWER_SMOOTHING = 0.05  # Averages about the last forty answers of a daemon.
 
 
@@ -42,17 +44,19 @@
         self._usages: dict[tuple[str, str], ModelUsage] = {}
         self._version = 0
 
-    def find(self, service: str, model: str, usual_answer_tokens: float) -> ModelUsage:
-        """Return the usage of a model.
+    def find(self, service: str, model: str, engine: rules.EngineSpec) -> ModelUsage:
+        """Return the usage of a model; callers' names of unknown models are not kept.
 
         :param service: name of the service.
-        :param model: name of the model.
-        :param usual_answer_tokens: mean length of an answer by the configuration, which counts
-            until answers have been seen.
+        :param model: name of the model, as the caller sent it.
+        :param engine: engine of the service, whose mean length of an answer counts until answers
+            have been seen.
         """
         usage = self._usages.get((service, model))
         if usage is None:
-            usage = self._usages[service, model] = ModelUsage(usual_answer_tokens)
+            usage = ModelUsage(engine.usual_answer_tokens)
+            if engine.find_model(model) is not None:
+                self._usages[service, model] = usage
         return usage
 
     def follow_version(self, version: int) -> None:
