Log and count when a daemon reaches no upstream

The logs could not tell a daemon that is cut off and does not know it from one that learns of it too late: no line said how many upstreams had failed since any was heard.

--- a/src/tanagerfork/relay/sending.py
+++ b/src/tanagerfork/relay/sending.py
@@ -8,7 +8,17 @@
 
 from tanagerfork import clock as clocks
 from tanagerfork import errors
-from tanagerfork.relay import calls, events, exchange, loads, members, placing, rules, send_limits
+from tanagerfork.relay import (
+    calls,
+    events,
+    exchange,
+    loads,
+    members,
+    placing,
+    reach,
+    rules,
+    send_limits,
+)
 from tanagerfork.relay import progress as progresses
 
 RETURN_MARGIN_MS = 10  # Reserved for the response's way back to the caller.
@@ -26,6 +36,7 @@
     :param limits: limits that upstreams named.
     :param upstream_client: sends HTTP requests to upstreams.
     :param dialect: reads and writes the platform's headers.
+    :param own_reach: whether this daemon reaches any upstream.
     :param clock: clock of the deadlines.
     :param announce_silent: announces a silent upstream to the other daemons.
     :param announce_leaving: records and announces an upstream that said that it leaves.
@@ -36,6 +47,7 @@
         "_send_limits",
         "_upstream_client",
         "_dialect",
+        "_reach",
         "_clock",
         "_announce_silent",
         "_announce_leaving",
@@ -47,6 +59,7 @@
         limits: send_limits.SendLimits,
         upstream_client: exchange.UpstreamClient,
         dialect: calls.Dialect,
+        own_reach: reach.Reach,
         clock: clocks.Clock,
         announce_silent: Callable[[str], None],
         announce_leaving: Callable[[members.Upstream], None],
@@ -55,6 +68,7 @@
         self._send_limits = limits
         self._upstream_client = upstream_client
         self._dialect = dialect
+        self._reach = own_reach
         self._clock = clock
         self._announce_silent = announce_silent
         self._announce_leaving = announce_leaving
@@ -97,7 +111,10 @@
             )
             return result.Err(errors.UpstreamSilent(message))
         except errors.UpstreamError as error:
+            if isinstance(error, errors.UpstreamUnreachable):
+                self._reach.note_unreached(upstream.id)
             return result.Err(error)
+        self._reach.note_heard()
         self.note_prompt_read(progress, upstream.id, request.facts.prompt_tokens)
         try:
             now_ms = self._clock.monotonic_ms()
@@ -220,6 +237,7 @@
             if not complete.ok_value:
                 continue  # Bytes of an event that is never complete are no sign of work.
             load.heard_at_ms = self._clock.monotonic_ms()
+            self._reach.note_heard()
             if not sink.has_started:
                 await sink.start_stream(
                     response.status, self._dialect.filter_response_headers(response.headers)
@@ -301,6 +319,7 @@
 
     def _mark_suspect(self, upstream_id: str) -> None:
         now_ms = self._clock.monotonic_ms()
+        self._reach.note_unreached(upstream_id)
         if now_ms >= self._book.find(upstream_id).suspect_until_ms:
             self._announce_silent(upstream_id)
         self._book.suspect(upstream_id, now_ms)
