--- a/src/tanagerfork_standins/platform/store.py
+++ b/src/tanagerfork_standins/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import itertools
+from collections.abc import Callable
 
 import aiohttp.web
 import msgspec
@@ -14,6 +15,9 @@
 ENTRIES_PER_PAGE = 500
 MAX_CHANGES_PER_CALL = 32
 
+Translate = Callable[[str, bytes], bytes]
+TRANSLATE: aiohttp.web.AppKey[Translate] = aiohttp.web.AppKey("translate")
+
 
 @dataclasses.dataclass(slots=True)
 class Item:
@@ -117,11 +121,15 @@
         self._history.clear()
         self._notify_watches()
 
-    def serve(self, app: aiohttp.web.Application) -> None:
+    def serve(
+        self, app: aiohttp.web.Application, translate: Translate = lambda key, value: value
+    ) -> None:
         """Add the routes of the store to an application.
 
         :param app: application of a listener.
+        :param translate: returns the value of a key as clients of this application see it.
         """
+        app[TRANSLATE] = translate
         app.middlewares.append(self._inject_faults)
         app.router.add_get("/kv-key", self._serve_read)
         app.router.add_get("/kv-range", self._serve_range)
@@ -180,7 +188,8 @@
         item = self.items.get(request.query["key"])
         if item is None:
             return aiohttp.web.Response(status=404)
-        return _json_response({**_make_entry(item), "storeRevision": self.revision})
+        entry = _make_entry(item, request.app[TRANSLATE])
+        return _json_response({**entry, "storeRevision": self.revision})
 
     async def _serve_range(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         prefix, after = request.query["prefix"], request.query.get("after", "")
@@ -192,7 +201,7 @@
         page = found[:ENTRIES_PER_PAGE]
         return _json_response(
             {
-                "entries": [_make_entry(item) for item in page],
+                "entries": [_make_entry(item, request.app[TRANSLATE]) for item in page],
                 "truncated": len(page) < len(found),
                 "storeRevision": self.revision,
             }
@@ -211,7 +220,7 @@
             ]
             left_ms = deadline_ms - self._clock.monotonic_ms()
             if found or left_ms <= 0:
-                events = [_make_entry(item) for item in found]
+                events = [_make_entry(item, request.app[TRANSLATE]) for item in found]
                 return _json_response({"events": events, "storeRevision": self.revision})
             changed = self._changed
             try:
@@ -232,7 +241,7 @@
         for entry in expected:
             current = self.items.get(entry["key"])
             if (current.revision if current else 0) != entry["revision"]:
-                entries = [_make_entry(current)] if current else []
+                entries = [_make_entry(current, request.app[TRANSLATE])] if current else []
                 return _json_response({"entries": entries}, status=412)
         if any(entry.get("lease") and entry["lease"] not in self._leases for entry in writes):
             return aiohttp.web.Response(status=404)
@@ -261,12 +270,12 @@
         return aiohttp.web.Response(status=200 if has_ended else 404)
 
 
-def _make_entry(item: Item) -> dict[str, object]:
+def _make_entry(item: Item, translate: Translate) -> dict[str, object]:
     if item.value is None:
         return {"key": item.key, "revision": item.revision, "removed": True}
     return {
         "key": item.key,
-        "value": base64.b64encode(item.value).decode(),
+        "value": base64.b64encode(translate(item.key, item.value)).decode(),
         "revision": item.revision,
         "created": item.created,
         "lease": item.lease,
--- /dev/null
+++ b/src/tanagerfork_standins/proxy.py
@@ -0,0 +1,124 @@
+"""Loopback TCP proxy that delays, silences, resets or refuses the connections to one address."""
+
+import asyncio
+import contextlib
+import enum
+import socket
+
+from tanagerfork_standins import listener
+
+
+class Cut(enum.Enum):
+    """What a network partition does to connections."""
+
+    HANGS = "hangs"  # Open ones carry no more bytes, new ones are never accepted.
+    RESETS = "resets"  # Open ones are reset, new ones refused.
+    REFUSES = "refuses"  # Open ones live on, new ones are refused.
+
+
+class Proxy:
+    """Proxy of one address.
+
+    `delay_s` is added to each part of the bytes. With `is_silent`, bytes are dropped.
+
+    :param address: address that connections are passed on to.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self.delay_s = 0.0
+        self.is_silent = False
+        self.port = 0
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self._unaccepted: list[socket.socket] = []
+
+    @property
+    def address(self) -> str:
+        """Address of the proxy."""
+        return f"{listener.LOOPBACK}:{self.port}"
+
+    async def start(self) -> None:
+        """Start listening, at first on a free port, later on the same one."""
+        self._server = await asyncio.start_server(self._accept, listener.LOOPBACK, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        await self.heal()
+        self._close_server()
+        self.reset()
+        await asyncio.sleep(0.1)  # Lets the connections' tasks end.
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def cut(self, how: Cut) -> None:
+        """Partition both sides from each other.
+
+        :param how: what becomes of their connections.
+        """
+        self._close_server()
+        if how is Cut.HANGS:
+            self.is_silent = True
+            self._fill_backlog()
+        elif how is Cut.RESETS:
+            self.reset()
+
+    async def heal(self) -> None:
+        """End a partition; connections that hung are reset."""
+        if self._server is not None:
+            return
+        if self.is_silent:
+            self.is_silent = False
+            self.reset()
+        for unaccepted in self._unaccepted:
+            unaccepted.close()
+        self._unaccepted.clear()
+        await self.start()
+
+    def _close_server(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def _fill_backlog(self) -> None:
+        """Listen with a full backlog, so that opening packets are dropped."""
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((listener.LOOPBACK, self.port))
+        listening.listen(0)
+        filler = socket.socket()
+        filler.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            filler.connect((listener.LOOPBACK, self.port))
+        self._unaccepted = [listening, filler]
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self._host, self._port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        await asyncio.gather(
+            self._forward(reader, far_writer),
+            self._forward(far_reader, writer),
+            return_exceptions=True,
+        )
+        self._writers -= {writer, far_writer}
+
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65_536):
+                await asyncio.sleep(self.delay_s)
+                if not self.is_silent:
+                    writer.write(data)
+        except ConnectionError:
+            writer.transport.abort()
+        finally:
+            if not self.is_silent:
+                writer.close()
--- a/tests/relay/deployments.py
+++ b/tests/relay/deployments.py
@@ -12,6 +12,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.relay import daemon as daemons
+from tanagerfork_standins.platform import partition
 from tanagerfork_standins.platform import site as sites
 
 WAIT_S = 10.0
@@ -48,6 +49,7 @@
     def __init__(self, site: sites.Site) -> None:
         self.site = site
         self.daemons: list[daemons.RelayDaemon] = []
+        self.networks: list[partition.DaemonNetwork] = []
         self.log = LineList()
 
     async def add_daemon(self, failure_domain: str = "a", **changes: object) -> daemons.RelayDaemon:
@@ -71,6 +73,15 @@
         await daemon.start()
         return daemon
 
+    async def add_daemon_with_network(self, failure_domain: str = "a") -> daemons.RelayDaemon:
+        """Add a daemon whose paths to the runners can be cut."""
+        runners = [*self.site.engine_runners, *self.site.plain_runners]
+        network = partition.DaemonNetwork(self.site.store, [member.address for member in runners])
+        await network.start()
+        self.networks.append(network)
+        store = settings_records.StoreSettings(address=network.store_address)
+        return await self.add_daemon(failure_domain, store=store)
+
     async def wait_until(self, condition, description: str) -> None:
         ends_s = asyncio.get_running_loop().time() + WAIT_S
         while not condition():
@@ -99,6 +110,7 @@
         body: bytes | None = None,
         deadline_ms: int = 3000,
         key: str = sites.API_KEY,
+        daemon: int = 0,
         **headers: str,
     ) -> CallerResponse:
         sent_headers = {
@@ -112,7 +124,7 @@
             sent_headers["Tanagerfork-Model"] = sites.SMALL_MODEL
             sent_headers["Tanagerfork-Tokens"] = "100,20"
         sent_headers.update({name.replace("_", "-"): value for name, value in headers.items()})
-        port = self.daemons[0].callers_port
+        port = self.daemons[daemon].callers_port
         async with aiohttp.ClientSession(
             auto_decompress=False, skip_auto_headers=("Accept-Encoding", "User-Agent", "Accept")
         ) as session:
@@ -131,17 +143,26 @@
 
 @contextlib.asynccontextmanager
 async def deploy(
-    engines: int = 4, plain: int = 2, daemon_count: int = 1, with_config: bool = True
+    engines: int = 4,
+    plain: int = 2,
+    daemon_count: int = 1,
+    with_config: bool = True,
+    has_networks: bool = False,
 ) -> AsyncIterator[Deployment]:
     site = sites.Site(engine_count=engines, plain_count=plain)
     await site.start(with_config)
     deployment = Deployment(site)
     try:
         for _ in range(daemon_count):
-            await deployment.add_daemon()
+            if has_networks:
+                await deployment.add_daemon_with_network()
+            else:
+                await deployment.add_daemon()
         yield deployment
     finally:
         for daemon in deployment.daemons:
             daemon.settings.bounds.grace_ms = 700
             await daemon.stop()
+        for network in deployment.networks:
+            await network.stop()
         await site.stop()
