Give the choice of an upstream and the relaying of responses modules of their own

No change of behaviour: code moved out of relay.attempts and relay.sending, so that requests can also be handed to another daemon.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -1,9 +1,6 @@
 """Sends a caller's request to one upstream after another until one answers or it must stop."""
 
 import asyncio
-import dataclasses
-import random
-from collections.abc import Sequence
 
 import result
 
@@ -11,26 +8,20 @@
 from tanagerfork import decisions, errors
 from tanagerfork import metrics as metric
 from tanagerfork.relay import (
-    admission,
     budget,
     calls,
+    choosing,
     crashes,
     fleet,
     loads,
-    members,
     placing,
     rules,
-    send_limits,
     sending,
-    usage,
 )
 from tanagerfork.relay import progress as progresses
 
 LOGGER = "relay.attempts"
 MAX_NOT_RUN_SENDS = 8  # A failure domain that is cut off takes a third of the groups with it.
-GROUP_REPAIR_MS = 2500.0  # Finding a group broken takes 1 s, closing it 0.5 s, reopening it 1 s.
-MAX_RETRY_AFTER_SHARE = 1 / 3  # Bounds Retry-After by the time that is left.
-RETURN_SPREAD = (0.3, 1.0)  # Of the longest Retry-After, for callers that an overload turns away.
 NOT_RUN = frozenset((calls.Outcome.UNREACHED, calls.Outcome.REFUSED))
 
 
@@ -40,25 +31,20 @@
     :param register: rules in force.
     :param view: known upstreams and groups.
     :param book: loads of the upstreams.
-    :param placer: chooses upstreams.
-    :param limits: limits that upstreams named.
+    :param chooser: chooses upstreams.
     :param retry_budget: limits retries.
     :param sender: sends a request to one upstream.
     :param clock: clock of the deadlines.
     :param log: decision log.
     :param metrics: counters.
     :param crash_watch: detects requests that crash upstreams.
-    :param rng: spreads the callers that come back.
     """
 
     __slots__ = (
-        "_rng",
-        "_usages",
         "_register",
         "_view",
         "_book",
-        "_placer",
-        "_send_limits",
+        "_chooser",
         "_retry_budget",
         "_sender",
         "_clock",
@@ -72,24 +58,19 @@
         register: rules.RulesRegister,
         view: fleet.Fleet,
         book: loads.LoadBook,
-        placer: placing.Placer,
-        limits: send_limits.SendLimits,
+        chooser: choosing.Chooser,
         retry_budget: budget.RetryBudget,
         sender: sending.Sender,
         clock: clocks.Clock,
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
         crash_watch: crashes.CrashWatch,
-        rng: random.Random,
     ) -> None:
-        self._rng = rng
-        self._usages = usage.UsageBook()
         self._crash_watch = crash_watch
         self._register = register
         self._view = view
         self._book = book
-        self._placer = placer
-        self._send_limits = limits
+        self._chooser = chooser
         self._retry_budget = retry_budget
         self._sender = sender
         self._clock = clock
@@ -120,7 +101,7 @@
                 "no configuration has been read from the store yet; retry later",
                 round(2 * progresses.DEFAULT_RETRY_AFTER_MS),
             )
-        self._usages.follow_version(in_force.version)
+        self._chooser.follow_rules(in_force)
         route = in_force.match(request.host, request.path)
         team = in_force.identify(route, request.facts.key)
         service = in_force.services.get(route.choose_service(request.facts.request_id))
@@ -153,7 +134,7 @@
                 reason = "it or a part of its prompt crashed upstreams, so it is quarantined"
                 await self._finish_unanswered(request, progress, sink, reason)
                 return
-            choice = self._choose_upstream(request, progress)
+            choice = self._chooser.choose(request, progress, self._clock.monotonic_ms())
             if choice is None:
                 await self._finish_unanswered(
                     request,
@@ -182,71 +163,6 @@
                 await self._finish_unanswered(request, progress, sink, progress.last_failure)
                 return
 
-    def _choose_upstream(
-        self, request: calls.CallerRequest, progress: progresses.Progress
-    ) -> placing.Choice | None:
-        now_ms = self._clock.monotonic_ms()
-        service = progress.service
-        if service.engine is None:
-            upstreams = self._view.list_plain(service.name)
-            free = [item for item in upstreams if self._send_limits.may_send(item, now_ms)]
-            choice = self._placer.choose_plain(free, progress.tried_ids, now_ms)
-            if choice is None:
-                self._note_limits(progress, upstreams, now_ms)
-            return choice
-        whole = self._view.list_groups(service.name, request.facts.model)
-        groups = [item for item in whole if self._send_limits.may_send(item.head, now_ms)]
-        model_usage = self._usages.find(service.name, request.facts.model, service.engine)
-        arrival = admission.Arrival(
-            goal_ms=model_usage.note_arrival(progress.route.name, progress.route.goal_ms),
-            waited_ms=progress.route.timeout_ms - request.facts.deadline_ms,
-            must_continue=progress.has_reached_upstream or bool(progress.last_event_id),
-        )
-        choice = self._placer.choose_group(
-            groups,
-            dataclasses.replace(service.engine, usual_answer_tokens=model_usage.answer_tokens),
-            request.facts.prompt_tokens,
-            progress.tried_ids,
-            now_ms,
-            admission.compute_wait_limit_ms(arrival),
-        )
-        if choice is None:
-            progress.retry_after_ms = GROUP_REPAIR_MS
-            self._note_limits(progress, [group.head for group in whole], now_ms)
-        elif choice.expected_ms > progress.remaining_ms(now_ms):
-            progress.last_failure = "no group is expected to answer before the deadline"
-            progress.retry_after_ms = choice.expected_ms
-            return None
-        elif not choice.is_admitted:
-            progress.last_failure = "the queue of every group uses up the goal of its requests"
-            progress.retry_after_ms = self._draw_return_ms(progress.remaining_ms(now_ms))
-            return None
-        return choice
-
-    def _note_limits(
-        self, progress: progresses.Progress, upstreams: Sequence[members.Upstream], now_ms: float
-    ) -> None:
-        """Record for the caller when one of the upstreams takes a request again."""
-        waits_ms = [
-            self._send_limits.measure_wait_ms(upstream, now_ms)
-            for upstream in upstreams
-            if not self._send_limits.may_send(upstream, now_ms)
-        ]
-        if waits_ms:
-            self._metrics.count("relay_limited_choices_total")
-            progress.last_failure = "the upstreams take no more requests for the moment"
-            progress.retry_after_ms = min(waits_ms)
-
-    def _note_answer(self, request: calls.CallerRequest, progress: progresses.Progress) -> None:
-        engine = progress.service.engine
-        if engine is not None and progress.answer_events:
-            model_usage = self._usages.find(progress.service.name, request.facts.model, engine)
-            model_usage.note_answer(progress.answer_events * engine.event_tokens)
-
-    def _draw_return_ms(self, left_ms: float) -> float:
-        """Return when a refused caller may come back, drawn so that callers return spread out."""
-        return left_ms * MAX_RETRY_AFTER_SHARE * self._rng.uniform(*RETURN_SPREAD)
-
     def _may_retry(self, progress: progresses.Progress, outcome: calls.Outcome) -> bool:
         if outcome in NOT_RUN:
             progress.not_run_sends += 1
@@ -284,7 +200,7 @@
                     self._crash_watch.check_for_crash(lost, upstream)
             else:
                 reason = ""
-                self._note_answer(request, progress)
+                self._chooser.note_answer(request, progress)
                 if progress.has_succeeded:
                     self._crash_watch.record_success(
                         progress.fingerprint, request.facts.prompt_parts
@@ -344,7 +260,7 @@
         if progress.is_quarantined:
             return round(progress.retry_after_ms)  # Coming back before that is in vain.
         left_ms = progress.remaining_ms(self._clock.monotonic_ms())
-        return round(max(1, min(progress.retry_after_ms, left_ms * MAX_RETRY_AFTER_SHARE)))
+        return round(max(1, min(progress.retry_after_ms, left_ms * choosing.MAX_RETRY_AFTER_SHARE)))
 
     def _record_send(
         self,
--- /dev/null
+++ b/src/tanagerfork/relay/choosing.py
@@ -0,0 +1,133 @@
+"""Choosing: picks the upstream for a request, or says why there is none."""
+
+import dataclasses
+import random
+from collections.abc import Sequence
+
+from tanagerfork import metrics as metric
+from tanagerfork.relay import (
+    admission,
+    calls,
+    fleet,
+    members,
+    placing,
+    rules,
+    send_limits,
+    usage,
+)
+from tanagerfork.relay import progress as progresses
+
+GROUP_REPAIR_MS = 2500.0  # Finding a group broken takes 1 s, closing it 0.5 s, reopening it 1 s.
+MAX_RETRY_AFTER_SHARE = 1 / 3  # Bounds Retry-After by the time that is left.
+RETURN_SPREAD = (0.3, 1.0)  # Of the longest Retry-After, for callers that an overload turns away.
+
+
+class Chooser:
+    """Chooses upstreams by what is known of them, of the limits they named, and of their queues.
+
+    :param view: known upstreams and groups.
+    :param placer: chooses among upstreams.
+    :param limits: limits that upstreams named.
+    :param rng: spreads the callers that come back.
+    :param metrics: counters.
+    """
+
+    __slots__ = ("_view", "_placer", "_send_limits", "_rng", "_metrics", "_usages")
+
+    def __init__(
+        self,
+        view: fleet.Fleet,
+        placer: placing.Placer,
+        limits: send_limits.SendLimits,
+        rng: random.Random,
+        metrics: metric.Metrics,
+    ) -> None:
+        self._view = view
+        self._placer = placer
+        self._send_limits = limits
+        self._rng = rng
+        self._metrics = metrics
+        self._usages = usage.UsageBook()
+
+    def follow_rules(self, in_force: rules.Rules) -> None:
+        """Forget what was learned of the requests and answers of rules that are replaced.
+
+        :param in_force: rules in force.
+        """
+        self._usages.follow_version(in_force.version)
+
+    def choose(
+        self, request: calls.CallerRequest, progress: progresses.Progress, now_ms: float
+    ) -> placing.Choice | None:
+        """Choose an upstream; where there is none, record in the progress why and until when.
+
+        :param request: caller's request.
+        :param progress: state of the request.
+        :param now_ms: monotonic clock, in milliseconds.
+        :return: the choice, None where no upstream takes the request.
+        """
+        service = progress.service
+        if service.engine is None:
+            upstreams = self._view.list_plain(service.name)
+            free = [item for item in upstreams if self._send_limits.may_send(item, now_ms)]
+            choice = self._placer.choose_plain(free, progress.tried_ids, now_ms)
+            if choice is None:
+                self._note_limits(progress, upstreams, now_ms)
+            return choice
+        whole = self._view.list_groups(service.name, request.facts.model)
+        groups = [item for item in whole if self._send_limits.may_send(item.head, now_ms)]
+        model_usage = self._usages.find(service.name, request.facts.model, service.engine)
+        arrival = admission.Arrival(
+            goal_ms=model_usage.note_arrival(progress.route.name, progress.route.goal_ms),
+            waited_ms=progress.route.timeout_ms - request.facts.deadline_ms,
+            must_continue=progress.has_reached_upstream or bool(progress.last_event_id),
+        )
+        choice = self._placer.choose_group(
+            groups,
+            dataclasses.replace(service.engine, usual_answer_tokens=model_usage.answer_tokens),
+            request.facts.prompt_tokens,
+            progress.tried_ids,
+            now_ms,
+            admission.compute_wait_limit_ms(arrival),
+        )
+        if choice is None:
+            progress.retry_after_ms = GROUP_REPAIR_MS
+            self._note_limits(progress, [group.head for group in whole], now_ms)
+        elif choice.expected_ms > progress.remaining_ms(now_ms):
+            progress.last_failure = "no group is expected to answer before the deadline"
+            progress.retry_after_ms = choice.expected_ms
+            return None
+        elif not choice.is_admitted:
+            progress.last_failure = "the queue of every group uses up the goal of its requests"
+            progress.retry_after_ms = self._draw_return_ms(progress.remaining_ms(now_ms))
+            return None
+        return choice
+
+    def _note_limits(
+        self, progress: progresses.Progress, upstreams: Sequence[members.Upstream], now_ms: float
+    ) -> None:
+        """Record for the caller when one of the upstreams takes a request again."""
+        waits_ms = [
+            self._send_limits.measure_wait_ms(upstream, now_ms)
+            for upstream in upstreams
+            if not self._send_limits.may_send(upstream, now_ms)
+        ]
+        if waits_ms:
+            self._metrics.count("relay_limited_choices_total")
+            progress.last_failure = "the upstreams take no more requests for the moment"
+            progress.retry_after_ms = min(waits_ms)
+
+    def note_answer(self, request: calls.CallerRequest, progress: progresses.Progress) -> None:
+        """Learn the length of a model's answers from a complete one.
+
+        :param request: caller's request.
+        :param progress: state of the request.
+        """
+        engine = progress.service.engine
+        if engine is not None and progress.answer_events:
+            model_usage = self._usages.find(progress.service.name, request.facts.model, engine)
+            model_usage.note_answer(progress.answer_events * engine.event_tokens)
+
+    def _draw_return_ms(self, left_ms: float) -> float:
+        """Return when a refused caller may come back, drawn so that callers return spread out."""
+        return left_ms * MAX_RETRY_AFTER_SHARE * self._rng.uniform(*RETURN_SPREAD)
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -24,6 +24,7 @@
 from tanagerfork.relay import (
     attempts,
     budget,
+    choosing,
     cohorts,
     coordinator,
     crashes,
@@ -125,8 +126,13 @@
             self.register,
             self.view,
             self.book,
-            placing.Placer(self._rng, self.book),
-            self._send_limits,
+            choosing.Chooser(
+                self.view,
+                placing.Placer(self._rng, self.book),
+                self._send_limits,
+                self._rng,
+                self.metrics,
+            ),
             self._retry_budget,
             sending.Sender(
                 self.book,
@@ -150,7 +156,6 @@
                 self.log,
                 self.metrics,
             ),
-            self._rng,
         )
         self.front = front.Front(relay, self._dialect, self.clock, self.log, self.metrics)
         record = followers.DaemonRecord(settings.failure_domain, settings.peers)
--- a/src/tanagerfork/relay/sending.py
+++ b/src/tanagerfork/relay/sending.py
@@ -1,6 +1,7 @@
 """Sends a request to one upstream and relays the response to the caller."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -10,12 +11,12 @@
 from tanagerfork import errors
 from tanagerfork.relay import (
     calls,
-    events,
     exchange,
     loads,
     members,
     placing,
     reach,
+    responses,
     rules,
     send_limits,
 )
@@ -46,7 +47,7 @@
         "_book",
         "_send_limits",
         "_upstream_client",
-        "_dialect",
+        "_responses",
         "_reach",
         "_clock",
         "_announce_silent",
@@ -67,7 +68,7 @@
         self._book = book
         self._send_limits = limits
         self._upstream_client = upstream_client
-        self._dialect = dialect
+        self._responses = responses.ResponseRelay(dialect, clock)
         self._reach = own_reach
         self._clock = clock
         self._announce_silent = announce_silent
@@ -129,8 +130,14 @@
             if refusal is not None:
                 return result.Err(refusal)
             if progress.route.repetition is rules.Repetition.STREAM and response.status == 200:
-                return await self._relay_stream(progress, choice, response, sink)
-            return await self._relay_response(progress, response, sink)
+                return await self._responses.relay_stream(
+                    progress,
+                    response,
+                    sink,
+                    functools.partial(self._read_stream_chunk, response, progress, choice),
+                    functools.partial(self._note_events, upstream.id),
+                )
+            return await self._responses.relay_body(progress, response, sink)
         except errors.UpstreamError as error:
             return result.Err(error)
         finally:
@@ -193,70 +200,9 @@
             )
         return None
 
-    async def _relay_response(
-        self,
-        progress: progresses.Progress,
-        response: exchange.UpstreamResponse,
-        sink: progresses.Sink,
-    ) -> result.Result[calls.Outcome, errors.UpstreamError]:
-        body = await response.read_body()
-        headers = self._dialect.filter_response_headers(response.headers)
-        if response.status >= 500 and progress.can_retry:
-            progress.kept_failure = progresses.KeptFailure(response.status, headers, body)
-            return result.Err(
-                errors.UpstreamFailed(f"failed with status {response.status}; use another upstream")
-            )
-        if sink.has_started:  # A resumed stream failed on this upstream.
-            return result.Err(
-                errors.UpstreamFailed(f"failed with status {response.status}; use another upstream")
-            )
-        await sink.send_response(response.status, headers, body)
-        progress.has_succeeded = 200 <= response.status < 300
-        return result.Ok(calls.Outcome.ANSWERED)
-
-    async def _relay_stream(
-        self,
-        progress: progresses.Progress,
-        choice: placing.Choice,
-        response: exchange.UpstreamResponse,
-        sink: progresses.Sink,
-    ) -> result.Result[calls.Outcome, errors.UpstreamError]:
-        upstream_id = choice.upstream.id
-        load = self._book.find(upstream_id)
-        splitter = events.EventSplitter(progress.last_event_id)
-        event_at_ms = float(self._clock.monotonic_ms())
-        while True:
-            chunk = await self._read_stream_chunk(
-                response, progress, choice, splitter.event_count, event_at_ms
-            )
-            if not chunk:
-                break
-            complete = splitter.feed(chunk)
-            if isinstance(complete, result.Err):
-                return complete
-            if not complete.ok_value:
-                continue  # Bytes of an event that is never complete are no sign of work.
-            load.heard_at_ms = self._clock.monotonic_ms()
-            self._reach.note_heard()
-            if not sink.has_started:
-                await sink.start_stream(
-                    response.status, self._dialect.filter_response_headers(response.headers)
-                )
-            await sink.send(complete.ok_value)
-            event_at_ms = self._clock.monotonic_ms()  # A slow caller is no silence of the upstream.
-            progress.last_event_id = splitter.last_id
-        if splitter.has_partial_event:
-            return result.Err(
-                errors.UpstreamLost("the stream ended within an event; resume on another upstream")
-            )
-        if not sink.has_started:
-            await sink.start_stream(
-                response.status, self._dialect.filter_response_headers(response.headers)
-            )
-        progress.answer_events += splitter.event_count
-        progress.has_succeeded = True
-        await sink.finish_stream()
-        return result.Ok(calls.Outcome.ANSWERED)
+    def _note_events(self, upstream_id: str) -> None:
+        self._book.find(upstream_id).heard_at_ms = self._clock.monotonic_ms()
+        self._reach.note_heard()
 
     async def _read_stream_chunk(
         self,
--- a/tests/relay/test_usage.py
+++ b/tests/relay/test_usage.py
@@ -35,7 +35,7 @@
             relay = deployed.daemons[0].front._relay
             for index in range(60):
                 assert (await deployed.ask(f"/stream/{index}", "POST", b"x")).status == 200
-            learned = relay._usages.find(site.ENGINE_SERVICE, site.SMALL_MODEL, ENGINE)
+            learned = relay._chooser._usages.find(site.ENGINE_SERVICE, site.SMALL_MODEL, ENGINE)
             assert 20 < learned.answer_tokens < 30  # Five events of four tokens.
 
 
