--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -114,6 +114,10 @@
     ran = NOT_RUN
 
 
+class NotTakenOver(NotRun):
+    """Another daemon's request was not served, but a third daemon may serve it."""
+
+
 class RateLimited(NotRun):
     """The team is over its limits."""
 
--- a/src/tanagerfork/platform/headers.py
+++ b/src/tanagerfork/platform/headers.py
@@ -48,6 +48,9 @@
     name.lower()
     for name in (DEADLINE, EXPECTED_ID, TEAM, AUTHORIZATION, LAST_EVENT_ID, "Content-Length")
 )
+REPLACED_ON_HANDOVER = frozenset(
+    name.lower() for name in (DEADLINE, LAST_EVENT_ID, "Content-Length")
+)
 
 
 class PlatformDialect:
@@ -93,6 +96,17 @@
             headers.append((LAST_EVENT_ID, outgoing.last_event_id))
         return headers
 
+    def make_forwarded_headers(
+        self, request: calls.CallerRequest, left_ms: int, last_event_id: str
+    ) -> calls.Headers:
+        """Return the headers for another daemon; see `calls.Dialect.make_forwarded_headers`."""
+        dropped = HOP_BY_HOP | REPLACED_ON_HANDOVER | _parse_connection_header(request.headers)
+        headers = [(name, value) for name, value in request.headers if name.lower() not in dropped]
+        headers.append((DEADLINE, str(left_ms)))
+        if last_event_id:
+            headers.append((LAST_EVENT_ID, last_event_id))
+        return headers
+
     def read_response(self, status: int, headers: Mapping[str, str]) -> calls.ResponseFacts:
         """Read the headers of an upstream's response; see `calls.Dialect.read_response`."""
         return calls.ResponseFacts(
--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -13,8 +13,11 @@
     choosing,
     crashes,
     fleet,
+    forwarding,
     loads,
     placing,
+    reach,
+    reach_checks,
     rules,
     sending,
 )
@@ -22,7 +25,6 @@
 
 LOGGER = "relay.attempts"
 MAX_NOT_RUN_SENDS = 8  # A failure domain that is cut off takes a third of the groups with it.
-NOT_RUN = frozenset((calls.Outcome.UNREACHED, calls.Outcome.REFUSED))
 
 
 class Relay:
@@ -32,6 +34,9 @@
     :param view: known upstreams and groups.
     :param book: loads of the upstreams.
     :param chooser: chooses upstreams.
+    :param own_reach: which services this daemon reaches.
+    :param checks: settles doubts about the reach.
+    :param forwarder: hands requests over to other daemons.
     :param retry_budget: limits retries.
     :param sender: sends a request to one upstream.
     :param clock: clock of the deadlines.
@@ -45,6 +50,9 @@
         "_view",
         "_book",
         "_chooser",
+        "_reach",
+        "_reach_checks",
+        "_forwarder",
         "_retry_budget",
         "_sender",
         "_clock",
@@ -59,6 +67,9 @@
         view: fleet.Fleet,
         book: loads.LoadBook,
         chooser: choosing.Chooser,
+        own_reach: reach.Reach,
+        checks: reach_checks.ReachChecks,
+        forwarder: forwarding.Forwarder,
         retry_budget: budget.RetryBudget,
         sender: sending.Sender,
         clock: clocks.Clock,
@@ -71,6 +82,9 @@
         self._view = view
         self._book = book
         self._chooser = chooser
+        self._reach = own_reach
+        self._reach_checks = checks
+        self._forwarder = forwarder
         self._retry_budget = retry_budget
         self._sender = sender
         self._clock = clock
@@ -85,7 +99,8 @@
         :raises CallerError: the request was not answered; nothing was written to the sink.
         """
         progress = self._start_progress(request)
-        self._retry_budget.record_request(progress.service.name, self._clock.monotonic_ms())
+        if request.handover is None:  # Else the other daemon has recorded it.
+            self._retry_budget.record_request(progress.service.name, self._clock.monotonic_ms())
         try:
             async with asyncio.timeout(progress.remaining_ms(self._clock.monotonic_ms()) / 1000):
                 await self._send_until_answered(request, progress, sink)
@@ -101,6 +116,8 @@
                 "no configuration has been read from the store yet; retry later",
                 round(2 * progresses.DEFAULT_RETRY_AFTER_MS),
             )
+        if request.handover is not None and in_force.version < request.handover.rules_version:
+            raise errors.NotTakenOver("the configuration here is older; use another daemon")
         self._chooser.follow_rules(in_force)
         route = in_force.match(request.host, request.path)
         team = in_force.identify(route, request.facts.key)
@@ -119,55 +136,88 @@
             deadline_at_ms=request.arrived_at_ms + limit_ms,
             last_event_id=request.facts.last_event_id,
             fingerprint=fingerprint,
+            attempts=(
+                min(route.attempts, request.handover.attempts)
+                if request.handover
+                else route.attempts
+            ),
         )
 
     async def _send_until_answered(
         self, request: calls.CallerRequest, progress: progresses.Progress, sink: progresses.Sink
     ) -> None:
         while True:
-            quarantine_ms = self._crash_watch.quarantine_left_ms(
-                progress.fingerprint, request.facts.prompt_parts
-            )
-            if quarantine_ms:
-                progress.retry_after_ms = quarantine_ms
-                progress.is_quarantined = True
-                reason = "it or a part of its prompt crashed upstreams, so it is quarantined"
-                await self._finish_unanswered(request, progress, sink, reason)
-                return
-            choice = self._chooser.choose(request, progress, self._clock.monotonic_ms())
-            if choice is None:
-                await self._finish_unanswered(
-                    request,
-                    progress,
-                    sink,
-                    progress.last_failure or "no upstream can take the request",
-                )
-                return
-            if progress.remaining_ms(self._clock.monotonic_ms()) < progresses.MIN_REMAINING_MS:
-                await self._finish_unanswered(
-                    request, progress, sink, "the time left before the deadline is too short"
-                )
-                return
-            now_ms = self._clock.monotonic_ms()
-            if progress.has_reached_upstream and not self._retry_budget.try_acquire(
-                progress.service.name, now_ms
-            ):
-                await self._finish_unanswered(
-                    request, progress, sink, "the retry budget of the service is used up"
-                )
+            path = await self._choose_path(request, progress)
+            obstacle = self._find_obstacle(progress, path)
+            if path is None or obstacle:
+                await self._finish_unanswered(request, progress, sink, obstacle)
                 return
-            outcome = await self._send_once(request, progress, choice, sink)
+            if isinstance(path, placing.Choice):
+                outcome = await self._send_once(request, progress, path, sink)
+            else:
+                outcome = await self._forwarder.forward(request, progress, path, sink)
             if outcome is calls.Outcome.ANSWERED:
                 return
             if not self._may_retry(progress, outcome):
                 await self._finish_unanswered(request, progress, sink, progress.last_failure)
                 return
 
+    async def _choose_path(
+        self, request: calls.CallerRequest, progress: progresses.Progress
+    ) -> placing.Choice | str | None:
+        """Return the upstream for a send, or the daemon that the request is handed over to."""
+        quarantine_ms = self._crash_watch.quarantine_left_ms(
+            progress.fingerprint, request.facts.prompt_parts
+        )
+        if quarantine_ms:
+            progress.retry_after_ms = quarantine_ms
+            progress.is_quarantined = True
+            progress.last_failure = (
+                "it or a part of its prompt crashed upstreams, so it is quarantined"
+            )
+            return None
+        await self._reach_checks.settle(progress.service.name)
+        if self._reach.is_cut_off(progress.service.name):
+            return self._choose_daemon(request, progress)
+        return self._chooser.choose(request, progress, self._clock.monotonic_ms())
+
+    def _find_obstacle(
+        self, progress: progresses.Progress, path: placing.Choice | str | None
+    ) -> str:
+        """Return why a request cannot be sent on a path; empty if it can."""
+        now_ms = self._clock.monotonic_ms()
+        if path is None:
+            return progress.last_failure or "no upstream can take the request"
+        if progress.remaining_ms(now_ms) < progresses.MIN_REMAINING_MS:
+            return "the time left before the deadline is too short"
+        if progress.has_reached_upstream and not self._retry_budget.try_acquire(
+            progress.service.name, now_ms
+        ):
+            return "the retry budget of the service is used up"
+        return ""
+
+    def _choose_daemon(
+        self, request: calls.CallerRequest, progress: progresses.Progress
+    ) -> str | None:
+        """Return the daemon that takes over a request; None where there is none.
+
+        :raises NotTakenOver: the request was handed over already, so another one has to choose.
+        """
+        if request.handover is not None and not progress.has_reached_upstream:
+            raise errors.NotTakenOver("no upstream is reached from here; use another daemon")
+        daemon = None
+        if request.handover is None:
+            daemon = self._forwarder.choose_daemon(progress.service.name, progress.tried_ids)
+        if daemon is None:
+            progress.last_failure = "no upstream is reached, nor a daemon that reaches one"
+            progress.retry_after_ms = reach.RECHECK_INTERVAL_MS
+        return daemon
+
     def _may_retry(self, progress: progresses.Progress, outcome: calls.Outcome) -> bool:
-        if outcome in NOT_RUN:
+        if outcome in calls.NOT_RUN:
             progress.not_run_sends += 1
             return progress.not_run_sends < MAX_NOT_RUN_SENDS
-        return progress.sends < progress.route.attempts and progress.route.is_repeatable
+        return progress.sends < progress.attempts and progress.route.is_repeatable
 
     async def _send_once(
         self,
@@ -188,7 +238,7 @@
             sent = await self._sender.send(request, progress, choice, sink)
             outcome = sent.unwrap_or(calls.Outcome.ANSWERED)
             if isinstance(sent, result.Err):
-                outcome, reason = _classify(sent.err_value), sent.err_value.message
+                outcome, reason = calls.classify(sent.err_value), sent.err_value.message
                 if isinstance(sent.err_value, errors.GroupClosed):
                     self._book.note_closed(upstream.id, choice.epoch, self._clock.monotonic_ms())
                 if type(sent.err_value) is errors.UpstreamLost:
@@ -289,11 +339,3 @@
             took_ms=round(took_ms),
             last_event_id=progress.last_event_id,
         )
-
-
-def _classify(error: errors.UpstreamError) -> calls.Outcome:
-    if isinstance(error, errors.UpstreamUnreachable):
-        return calls.Outcome.UNREACHED
-    if isinstance(error, errors.UpstreamRefused):
-        return calls.Outcome.REFUSED
-    return calls.Outcome.LOST
--- a/src/tanagerfork/relay/calls.py
+++ b/src/tanagerfork/relay/calls.py
@@ -5,6 +5,10 @@
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
+from tanagerfork import errors
+
+NOT_RUN_STATUSES = frozenset((429, 503, 408, 421))  # These promise callers "not run".
+
 Headers = list[tuple[str, str]]
 
 
@@ -26,9 +30,24 @@
     prompt_parts: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Handover:
+    """What another daemon says of a request that it hands over.
+
+    `attempts` is the number of sends to upstreams that may still be made, `rules_version` the
+    oldest version of the rules by which the request may be served.
+    """
+
+    attempts: int
+    rules_version: int
+
+
 @dataclasses.dataclass(slots=True)
 class CallerRequest:
-    """A caller's request as received; `target` is the path with the query, not normalized."""
+    """A caller's request as received; `target` is the path with the query, not normalized.
+
+    `handover` is None where the caller sent the request to this daemon.
+    """
 
     facts: CallerFacts
     method: str
@@ -37,6 +56,7 @@
     headers: Headers
     body: bytes
     arrived_at_ms: float
+    handover: Handover | None = None
 
     @property
     def path(self) -> str:
@@ -102,6 +122,16 @@
         :param outgoing: values that this send adds.
         """
 
+    def make_forwarded_headers(
+        self, request: CallerRequest, left_ms: int, last_event_id: str
+    ) -> Headers:
+        """Return the headers with which a request is handed over to another daemon.
+
+        :param request: caller's request.
+        :param left_ms: time until the deadline, in milliseconds.
+        :param last_event_id: last event of the stream that the caller has got; empty for none.
+        """
+
     def read_response(self, status: int, headers: Mapping[str, str]) -> ResponseFacts:
         """Read the headers of an upstream's response.
 
@@ -133,3 +163,15 @@
 
 
 NOT_RUN = frozenset((Outcome.UNREACHED, Outcome.REFUSED))
+
+
+def classify(error: errors.UpstreamError) -> Outcome:
+    """Return how a send ended that failed.
+
+    :param error: why it failed.
+    """
+    if isinstance(error, errors.UpstreamUnreachable):
+        return Outcome.UNREACHED
+    if isinstance(error, errors.UpstreamRefused):
+        return Outcome.REFUSED
+    return Outcome.LOST
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -4,9 +4,8 @@
 import contextlib
 import pathlib
 import random
-import traceback
-from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, TypeVar
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import aiohttp
 import aiohttp.web
@@ -33,15 +32,18 @@
     feeds,
     fleet,
     followers,
+    forwarding,
     front,
     loads,
     peers,
     placing,
     quarantine,
     reach,
+    reach_checks,
     rules,
     send_limits,
     sending,
+    tasks,
 )
 from tanagerfork.routing import crash_evidence, poison
 from tanagerfork.upstream import connections
@@ -55,8 +57,6 @@
 SHUTDOWN_MARGIN_MS = 1200  # Longest time to close, before the kill that ends the grace time.
 CLOSE_TIMEOUT_S = 0.8  # Connections still open by then end with the process.
 MAX_ADMIN_CONNECTIONS = 64
-TASK_RESTART_DELAY_MS = 500
-TRACE_FRAMES = -4  # The innermost frames; more do not fit into a log line.
 
 T = TypeVar("T")
 
@@ -87,9 +87,8 @@
         self._rng = random.Random(settings.seed or None)
         self._send_limits = send_limits.SendLimits(self.book, self._rng, self.log)
         self._is_ready = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = tasks.Tasks(clock, self.log, self.metrics)
         self._listeners: list[listener.Listener] = []
-        self._is_closing = False
         self.callers_port = 0
 
     async def start(self) -> None:
@@ -118,6 +117,33 @@
                 settings.bounds.repeat_window_ms,
             )
         )
+        self._reach = reach.Reach(self.clock, self._rng, self.log, self.metrics)
+        self._check_session = exchange.open_session(is_pooled=False)
+        self._reach_checks = reach_checks.ReachChecks(
+            self._reach,
+            self.view,
+            runners.RunnerClient(
+                self._check_session,
+                reach_checks.CHECK_TIMEOUT_MS,
+                settings.members.order_timeout_ms,
+            ),
+            self.clock,
+        )
+        record = followers.DaemonRecord(settings.failure_domain, settings.peers)
+        self.directory = followers.DaemonDirectory(
+            self.store, settings.name, record, self.clock, self.log
+        )
+        forwarder = forwarding.Forwarder(
+            self._upstream_client,
+            self._dialect,
+            self.directory,
+            settings.name,
+            self.register,
+            self.clock,
+            self._rng,
+            self.log,
+            self.metrics,
+        )
         suspects = poison.PoisonRegister()
         self._client = runners.RunnerClient(
             self._session, settings.members.probe_timeout_ms, settings.members.order_timeout_ms
@@ -133,13 +159,16 @@
                 self._rng,
                 self.metrics,
             ),
+            self._reach,
+            self._reach_checks,
+            forwarder,
             self._retry_budget,
             sending.Sender(
                 self.book,
                 self._send_limits,
                 self._upstream_client,
                 self._dialect,
-                reach.Reach(self.clock, self.log, self.metrics),
+                self._reach,
                 self.clock,
                 lambda upstream_id: self.peers.announce_silent(upstream_id),
                 lambda upstream: self.peers.announce_leaving(upstream),
@@ -158,10 +187,6 @@
             ),
         )
         self.front = front.Front(relay, self._dialect, self.clock, self.log, self.metrics)
-        record = followers.DaemonRecord(settings.failure_domain, settings.peers)
-        self.directory = followers.DaemonDirectory(
-            self.store, settings.name, record, self.clock, self.log
-        )
         own_cohorts = cohorts.Cohorts(settings.name, settings.failure_domain, self.directory)
         self.feed = feeds.ChangeFeed(
             own_cohorts,
@@ -181,6 +206,8 @@
             suspects,
             self.evidence,
             self.feed,
+            self._reach,
+            forwarder,
             own_cohorts,
             self.clock,
             self._rng,
@@ -200,6 +227,12 @@
         self.callers_port = await self._listen(
             self.front.build_app(BODY_LIMIT_BYTES), settings.callers, settings.open_connections
         )
+        forwarding_port = await self._listen(
+            self.front.build_forwarding_app(BODY_LIMIT_BYTES),
+            settings.forwarding,
+            settings.open_connections,
+        )
+        record.forwarding = f"{settings.forwarding.rpartition(':')[0]}:{forwarding_port}"
         self.lifecycle.apply("listen")
         self._start_tasks()
 
@@ -223,15 +256,15 @@
                     break
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
         self.log.note(LOGGER, "stop", waited_ms=waited_ms, cut_off=self.front.open_requests)
-        self._is_closing = True
-        for task in [*self._tasks, releasing]:
-            task.cancel()
+        self._tasks.cancel()
+        releasing.cancel()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await asyncio.gather(
                     *(http_listener.stop() for http_listener in self._listeners),
                     self._upstream_client.close(),  # May wait for an upstream that went dark.
                     self._session.close(),
+                    self._check_session.close(),
                 )
         self.peers.close()
         self.lifecycle.apply("stop")
@@ -311,8 +344,8 @@
             self.clock,
             self.log,
         )
-        self._start_task("store", store_follower.run)
-        self._start_task("daemons", self.directory.run)
+        self._tasks.start("store", store_follower.run)
+        self._tasks.start("daemons", self.directory.run)
         self._coordinator = coordinator.Coordinator(
             self.settings.failure_domain,
             self.settings,
@@ -335,33 +368,12 @@
             lambda: self.front.has_served,
             self.peers.announce_closed,
         )
-        self._coordinator_task = self._start_task("coordinator", self._coordinator.run)
-        self._start_task("quarantine", self._quarantine_keeper.run)
-        self._start_task("notices in", self.peers.receive)
-        self._start_task("notices out", self.peers.broadcast_loads)
-        self._start_task("readiness", self._update_readiness)
-
-    def _start_task(
-        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> asyncio.Task[None]:
-        task = asyncio.create_task(self._run_with_restarts(name, run))
-        self._tasks.append(task)
-        return task
-
-    async def _run_with_restarts(
-        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        while True:
-            try:
-                await run()
-                return
-            except Exception as failure:
-                if self._is_closing:  # The cancellation was lost to a message that arrived.
-                    return
-                self.metrics.count("relay_task_failures_total", task=name)
-                trace = "".join(traceback.format_exception(failure, limit=TRACE_FRAMES))
-                self.log.note(LOGGER, "task failed, restarting it", task=name, reason=trace)
-            await self.clock.sleep_ms(TASK_RESTART_DELAY_MS)
+        self._coordinator_task = self._tasks.start("coordinator", self._coordinator.run)
+        self._tasks.start("reach", self._reach_checks.run)
+        self._tasks.start("quarantine", self._quarantine_keeper.run)
+        self._tasks.start("notices in", self.peers.receive)
+        self._tasks.start("notices out", self.peers.broadcast_loads)
+        self._tasks.start("readiness", self._update_readiness)
 
     async def _update_readiness(self) -> None:
         while True:
--- a/src/tanagerfork/relay/exchange.py
+++ b/src/tanagerfork/relay/exchange.py
@@ -137,18 +137,39 @@
         :raises UpstreamUnreachable: no byte was sent.
         :raises UpstreamLost: the request may have run.
         """
+        headers = self._dialect.make_upstream_headers(request, outgoing)
+        return await self.send_to(upstream.id, upstream.address, request, headers, is_repeatable)
+
+    async def send_to(
+        self,
+        name: str,
+        address: str,
+        request: calls.CallerRequest,
+        headers: calls.Headers,
+        is_repeatable: bool,
+    ) -> UpstreamResponse:
+        """Send a request to an address and wait for the headers of its response; see `send`.
+
+        :param name: name of the upstream or daemon there, for errors.
+        :param address: IP address and port.
+        :param request: request, whose method, target and body are sent.
+        :param headers: headers to send.
+        :param is_repeatable: whether the request may run more than once.
+        :return: response.
+        :raises UpstreamUnreachable: no byte was sent.
+        :raises UpstreamLost: the request may have run.
+        """
         session = self._pooled if is_repeatable else self._unpooled
-        headers = multidict.CIMultiDict(self._dialect.make_upstream_headers(request, outgoing))
         try:
             http_response = await session.request(
                 request.method,
-                yarl.URL(f"http://{upstream.address}{request.target}", encoded=True),
+                yarl.URL(f"http://{address}{request.target}", encoded=True),
                 data=request.body or None,
-                headers=headers,
+                headers=multidict.CIMultiDict(headers),
                 allow_redirects=False,
             )
         except (aiohttp.ClientError, OSError) as error:
-            raise connections.describe_failure(upstream.id, error) from error
+            raise connections.describe_failure(name, error) from error
         connection = http_response.connection
         return UpstreamResponse(
             http_response.status,
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -355,10 +355,15 @@
 
 
 class DaemonRecord(msgspec.Struct):
-    """Entry of a daemon in the store."""
+    """Entry of a daemon in the store.
+
+    `address` is where it receives notices, `forwarding` where it takes over requests, empty if it
+    takes over none.
+    """
 
     failure_domain: str
     address: str
+    forwarding: str = ""
 
 
 class DaemonDirectory:
--- /dev/null
+++ b/src/tanagerfork/relay/forwarding.py
@@ -0,0 +1,264 @@
+"""Forwarding: hands requests over to other daemons while this one reaches no upstream itself."""
+
+import collections
+import dataclasses
+import random
+from collections.abc import Collection, Mapping
+
+import result
+
+from tanagerfork import clock as clocks
+from tanagerfork import decisions, errors
+from tanagerfork import metrics as metric
+from tanagerfork.relay import calls, exchange, followers, responses, rules
+from tanagerfork.relay import progress as progresses
+
+LOGGER = "relay.forwarding"
+ATTEMPTS = "Relay-Attempts"  # Sends to upstreams that the other daemon may make.
+RULES_VERSION = "Relay-Rules-Version"  # Oldest rules by which it may serve the request.
+UNAVAILABLE = "Relay-Unavailable"  # It did not serve the request, and a third daemon may.
+HEADERS = frozenset(name.lower() for name in (ATTEMPTS, RULES_VERSION))
+AVOIDED_MS = 1000  # By then the list of daemons and their notices are current again.
+STATE_TTL_MS = 1200  # Four rounds of notices.
+SAMPLED_DAEMONS = 2
+RETURN_MARGIN_MS = 5  # Reserved for the response's way back through this daemon.
+
+
+def read_handover(headers: Mapping[str, str]) -> calls.Handover:
+    """Read what another daemon says of a request that it hands over.
+
+    :param headers: headers of the request.
+    :raises BadRequest: a header is missing or malformed.
+    """
+    try:
+        handover = calls.Handover(int(headers[ATTEMPTS]), int(headers[RULES_VERSION]))
+    except (KeyError, ValueError) as error:
+        message = f"{ATTEMPTS} and {RULES_VERSION} are not whole numbers; this port is for daemons"
+        raise errors.BadRequest(message) from error
+    if handover.attempts < 1:
+        raise errors.BadRequest(f"{ATTEMPTS} is below 1; answer the request without a send")
+    return handover
+
+
+def drop_headers(headers: calls.Headers) -> calls.Headers:
+    """Return the headers of a request without those that only daemons read.
+
+    :param headers: headers as received.
+    """
+    return [(name, value) for name, value in headers if name.lower() not in HEADERS]
+
+
+@dataclasses.dataclass(slots=True)
+class DaemonState:
+    """What is known of another daemon: services it does not reach either, and requests there."""
+
+    cut_off: frozenset[str] = frozenset()
+    told_at_ms: float = -1e12
+    avoided_until_ms: float = -1e12
+    open: int = 0
+
+    def may_take(self, service: str, now_ms: float) -> bool:
+        """Return whether the daemon may be handed a request.
+
+        :param service: service of the request.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        is_told = service in self.cut_off and now_ms - self.told_at_ms < STATE_TTL_MS
+        return now_ms >= self.avoided_until_ms and not is_told
+
+
+class Forwarder:
+    """Chooses other daemons and hands requests over to them.
+
+    :param client: sends HTTP requests.
+    :param dialect: writes the platform's headers.
+    :param directory: list of daemons.
+    :param name: name of this daemon.
+    :param register: rules in force.
+    :param clock: clock of all decisions.
+    :param rng: chooses among daemons.
+    :param log: decision log.
+    :param metrics: counters.
+    """
+
+    __slots__ = (
+        "_client",
+        "_dialect",
+        "_directory",
+        "_name",
+        "_register",
+        "_clock",
+        "_rng",
+        "_log",
+        "_metrics",
+        "_responses",
+        "_states",
+        "_highest_version",
+    )
+
+    def __init__(
+        self,
+        client: exchange.UpstreamClient,
+        dialect: calls.Dialect,
+        directory: followers.DaemonDirectory,
+        name: str,
+        register: rules.RulesRegister,
+        clock: clocks.Clock,
+        rng: random.Random,
+        log: decisions.DecisionLog,
+        metrics: metric.Metrics,
+    ) -> None:
+        self._client = client
+        self._dialect = dialect
+        self._directory = directory
+        self._name = name
+        self._register = register
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._metrics = metrics
+        self._responses = responses.ResponseRelay(dialect, clock)
+        self._states: dict[str, DaemonState] = collections.defaultdict(DaemonState)
+        self._highest_version = 0
+
+    def note_state(self, daemon: str, cut_off: Collection[str], rules_version: int) -> None:
+        """Record what another daemon said of itself.
+
+        :param daemon: name of the daemon.
+        :param cut_off: services of which it reaches no upstream.
+        :param rules_version: version of its rules.
+        """
+        self._highest_version = max(self._highest_version, rules_version)
+        if cut_off or daemon in self._states:
+            state = self._states[daemon]
+            state.cut_off = frozenset(cut_off)
+            state.told_at_ms = self._clock.monotonic_ms()
+
+    def choose_daemon(self, service: str, avoided: Collection[str]) -> str | None:
+        """Choose a daemon that can take a request: of two, the one with fewer from this daemon.
+
+        :param service: service of the request.
+        :param avoided: daemons that did not take it.
+        :return: name of the daemon; None where there is none.
+        """
+        now_ms = self._clock.monotonic_ms()
+        names = [
+            name
+            for name, record in self._directory.daemons.items()
+            if name not in avoided
+            and name != self._name
+            and record.forwarding
+            and (name not in self._states or self._states[name].may_take(service, now_ms))
+        ]
+        drawn = self._rng.sample(names, min(SAMPLED_DAEMONS, len(names)))
+        return min(drawn, key=lambda name: self._states[name].open, default=None)
+
+    async def forward(
+        self,
+        request: calls.CallerRequest,
+        progress: progresses.Progress,
+        daemon: str,
+        sink: progresses.Sink,
+    ) -> calls.Outcome:
+        """Hand a request over to a daemon, with all sends that are left, and relay its response.
+
+        :param request: caller's request.
+        :param progress: state of the request.
+        :param daemon: name of the daemon.
+        :param sink: receives the response.
+        :return: how it ended.
+        """
+        progress.tried_ids.add(daemon)
+        state = self._states[daemon]
+        began_ms = self._clock.monotonic_ms()
+        state.open += 1
+        outcome = calls.Outcome.LOST
+        reason = "cancelled at the deadline or because the caller left"
+        try:
+            answered = await self._exchange(request, progress, daemon, sink)
+            outcome, reason = calls.Outcome.ANSWERED, ""
+            if isinstance(answered, result.Err):
+                outcome, reason = calls.classify(answered.err_value), answered.err_value.message
+                state.avoided_until_ms = self._clock.monotonic_ms() + AVOIDED_MS
+        finally:
+            state.open -= 1
+            if outcome is calls.Outcome.LOST:
+                progress.sends, progress.may_have_run = progress.attempts, True
+            self._metrics.count("relay_forwards_total", outcome=outcome.value)
+            self._log.note(
+                LOGGER,
+                "forward",
+                request_id=request.facts.request_id,
+                route=progress.route.name,
+                to=daemon,
+                outcome=outcome.value,
+                reason=reason,
+                took_ms=self._clock.monotonic_ms() - began_ms,
+            )
+        progress.last_failure = reason
+        return outcome
+
+    async def _exchange(
+        self,
+        request: calls.CallerRequest,
+        progress: progresses.Progress,
+        daemon: str,
+        sink: progresses.Sink,
+    ) -> result.Result[calls.Outcome, errors.UpstreamError]:
+        record = self._directory.daemons.get(daemon)
+        if record is None:
+            message = f"{daemon} is not listed any more; use another daemon"
+            return result.Err(errors.UpstreamUnreachable(message))
+        try:
+            response = await self._client.send_to(
+                daemon,
+                record.forwarding,
+                request,
+                self._make_headers(request, progress),
+                progress.route.is_repeatable,
+            )
+        except errors.UpstreamError as error:
+            return result.Err(error)
+        try:
+            if UNAVAILABLE in response.http_response.headers:
+                message = f"{daemon} cannot serve the request; use another daemon"
+                return result.Err(errors.UpstreamRefused(message))
+            progress.sends = progress.attempts
+            return await self._relay(request, progress, response, sink)
+        except errors.UpstreamError as error:
+            return result.Err(error)
+        finally:
+            response.http_response.close()
+
+    def _make_headers(
+        self, request: calls.CallerRequest, progress: progresses.Progress
+    ) -> calls.Headers:
+        left_ms = progress.remaining_ms(self._clock.monotonic_ms()) - RETURN_MARGIN_MS
+        headers = self._dialect.make_forwarded_headers(
+            request, max(1, int(left_ms)), progress.last_event_id
+        )
+        in_force = self._register.current
+        version = max(self._highest_version, in_force.version if in_force else 0)
+        headers.append((ATTEMPTS, str(progress.attempts - progress.sends)))
+        headers.append((RULES_VERSION, str(version)))
+        return headers
+
+    async def _relay(
+        self,
+        request: calls.CallerRequest,
+        progress: progresses.Progress,
+        response: exchange.UpstreamResponse,
+        sink: progresses.Sink,
+    ) -> result.Result[calls.Outcome, errors.UpstreamError]:
+        facts, status = response.facts, response.status
+        if facts.request_id != request.facts.request_id:
+            message = "the response is for another request; close the connection"
+            return result.Err(errors.UpstreamConfused(message))
+        if status in calls.NOT_RUN_STATUSES and progress.may_have_run:
+            message = f"refused with status {status}, but an earlier send may have run"
+            return result.Err(errors.UpstreamFailed(message))
+        if progress.route.repetition is rules.Repetition.STREAM and status == 200:
+            return await self._responses.relay_stream(
+                progress, response, sink, lambda *_: response.read_chunk(), lambda: None
+            )
+        return await self._responses.relay_body(progress, response, sink)
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -9,7 +9,7 @@
 from tanagerfork import decisions, errors
 from tanagerfork import metrics as metric
 from tanagerfork.front import error_bodies
-from tanagerfork.relay import attempts, calls
+from tanagerfork.relay import attempts, calls, forwarding
 
 LOGGER = "relay.front"
 STOPPING_RETRY_AFTER_MS = 10  # Another daemon can take the request at once.
@@ -137,12 +137,34 @@
         app.router.add_route("*", "/{path:.*}", self.handle)
         return app
 
+    def build_forwarding_app(self, body_limit_bytes: int) -> aiohttp.web.Application:
+        """Return the application for requests that other daemons hand over.
+
+        :param body_limit_bytes: largest accepted body.
+        """
+        app = aiohttp.web.Application(client_max_size=body_limit_bytes)
+        app.router.add_route("*", "/{path:.*}", self.handle_forwarded)
+        return app
+
     async def handle(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
-        """Serve one request.
+        """Serve one request of a caller.
 
         :param request: request of the HTTP library.
         :return: the response, which has been sent.
         """
+        return await self._serve(request, is_forwarded=False)
+
+    async def handle_forwarded(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
+        """Serve one request that another daemon hands over.
+
+        :param request: request of the HTTP library.
+        :return: the response, which has been sent.
+        """
+        return await self._serve(request, is_forwarded=True)
+
+    async def _serve(
+        self, request: aiohttp.web.Request, is_forwarded: bool
+    ) -> aiohttp.web.StreamResponse:
         self.open_requests += 1
         self.has_served = True
         sink = WebSink(request, self.is_draining)
@@ -151,11 +173,16 @@
         outcome = "caller left"
         try:
             facts = self._dialect.read_request(request.headers)
+            handover = forwarding.read_handover(request.headers) if is_forwarded else None
             if self.is_rejecting:
-                raise errors.NotRun(
+                kind = errors.NotTakenOver if is_forwarded else errors.NotRun
+                raise kind(
                     "the daemon is stopping; send the request again", STOPPING_RETRY_AFTER_MS
                 )
             caller_request = await self._read_request(request, facts, arrived_at_ms)
+            if handover is not None:
+                caller_request.handover = handover
+                caller_request.headers = forwarding.drop_headers(caller_request.headers)
             await self._relay.serve(caller_request, sink)
             outcome = "cut" if sink.was_cut else "answered"
         except errors.CallerError as error:
@@ -199,6 +226,8 @@
         request_id = facts.request_id if facts else ""
         headers = self._dialect.make_error_headers(request_id, error.retry_after_ms)
         headers.append(JSON_CONTENT_TYPE)
+        if isinstance(error, errors.NotTakenOver):
+            headers.append((forwarding.UNAVAILABLE, "1"))
         await sink.send_response(
             error.status, headers, error_bodies.encode_error(error, request_id)
         )
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -20,9 +20,11 @@
     feeds,
     fleet,
     followers,
+    forwarding,
     loads,
     members,
     part_notices,
+    reach,
     rules,
     send_limits,
 )
@@ -50,6 +52,8 @@
     :param suspects: requests suspected of crashing upstreams.
     :param evidence: parts of prompts suspected of crashing upstreams.
     :param feed: receives the store changes that other daemons read.
+    :param own_reach: which services this daemon reaches.
+    :param forwarder: learns which daemons can take over requests.
     :param own_cohorts: finds the sources, which sum up loads in a large fleet.
     :param clock: clock of all decisions.
     :param rng: chooses peers and spreads the rounds.
@@ -67,6 +71,8 @@
         "_suspects",
         "_evidence",
         "_feed",
+        "_reach",
+        "_forwarder",
         "_cohorts",
         "_own_loads",
         "_clock",
@@ -89,6 +95,8 @@
         suspects: poison.PoisonRegister,
         evidence: crash_evidence.CrashEvidence,
         feed: feeds.ChangeFeed,
+        own_reach: reach.Reach,
+        forwarder: forwarding.Forwarder,
         own_cohorts: cohorts.Cohorts,
         clock: clocks.Clock,
         rng: random.Random,
@@ -103,6 +111,8 @@
         self._send_limits = limits
         self._suspects = suspects
         self._evidence = evidence
+        self._reach = own_reach
+        self._forwarder = forwarder
         self._cohorts = own_cohorts
         self._own_loads: dict[str, loads.SharedLoad] = {}
         self._feed = feed
@@ -184,6 +194,7 @@
         ]
         notice = self._make_notice(loads=open_there, has_loads=True)
         notice.covers, notice.cohort = covers, cohort
+        notice.cut_off = self._reach.cut_off_services
         now_ms = self._clock.monotonic_ms()
         part_notices.add_to_notice(notice, self._evidence, now_ms, with_heard=covers != "daemon")
         return notice
@@ -314,6 +325,7 @@
         now_ms = self._clock.monotonic_ms()
         if notice.has_loads:
             self._record_loads(notice, now_ms)
+            self._forwarder.note_state(notice.daemon, notice.cut_off, notice.rules_version)
         if notice.changes is not None:
             self._feed.receive(notice.changes)
         part_notices.hear(notice, self._evidence, now_ms)
--- a/src/tanagerfork/relay/progress.py
+++ b/src/tanagerfork/relay/progress.py
@@ -61,6 +61,7 @@
     deadline_at_ms: float
     last_event_id: str
     fingerprint: str
+    attempts: int  # Sends that may be made.
     sends: int = 0  # Sends that may have run; refused ones do not count.
     not_run_sends: int = 0  # Sends that reached no upstream or were refused.
     has_reached_upstream: bool = False  # If so, further sends use the retry budget.
@@ -77,7 +78,7 @@
     @property
     def can_retry(self) -> bool:
         """Whether the request may go to another upstream after the present send."""
-        return self.route.is_repeatable and self.sends + 1 < self.route.attempts
+        return self.route.is_repeatable and self.sends + 1 < self.attempts
 
     def remaining_ms(self, now_ms: float) -> float:
         """Return the time until the deadline, in milliseconds.
--- a/src/tanagerfork/relay/sending.py
+++ b/src/tanagerfork/relay/sending.py
@@ -27,7 +27,6 @@
 HEADERS_TIMEOUT_FACTOR = 2.5  # An estimate that is off by more says nothing.
 MIN_GAP_TIMEOUT_MS = 400  # Five times the gap between two events of a busy group.
 PLAIN_HEADERS_TIMEOUT_SHARE = 0.45  # Of the time left; the rest is for a retry.
-NOT_RUN_STATUSES = frozenset((429, 503, 408, 421))  # These promise callers "not run".
 
 
 class Sender:
@@ -106,16 +105,15 @@
         try:
             response = await self._wait_for_headers(sending, upstream.id, headers_timeout_ms)
         except TimeoutError:
-            self._mark_suspect(upstream.id)
+            self._mark_suspect(upstream)
             message = (
                 f"{upstream.id} sent nothing for {headers_timeout_ms:.0f} ms; use another upstream"
             )
             return result.Err(errors.UpstreamSilent(message))
         except errors.UpstreamError as error:
             if isinstance(error, errors.UpstreamUnreachable):
-                self._reach.note_unreached(upstream.id)
+                self._reach.note_unreached(upstream.service)
             return result.Err(error)
-        self._reach.note_heard()
         self.note_prompt_read(progress, upstream.id, request.facts.prompt_tokens)
         try:
             now_ms = self._clock.monotonic_ms()
@@ -194,7 +192,7 @@
             return errors.UpstreamConfused(
                 "the successful response has no receipt; use another upstream"
             )
-        if response.status in NOT_RUN_STATUSES:
+        if response.status in calls.NOT_RUN_STATUSES:
             return errors.UpstreamFailed(
                 f"failed with status {response.status}; whether the request ran is unknown"
             )
@@ -202,7 +200,6 @@
 
     def _note_events(self, upstream_id: str) -> None:
         self._book.find(upstream_id).heard_at_ms = self._clock.monotonic_ms()
-        self._reach.note_heard()
 
     async def _read_stream_chunk(
         self,
@@ -230,7 +227,7 @@
                 if event_count == 0 and load.heard_at_ms > silent_since_ms:
                     silent_since_ms = load.heard_at_ms  # The group works; this request is queued.
                     continue
-                self._mark_suspect(choice.upstream.id)
+                self._mark_suspect(choice.upstream)
                 message = (
                     f"the stream had no event for {limit_ms:.0f} ms; resume on another upstream"
                 )
@@ -263,9 +260,9 @@
                 task.cancel()
                 await asyncio.wait({task})
 
-    def _mark_suspect(self, upstream_id: str) -> None:
+    def _mark_suspect(self, upstream: members.Upstream) -> None:
         now_ms = self._clock.monotonic_ms()
-        self._reach.note_unreached(upstream_id)
-        if now_ms >= self._book.find(upstream_id).suspect_until_ms:
-            self._announce_silent(upstream_id)
-        self._book.suspect(upstream_id, now_ms)
+        self._reach.note_unreached(upstream.service)
+        if now_ms >= self._book.find(upstream.id).suspect_until_ms:
+            self._announce_silent(upstream.id)
+        self._book.suspect(upstream.id, now_ms)
--- a/src/tanagerfork_standins/proxy.py
+++ b/src/tanagerfork_standins/proxy.py
@@ -16,8 +16,20 @@
     REFUSES = "refuses"  # Open ones live on, new ones are refused.
 
 
+def open_port(port: int) -> socket.socket:
+    """Return a socket that is bound to a port, which stays taken while any such socket is open.
+
+    :param port: TCP port; 0 lets the system choose.
+    """
+    opened = socket.socket()
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    opened.bind((listener.LOOPBACK, port))
+    return opened
+
+
 class Proxy:
-    """Proxy of one address.
+    """Proxy of one address; its port stays its own while it does not listen.
 
     `delay_s` is added to each part of the bytes. With `is_silent`, bytes are dropped.
 
@@ -29,7 +41,8 @@
         self._port = int(port)
         self.delay_s = 0.0
         self.is_silent = False
-        self.port = 0
+        self._port_holder = open_port(0)
+        self.port: int = self._port_holder.getsockname()[1]
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._unaccepted: list[socket.socket] = []
@@ -40,15 +53,16 @@
         return f"{listener.LOOPBACK}:{self.port}"
 
     async def start(self) -> None:
-        """Start listening, at first on a free port, later on the same one."""
-        self._server = await asyncio.start_server(self._accept, listener.LOOPBACK, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Start listening."""
+        self._server = await asyncio.start_server(self._accept, sock=open_port(self.port))
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
-        await self.heal()
         self._close_server()
+        for unaccepted in self._unaccepted:
+            unaccepted.close()
         self.reset()
+        self._port_holder.close()
         await asyncio.sleep(0.1)  # Lets the connections' tasks end.
 
     def reset(self) -> None:
@@ -87,9 +101,7 @@
 
     def _fill_backlog(self) -> None:
         """Listen with a full backlog, so that opening packets are dropped."""
-        listening = socket.socket()
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((listener.LOOPBACK, self.port))
+        listening = open_port(self.port)
         listening.listen(0)
         filler = socket.socket()
         filler.setblocking(False)
--- a/tests/relay/deployments.py
+++ b/tests/relay/deployments.py
@@ -61,6 +61,7 @@
             readiness="127.0.0.1:0",
             metrics="127.0.0.1:0",
             peers="127.0.0.1:0",
+            forwarding="127.0.0.1:0",
             store=settings_records.StoreSettings(address=self.site.address),
             bounds=settings_records.BoundSettings(grace_ms=1500),
             members=settings_records.MemberSettings(lease_ttl_ms=1000, probe_interval_ms=100),
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -77,6 +77,7 @@
             readiness="127.0.0.1:1",
             metrics="127.0.0.1:1",
             peers="127.0.0.1:1",
+            forwarding="127.0.0.1:1",
             store=settings_records.StoreSettings(address="127.0.0.1:1"),
         )
         self.closed: list[str] = []
--- a/tests/relay/test_stop.py
+++ b/tests/relay/test_stop.py
@@ -8,7 +8,7 @@
 
 from tanagerfork.peers import link
 from tanagerfork.relay import daemon as daemons
-from tanagerfork.relay import exchange
+from tanagerfork.relay import exchange, tasks
 from tanagerfork_standins.platform import runner
 from tests.relay import deployments
 
@@ -84,8 +84,8 @@
             daemon.peers._links.send(inbox.address, b"")
             await asyncio.sleep(0.2)
             await daemon.stop()
-            await asyncio.sleep(2 * daemons.TASK_RESTART_DELAY_MS / 1000)
-            assert all(task.done() for task in daemon._tasks)
+            await asyncio.sleep(2 * tasks.RESTART_DELAY_MS / 1000)
+            assert all(task.done() for task in daemon._tasks._tasks)
 
     async def test_stop_ends_within_the_grace_period_with_an_upstream_that_went_dark(
         self, monkeypatch: pytest.MonkeyPatch
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -23,14 +23,20 @@
 
     def __init__(self, name: str, folder: pathlib.Path, store_port: int) -> None:
         self.name = name
-        self.callers_port, *rest = find_ports(4)
+        self.callers_port, *rest = find_ports(5)
         self._path = folder / f"{name}.json5"
         addresses = [f"127.0.0.1:{port}" for port in (self.callers_port, *rest)]
         settings = {
             "name": name,
             "failure_domain": "a",
             "failure_domains": ["a"],
-            **dict(zip(("callers", "readiness", "metrics", "peers"), addresses, strict=True)),
+            **dict(
+                zip(
+                    ("callers", "readiness", "metrics", "peers", "forwarding"),
+                    addresses,
+                    strict=True,
+                )
+            ),
             "store": {"address": f"127.0.0.1:{store_port}"},
             "bounds": {"grace_ms": 4000},
             "members": {"lease_ttl_ms": 1500, "probe_interval_ms": 200},
