Give up no group while the coordinator's own links to the upstreams are cut

Cause: two unanswered probes of a member were taken for its loss. The check whether most members are silent came too late, as the first members fall silent before the rest does, and not at all with fewer than four members.

Change: a member is lost only if half of the others have answered since it fell silent, or with few members another one or a check of the reach. A coordinator that is cut off releases its lease and cancels its orders and probes; a daemon that is cut off neither takes it nor counts as a candidate.

The network of the tests now also translates what daemons write; a stand-in runner forgot closed streams.

--- a/src/tanagerfork/platform/runners.py
+++ b/src/tanagerfork/platform/runners.py
@@ -29,7 +29,7 @@
 
 
 class RunnerClient:
-    """Probes upstreams and sends orders to them; see `coordinator.MemberClient`.
+    """Probes upstreams and sends orders to them; see `member_client.MemberClient`.
 
     :param session: HTTP session, closed by its owner.
     :param probe_timeout_ms: timeout of one probe, in milliseconds.
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Sequence
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 import result
@@ -17,11 +17,14 @@
     assignment_record,
     fleet,
     load_limiter,
-    members,
+    member_client,
     observations,
     planner,
     plans,
+    reach,
+    reach_checks,
     rules,
+    silence,
 )
 from tanagerfork.relay import coverage as coverages
 from tanagerfork.relay import demand as demands
@@ -31,7 +34,6 @@
 PLAN_INTERVAL_MS = 100  # A tenth of the time that a repair takes.
 STANDBY_INTERVAL_MS = 250  # A fraction of the lease time, which has to pass before any takeover.
 STALL_MS = 1000  # After a pause this long, earlier failed probes are no evidence of silence.
-MIN_PROBED = 4  # Silence of fewer members is no evidence that this daemon is cut off.
 ISOLATION_PAUSE_MS = 5000  # Another daemon has taken the lease by then.
 ORDER_RETRY_MS = 1500  # An order without visible effect is sent again after this time.
 REFUSED_ORDER_RETRY_MS = 300  # Reports are some hundred ms old; a newer one has arrived by then.
@@ -39,20 +41,6 @@
 UNLISTED_RETENTION_MS = 20_000  # An upstream without a directory entry serves at most this long.
 
 
-class MemberClient(Protocol):
-    """Probes upstreams and sends them orders."""
-
-    async def probe(
-        self, upstream: members.Upstream
-    ) -> result.Result[members.Report, errors.UpstreamError]:
-        """Probe an upstream; return its report, or why there is none."""
-
-    async def send_order(
-        self, order: plans.Order, fencing: int, order_count: int | None
-    ) -> result.Result[plans.Acceptance, errors.UpstreamError]:
-        """Send an order; return whether the upstream carries it out, or why that is not known."""
-
-
 class Coordinator:
     """Coordinates the groups of one failure domain while it holds the lease.
 
@@ -69,6 +57,8 @@
     :param demand: share of the upstreams that each model needs for its requests.
     :param has_served: returns whether this daemon has seen a request.
     :param announce_closed: announces to all daemons the head and epoch of a group to be closed.
+    :param own_reach: which services this daemon reaches.
+    :param checks: checks the reach when a member does not answer.
     """
 
     __slots__ = (
@@ -91,6 +81,8 @@
         "is_holder",
         "_has_served",
         "_announce_closed",
+        "_reach",
+        "_reach_checks",
         "_demand",
         "_coverage",
         "_last_new_at_ms",
@@ -102,7 +94,7 @@
         settings: settings_records.RelaySettings,
         keeper: lease.LeaseKeeper,
         store: key_value.KeyValue,
-        client: MemberClient,
+        client: member_client.MemberClient,
         register: rules.RulesRegister,
         view: fleet.Fleet,
         clock: clocks.Clock,
@@ -111,7 +103,11 @@
         demand: demands.Demand,
         has_served: Callable[[], bool],
         announce_closed: Callable[[str, int], None],
+        own_reach: reach.Reach,
+        checks: reach_checks.ReachChecks,
     ) -> None:
+        self._reach = own_reach
+        self._reach_checks = checks
         self._announce_closed = announce_closed
         self._demand = demand
         self._has_served = has_served
@@ -153,7 +149,7 @@
 
     async def take_step(self) -> None:
         """Renew the lease, update the observations, plan, and send orders, once each."""
-        if self._check_isolation():
+        if await self._check_isolation():
             return
         await self._keeper.take_step(self._assignments.fencing)
         now_ms = self._clock.monotonic_ms()
@@ -180,29 +176,36 @@
         for service in self._register.current.list_engine_services():
             await self._plan_service(service)
 
-    def _check_isolation(self) -> bool:
+    async def _check_isolation(self) -> bool:
         """Return whether this daemon, and not the upstreams, seems to be cut off.
 
-        It then stops coordinating and renewing the lease, so that another daemon takes over.
+        It then stops coordinating, so that another daemon takes over.
         """
-        assigned = {member for group in self._list_groups() for member in group.members}
-        probed = [self._observations[member] for member in assigned if member in self._observations]
-        silent = sum(seen.is_silent for seen in probed)
-        is_isolated = self.is_holder and len(probed) >= MIN_PROBED and silent > len(probed) / 2
+        probed = self._list_probed()
+        services = self._list_engine_services()
+        is_cut_off = any(self._reach.is_cut_off(service.name) for service in services)
         now_ms = self._clock.monotonic_ms()
-        if is_isolated:
+        if self.is_holder and (is_cut_off or silence.is_majority_silent(probed)):
             self._log.note(
                 LOGGER,
                 "no longer coordinator, most members do not answer",
                 failure_domain=self._failure_domain,
-                silent=silent,
+                silent=sum(seen.is_silent for seen in probed),
                 asked=len(probed),
             )
             self._isolated_until_ms = now_ms + ISOLATION_PAUSE_MS
             self.is_holder = False
             self._assignments.forget()
             self._observations.clear()
-        return now_ms < self._isolated_until_ms
+            for task in self._tasks:
+                task.cancel()
+            await self._keeper.release()
+        return is_cut_off or now_ms < self._isolated_until_ms
+
+    def _list_probed(self) -> list[observations.Observation]:
+        """Return the observations of all assigned members."""
+        assigned = {member for group in self._list_groups() for member in group.members}
+        return [self._observations[member] for member in assigned & self._observations.keys()]
 
     def _may_act(self) -> bool:
         now_ms = self._clock.monotonic_ms()
@@ -237,7 +240,7 @@
         ]:
             del self._observations[gone]
         due_ms = now_ms - self._settings.members.probe_interval_ms
-        for seen in [self._observations[key] for key in assigned & self._observations.keys()]:
+        for seen in self._list_probed():
             if seen.probed_at_ms <= due_ms:
                 self._start_probe(seen)
 
@@ -253,7 +256,8 @@
         seen.is_probing = False
         self._metrics.count("relay_probes_total", is_answered=str(isinstance(reported, result.Ok)))
         if isinstance(reported, result.Err):
-            seen.failed_probes += 1
+            seen.note_failed_probe()
+            self._reach_checks.doubt(seen.upstream.service)
             if seen.failed_probes == observations.SILENT_AFTER_FAILURES:
                 self._log.note(
                     LOGGER,
@@ -268,17 +272,20 @@
     def _get_statuses(self, service: rules.Service, now_ms: int) -> dict[str, plans.UpstreamStatus]:
         list_time_ms = now_ms - self._view.measure_age(now_ms)
         lag_ms = service.engine.report_lag_ms if service.engine else 0.0
+        lost = silence.find_lost(
+            self._observations, self._list_probed(), self._reach.was_reached_since
+        )
         return {
             upstream_id: plans.UpstreamStatus(
                 upstream=seen.upstream,
                 is_listed=seen.listed_at_ms == now_ms,
-                is_silent=seen.is_silent,
+                is_silent=upstream_id in lost,
                 membership=(
                     seen.find_newest_membership(list_time_ms, lag_ms)
                     if seen.listed_at_ms == now_ms
                     else seen.membership
                 ),
-                is_known=seen.listed_at_ms == now_ms or seen.has_reported or seen.is_silent,
+                is_known=(seen.listed_at_ms == now_ms or seen.has_reported or upstream_id in lost),
             )
             for upstream_id, seen in self._observations.items()
             if seen.upstream.service == service.name
--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -9,7 +9,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork import decisions
 from tanagerfork import metrics as metric
-from tanagerfork.relay import calls, coordinator, members
+from tanagerfork.relay import calls, member_client, members
 from tanagerfork.routing import crash_evidence, poison
 from tanagerfork.routing import fleet as fleets
 
@@ -66,7 +66,7 @@
         self,
         suspects: poison.PoisonRegister,
         evidence: crash_evidence.CrashEvidence,
-        client: coordinator.MemberClient,
+        client: member_client.MemberClient,
         announce: Callable[[fleets.PoisonNotice], None],
         clock: clocks.Clock,
         log: decisions.DecisionLog,
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -133,7 +133,7 @@
         self.directory = followers.DaemonDirectory(
             self.store, settings.name, record, self.clock, self.log
         )
-        forwarder = forwarding.Forwarder(
+        self._forwarder = forwarding.Forwarder(
             self._upstream_client,
             self._dialect,
             self.directory,
@@ -161,7 +161,7 @@
             ),
             self._reach,
             self._reach_checks,
-            forwarder,
+            self._forwarder,
             self._retry_budget,
             sending.Sender(
                 self.book,
@@ -207,7 +207,7 @@
             self.evidence,
             self.feed,
             self._reach,
-            forwarder,
+            self._forwarder,
             own_cohorts,
             self.clock,
             self._rng,
@@ -367,6 +367,8 @@
             demand.Demand(self.book),
             lambda: self.front.has_served,
             self.peers.announce_closed,
+            self._reach,
+            self._reach_checks,
         )
         self._coordinator_task = self._tasks.start("coordinator", self._coordinator.run)
         self._tasks.start("reach", self._reach_checks.run)
@@ -392,7 +394,8 @@
         """Return the daemons that may coordinate; the present coordinator keeps its role."""
         if self._coordinator.is_holder:
             return [self.settings.name]
-        return self.directory.list_names(self.settings.failure_domain)
+        names = self.directory.list_names(self.settings.failure_domain)
+        return [name for name in names if not self._forwarder.is_cut_off(name)]
 
     def _log_state(self, state: str) -> None:
         self.log.note(LOGGER, "state changed", state=state)
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -57,14 +57,20 @@
     avoided_until_ms: float = -1e12
     open: int = 0
 
+    def list_cut_off(self, now_ms: float) -> frozenset[str]:
+        """Return the services of which the daemon reaches no upstream, by its last notice.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        return self.cut_off if now_ms - self.told_at_ms < STATE_TTL_MS else frozenset()
+
     def may_take(self, service: str, now_ms: float) -> bool:
         """Return whether the daemon may be handed a request.
 
         :param service: service of the request.
         :param now_ms: monotonic clock, in milliseconds.
         """
-        is_told = service in self.cut_off and now_ms - self.told_at_ms < STATE_TTL_MS
-        return now_ms >= self.avoided_until_ms and not is_told
+        return now_ms >= self.avoided_until_ms and service not in self.list_cut_off(now_ms)
 
 
 class Forwarder:
@@ -134,6 +140,14 @@
             state.cut_off = frozenset(cut_off)
             state.told_at_ms = self._clock.monotonic_ms()
 
+    def is_cut_off(self, daemon: str) -> bool:
+        """Return whether another daemon said that it does not reach the upstreams of a service.
+
+        :param daemon: name of the daemon.
+        """
+        state = self._states.get(daemon)
+        return state is not None and bool(state.list_cut_off(self._clock.monotonic_ms()))
+
     def choose_daemon(self, service: str, avoided: Collection[str]) -> str | None:
         """Choose a daemon that can take a request: of two, the one with fewer from this daemon.
 
--- a/src/tanagerfork/relay/observations.py
+++ b/src/tanagerfork/relay/observations.py
@@ -16,12 +16,14 @@
     while an order is in flight or its outcome is unknown. Reports lag behind the orders by some
     hundred milliseconds, so that a report never lowers `min_order_count`. `reported_at_ms` is when
     the last report arrived, `reported_order_count` the number of orders that it counts.
+    `silent_since_ms` is when the first of the last `failed_probes` was sent.
     """
 
     upstream: members.Upstream
     listed_at_ms: int
     probed_at_ms: int = -1_000_000
     failed_probes: int = 0
+    silent_since_ms: float = 1e12
     order_count: int | None = None
     min_order_count: int = 0
     membership: members.GroupMembership | None = None
@@ -36,6 +38,12 @@
         """Whether it left the last probes unanswered."""
         return self.failed_probes >= SILENT_AFTER_FAILURES
 
+    def note_failed_probe(self) -> None:
+        """Record that the last probe was not answered."""
+        if not self.failed_probes:
+            self.silent_since_ms = self.probed_at_ms
+        self.failed_probes += 1
+
     def may_join(self, group: str, epoch: int) -> bool:
         """Return whether an order to join a group is safe by what the upstream itself has reported.
 
--- a/src/tanagerfork/relay/reach.py
+++ b/src/tanagerfork/relay/reach.py
@@ -26,6 +26,7 @@
 
     failed_at_ms: float = -1e12
     checked_at_ms: float = -1e12
+    answered_at_ms: float = -1e12
     cut_off_at_ms: int | None = None
 
 
@@ -66,6 +67,14 @@
         found = self._services.get(service)
         return found is not None and found.cut_off_at_ms is not None
 
+    def was_reached_since(self, service: str, time_ms: float) -> bool:
+        """Return whether an upstream of a service has answered a check since a time.
+
+        :param service: name of the service.
+        :param time_ms: monotonic clock, in milliseconds.
+        """
+        return self._find(service).answered_at_ms >= time_ms
+
     def note_unreached(self, service: str) -> None:
         """Record that an upstream took no connection or sent nothing in time.
 
@@ -119,6 +128,8 @@
         """
         found = self._find(service)
         now_ms = self._clock.monotonic_ms()
+        if is_any_answered:
+            found.answered_at_ms = now_ms
         if asked and not is_any_answered and found.cut_off_at_ms is None:
             found.cut_off_at_ms = now_ms
             self._metrics.count("relay_reach_losses_total")
--- a/src/tanagerfork/relay/reach_checks.py
+++ b/src/tanagerfork/relay/reach_checks.py
@@ -7,7 +7,7 @@
 
 from tanagerfork import clock as clocks
 from tanagerfork import errors
-from tanagerfork.relay import coordinator, fleet, members, reach
+from tanagerfork.relay import fleet, member_client, members, reach
 
 POLL_INTERVAL_MS = 100
 CHECK_TIMEOUT_MS = 300  # A sound upstream answers in a few milliseconds.
@@ -28,7 +28,7 @@
         self,
         own_reach: reach.Reach,
         view: fleet.Fleet,
-        client: coordinator.MemberClient,
+        client: member_client.MemberClient,
         clock: clocks.Clock,
     ) -> None:
         self._reach = own_reach
@@ -44,6 +44,14 @@
                 self._start_if_due(service)
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
 
+    def doubt(self, service: str) -> None:
+        """Check soon whether a service is reached, as an upstream did not answer.
+
+        :param service: name of the service.
+        """
+        self._reach.note_unreached(service)
+        self._start_if_due(service)
+
     async def settle(self, service: str) -> None:
         """Wait until it is known whether a service is reached, where that is in doubt.
 
--- a/src/tanagerfork_standins/platform/partition.py
+++ b/src/tanagerfork_standins/platform/partition.py
@@ -2,16 +2,12 @@
 
 import asyncio
 
-import msgspec
-
 from tanagerfork_standins import listener, proxy
 from tanagerfork_standins.platform import store
 
-SERVERS_PREFIX = "servers/"
-
 
 class DaemonNetwork:
-    """Paths of one daemon; it finds the proxies' addresses in the entries that it reads.
+    """Paths of one daemon, which reads and writes the proxies' addresses; see `store.Translator`.
 
     :param registry: store with the entries of the runners.
     :param runner_addresses: addresses of the runners.
@@ -20,7 +16,7 @@
     def __init__(self, registry: store.Store, runner_addresses: list[str]) -> None:
         self._proxies = {address: proxy.Proxy(address) for address in runner_addresses}
         self._listener = listener.Listener()
-        registry.serve(self._listener.app, self._translate)
+        registry.serve(self._listener.app, self)
 
     @property
     def store_address(self) -> str:
@@ -51,11 +47,14 @@
         """End the partition."""
         await asyncio.gather(*(path.heal() for path in self._proxies.values()))
 
-    def _translate(self, key: str, value: bytes) -> bytes:
-        if not key.startswith(SERVERS_PREFIX):
-            return value
-        entry = msgspec.json.decode(value)
-        path = self._proxies.get(entry.get("address"))
-        if path is None:
-            return value
-        return msgspec.json.encode({**entry, "address": path.address})
+    def show(self, value: bytes) -> bytes:
+        """Return a value of the store with the addresses of the proxies."""
+        for address, path in self._proxies.items():
+            value = value.replace(f'"{address}"'.encode(), f'"{path.address}"'.encode())
+        return value
+
+    def accept(self, value: bytes) -> bytes:
+        """Return a value with the addresses of the runners."""
+        for address, path in self._proxies.items():
+            value = value.replace(f'"{path.address}"'.encode(), f'"{address}"'.encode())
+        return value
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -370,12 +370,13 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
-        assert isinstance(request.transport, asyncio.Transport)
-        self._open_streams.add(request.transport)
+        transport = request.transport  # None once the connection is closed.
+        assert isinstance(transport, asyncio.Transport)
+        self._open_streams.add(transport)
         try:
             await self._send_events(request, response, fault)
         finally:
-            self._open_streams.discard(request.transport)
+            self._open_streams.discard(transport)
         return response
 
     async def _send_unframed_stream(
--- a/src/tanagerfork_standins/platform/store.py
+++ b/src/tanagerfork_standins/platform/store.py
@@ -4,7 +4,7 @@
 import base64
 import dataclasses
 import itertools
-from collections.abc import Callable
+from typing import Protocol
 
 import aiohttp.web
 import msgspec
@@ -15,8 +15,30 @@
 ENTRIES_PER_PAGE = 500
 MAX_CHANGES_PER_CALL = 32
 
-Translate = Callable[[str, bytes], bytes]
-TRANSLATE: aiohttp.web.AppKey[Translate] = aiohttp.web.AppKey("translate")
+
+class Translator(Protocol):
+    """Translates values between the store and the clients of one application."""
+
+    def show(self, value: bytes) -> bytes:
+        """Return a value of the store as the clients see it."""
+
+    def accept(self, value: bytes) -> bytes:
+        """Return a value that a client wrote as it is kept."""
+
+
+class UnchangedValues:
+    """Shows and accepts all values as they are."""
+
+    def show(self, value: bytes) -> bytes:
+        """Return the value."""
+        return value
+
+    def accept(self, value: bytes) -> bytes:
+        """Return the value."""
+        return value
+
+
+TRANSLATOR: aiohttp.web.AppKey[Translator] = aiohttp.web.AppKey("translator")
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,15 +143,13 @@
         self._history.clear()
         self._notify_watches()
 
-    def serve(
-        self, app: aiohttp.web.Application, translate: Translate = lambda key, value: value
-    ) -> None:
+    def serve(self, app: aiohttp.web.Application, translator: Translator | None = None) -> None:
         """Add the routes of the store to an application.
 
         :param app: application of a listener.
-        :param translate: returns the value of a key as clients of this application see it.
+        :param translator: translates the values for the clients of this application.
         """
-        app[TRANSLATE] = translate
+        app[TRANSLATOR] = translator or UnchangedValues()
         app.middlewares.append(self._inject_faults)
         app.router.add_get("/kv-key", self._serve_read)
         app.router.add_get("/kv-range", self._serve_range)
@@ -188,7 +208,7 @@
         item = self.items.get(request.query["key"])
         if item is None:
             return aiohttp.web.Response(status=404)
-        entry = _make_entry(item, request.app[TRANSLATE])
+        entry = _make_entry(item, request.app[TRANSLATOR])
         return _json_response({**entry, "storeRevision": self.revision})
 
     async def _serve_range(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
@@ -201,7 +221,7 @@
         page = found[:ENTRIES_PER_PAGE]
         return _json_response(
             {
-                "entries": [_make_entry(item, request.app[TRANSLATE]) for item in page],
+                "entries": [_make_entry(item, request.app[TRANSLATOR]) for item in page],
                 "truncated": len(page) < len(found),
                 "storeRevision": self.revision,
             }
@@ -220,7 +240,7 @@
             ]
             left_ms = deadline_ms - self._clock.monotonic_ms()
             if found or left_ms <= 0:
-                events = [_make_entry(item, request.app[TRANSLATE]) for item in found]
+                events = [_make_entry(item, request.app[TRANSLATOR]) for item in found]
                 return _json_response({"events": events, "storeRevision": self.revision})
             changed = self._changed
             try:
@@ -241,12 +261,13 @@
         for entry in expected:
             current = self.items.get(entry["key"])
             if (current.revision if current else 0) != entry["revision"]:
-                entries = [_make_entry(current, request.app[TRANSLATE])] if current else []
+                entries = [_make_entry(current, request.app[TRANSLATOR])] if current else []
                 return _json_response({"entries": entries}, status=412)
         if any(entry.get("lease") and entry["lease"] not in self._leases for entry in writes):
             return aiohttp.web.Response(status=404)
         for entry in writes:
-            self.put(entry["key"], base64.b64decode(entry["value"]), entry.get("lease", 0))
+            value = request.app[TRANSLATOR].accept(base64.b64decode(entry["value"]))
+            self.put(entry["key"], value, entry.get("lease", 0))
         for key in deletes:
             self.remove(key)
         return _json_response({"revision": self.revision})
@@ -270,12 +291,12 @@
         return aiohttp.web.Response(status=200 if has_ended else 404)
 
 
-def _make_entry(item: Item, translate: Translate) -> dict[str, object]:
+def _make_entry(item: Item, translator: Translator) -> dict[str, object]:
     if item.value is None:
         return {"key": item.key, "revision": item.revision, "removed": True}
     return {
         "key": item.key,
-        "value": base64.b64encode(translate(item.key, item.value)).decode(),
+        "value": base64.b64encode(translator.show(item.value)).decode(),
         "revision": item.revision,
         "created": item.created,
         "lease": item.lease,
--- a/tests/relay/deployments.py
+++ b/tests/relay/deployments.py
@@ -92,9 +92,12 @@
             await asyncio.sleep(0.02)
 
     async def wait_for_group(self, model: str = sites.SMALL_MODEL) -> None:
-        view = self.daemons[0].view
+        """Wait until every daemon knows a whole group of a model."""
         await self.wait_until(
-            lambda: view.list_groups(sites.ENGINE_SERVICE, model), "a whole group"
+            lambda: all(
+                daemon.view.list_groups(sites.ENGINE_SERVICE, model) for daemon in self.daemons
+            ),
+            "a whole group",
         )
 
     async def wait_for_rules(self, with_upstreams: bool = True) -> None:
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 
 import aiohttp
 import result
@@ -20,6 +21,8 @@
     members,
     observations,
     plans,
+    reach,
+    reach_checks,
     rules,
 )
 from tests import fakes
@@ -38,8 +41,11 @@
         self.reported: dict[str, int] = {}  # Lags behind `accepted`.
         self.memberships: dict[str, members.GroupMembership] = {}  # Reported instead of the list's.
         self.expected: list[int | None] = []  # Order counts that came with orders to join.
+        self.is_cut_off = False
 
     async def probe(self, upstream: members.Upstream) -> result.Result[members.Report, Exception]:
+        if self.is_cut_off:
+            return result.Err(errors.UpstreamSilent("no answer in time; go elsewhere"))
         count = self.reported.get(upstream.id, 0)
         membership = self.memberships.get(upstream.id, upstream.membership)
         return result.Ok(members.Report(1, count, False, (), membership, 1.0, 0, 0))
@@ -81,6 +87,8 @@
             store=settings_records.StoreSettings(address="127.0.0.1:1"),
         )
         self.closed: list[str] = []
+        counters = metric.Metrics()
+        self.reach = reach.Reach(self.clock, random.Random(1), log, counters)
         keeper = lease.LeaseKeeper("a", name, store, self.clock, TTL_MS, lambda: [name])
         self.coordinator = coordinator.Coordinator(
             "a",
@@ -92,10 +100,12 @@
             self.view,
             self.clock,
             log,
-            metric.Metrics(),
+            counters,
             demand.Demand(loads.LoadBook()),
             lambda: True,
             self.closed.append,
+            self.reach,
+            reach_checks.ReachChecks(self.reach, self.view, self.client, self.clock),
         )
 
     async def step(self, advance_ms: int = 100) -> None:
@@ -253,3 +263,63 @@
         seen.note_report(members.Report(1, 1, False, (), self.GROUP, 1.0, 0, 0), now_ms=5000)
         seen.upstream = dataclasses.replace(seen.upstream, born_at_ms=2)
         assert seen.find_newest_membership(list_time_ms=0, report_lag_ms=200) is None
+
+
+class TestCutOff:
+    """The coordinator's own links to all upstreams are cut."""
+
+    GROUPS = 4
+
+    def _list_open_groups(self, harness: Harness) -> None:
+        listed = []
+        for order in harness.client.orders:
+            if order.kind == plans.JOIN:
+                rank = order.members.index(order.upstream_id)
+                state = members.MemberState.READY if rank else members.MemberState.OPEN
+                status = test_planner.make_status(order.upstream_id, staged=("small",))
+                membership = members.GroupMembership(order.group, order.epoch, rank, state)
+                listed.append(dataclasses.replace(status.upstream, membership=membership))
+        assert len(listed) >= 2 * (self.GROUPS - 1)  # Some are spares.
+        harness.view.update_list(listed, harness.clock.monotonic_ms())
+
+    async def test_no_group_is_given_up_while_some_members_are_silent_sooner(self) -> None:
+        store = fakes.MemoryKeyValue()
+        harness = Harness(store)
+        harness.list_upstreams(2 * self.GROUPS)
+        for _ in range(10):
+            await harness.step()
+        self._list_open_groups(harness)
+        for _ in range(10):
+            await harness.step()
+        record = (await store.read("tanagerfork/assignments/a")).ok_value
+        harness.client.is_cut_off = True
+        harness.coordinator._observations["u0"].probed_at_ms -= 200
+        for _ in range(30):
+            await harness.step()
+        assert (await store.read("tanagerfork/assignments/a")).ok_value == record
+        assert not harness.closed and not harness.coordinator.is_holder
+
+    async def test_lease_is_released_for_another_daemon(self) -> None:
+        store = fakes.MemoryKeyValue()
+        harness, other = Harness(store), Harness(store, "d2")
+        harness.list_upstreams(2 * self.GROUPS)
+        for _ in range(10):
+            await harness.step()
+            await other.step()
+        harness.client.is_cut_off = True
+        for _ in range(12):
+            await harness.step()
+            await other.step()
+        assert other.coordinator.is_holder and not harness.coordinator.is_holder
+
+    async def test_daemon_that_is_cut_off_does_not_take_the_lease(self) -> None:
+        harness = Harness(fakes.MemoryKeyValue())
+        harness.reach.begin_check("writer")
+        harness.reach.end_check("writer", 4, is_any_answered=False)
+        for _ in range(10):
+            await harness.step()
+        assert not harness.coordinator.is_holder
+        harness.reach.end_check("writer", 1, is_any_answered=True)
+        for _ in range(3):
+            await harness.step()
+        assert harness.coordinator.is_holder
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -92,6 +92,17 @@
             assert ids == [b"id: %d" % number for number in range(1, 6)]
             assert deployed.log.find('"decision":"forward"', '"outcome":"answered"')
 
+    async def test_caller_that_leaves_ends_the_run_behind_the_other_daemon(self) -> None:
+        async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
+            await cut_off(deployed)
+            for member in deployed.site.engine_runners:
+                member.stream_gate.clear()
+            asked = asyncio.create_task(deployed.ask("/stream/x", "POST"))
+            await deployed.wait_until(lambda: count_runs(deployed, "/stream/x"), "a run")
+            asked.cancel()
+            streams = [member._open_streams for member in deployed.site.engine_runners]
+            await deployed.wait_until(lambda: not any(streams), "the end of the run")
+
     async def test_request_is_refused_if_every_daemon_is_cut_off(self) -> None:
         async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
             await cut_off(deployed)
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -75,6 +75,40 @@
             assert await count_served(deployed, 0, "healed") == TRIES * len(KINDS)
 
 
+class TestCutOffCoordinator:
+    """The daemon that coordinates loses its paths to all upstreams."""
+
+    @pytest.mark.parametrize("engines", [4, 8])
+    @pytest.mark.parametrize("how", proxy.Cut)
+    async def test_sound_groups_are_not_given_up(self, how: proxy.Cut, engines: int) -> None:
+        async with deployments.deploy(engines, daemon_count=3, has_networks=True) as deployed:
+            await deployed.wait_for_group()
+            (holder,) = [one for one in deployed.daemons if one._coordinator.is_holder]
+            epochs = {
+                member.id: member.membership.epoch
+                for member in deployed.site.engine_runners
+                if member.membership
+            }
+            index = deployed.daemons.index(holder)
+            deployed.networks[index].cut(how)
+            await deployed.ask("/stream/x", "POST", daemon=index)  # Open connections may live on.
+            await deployed.wait_until(
+                lambda: any(
+                    one._coordinator.is_holder for one in deployed.daemons if one is not holder
+                ),
+                "another coordinator",
+            )
+            await asyncio.sleep(1)
+            others = [one for one in deployed.daemons if one is not holder]
+            assert all(holder.settings.name not in one._list_candidates() for one in others)
+            assert not deployed.log.find('"decision":"plan"', "dissolve")
+            assert not deployed.log.find('"decision":"plan"', "drop")
+            for member in deployed.site.engine_runners:
+                assert not [order for order in member.orders if order["op"] == "close"]
+                if member.id in epochs:
+                    assert member.membership.epoch == epochs[member.id]
+
+
 class TestBound:
     def test_bound_is_the_users(self) -> None:
         assert is_broken(8, 106, 106) and is_broken(0, 129, 129)
