Suspect no request whose upstream is out of this daemon's own reach

What callers could have seen: requests and parts of prompts refused as crashing upstreams. A daemon whose connections were reset by a partition counted each interrupted request as lost in a crash, as the upstream did not answer its probe; three such losses quarantine a part of a prompt at all daemons.

Change: an upstream that does not answer the probe has crashed only if a check of the reach, begun after it, passes.

Evidence: TestBlame of tests/relay/test_partition.py, red before (request lost in a crash, request suspected).

--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -9,7 +9,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork import decisions
 from tanagerfork import metrics as metric
-from tanagerfork.relay import calls, member_client, members
+from tanagerfork.relay import calls, member_client, members, reach_checks
 from tanagerfork.routing import crash_evidence, poison
 from tanagerfork.routing import fleet as fleets
 
@@ -45,6 +45,7 @@
     :param suspects: requests suspected of crashing upstreams.
     :param evidence: parts of prompts suspected of crashing upstreams.
     :param client: asks upstreams for their state.
+    :param checks: checks whether this daemon reaches the upstreams.
     :param announce: announces a suspected request to the other daemons.
     :param clock: clock of all decisions.
     :param log: decision log.
@@ -55,6 +56,7 @@
         "_suspects",
         "_evidence",
         "_client",
+        "_reach_checks",
         "_announce",
         "_clock",
         "_log",
@@ -67,6 +69,7 @@
         suspects: poison.PoisonRegister,
         evidence: crash_evidence.CrashEvidence,
         client: member_client.MemberClient,
+        checks: reach_checks.ReachChecks,
         announce: Callable[[fleets.PoisonNotice], None],
         clock: clocks.Clock,
         log: decisions.DecisionLog,
@@ -75,6 +78,7 @@
         self._suspects = suspects
         self._evidence = evidence
         self._client = client
+        self._reach_checks = checks
         self._announce = announce
         self._clock = clock
         self._log = log
@@ -118,6 +122,8 @@
         asked = await self._client.probe(upstream)
         if isinstance(asked, result.Ok) and asked.ok_value.born_at_ms == upstream.born_at_ms:
             return
+        if isinstance(asked, result.Err) and not await self._reach_checks.confirm(upstream.service):
+            return
         self._metrics.count("relay_crash_losses_total")
         self._log.note(
             LOGGER,
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -180,6 +180,7 @@
                 suspects,
                 self.evidence,
                 self._client,
+                self._reach_checks,
                 lambda notice: self.peers.announce_suspect(notice),
                 self.clock,
                 self.log,
@@ -258,6 +259,7 @@
         self.log.note(LOGGER, "stop", waited_ms=waited_ms, cut_off=self.front.open_requests)
         self._tasks.cancel()
         releasing.cancel()
+        self._reach_checks.close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await asyncio.gather(
--- a/src/tanagerfork/relay/reach.py
+++ b/src/tanagerfork/relay/reach.py
@@ -75,6 +75,14 @@
         """
         return self._find(service).answered_at_ms >= time_ms
 
+    def was_checked_since(self, service: str, time_ms: float) -> bool:
+        """Return whether the last check of a service began since a time.
+
+        :param service: name of the service.
+        :param time_ms: monotonic clock, in milliseconds.
+        """
+        return self._find(service).checked_at_ms >= time_ms
+
     def note_unreached(self, service: str) -> None:
         """Record that an upstream took no connection or sent nothing in time.
 
--- a/src/tanagerfork/relay/reach_checks.py
+++ b/src/tanagerfork/relay/reach_checks.py
@@ -44,6 +44,11 @@
                 self._start_if_due(service)
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
 
+    def close(self) -> None:
+        """Cancel the checks that run."""
+        for task in self._running.values():
+            task.cancel()
+
     def doubt(self, service: str) -> None:
         """Check soon whether a service is reached, as an upstream did not answer.
 
@@ -62,23 +67,38 @@
         if running is not None and not self._reach.is_cut_off(service):
             await asyncio.wait({running})
 
+    async def confirm(self, service: str) -> bool:
+        """Return whether a service is reached, by a check that begins now or later.
+
+        :param service: name of the service.
+        """
+        since_ms = self._clock.monotonic_ms()
+        while service in self._running or not self._reach.was_checked_since(service, since_ms):
+            await asyncio.wait({self._running.get(service) or self._start(service)})
+        return not self._reach.is_cut_off(service)
+
     def _start_if_due(self, service: str) -> None:
-        if service in self._running or not self._reach.needs_check(service):
-            return
+        if service not in self._running and self._reach.needs_check(service):
+            self._start(service)
+
+    def _start(self, service: str) -> asyncio.Task[None]:
         self._reach.begin_check(service)
         task = asyncio.create_task(self._check(service))
         self._running[service] = task
         task.add_done_callback(lambda _: self._running.pop(service))
+        return task
 
     async def _check(self, service: str) -> None:
         sample = self._reach.draw_sample(service, self._view.upstreams)
         is_any_answered = False
         pending = {asyncio.create_task(self._is_answered(upstream)) for upstream in sample}
-        while pending and not is_any_answered:
-            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-            is_any_answered = any(task.result() for task in done)
-        for task in pending:
-            task.cancel()
+        try:
+            while pending and not is_any_answered:
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                is_any_answered = any(task.result() for task in done)
+        finally:
+            for task in pending:
+                task.cancel()
         self._reach.end_check(service, len(sample), is_any_answered)
 
     async def _is_answered(self, upstream: members.Upstream) -> bool:
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -75,6 +75,28 @@
             assert await count_served(deployed, 0, "healed") == TRIES * len(KINDS)
 
 
+class TestBlame:
+    """What a daemon that is cut off says of upstreams and requests."""
+
+    async def test_requests_that_a_cut_interrupts_are_not_suspected(self) -> None:
+        async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
+            await deployed.wait_for_group()
+            for member in deployed.site.engine_runners:
+                member.stream_gate.clear()
+            asked = [
+                asyncio.create_task(deployed.ask(f"/stream/{number}", "POST"))
+                for number in range(3)
+            ]
+            await asyncio.sleep(0.3)
+            deployed.networks[0].cut(proxy.Cut.RESETS)
+            await asyncio.sleep(1)
+            assert not deployed.log.find("request lost in a crash")
+            assert not deployed.log.find("request suspected")
+            for member in deployed.site.engine_runners:
+                member.stream_gate.set()
+            assert [response.status for response in await asyncio.gather(*asked)] == [200] * 3
+
+
 class TestCutOffCoordinator:
     """The daemon that coordinates loses its paths to all upstreams."""
 
--- a/tests/relay/test_reach.py
+++ b/tests/relay/test_reach.py
@@ -137,3 +137,19 @@
         await asyncio.gather(checks.settle(SERVICE), checks.settle(SERVICE))
         assert sorted(client.asked) == ["a0", "b0"]
         assert setting.reach.is_cut_off(SERVICE) == is_cut_off
+
+    async def test_confirmation_waits_for_a_check_that_begins_after_it(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(reach_checks, "CHECK_TIMEOUT_MS", 20)
+        setting, view = Setting(), fleet.Fleet()
+        view.update_list(make_upstreams(1, "a"), 0)
+        client = FakeClient({"a0": result.Ok(REPORT)})
+        checks = reach_checks.ReachChecks(setting.reach, view, client, setting.clock)
+        assert await checks.confirm(SERVICE)
+        client.answers.clear()  # Cut off just after a check that passed.
+        setting.clock.advance(1)
+        assert not await checks.confirm(SERVICE)
+        client.answers["a0"] = result.Ok(REPORT)
+        setting.clock.advance(1)
+        assert await checks.confirm(SERVICE)
