Tell the others of a silent upstream only if this daemon reaches the rest

What callers could have seen: requests that avoid sound upstreams, for 1.5 s after each such notice.

Change: the notice goes out once a check of the reach, begun after the silence, has passed.

Evidence: TestBlame.test_other_daemons_do_not_avoid_upstreams_that_only_one_cannot_reach, red before.

--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -168,7 +168,7 @@
                 self._send_limits,
                 self._upstream_client,
                 self._dialect,
-                self._reach,
+                self._reach_checks,
                 self.clock,
                 lambda upstream_id: self.peers.announce_silent(upstream_id),
                 lambda upstream: self.peers.announce_leaving(upstream),
--- a/src/tanagerfork/relay/reach_checks.py
+++ b/src/tanagerfork/relay/reach_checks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 import result
 
@@ -22,7 +23,7 @@
     :param clock: clock to wait on.
     """
 
-    __slots__ = ("_reach", "_view", "_client", "_clock", "_running")
+    __slots__ = ("_reach", "_view", "_client", "_clock", "_running", "_calls")
 
     def __init__(
         self,
@@ -36,6 +37,7 @@
         self._client = client
         self._clock = clock
         self._running: dict[str, asyncio.Task[None]] = {}
+        self._calls: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Check the services that are cut off again and again, until cancelled."""
@@ -45,8 +47,8 @@
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
 
     def close(self) -> None:
-        """Cancel the checks that run."""
-        for task in self._running.values():
+        """Cancel the checks that run and what waits for them."""
+        for task in [*self._running.values(), *self._calls]:
             task.cancel()
 
     def doubt(self, service: str) -> None:
@@ -77,6 +79,20 @@
             await asyncio.wait({self._running.get(service) or self._start(service)})
         return not self._reach.is_cut_off(service)
 
+    def call_if_reached(self, service: str, action: Callable[[], None]) -> None:
+        """Call a function once it is confirmed that a service is reached; else never.
+
+        :param service: name of the service.
+        :param action: function to call.
+        """
+        task = asyncio.create_task(self._call_if_reached(service, action))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _call_if_reached(self, service: str, action: Callable[[], None]) -> None:
+        if await self.confirm(service):
+            action()
+
     def _start_if_due(self, service: str) -> None:
         if service not in self._running and self._reach.needs_check(service):
             self._start(service)
--- a/src/tanagerfork/relay/sending.py
+++ b/src/tanagerfork/relay/sending.py
@@ -15,7 +15,7 @@
     loads,
     members,
     placing,
-    reach,
+    reach_checks,
     responses,
     rules,
     send_limits,
@@ -36,7 +36,7 @@
     :param limits: limits that upstreams named.
     :param upstream_client: sends HTTP requests to upstreams.
     :param dialect: reads and writes the platform's headers.
-    :param own_reach: whether this daemon reaches any upstream.
+    :param checks: checks whether this daemon reaches the upstreams.
     :param clock: clock of the deadlines.
     :param announce_silent: announces a silent upstream to the other daemons.
     :param announce_leaving: records and announces an upstream that said that it leaves.
@@ -47,7 +47,7 @@
         "_send_limits",
         "_upstream_client",
         "_responses",
-        "_reach",
+        "_reach_checks",
         "_clock",
         "_announce_silent",
         "_announce_leaving",
@@ -59,7 +59,7 @@
         limits: send_limits.SendLimits,
         upstream_client: exchange.UpstreamClient,
         dialect: calls.Dialect,
-        own_reach: reach.Reach,
+        checks: reach_checks.ReachChecks,
         clock: clocks.Clock,
         announce_silent: Callable[[str], None],
         announce_leaving: Callable[[members.Upstream], None],
@@ -68,7 +68,7 @@
         self._send_limits = limits
         self._upstream_client = upstream_client
         self._responses = responses.ResponseRelay(dialect, clock)
-        self._reach = own_reach
+        self._reach_checks = checks
         self._clock = clock
         self._announce_silent = announce_silent
         self._announce_leaving = announce_leaving
@@ -112,7 +112,7 @@
             return result.Err(errors.UpstreamSilent(message))
         except errors.UpstreamError as error:
             if isinstance(error, errors.UpstreamUnreachable):
-                self._reach.note_unreached(upstream.service)
+                self._reach_checks.doubt(upstream.service)
             return result.Err(error)
         self.note_prompt_read(progress, upstream.id, request.facts.prompt_tokens)
         try:
@@ -262,7 +262,9 @@
 
     def _mark_suspect(self, upstream: members.Upstream) -> None:
         now_ms = self._clock.monotonic_ms()
-        self._reach.note_unreached(upstream.service)
+        self._reach_checks.doubt(upstream.service)
         if now_ms >= self._book.find(upstream.id).suspect_until_ms:
-            self._announce_silent(upstream.id)
+            self._reach_checks.call_if_reached(
+                upstream.service, functools.partial(self._announce_silent, upstream.id)
+            )
         self._book.suspect(upstream.id, now_ms)
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tanagerfork_standins import proxy
+from tanagerfork_standins.platform import runner
 from tests.relay import deployments
 
 STABLE_S = 3.0
@@ -96,6 +97,26 @@
                 member.stream_gate.set()
             assert [response.status for response in await asyncio.gather(*asked)] == [200] * 3
 
+    async def test_other_daemons_do_not_avoid_upstreams_that_only_one_cannot_reach(self) -> None:
+        async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
+            await deployed.wait_for_group()
+            await count_served(deployed, 0, "before")
+            deployed.networks[0].cut(proxy.Cut.HANGS)
+            await count_served(deployed, 0, "cut")
+            assert deployed.log.find("no upstream reached")
+            assert not deployed.log.find("upstream suspected", "told_by")
+
+    async def test_other_daemons_learn_of_an_upstream_that_is_silent(self) -> None:
+        async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
+            await deployed.wait_for_group()
+            shared_faults = [runner.Fault.HANGS]  # Only of the first runner that is asked.
+            for member in deployed.site.plain_runners:
+                member.faults = shared_faults
+            assert (await deployed.ask("/safe/x", deadline_ms=1000)).status == 200
+            await deployed.wait_until(
+                lambda: deployed.log.find("upstream suspected", "told_by"), "a suspicion"
+            )
+
 
 class TestCutOffCoordinator:
     """The daemon that coordinates loses its paths to all upstreams."""
