--- a/src/tanagerfork_standins/platform/partition.py
+++ b/src/tanagerfork_standins/platform/partition.py
@@ -9,6 +9,8 @@
 class DaemonNetwork:
     """Paths of one daemon, which reads and writes the proxies' addresses; see `store.Translator`.
 
+    `store_path` is the path to the store.
+
     :param registry: store with the entries of the runners.
     :param runner_addresses: addresses of the runners.
     """
@@ -18,21 +20,20 @@
         self._listener = listener.Listener()
         registry.serve(self._listener.app, self)
 
-    @property
-    def store_address(self) -> str:
-        """Address of the store as this daemon reaches it."""
-        return f"{listener.LOOPBACK}:{self._listener.port}"
-
     async def start(self) -> None:
         """Open all paths."""
         await self._listener.start()
-        await asyncio.gather(*(path.start() for path in self._proxies.values()))
+        self.store_path = proxy.Proxy(f"{listener.LOOPBACK}:{self._listener.port}")
+        await asyncio.gather(*(path.start() for path in self._list_paths()))
 
     async def stop(self) -> None:
         """Close all paths."""
-        await asyncio.gather(*(path.stop() for path in self._proxies.values()))
+        await asyncio.gather(*(path.stop() for path in self._list_paths()))
         await self._listener.stop()
 
+    def _list_paths(self) -> list[proxy.Proxy]:
+        return [self.store_path, *self._proxies.values()]
+
     def cut(self, how: proxy.Cut, spared: tuple[str, ...] = ()) -> None:
         """Partition the daemon from all runners but some.
 
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -1,6 +1,7 @@
 """Stand-in for a runner of the platform, which answers requests and forms groups on order."""
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 from collections.abc import Callable
@@ -374,7 +375,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._open_streams.add(transport)
         try:
-            await self._send_events(request, response, fault)
+            with contextlib.suppress(ConnectionError):  # The daemon has closed the connection.
+                await self._send_events(request, response, fault)
         finally:
             self._open_streams.discard(transport)
         return response
--- a/src/tanagerfork_standins/proxy.py
+++ b/src/tanagerfork_standins/proxy.py
@@ -71,10 +71,12 @@
             writer.transport.abort()
 
     def cut(self, how: Cut) -> None:
-        """Partition both sides from each other.
+        """Partition both sides from each other, if they are not yet.
 
         :param how: what becomes of their connections.
         """
+        if self._server is None:
+            return
         self._close_server()
         if how is Cut.HANGS:
             self.is_silent = True
--- a/tests/relay/deployments.py
+++ b/tests/relay/deployments.py
@@ -80,7 +80,7 @@
         network = partition.DaemonNetwork(self.site.store, [member.address for member in runners])
         await network.start()
         self.networks.append(network)
-        store = settings_records.StoreSettings(address=network.store_address)
+        store = settings_records.StoreSettings(address=network.store_path.address)
         return await self.add_daemon(failure_domain, store=store)
 
     async def wait_until(self, condition, description: str) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,7 @@
 import pathlib
 
 import pytest
-from tools import soak
+from tools import soak, verdicts
 
 # Every seed that fails is added here, with a line on its cause.
 # 11: a daemon exited after a restart without a log line; a reload signal during its startup would
@@ -26,3 +26,23 @@
         run = soak.Soak(1, 1, tmp_path)
         run.verdict.check(False, "MIXED")
         assert run.verdict.violations == ["MIXED"]
+
+
+class TestPartition:
+    """How callers of daemons that are cut off are compared with those of the others."""
+
+    def judge(self, served_cut: int, served_others: int, excused: tuple[str, ...] = ()) -> bool:
+        found = verdicts.Partition(frozenset({"a", "b"}), set(excused))
+        for number in range(100):
+            found.first_tries.append(("a", number < served_cut))
+            found.first_tries.append(("c", number < served_others))
+        return found.is_broken()
+
+    def test_callers_served_far_worse_break_the_promise(self) -> None:
+        assert self.judge(8, 100) and self.judge(60, 100)
+
+    def test_two_thirds_or_few_failures_keep_it(self) -> None:
+        assert not self.judge(67, 100) and not self.judge(40, 60) and not self.judge(88, 100)
+
+    def test_daemons_that_were_stopped_or_paused_do_not_count(self) -> None:
+        assert not self.judge(8, 100, ("a",)) and not self.judge(8, 100, ("c",))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,15 +1,14 @@
 """Soak test: daemon processes under injected faults, with their guarantees checked throughout.
 
-The driver starts the daemons, the platform's stand-ins and a proxy in front of the store. Faults
-are drawn from a seed and overlap: daemons are stopped, paused, killed and restarted by signals,
-the store rejects calls, hangs or loses answers, runners crash, and the configuration changes.
-Callers use persistent connections. Responses and runner state are checked: see `Verdict`.
+The driver starts the daemons, the platform's stand-ins and proxies between them. Faults are drawn
+from a seed and overlap: daemons are stopped, paused, killed and restarted by signals or cut off
+from the runners, the store rejects calls, hangs or loses answers, runners crash, and the
+configuration changes.
+Callers use persistent connections. Responses and runner state are checked: see `verdicts.Verdict`.
 """
 
 import argparse
 import asyncio
-import collections
-import dataclasses
 import pathlib
 import random
 import signal
@@ -19,8 +18,9 @@
 import aiohttp
 import yarl
 
-from tanagerfork_standins.platform import runner, site
-from tools import processes
+from tanagerfork_standins import proxy
+from tanagerfork_standins.platform import partition, runner, site
+from tools import processes, verdicts
 
 CALL_TIMEOUT_S = 3.0
 CALLER_COUNT = 8
@@ -28,78 +28,10 @@
 SERVING_TIMEOUT_S = 15.0
 PROBED_PATHS = ("/safe/", "/stream/")
 DRAIN_S = 2.0  # Time in which a daemon stops to send to an upstream that leaves.
+STABLE_S = 3.0  # After this time, callers of daemons that are cut off are served as well.
 SETTLE_S = 6.0  # Recovery time after the last fault; requests must be served again after it.
 
 
-@dataclasses.dataclass(slots=True)
-class Verdict:
-    """Violated guarantees, response statuses and injected faults of one run."""
-
-    violations: list[str] = dataclasses.field(default_factory=list)
-    statuses: collections.Counter[int] = dataclasses.field(default_factory=collections.Counter)
-    faults: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
-
-    def check(self, holds: bool, violation: str) -> None:
-        """Record a violation if a guarantee does not hold.
-
-        :param holds: whether the guarantee holds.
-        :param violation: description of the violation, recorded if it does not hold.
-        """
-        if not holds:
-            self.violations.append(violation)
-
-
-class Proxy:
-    """A loopback proxy in front of the store that delays, resets or stalls its connections."""
-
-    def __init__(self, address: str) -> None:
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
-        self.delay_s = 0.0
-        self.is_silent = False
-        self._writers: set[asyncio.StreamWriter] = set()
-        self.port = 0
-
-    async def start(self) -> None:
-        """Start listening on a free port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        self._server.close()
-        self.reset()
-        await asyncio.sleep(0.1)  # Lets the connections' tasks end.
-
-    def reset(self) -> None:
-        """Reset all open connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            store_reader, store_writer = await asyncio.open_connection(self._host, self._port)
-        except OSError:
-            writer.transport.abort()
-            return
-        self._writers |= {writer, store_writer}
-        await asyncio.gather(
-            self._forward(reader, store_writer),
-            self._forward(store_reader, writer),
-            return_exceptions=True,
-        )
-        self._writers -= {writer, store_writer}
-
-    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while data := await reader.read(65_536):
-                await asyncio.sleep(self.delay_s)
-                if not self.is_silent:
-                    writer.write(data)
-        finally:
-            writer.close()
-
-
 class Soak:
     """One run of the soak test.
 
@@ -110,11 +42,13 @@
 
     def __init__(self, seed: int, daemon_count: int, folder: pathlib.Path) -> None:
         self.rng = random.Random(seed)
-        self.verdict = Verdict()
+        self.verdict = verdicts.Verdict()
         self.site = site.Site(engine_count=8, plain_count=3)
         self._daemon_count = daemon_count
         self._folder = folder
         self.daemons: list[processes.Daemon] = []
+        self._networks: dict[str, partition.DaemonNetwork] = {}
+        self._partitions: list[verdicts.Partition] = []
         self._request_count = 0
         self._faults = {
             "kill": self._kill_daemon,
@@ -134,12 +68,13 @@
             "runner leaves": self._have_runner_leave,
             "runner is in need": self._limit_runner,
             "part crashes": self._crash_by_part,
+            "daemons cut off": self._cut_daemons_off,
         }
         self._crashing_part_until_s = 0.0
         # By daemon and start of the runner: when a caller got the first answer that says it leaves.
         self._told_leaving_s: dict[tuple[str, str, int], float] = {}
 
-    async def run(self, length_s: float) -> Verdict:
+    async def run(self, length_s: float) -> verdicts.Verdict:
         """Inject faults for a time, then wait until every daemon serves requests again.
 
         :param length_s: duration of the fault injection, in seconds.
@@ -148,10 +83,16 @@
         await self.site.start()
         for member in self.site.engine_runners:
             member.observer = self._check_membership
-        self.proxy = Proxy(self.site.address)
-        await self.proxy.start()
+        runners = [*self.site.engine_runners, *self.site.plain_runners]
         for number in range(self._daemon_count):
-            self.daemons.append(processes.Daemon(f"d{number}", self._folder, self.proxy.port))
+            network = partition.DaemonNetwork(
+                self.site.store, [member.address for member in runners]
+            )
+            await network.start()
+            self._networks[f"d{number}"] = network
+            self.daemons.append(
+                processes.Daemon(f"d{number}", self._folder, network.store_path.port)
+            )
             await self.daemons[-1].start()
         try:
             await self._wait_until_served()
@@ -169,7 +110,7 @@
                 daemon.send(signal.SIGCONT)
                 daemon.send(signal.SIGKILL)
                 daemon.close()
-            await self.proxy.stop()
+            await asyncio.gather(*(network.stop() for network in self._networks.values()))
             await self.site.stop()
         return self.verdict
 
@@ -192,8 +133,11 @@
             while not stop.is_set():
                 daemon = self.rng.choice(self.daemons)
                 path = self.rng.choice(("/safe/", "/unsafe/", "/stream/"))
+                counted = list(self._partitions)
                 status = await self._call(session, daemon, path)
                 self.verdict.statuses[status] += 1
+                for found in counted:
+                    found.first_tries.append((daemon.name, status == 200))
 
     async def _call(
         self, session: aiohttp.ClientSession, daemon: processes.Daemon, prefix: str
@@ -266,6 +210,8 @@
 
     def _excuse(self, daemon: processes.Daemon) -> None:
         """Forget what a daemon was told, which it may forget by a restart or a pause."""
+        for found in self._partitions:
+            found.excused.add(daemon.name)
         for key in [key for key in self._told_leaving_s if key[0] == daemon.name]:
             del self._told_leaving_s[key]
 
@@ -331,16 +277,24 @@
         member = self.rng.choice([*self.site.engine_runners, *self.site.plain_runners])
         member.faults.extend(self.rng.choices(list(runner.Fault), k=3))
 
+    @property
+    def _store_paths(self) -> list[proxy.Proxy]:
+        return [network.store_path for network in self._networks.values()]
+
     async def _silence_store(self) -> None:
-        self.proxy.is_silent = True
+        for path in self._store_paths:
+            path.is_silent = True
         await asyncio.sleep(self.rng.uniform(0.2, 2))
-        self.proxy.is_silent = False
-        self.proxy.reset()
+        for path in self._store_paths:
+            path.is_silent = False
+            path.reset()
 
     async def _slow_store(self) -> None:
-        self.proxy.delay_s = 0.2
+        for path in self._store_paths:
+            path.delay_s = 0.2
         await asyncio.sleep(self.rng.uniform(0.2, 2))
-        self.proxy.delay_s = 0.0
+        for path in self._store_paths:
+            path.delay_s = 0.0
 
     async def _refuse_store_calls(self) -> None:
         self.site.store.faults.error_status = self.rng.choice((429, 503))
@@ -354,7 +308,8 @@
         self.site.store.drop_history()
 
     async def _reset_store_connections(self) -> None:
-        self.proxy.reset()
+        for path in self._store_paths:
+            path.reset()
 
     async def _restore_store(self) -> None:
         """Go back by up to three seconds; runners and the operator then write theirs again."""
@@ -390,6 +345,23 @@
             member.crashing_parts = {"bad"}
         self._crashing_part_until_s = asyncio.get_running_loop().time() + self.rng.uniform(1, 4)
 
+    async def _cut_daemons_off(self) -> None:
+        """Partition some daemons from all runners, and compare how their callers are served."""
+        names = sorted(self._networks)
+        drawn = self.rng.sample(names, self.rng.randint(1, max(1, len(names) - 1)))
+        how = self.rng.choice(list(proxy.Cut))
+        found = verdicts.Partition(frozenset(drawn))
+        for name in drawn:
+            self._networks[name].cut(how)
+        await asyncio.sleep(STABLE_S)
+        self._partitions.append(found)
+        await asyncio.sleep(self.rng.uniform(1, 3))
+        self._partitions.remove(found)
+        for name in drawn:
+            await self._networks[name].heal()
+        tries = len(found.first_tries)
+        self.verdict.check(not found.is_broken(), f"RECOVER: {drawn} {how.value}, {tries} tries")
+
     async def _write_configuration(self) -> None:
         self.site.write_config()
 
