Keep the group of a member that is silent for a second and goes on

What callers saw: a sound upstream that falls silent for a second and goes on lost its group; the requests there were cut, and the group was formed anew under another epoch, 1 to 3 s later.

Cause: two unanswered probes of 400 ms each, 0.8 s of silence, were taken for the loss of the member.

Change: silence has to last 1.5 s; connections that are refused or break still count at the second probe, as nothing runs there. Requests leave a silent group by their own time limits meanwhile, as before.

--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -219,6 +219,10 @@
     ran = NOT_RUN
 
 
+class ConnectTimedOut(UpstreamUnreachable):
+    """The upstream neither accepted nor refused a connection in time."""
+
+
 class UpstreamRefused(UpstreamError):
     """The upstream reports that it refused the request before running it."""
 
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -155,7 +155,7 @@
         now_ms = self._clock.monotonic_ms()
         if now_ms - self._last_step_ms > STALL_MS:
             for seen in self._observations.values():
-                seen.failed_probes = 0
+                seen.forget_failed_probes()
         self._last_step_ms = now_ms
         is_holder = self._may_act()
         if is_holder != self.is_holder:
@@ -256,19 +256,26 @@
         seen.is_probing = False
         self._metrics.count("relay_probes_total", is_answered=str(isinstance(reported, result.Ok)))
         if isinstance(reported, result.Err):
-            seen.note_failed_probe()
-            self._reach_checks.doubt(seen.upstream.service)
-            if seen.failed_probes == observations.SILENT_AFTER_FAILURES:
-                self._log.note(
-                    LOGGER,
-                    "member does not answer",
-                    upstream=seen.upstream.id,
-                    probes=seen.failed_probes,
-                    reason=reported.err_value.message,
-                )
+            self._note_failed_probe(seen, reported.err_value)
             return
         seen.note_report(reported.ok_value, self._clock.monotonic_ms())
 
+    def _note_failed_probe(
+        self, seen: observations.Observation, error: errors.UpstreamError
+    ) -> None:
+        was_silent = seen.is_silent
+        is_refused = not isinstance(error, (errors.UpstreamSilent, errors.ConnectTimedOut))
+        seen.note_failed_probe(is_refused, self._clock.monotonic_ms())
+        self._reach_checks.doubt(seen.upstream.service)
+        if seen.is_silent and not was_silent:
+            self._log.note(
+                LOGGER,
+                "member does not answer",
+                upstream=seen.upstream.id,
+                probes=seen.failed_probes,
+                reason=error.message,
+            )
+
     def _get_statuses(self, service: rules.Service, now_ms: int) -> dict[str, plans.UpstreamStatus]:
         list_time_ms = now_ms - self._view.measure_age(now_ms)
         lag_ms = service.engine.report_lag_ms if service.engine else 0.0
--- a/src/tanagerfork/relay/observations.py
+++ b/src/tanagerfork/relay/observations.py
@@ -6,6 +6,7 @@
 from tanagerfork.relay import members
 
 SILENT_AFTER_FAILURES = 2  # A single probe may be lost by the network.
+MIN_SILENCE_MS = 1500  # A sound upstream may be silent for a second or so.
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,13 +17,15 @@
     while an order is in flight or its outcome is unknown. Reports lag behind the orders by some
     hundred milliseconds, so that a report never lowers `min_order_count`. `reported_at_ms` is when
     the last report arrived, `reported_order_count` the number of orders that it counts.
-    `silent_since_ms` is when the first of the last `failed_probes` was sent.
+    `silent_since_ms` is when the first of the last `failed_probes` was sent, `is_silent` whether
+    they say that it is gone.
     """
 
     upstream: members.Upstream
     listed_at_ms: int
     probed_at_ms: int = -1_000_000
     failed_probes: int = 0
+    is_silent: bool = False
     silent_since_ms: float = 1e12
     order_count: int | None = None
     min_order_count: int = 0
@@ -33,16 +36,22 @@
     reported_order_count: int = -1
     reported_born_at_ms: int = -1
 
-    @property
-    def is_silent(self) -> bool:
-        """Whether it left the last probes unanswered."""
-        return self.failed_probes >= SILENT_AFTER_FAILURES
+    def note_failed_probe(self, is_refused: bool, now_ms: float) -> None:
+        """Record that the last probe was not answered.
 
-    def note_failed_probe(self) -> None:
-        """Record that the last probe was not answered."""
+        :param is_refused: whether the connection was refused or broke, so that nothing runs there.
+        :param now_ms: clock of the coordinator, in milliseconds.
+        """
         if not self.failed_probes:
             self.silent_since_ms = self.probed_at_ms
         self.failed_probes += 1
+        is_long = is_refused or now_ms - self.silent_since_ms >= MIN_SILENCE_MS
+        self.is_silent = self.failed_probes >= SILENT_AFTER_FAILURES and is_long
+
+    def forget_failed_probes(self) -> None:
+        """Forget the failed probes, as the upstream answered or they are no evidence."""
+        self.failed_probes = 0
+        self.is_silent = False
 
     def may_join(self, group: str, epoch: int) -> bool:
         """Return whether an order to join a group is safe by what the upstream itself has reported.
@@ -78,7 +87,7 @@
         :param report: report of the upstream.
         :param now_ms: clock of the coordinator, in milliseconds.
         """
-        self.failed_probes = 0
+        self.forget_failed_probes()
         self.reported_at_ms = now_ms
         self.reported_born_at_ms = report.born_at_ms
         self.reported_order_count = report.order_count
--- a/src/tanagerfork/upstream/connections.py
+++ b/src/tanagerfork/upstream/connections.py
@@ -126,7 +126,9 @@
     :param error: error raised by the HTTP library.
     :return: error whose class tells whether the request may have run.
     """
-    if isinstance(error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)):
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
+        return errors.ConnectTimedOut(f"{upstream} takes no connection ({error}); go elsewhere")
+    if isinstance(error, aiohttp.ClientConnectorError):
         return errors.UpstreamUnreachable(f"{upstream} takes no connection ({error}); go elsewhere")
     if isinstance(error, (TimeoutError, asyncio.TimeoutError)):
         return errors.UpstreamSilent(f"{upstream} gave no answer in time; go elsewhere")
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -70,7 +70,8 @@
 class Runner:
     """Runner with an entry in the store.
 
-    `waiting_count` is the number of waiting requests that it reports.
+    `waiting_count` is the number of waiting requests that it reports. While `answer_gate` is
+    cleared, the runner is silent: it answers nothing, and its streams stand still.
     `faults` holds the faults of its next requests, one each. `stream_gate` holds streams back while
     it is cleared. `observer` is called with "join", "run" and "crash" when it joins a group, runs a
     request for a model, or crashes. A request for a model crashes it if one of the shared parts of
@@ -119,6 +120,8 @@
         self.is_listed = True
         self.stream_gate = asyncio.Event()
         self.stream_gate.set()
+        self.answer_gate = asyncio.Event()
+        self.answer_gate.set()
         self._registry = registry
         self.address = ""
         self.observer: Callable[[Runner, str], None] = lambda runner, event: None
@@ -209,6 +212,7 @@
         }
 
     async def _serve_report(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        await self.answer_gate.wait()
         report = {
             "phase": "both",
             "busy": False,
@@ -222,6 +226,7 @@
 
     async def _serve_order(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         order = msgspec.json.decode(await request.read())
+        await self.answer_gate.wait()
         self.orders.append(order)
         if request.headers.get("Tanagerfork-Expect-Instance", self.id) != self.id:
             return aiohttp.web.Response(status=421)
@@ -292,6 +297,7 @@
     async def _serve_request(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
         request_id = request.headers.get(REQUEST_ID_HEADER, "")
         body = await request.read()
+        await self.answer_gate.wait()
         fault = self.faults.pop(0) if self.faults else Fault.NONE
         received = ReceivedRequest(
             request_id,
@@ -414,6 +420,7 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for event_id in range(first, self.events + 1):
             await asyncio.sleep(EVENT_GAP_S)
+            await self.answer_gate.wait()
             while fault is Fault.TRICKLES and event_id == first + 2:
                 await response.write(b"i")
                 await asyncio.sleep(TRICKLE_GAP_S)
