Let the timeout of the silent service pass once its call has arrived

Traced: the event loop of the test was held up for longer than the call's timeout of 200 ms; with a pause of 250 ms put into the loop before the call, the same case ends with upstream_silent and 0 requests, with 100 ms with 1. The service client is not at fault: its deadline passed before it had sent anything.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,5 +1,7 @@
 """Contract tests of the service client: for each fault, the result and whether it may have run."""
 
+import asyncio
+
 import aiohttp.web
 import pytest
 import result
@@ -12,6 +14,7 @@
 
 HEAD = upstreams.head()
 LENGTH = upstreams.head(extra="Content-Length: 4\r\n")
+TIMEOUT_MS = 60_000
 METHODS = ["GET", "POST", "PUT", "DELETE", "PATCH"]
 
 FAULTS = [
@@ -32,12 +35,16 @@
     @pytest.mark.parametrize(("name", "script", "kind"), FAULTS)
     @pytest.mark.parametrize("method", METHODS)
     async def test_call_is_sent_once_and_its_outcome_reported(self, name, script, kind, method):
-        call = service.ServiceCall("a1", "r1", method, "releases", "", "", b"{}", 200)
+        call = service.ServiceCall("a1", "r1", method, "releases", "", "", b"{}", TIMEOUT_MS)
         async with upstreams.run_upstream(script) as upstream:
             target = bundle.ServiceUpstream(name="s", failure_domain="d", url=upstream.entry.url)
             session = connections.open_session(single_use=True)
             client = service.HttpServiceClient(session, answer_limit_bytes=1000)
-            called = await client.call(target, call)
+            calling = asyncio.create_task(client.call(target, call))
+            if kind == "upstream_silent":  # The timeout passes once the call has arrived.
+                await upstream.has_received.wait()
+                upstreams.advance_loop_time(TIMEOUT_MS / 1000)
+            called = await calling
             await session.close()
             if kind is None:
                 assert called.unwrap().body == b"good"
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -40,6 +40,7 @@
     def __init__(self, script: list[bytes]) -> None:
         self.script = script
         self.requests: list[bytes] = []
+        self.has_received = asyncio.Event()
         self.closed_by_client = 0
         self.entry = engine.VmEntry(vm="vm0", url="", failure_domain="d", fabric_domain="f")
 
@@ -48,6 +49,7 @@
         try:
             text = await reader.readuntil(b"\r\n\r\n")
             self.requests.append(text.split(b"\r\n")[0])
+            self.has_received.set()
             for piece in self.script:
                 if piece == CUT:
                     writer.transport.abort()
@@ -66,6 +68,13 @@
             writer.close()
 
 
+def advance_loop_time(duration_s: float) -> None:
+    """Move the time of the running event loop forward, so that its timers become due."""
+    loop = asyncio.get_running_loop()
+    read_time = loop.time
+    loop.time = lambda: read_time() + duration_s
+
+
 @contextlib.asynccontextmanager
 async def run_upstream(script: list[bytes]) -> AsyncIterator[ScriptedUpstream]:
     """Run a scripted upstream on an ephemeral port."""
