Give the directory of daemons a module; let the soak judge only daemons that are not cut off

No change of behaviour of a daemon. New check: a status 500 is an upstream's. Callers that leave before their request is read: tests/relay/test_left_callers.py, which holds already.

--- a/src/tanagerfork/relay/cohorts.py
+++ b/src/tanagerfork/relay/cohorts.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from tanagerfork.relay import followers
+from tanagerfork.relay import daemon_directory
 
 # A source keeps a link to each daemon of its cohort and, in a fleet of thousands, as many again to
 # the sources of other cohorts.
@@ -21,7 +21,7 @@
     __slots__ = ("_name", "_failure_domain", "_directory")
 
     def __init__(
-        self, name: str, failure_domain: str, directory: followers.DaemonDirectory
+        self, name: str, failure_domain: str, directory: daemon_directory.DaemonDirectory
     ) -> None:
         self._name = name
         self._failure_domain = failure_domain
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -27,6 +27,7 @@
     cohorts,
     coordinator,
     crashes,
+    daemon_directory,
     demand,
     exchange,
     feeds,
@@ -129,8 +130,8 @@
             ),
             self.clock,
         )
-        record = followers.DaemonRecord(settings.failure_domain, settings.peers)
-        self.directory = followers.DaemonDirectory(
+        record = daemon_directory.DaemonRecord(settings.failure_domain, settings.peers)
+        self.directory = daemon_directory.DaemonDirectory(
             self.store, settings.name, record, self.clock, self.log
         )
         self._forwarder = forwarding.Forwarder(
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-import msgspec
 import result
 
 from tanagerfork import clock as clocks
@@ -14,9 +13,6 @@
 LOGGER = "relay.followers"
 SOURCE_RETRY_MS = 250  # For sources, which pass the changes on to other daemons.
 RECEIVER_RETRY_MS = 1000  # For the rest, to spare a store that fails; well within the catch-up.
-DAEMON_PREFIX = "tanagerfork/daemons/"
-DAEMON_LEASE_MS = 6000  # Outlasts a short loss of the connection to the store.
-DAEMON_RENEW_INTERVAL_MS = 2000
 WATCH_TIMEOUT_MS = 1000  # Bounds the time until receivers learn that nothing has changed.
 MAX_WATCH_OVERRUN_MS = 300  # A later result is too old to be published as current.
 BATCH_DELAY_MS = 900  # Groups changes into one call; under half the time to drain.
@@ -352,115 +348,3 @@
                 removed=list(change.removed),
                 leaving=list(change.leaving),
             )
-
-
-class DaemonRecord(msgspec.Struct):
-    """Entry of a daemon in the store.
-
-    `address` is where it receives notices, `forwarding` where it takes over requests, empty if it
-    takes over none.
-    """
-
-    failure_domain: str
-    address: str
-    forwarding: str = ""
-
-
-class DaemonDirectory:
-    """Keeps this daemon's entry under a lease and follows the entries of the others.
-
-    :param store: store.
-    :param name: name of this daemon.
-    :param record: entry of this daemon.
-    :param clock: clock to wait on.
-    :param log: decision log.
-    """
-
-    __slots__ = ("prefix", "_store", "_name", "_record", "_clock", "_log", "_lease", "daemons")
-
-    def __init__(
-        self,
-        store: key_value.LeasingKeyValue,
-        name: str,
-        record: DaemonRecord,
-        clock: clocks.Clock,
-        log: decisions.DecisionLog,
-    ) -> None:
-        self.prefix = DAEMON_PREFIX
-        self._store = store
-        self._name = name
-        self._record = record
-        self._clock = clock
-        self._log = log
-        self._lease = 0
-        self.daemons: dict[str, DaemonRecord] = {name: record}
-
-    def list_names(self, failure_domain: str) -> list[str]:
-        """Return the daemons of a failure domain.
-
-        :param failure_domain: failure domain.
-        """
-        return [
-            name for name, record in self.daemons.items() if record.failure_domain == failure_domain
-        ]
-
-    async def run(self) -> None:
-        """Maintain this daemon's entry until cancelled."""
-        while True:
-            await self._maintain_entry()
-            await self._clock.sleep_ms(DAEMON_RENEW_INTERVAL_MS)
-
-    async def leave(self) -> None:
-        """Remove this daemon's entry at a planned stop."""
-        if self._lease:
-            await self._store.end_lease(self._lease)
-
-    def note_unreachable(self) -> None:
-        """Keep the known daemons; see `KeyFollower.note_unreachable`."""
-
-    def note_restored(self) -> None:
-        """Write this daemon's entry anew, as its lease is lost; see `KeyFollower.note_restored`."""
-        self._lease = 0
-
-    def apply_snapshot(self, entries: Sequence[key_value.Entry]) -> None:
-        """Replace the list of daemons; see `KeyFollower.apply_snapshot`."""
-        self.daemons = {self._name: self._record}
-        self.apply_changes(key_value.Changes(list(entries), []))
-
-    def apply_changes(self, changes: key_value.Changes) -> None:
-        """Add and remove daemons; see `KeyFollower.apply_changes`."""
-        before = set(self.daemons)
-        for entry in changes.written:
-            try:
-                record = msgspec.json.decode(entry.value, type=DaemonRecord)
-            except msgspec.MsgspecError as error:
-                self._log.note(
-                    LOGGER, "daemon entry cannot be decoded", key=entry.key, reason=str(error)
-                )
-                continue
-            self.daemons[entry.key.removeprefix(self.prefix)] = record
-        for key in changes.removed:
-            self.daemons.pop(key.removeprefix(self.prefix), None)
-        self.daemons[self._name] = self._record
-        if before != set(self.daemons):
-            self._log.note(
-                LOGGER,
-                "list of daemons changed",
-                came=sorted(set(self.daemons) - before),
-                went=sorted(before - set(self.daemons)),
-            )
-
-    async def _maintain_entry(self) -> None:
-        if self._lease:
-            kept = await self._store.renew_lease(self._lease)
-            if isinstance(kept, result.Err) or kept.ok_value:
-                return
-            self._log.note(LOGGER, "lease of this daemon's entry has expired", lease=self._lease)
-            self._lease = 0
-        granted = await self._store.grant_lease(DAEMON_LEASE_MS)
-        if isinstance(granted, result.Err):
-            return
-        value = msgspec.json.encode(self._record)
-        put = await self._store.put_leased(DAEMON_PREFIX + self._name, value, granted.ok_value)
-        if isinstance(put, result.Ok):
-            self._lease = granted.ok_value
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -10,7 +10,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork import decisions, errors
 from tanagerfork import metrics as metric
-from tanagerfork.relay import calls, exchange, followers, responses, rules
+from tanagerfork.relay import calls, daemon_directory, exchange, responses, rules
 from tanagerfork.relay import progress as progresses
 
 LOGGER = "relay.forwarding"
@@ -106,7 +106,7 @@
         self,
         client: exchange.UpstreamClient,
         dialect: calls.Dialect,
-        directory: followers.DaemonDirectory,
+        directory: daemon_directory.DaemonDirectory,
         name: str,
         register: rules.RulesRegister,
         clock: clocks.Clock,
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -17,9 +17,9 @@
 from tanagerfork.peers import link
 from tanagerfork.relay import (
     cohorts,
+    daemon_directory,
     feeds,
     fleet,
-    followers,
     forwarding,
     loads,
     members,
@@ -87,7 +87,7 @@
         self,
         name: str,
         inbox: link.Inbox,
-        directory: followers.DaemonDirectory,
+        directory: daemon_directory.DaemonDirectory,
         register: rules.RulesRegister,
         view: fleet.Fleet,
         book: loads.LoadBook,
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -9,7 +9,7 @@
 import aiohttp.web
 import msgspec
 
-from tanagerfork_standins import listener
+from tanagerfork_standins import listener, transports
 from tanagerfork_standins.platform import raw_responses, store
 
 REQUEST_ID_HEADER = "Tanagerfork-Request-Id"
@@ -160,7 +160,7 @@
         self.order_count = self.highest_epoch = 0
         for transport in self._open_streams:
             if not transport.is_closing():
-                raw_responses.reset(transport)
+                transports.reset(transport)
         self._open_streams.clear()
         self.publish_entry()
 
@@ -362,7 +362,7 @@
             transport.write(make_raw_response(header_lines.encode(), body))
             await asyncio.sleep(EVENT_GAP_S)
             if fault in (Fault.UNFRAMED_RESET, Fault.RESETS_MIDWAY):
-                raw_responses.reset(transport)
+                transports.reset(transport)
             transport.close()
         return aiohttp.web.Response(status=200, headers=headers, body=body)
 
@@ -403,7 +403,7 @@
         if fault is Fault.UNFRAMED_PART:
             transport.write(f"id: {last + 1}\ndata: par\n".encode())
         if fault is Fault.UNFRAMED_RESET:
-            raw_responses.reset(transport)
+            transports.reset(transport)
         transport.close()
         return aiohttp.web.Response()
 
@@ -427,7 +427,7 @@
             if fault is Fault.RESETS_MIDWAY and event_id == first + 2:
                 await response.write(f"id: {event_id}\ndata: par".encode())
                 await asyncio.sleep(EVENT_GAP_S)
-                raw_responses.reset(transport)
+                transports.reset(transport)
                 return
             await response.write(f"id: {event_id}\ndata: {self.id}\n\n".encode())
             await self.stream_gate.wait()
--- a/src/tanagerfork_standins/proxy.py
+++ b/src/tanagerfork_standins/proxy.py
@@ -5,7 +5,7 @@
 import enum
 import socket
 
-from tanagerfork_standins import listener
+from tanagerfork_standins import listener, transports
 
 
 class Cut(enum.Enum):
@@ -68,7 +68,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            transports.reset(writer.transport)
 
     def cut(self, how: Cut) -> None:
         """Partition both sides from each other, if they are not yet.
@@ -132,7 +132,7 @@
                 if not self.is_silent:
                     writer.write(data)
         except ConnectionError:
-            writer.transport.abort()
+            transports.reset(writer.transport)
         finally:
             if not self.is_silent:
                 writer.close()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import collections
 import pathlib
 import random
 import signal
@@ -49,6 +50,7 @@
         self.daemons: list[processes.Daemon] = []
         self._networks: dict[str, partition.DaemonNetwork] = {}
         self._partitions: list[verdicts.Partition] = []
+        self._cuts: collections.Counter[str] = collections.Counter()
         self._request_count = 0
         self._faults = {
             "kill": self._kill_daemon,
@@ -137,7 +139,8 @@
                 status = await self._call(session, daemon, path)
                 self.verdict.statuses[status] += 1
                 for found in counted:
-                    found.first_tries.append((daemon.name, status == 200))
+                    if daemon.name in found.daemons or not self._cuts[daemon.name]:
+                        found.first_tries.append((daemon.name, status == 200))
 
     async def _call(
         self, session: aiohttp.ClientSession, daemon: processes.Daemon, prefix: str
@@ -192,6 +195,8 @@
                 check(ids == [b"id: %d" % n for n in range(1, 6)], f"ORDER: {name} got {ids}")
             else:
                 check(body.endswith(path.encode()), f"MIXED: {name} got {body[:60]!r}")
+        is_upstreams = "Tanagerfork-Server-Stamp" in response.headers
+        check(response.status != 500 or is_upstreams, f"FAILURE: {name} got 500 of a daemon")
         check(response.status not in (401, 404), f"DENIED: {name} got {response.status}")
 
     def _check_leaving(
@@ -353,10 +358,12 @@
         found = verdicts.Partition(frozenset(drawn))
         for name in drawn:
             self._networks[name].cut(how)
+        self._cuts.update(drawn)
         await asyncio.sleep(STABLE_S)
         self._partitions.append(found)
         await asyncio.sleep(self.rng.uniform(1, 3))
         self._partitions.remove(found)
+        self._cuts.subtract(drawn)
         for name in drawn:
             await self._networks[name].heal()
         tries = len(found.first_tries)
