Hand requests to a daemon again whose upstream broke off, and none to one without configuration

Change: only a daemon that did not take a request over is avoided; one without configuration, or with an older one, says that it takes none over.

Evidence: the two new tests of tests/relay/test_forwarding.py, red before.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -111,13 +111,15 @@
 
     def _start_progress(self, request: calls.CallerRequest) -> progresses.Progress:
         in_force = self._register.current
+        if request.handover is not None and (
+            in_force is None or in_force.version < request.handover.rules_version
+        ):
+            raise errors.NotTakenOver("the configuration here is older; use another daemon")
         if in_force is None:
             raise errors.NotRun(
                 "no configuration has been read from the store yet; retry later",
                 round(2 * progresses.DEFAULT_RETRY_AFTER_MS),
             )
-        if request.handover is not None and in_force.version < request.handover.rules_version:
-            raise errors.NotTakenOver("the configuration here is older; use another daemon")
         self._chooser.follow_rules(in_force)
         route = in_force.match(request.host, request.path)
         team = in_force.identify(route, request.facts.key)
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -193,6 +193,7 @@
             outcome, reason = calls.Outcome.ANSWERED, ""
             if isinstance(answered, result.Err):
                 outcome, reason = calls.classify(answered.err_value), answered.err_value.message
+            if outcome in calls.NOT_RUN:
                 state.avoided_until_ms = self._clock.monotonic_ms() + AVOIDED_MS
         finally:
             state.open -= 1
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -103,6 +103,16 @@
             streams = [member._open_streams for member in deployed.site.engine_runners]
             await deployed.wait_until(lambda: not any(streams), "the end of the run")
 
+    async def test_daemon_whose_upstreams_broke_off_is_handed_the_next_request(self) -> None:
+        async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
+            await cut_off(deployed)
+            for member in deployed.site.engine_runners:
+                member.faults = [FAULT.RESETS_MIDWAY] * 2
+            assert not (await deployed.ask("/stream/x", "POST")).is_whole
+            for member in deployed.site.engine_runners:
+                member.faults.clear()
+            assert (await deployed.ask("/stream/y", "POST")).status == 200
+
     async def test_request_is_refused_if_every_daemon_is_cut_off(self) -> None:
         async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
             await cut_off(deployed)
@@ -157,6 +167,16 @@
                 assert response.status == status
                 assert (forwarding.UNAVAILABLE in response.headers) == is_unavailable
 
+    async def test_daemon_without_configuration_takes_nothing_over(self) -> None:
+        async with deployments.deploy(with_config=False) as deployed:
+            address = deployed.daemons[0].directory.daemons["daemon-1"].forwarding
+            headers = {forwarding.ATTEMPTS: "2", forwarding.RULES_VERSION: "0"}
+            async with (
+                aiohttp.ClientSession(headers=self.HEADERS) as session,
+                session.get(f"http://{address}/safe/x", headers=headers) as response,
+            ):
+                assert response.status == 503 and forwarding.UNAVAILABLE in response.headers
+
     async def test_sends_are_limited_to_those_that_are_left(self) -> None:
         async with deployments.deploy(engines=0) as deployed:
             await deployed.wait_for_rules()
