Answer a request that the end of a stop finds unsent with not_run, and try daemons that refused a handover sooner again

Requests that were open when the grace period ended found the client's sessions closed: RuntimeError, Session is closed. They had not been sent, so that they are refused with 503 and a time to come back now. Test in tests/relay/test_stop.py, red before (500).

--- a/src/tanagerfork/relay/exchange.py
+++ b/src/tanagerfork/relay/exchange.py
@@ -160,6 +160,8 @@
         :raises UpstreamLost: the request may have run.
         """
         session = self._pooled if is_repeatable else self._unpooled
+        if session.closed:
+            raise errors.UpstreamUnreachable("the daemon is stopping; send the request again")
         try:
             http_response = await session.request(
                 request.method,
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -18,7 +18,8 @@
 RULES_VERSION = "Relay-Rules-Version"  # Oldest rules by which it may serve the request.
 UNAVAILABLE = "Relay-Unavailable"  # It did not serve the request, and a third daemon may.
 HEADERS = frozenset(name.lower() for name in (ATTEMPTS, RULES_VERSION))
-AVOIDED_MS = 1000  # By then the list of daemons and their notices are current again.
+# How long a daemon is avoided that took no connection, or that answered that it takes nothing over.
+AVOIDED_MS = {calls.Outcome.UNREACHED: 1000, calls.Outcome.REFUSED: 300}
 STATE_TTL_MS = 1200  # Four rounds of notices.
 SAMPLED_DAEMONS = 2
 RETURN_MARGIN_MS = 5  # Reserved for the response's way back through this daemon.
@@ -193,8 +194,8 @@
             outcome, reason = calls.Outcome.ANSWERED, ""
             if isinstance(answered, result.Err):
                 outcome, reason = calls.classify(answered.err_value), answered.err_value.message
-            if outcome in calls.NOT_RUN:
-                state.avoided_until_ms = self._clock.monotonic_ms() + AVOIDED_MS
+            avoided_ms = AVOIDED_MS.get(outcome, 0)
+            state.avoided_until_ms = self._clock.monotonic_ms() + avoided_ms
         finally:
             state.open -= 1
             if outcome is calls.Outcome.LOST:
--- a/tests/relay/deployments.py
+++ b/tests/relay/deployments.py
@@ -16,6 +16,7 @@
 from tanagerfork_standins.platform import site as sites
 
 WAIT_S = 10.0
+LOG_LINES = 60  # Shown with a wait that failed.
 IDS = itertools.count(1)
 
 
@@ -86,9 +87,9 @@
     async def wait_until(self, condition, description: str) -> None:
         ends_s = asyncio.get_running_loop().time() + WAIT_S
         while not condition():
-            assert (
-                asyncio.get_running_loop().time() < ends_s
-            ), f"not within {WAIT_S} s: {description}"
+            if asyncio.get_running_loop().time() >= ends_s:
+                lines = b"".join(self.log.lines[-LOG_LINES:]).decode()
+                raise AssertionError(f"not within {WAIT_S} s: {description}\n{lines}")
             await asyncio.sleep(0.02)
 
     async def wait_for_group(self, model: str = sites.SMALL_MODEL) -> None:
--- a/tests/relay/test_stop.py
+++ b/tests/relay/test_stop.py
@@ -124,3 +124,12 @@
             await stop_task
             deployed.daemons.clear()
             request_task.cancel()
+
+    async def test_request_that_outlasts_the_grace_period_is_not_run_if_it_was_not_sent(
+        self,
+    ) -> None:
+        async with deployments.deploy(engines=0) as deployed:
+            await deployed.wait_for_rules()
+            await deployed.daemons[0]._upstream_client.close()  # As at the end of the stop.
+            response = await deployed.ask("/unsafe/x", "POST")
+            assert response.status == 503 and float(response.headers["Retry-After"]) > 0
