Take the version that a handover needs from answers, not from notices

The version now comes with the answer of the daemon that served a request.

A soak that is told to stop ends the daemons that it started; when its driver was killed, they went on.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -91,6 +91,11 @@
         self._log = log
         self._metrics = metrics
 
+    @property
+    def rules_version(self) -> int:
+        """Version of the rules in force; 0 where there are none."""
+        return self._register.current.version if self._register.current else 0
+
     async def serve(self, request: calls.CallerRequest, sink: progresses.Sink) -> None:
         """Relay a request and send the response to the caller.
 
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -15,7 +15,9 @@
 
 LOGGER = "relay.forwarding"
 ATTEMPTS = "Relay-Attempts"  # Sends to upstreams that the other daemon may make.
-RULES_VERSION = "Relay-Rules-Version"  # Oldest rules by which it may serve the request.
+# Version of the rules: with a request the oldest by which it may be served, with a response the one
+# by which it was.
+RULES_VERSION = "Relay-Rules-Version"
 UNAVAILABLE = "Relay-Unavailable"  # It did not serve the request, and a third daemon may.
 HEADERS = frozenset(name.lower() for name in (ATTEMPTS, RULES_VERSION))
 # How long a daemon is avoided that took no connection, or that answered that it takes nothing over.
@@ -42,7 +44,7 @@
 
 
 def drop_headers(headers: calls.Headers) -> calls.Headers:
-    """Return the headers of a request without those that only daemons read.
+    """Return the headers of a message without those that only daemons read.
 
     :param headers: headers as received.
     """
@@ -100,7 +102,7 @@
         "_metrics",
         "_responses",
         "_states",
-        "_highest_version",
+        "_relayed_version",
     )
 
     def __init__(
@@ -126,16 +128,14 @@
         self._metrics = metrics
         self._responses = responses.ResponseRelay(dialect, clock)
         self._states: dict[str, DaemonState] = collections.defaultdict(DaemonState)
-        self._highest_version = 0
+        self._relayed_version = 0
 
-    def note_state(self, daemon: str, cut_off: Collection[str], rules_version: int) -> None:
-        """Record what another daemon said of itself.
+    def note_cut_off(self, daemon: str, cut_off: Collection[str]) -> None:
+        """Record which services another daemon said that it does not reach.
 
         :param daemon: name of the daemon.
         :param cut_off: services of which it reaches no upstream.
-        :param rules_version: version of its rules.
         """
-        self._highest_version = max(self._highest_version, rules_version)
         if cut_off or daemon in self._states:
             state = self._states[daemon]
             state.cut_off = frozenset(cut_off)
@@ -240,6 +240,7 @@
                 message = f"{daemon} cannot serve the request; use another daemon"
                 return result.Err(errors.UpstreamRefused(message))
             progress.sends = progress.attempts
+            self._note_version(response)
             return await self._relay(request, progress, response, sink)
         except errors.UpstreamError as error:
             return result.Err(error)
@@ -254,11 +255,18 @@
             request, max(1, int(left_ms)), progress.last_event_id
         )
         in_force = self._register.current
-        version = max(self._highest_version, in_force.version if in_force else 0)
+        version = max(self._relayed_version, in_force.version if in_force else 0)
         headers.append((ATTEMPTS, str(progress.attempts - progress.sends)))
         headers.append((RULES_VERSION, str(version)))
         return headers
 
+    def _note_version(self, response: exchange.UpstreamResponse) -> None:
+        """Record the version of a response, so that callers here never go back to an older one."""
+        version = response.http_response.headers.get(RULES_VERSION, "")
+        if version.isascii() and version.isdigit():
+            self._relayed_version = max(self._relayed_version, int(version))
+        response.headers = drop_headers(response.headers)
+
     async def _relay(
         self,
         request: calls.CallerRequest,
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -21,12 +21,15 @@
 
     :param request: request of the HTTP library.
     :param closes_connection: whether to close the connection after the response.
+
+    `extra_headers` are added to the headers of the response.
     """
 
     __slots__ = (
         "_request",
         "_response",
         "_closes_connection",
+        "extra_headers",
         "has_started",
         "was_cut",
         "status",
@@ -35,6 +38,7 @@
     def __init__(self, request: aiohttp.web.Request, closes_connection: bool) -> None:
         self._request = request
         self._closes_connection = closes_connection
+        self.extra_headers: calls.Headers = []
         self._response: aiohttp.web.StreamResponse | None = None
         self.has_started = False
         self.was_cut = False
@@ -80,7 +84,7 @@
     async def _prepare(self, response: aiohttp.web.StreamResponse, headers: calls.Headers) -> None:
         self.status = response.status
         response.headers.pop("Content-Type", None)
-        for name, value in headers:
+        for name, value in (*headers, *self.extra_headers):
             response.headers.add(name, value)
         if self._closes_connection:
             response.force_close()
@@ -183,6 +187,8 @@
             if handover is not None:
                 caller_request.handover = handover
                 caller_request.headers = forwarding.drop_headers(caller_request.headers)
+                version = str(self._relay.rules_version)
+                sink.extra_headers.append((forwarding.RULES_VERSION, version))
             await self._relay.serve(caller_request, sink)
             outcome = "cut" if sink.was_cut else "answered"
         except errors.CallerError as error:
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -325,7 +325,7 @@
         now_ms = self._clock.monotonic_ms()
         if notice.has_loads:
             self._record_loads(notice, now_ms)
-            self._forwarder.note_state(notice.daemon, notice.cut_off, notice.rules_version)
+            self._forwarder.note_cut_off(notice.daemon, notice.cut_off)
         if notice.changes is not None:
             self._feed.receive(notice.changes)
         part_notices.hear(notice, self._evidence, now_ms)
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -113,6 +113,23 @@
                 member.faults.clear()
             assert (await deployed.ask("/stream/y", "POST")).status == 200
 
+    async def test_daemon_with_rules_older_than_those_of_an_earlier_answer_takes_nothing_over(
+        self,
+    ) -> None:
+        async with deployments.deploy(daemon_count=3, has_networks=True) as deployed:
+            await cut_off(deployed)
+            first, second, _ = deployed.daemons
+            second.register.current.version = 2
+            forwarder = first._forwarder
+            while forwarder._relayed_version < 2:
+                assert (await deployed.ask("/unsafe/x", "POST")).status == 200
+            served = len(deployed.log.find('"daemon":"daemon-3"', "relay.attempts", "send"))
+            for number in range(20):
+                response = await deployed.ask(f"/unsafe/{number}", "POST")
+                assert response.status == 200
+                assert forwarding.RULES_VERSION not in response.headers
+            assert len(deployed.log.find('"daemon":"daemon-3"', "relay.attempts", "send")) == served
+
     async def test_request_is_refused_if_every_daemon_is_cut_off(self) -> None:
         async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
             await cut_off(deployed)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -373,6 +373,18 @@
         self.site.write_config()
 
 
+async def play(run: Soak, length_s: float) -> verdicts.Verdict:
+    """Run the soak; a SIGTERM ends it with all the processes that it started.
+
+    :param run: run of one seed.
+    :param length_s: duration of the fault injection, in seconds.
+    :return: verdict with the violations found.
+    """
+    running = asyncio.ensure_future(run.run(length_s))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
+    return await running
+
+
 def main() -> None:
     """Run the soak with the given seeds; exit with status 1 if a guarantee was violated."""
     parser = argparse.ArgumentParser("soak", description=__doc__)
@@ -383,7 +395,7 @@
     is_broken = False
     for seed in arguments.seeds:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        verdict = asyncio.run(Soak(seed, arguments.daemons, folder).run(arguments.seconds))
+        verdict = asyncio.run(play(Soak(seed, arguments.daemons, folder), arguments.seconds))
         is_broken |= bool(verdict.violations)
         word = "broken" if verdict.violations else "kept"
         statuses = dict(sorted(verdict.statuses.items()))
