--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import collections
 import pathlib
 import random
 import signal
@@ -50,7 +49,6 @@
         self.daemons: list[processes.Daemon] = []
         self._networks: dict[str, partition.DaemonNetwork] = {}
         self._partitions: list[verdicts.Partition] = []
-        self._cuts: collections.Counter[str] = collections.Counter()
         self._request_count = 0
         self._faults = {
             "kill": self._kill_daemon,
@@ -135,12 +133,11 @@
             while not stop.is_set():
                 daemon = self.rng.choice(self.daemons)
                 path = self.rng.choice(("/safe/", "/unsafe/", "/stream/"))
-                counted = list(self._partitions)
+                counted = [found for found in self._partitions if found.is_counted]
                 status = await self._call(session, daemon, path)
                 self.verdict.statuses[status] += 1
                 for found in counted:
-                    if daemon.name in found.daemons or not self._cuts[daemon.name]:
-                        found.first_tries.append((daemon.name, status == 200))
+                    found.first_tries.append((daemon.name, status == 200))
 
     async def _call(
         self, session: aiohttp.ClientSession, daemon: processes.Daemon, prefix: str
@@ -356,14 +353,16 @@
         drawn = self.rng.sample(names, self.rng.randint(1, max(1, len(names) - 1)))
         how = self.rng.choice(list(proxy.Cut))
         found = verdicts.Partition(frozenset(drawn))
+        for other in self._partitions:
+            other.excused |= found.daemons - other.daemons
+            found.excused |= other.daemons - found.daemons
         for name in drawn:
             self._networks[name].cut(how)
-        self._cuts.update(drawn)
-        await asyncio.sleep(STABLE_S)
         self._partitions.append(found)
+        await asyncio.sleep(STABLE_S)
+        found.is_counted = True
         await asyncio.sleep(self.rng.uniform(1, 3))
         self._partitions.remove(found)
-        self._cuts.subtract(drawn)
         for name in drawn:
             await self._networks[name].heal()
         tries = len(found.first_tries)
--- a/tools/verdicts.py
+++ b/tools/verdicts.py
@@ -26,10 +26,12 @@
 class Partition:
     """Partition of some daemons from all runners; `first_tries` holds daemons and whether served.
 
-    Daemons that were stopped or paused meanwhile are `excused`.
+    They are counted some time after the cut. Daemons that were stopped, paused or cut off by
+    another partition since then are `excused`.
     """
 
     daemons: frozenset[str]
+    is_counted: bool = False
     excused: set[str] = dataclasses.field(default_factory=set)
     first_tries: list[tuple[str, bool]] = dataclasses.field(default_factory=list)
 
