Log reads of the store that fail, and how large the configuration is

The log said once that the store could not be read, and nothing of a watch that failed; nothing told a daemon that gets no configuration from one that gets it late, nor how much it has to read for it. Each failed read now has a line with the call, the reason (a timeout or what the connection said) and the time it took; the configuration in force has its size; the bytes of the store's answers are counted. No decision is changed.

--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -289,12 +289,14 @@
                     method, self._base_url + path, data=data, headers=headers
                 ) as response:
                     response_body = await response.read()
+                    self._metrics.count("store_bytes_read_total", len(response_body))
                     era_text = response.headers.get(ERA_HEADER)
         except aiohttp.ClientConnectorError:
             return result.Err(errors.PlatformUnavailable("the store is unreachable; retry later"))
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            kind = type(error).__name__
             return result.Err(
-                errors.AnswerLost("the store did not respond; read back before retrying")
+                errors.AnswerLost(f"the store did not respond ({kind}); read back before retrying")
             )
         if not self._is_of_present_era(era_text):
             message = "the answer is from before the store was restored; read back before retrying"
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -166,6 +166,7 @@
         began_ms = self._clock.monotonic_ms()
         outcome = await self._store.await_changes("", revision, WATCH_TIMEOUT_MS)
         if isinstance(outcome, result.Err):
+            self._log_failure("watch", outcome.err_value, began_ms)
             return None
         changes = outcome.ok_value
         self._dispatch(changes)
@@ -179,9 +180,11 @@
 
     async def _read_snapshot(self) -> int | None:
         """Read all keys, in one call where they fit into a page; return the revision."""
+        began_ms = self._clock.monotonic_ms()
         found = await self._store.read_snapshot("")
         self._store_monitor.record(found.err_value if isinstance(found, result.Err) else None)
         if isinstance(found, result.Err):
+            self._log_failure("snapshot", found.err_value, began_ms)
             for follower in self._key_followers:
                 follower.note_unreachable()
             return None
@@ -193,6 +196,15 @@
             )
         return found.ok_value.revision
 
+    def _log_failure(self, call: str, error: errors.PlatformError, began_ms: int) -> None:
+        self._log.note(
+            LOGGER,
+            "store not read",
+            call=call,
+            reason=error.message,
+            took_ms=self._clock.monotonic_ms() - began_ms,
+        )
+
     def _note_era(self, era: int) -> None:
         if self._era is not None and era > self._era:
             self._log.note(LOGGER, "store was restored from a copy", era=era)
@@ -270,6 +282,7 @@
                 version=decoded.ok_value.version,
                 revision=entry.revision,
                 routes=len(decoded.ok_value.routes),
+                size_bytes=len(entry.value),
             )
 
 
