--- a/src/tanagerfork_standins/platform/site.py
+++ b/src/tanagerfork_standins/platform/site.py
@@ -37,6 +37,7 @@
             for index in range(plain_count)
         ]
         self.version = 1
+        self.extra_routes: list[dict[str, object]] = []
         self._listener = listener.Listener()
         self.store.serve(self._listener.app)
         self.address = ""
@@ -86,7 +87,8 @@
                     "gapGoalMs": 300,
                 }
                 for prefix, kind in ROUTES.items()
-            ],
+            ]
+            + self.extra_routes,
             "services": [
                 {"name": PLAIN_SERVICE, "maxConns": 100},
                 {"name": ENGINE_SERVICE, "maxConns": 100, "engine": make_engine_config()},
@@ -101,6 +103,28 @@
         }
 
 
+def make_plain_route(name: str) -> dict[str, object]:
+    """Return a route to the plain service, with its name as the prefix.
+
+    :param name: name.
+    """
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "type": "safe",
+        "timeoutMs": 3000,
+        "goalMs": 500,
+        "priority": 1,
+        "service": PLAIN_SERVICE,
+        "attempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+        "gapGoalMs": 0,
+    }
+
+
 def read_version(config: bytes) -> int:
     """Return the version of a configuration as the store has it.
 
--- a/src/tanagerfork_standins/proxy.py
+++ b/src/tanagerfork_standins/proxy.py
@@ -7,6 +7,8 @@
 
 from tanagerfork_standins import listener, transports
 
+BLOCK_BYTES = 16_384
+
 
 class Cut(enum.Enum):
     """What a network partition does to connections."""
@@ -31,7 +33,8 @@
 class Proxy:
     """Proxy of one address; its port stays its own while it does not listen.
 
-    `delay_s` is added to each part of the bytes. With `is_silent`, bytes are dropped.
+    `delay_s` is added to each part of the bytes. With `is_silent`, bytes are dropped. If
+    `bytes_per_s` is not 0, all connections together carry no more to the clients.
 
     :param address: address that connections are passed on to.
     """
@@ -40,6 +43,8 @@
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self.delay_s = 0.0
+        self.bytes_per_s = 0
+        self._is_free_at_s = 0.0
         self.is_silent = False
         self._port_holder = open_port(0)
         self.port: int = self._port_holder.getsockname()[1]
@@ -96,6 +101,12 @@
         self._unaccepted.clear()
         await self.start()
 
+    async def _wait_for_link(self, size_bytes: int) -> None:
+        """Wait until the link has carried so many bytes, after those that wait already."""
+        now_s = asyncio.get_running_loop().time()
+        self._is_free_at_s = max(now_s, self._is_free_at_s) + size_bytes / self.bytes_per_s
+        await asyncio.sleep(self._is_free_at_s - now_s)
+
     def _close_server(self) -> None:
         if self._server is not None:
             self._server.close()
@@ -120,15 +131,24 @@
         self._writers |= {writer, far_writer}
         await asyncio.gather(
             self._forward(reader, far_writer),
-            self._forward(far_reader, writer),
+            self._forward(far_reader, writer, is_to_client=True),
             return_exceptions=True,
         )
         self._writers -= {writer, far_writer}
 
-    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_to_client: bool = False,
+    ) -> None:
         try:
-            while data := await reader.read(65_536):
+            while data := await reader.read(BLOCK_BYTES):
                 await asyncio.sleep(self.delay_s)
+                if is_to_client and self.bytes_per_s:
+                    await self._wait_for_link(len(data))
+                if writer.is_closing():
+                    return
                 if not self.is_silent:
                     writer.write(data)
         except ConnectionError:
--- /dev/null
+++ b/tests/relay/test_large_configuration.py
@@ -0,0 +1,82 @@
+"""Configurations that take most of a second to read over a daemon's link."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from tanagerfork_standins.platform import site as sites
+from tests.relay import deployments
+
+ROUTES = 1650  # 0.4 MB, of 1 MB that the platform's store takes.
+LISTED = 300  # Entries of other services and of daemons, of 400 bytes each.
+LINK_BYTES_PER_S = 875_000  # 7 Mbit/s.
+CONFIG_APPLY_MS = 3000  # The platform's limit from a confirmed configuration to its effect.
+CATCH_UP_MS = 6000  # The platform's limit from the start of a daemon to its readiness.
+STORM_CHANGES = 25
+STORM_GAP_S = 0.08
+
+
+@contextlib.asynccontextmanager
+async def deploy(daemon_count: int) -> AsyncIterator[deployments.Deployment]:
+    """Deploy daemons before a store with a large configuration."""
+    async with deployments.deploy(engines=0, daemon_count=0) as deployed:
+        deployed.site.extra_routes = [sites.make_plain_route(f"r{i:06}") for i in range(ROUTES)]
+        deployed.site.write_config()
+        for index in range(LISTED):
+            entry = {"service": "other", "address": "127.0.0.1:1", "reserved": "x" * 350}
+            deployed.site.store.put(f"servers/other{index}", msgspec.json.encode(entry))
+        for _ in range(daemon_count):
+            await deployed.add_daemon_with_network()
+        try:
+            yield deployed
+        finally:
+            for daemon in deployed.daemons:
+                daemon.settings.bounds.grace_ms = 700
+                await daemon.stop()
+            deployed.daemons.clear()
+            for network in deployed.networks:
+                await network.stop()
+            deployed.networks.clear()
+
+
+def slow_links(deployed: deployments.Deployment) -> None:
+    for network in deployed.networks:
+        network.store_path.bytes_per_s = LINK_BYTES_PER_S
+
+
+def list_versions(deployed: deployments.Deployment) -> list[int]:
+    """Return the version in force at each daemon; 0 for none."""
+    rules = [daemon.register.current for daemon in deployed.daemons]
+    return [current.version if current else 0 for current in rules]
+
+
+async def wait_for_version(deployed: deployments.Deployment, limit_ms: int) -> list[int]:
+    """Wait for the newest version; return how far each daemon is behind it at the end."""
+    newest = deployed.site.version - 1
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_ms / 1000):
+            await deployed.wait_until(
+                lambda: min(list_versions(deployed)) >= newest, "the newest version everywhere"
+            )
+    return [newest - version for version in list_versions(deployed)]
+
+
+class TestSlowLink:
+    async def test_daemon_that_returns_behind_a_slow_link_gets_the_configuration(self) -> None:
+        async with deploy(daemon_count=1) as deployed:
+            slow_links(deployed)
+            assert await wait_for_version(deployed, CATCH_UP_MS) == [0]
+
+    async def test_added_route_is_not_denied_after_changes_in_quick_succession(self) -> None:
+        async with deploy(daemon_count=4) as deployed:
+            assert await wait_for_version(deployed, CATCH_UP_MS) == [0] * 4
+            slow_links(deployed)
+            for index in range(STORM_CHANGES):
+                deployed.site.extra_routes.append(sites.make_plain_route(f"added{index}"))
+                deployed.site.write_config()
+                await asyncio.sleep(STORM_GAP_S)
+            assert await wait_for_version(deployed, CONFIG_APPLY_MS) == [0] * 4
+            responses = [await deployed.ask("/added24/x", daemon=index) for index in range(4)]
+            assert [response.status for response in responses] == [200] * 4
