Give a read of the store up when it is silent, not when it is long

What callers saw: a daemon that had restarted stayed without a configuration (503), or at an older one (404 for newer routes), as long as the store held a large one.

Cause: each call of the store had 700 ms in all. A store with 1,650 routes and 300 other entries takes 0.9 s over a link of 7 Mbit/s; the read was given up, 250 ms to 1 s later begun anew, and never ended. Each try loaded the links of the daemon and of the store again.

Change: the 700 ms bound the time without a byte; a body whose bytes arrive has 10 s. A response that stalls midway is given up as before (tests/relay/test_store.py).

--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -21,6 +21,7 @@
 ERA_HEADER = "Store-Era"  # Rises by one each time that the store is restored from a copy.
 ERA = re.compile("[0-9]{1,6}")
 RESTORED = "the store was restored from a copy; read it again"
+MAX_BODY_S = 10.0  # Of one response whose bytes keep arriving.
 MAX_PAGES = 100  # Of one range: 50,000 items, more than any deployment stores.
 
 
@@ -82,7 +83,7 @@
 
     :param session: HTTP session, closed by its owner.
     :param address: IP and port of the store.
-    :param timeout_ms: timeout of one call, in milliseconds; a watch waits longer.
+    :param timeout_ms: how long a call may be silent, in milliseconds; a watch waits longer.
     :param metrics: metrics of the daemon.
     """
 
@@ -272,6 +273,17 @@
             self._era = era
         return era == self._era
 
+    async def _read_body(self, response: aiohttp.ClientResponse, silence: asyncio.Timeout) -> bytes:
+        """Return the body of a response; its bytes may take longer than the call may be silent."""
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + MAX_BODY_S
+        body = bytearray()
+        async for data in response.content.iter_any():
+            body += data
+            silence.reschedule(min(loop.time() + self._timeout_s, ends_at_s))
+        self._metrics.count("store_bytes_read_total", len(body))
+        return bytes(body)
+
     async def _call(
         self,
         method: str,
@@ -284,12 +296,11 @@
         data = msgspec.json.encode(body) if body is not None else None
         headers = {"Content-Type": "application/json"} if data is not None else {}
         try:
-            async with asyncio.timeout(timeout_s or self._timeout_s):
+            async with asyncio.timeout(timeout_s or self._timeout_s) as silence:
                 async with self._session.request(
                     method, self._base_url + path, data=data, headers=headers
                 ) as response:
-                    response_body = await response.read()
-                    self._metrics.count("store_bytes_read_total", len(response_body))
+                    response_body = await self._read_body(response, silence)
                     era_text = response.headers.get(ERA_HEADER)
         except aiohttp.ClientConnectorError:
             return result.Err(errors.PlatformUnavailable("the store is unreachable; retry later"))
--- a/tests/relay/test_store.py
+++ b/tests/relay/test_store.py
@@ -1,5 +1,6 @@
 """The platform's store as a key-value service, tested against its stand-in."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
@@ -67,6 +68,25 @@
             assert isinstance(gone, errors.Conflict)
 
 
+class TestSilence:
+    async def test_response_that_stalls_midway_is_given_up(self) -> None:
+        is_closed = asyncio.Event()
+
+        async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{")
+            await reader.read()
+            writer.close()
+            await writer.wait_closed()
+            is_closed.set()
+
+        server = await asyncio.start_server(respond, listener.LOOPBACK, 0)
+        async with server, aiohttp.ClientSession() as session:
+            address = f"{listener.LOOPBACK}:{server.sockets[0].getsockname()[1]}"
+            store = stores.PlatformStore(session, address, 50, metric.Metrics())
+            assert isinstance((await store.read_snapshot("")).unwrap_err(), errors.AnswerLost)
+            await is_closed.wait()
+
+
 class TestFaults:
     @pytest.mark.parametrize("status", [429, 503, 500])
     async def test_refusal_has_no_effect(self, status: int) -> None:
