Read the keys, not their history, where a watch would send more than these hold

What callers saw: 404 for routes that the configuration had had for longer than the bound, at all daemons at once.

Cause: a watch of the store sends every version of a key that was written since. 25 changes of a configuration of 1,650 routes within 2 s are 9 MB, 11 s over a link of 7 Mbit/s, while reading the newest version takes 0.9 s. The watch was given up by its timeout, and after a pause all keys were read, meanwhile more versions came.

Change: a watch whose answer is longer than the keys themselves were at the last read is not read (by its length, or once it exceeds that), and the keys are read at once. An answer of the store of more than 16 MB is not read at all.

--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -197,6 +197,12 @@
     kind = "answer_lost"
 
 
+class ChangesTooLarge(PlatformUnavailable):
+    """The changes since a revision are longer than the caller wants to read."""
+
+    kind = "changes_too_large"
+
+
 class Conflict(PlatformError):
     """A compare-and-swap found another revision."""
 
--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -22,6 +22,7 @@
 ERA = re.compile("[0-9]{1,6}")
 RESTORED = "the store was restored from a copy; read it again"
 MAX_BODY_S = 10.0  # Of one response whose bytes keep arriving.
+MAX_BODY_BYTES = 16 * 1024 * 1024  # Ten times the largest value, encoded.
 MAX_PAGES = 100  # Of one range: 50,000 items, more than any deployment stores.
 
 
@@ -125,6 +126,7 @@
         found: list[key_value.Entry] = []
         after, revision = "", None
         era = None
+        size_bytes = 0
         for _ in range(MAX_PAGES):
             query = f"/kv-range?prefix={_quote(prefix)}"
             query += f"&after={_quote(after)}" if after else ""
@@ -132,6 +134,7 @@
             reply = await self._call("GET", query, None, (200,))
             if isinstance(reply, result.Err):
                 return reply
+            size_bytes += len(reply.ok_value[1])
             page = _decode(reply.ok_value[1], _Range)
             if isinstance(page, result.Err):
                 return page
@@ -146,17 +149,17 @@
                 after = item.key
             if not page.ok_value.truncated or not page.ok_value.entries:
                 break
-        return result.Ok(
-            key_value.Snapshot(found, key_value.make_revision(self._era, revision or 0))
-        )
+        newest = key_value.make_revision(self._era, revision or 0)
+        return result.Ok(key_value.Snapshot(found, newest, size_bytes))
 
     async def await_changes(
-        self, prefix: str, revision: int, wait_ms: int
+        self, prefix: str, revision: int, wait_ms: int, limit_bytes: int | None = None
     ) -> result.Result[key_value.Changes, errors.PlatformError]:
         """Wait for changes; see `key_value.LeasingKeyValue.await_changes`."""
         after = key_value.read_number(revision)
         query = f"/kv-watch?prefix={_quote(prefix)}&after={after}&waitMs={wait_ms}"
-        reply = await self._call("GET", query, None, (200,), (wait_ms + WATCH_SLACK_MS) / 1000)
+        timeout_s = (wait_ms + WATCH_SLACK_MS) / 1000
+        reply = await self._call("GET", query, None, (200,), timeout_s, limit_bytes)
         if isinstance(reply, result.Err):
             return reply
         if key_value.read_era(revision) != self._era:
@@ -273,15 +276,25 @@
             self._era = era
         return era == self._era
 
-    async def _read_body(self, response: aiohttp.ClientResponse, silence: asyncio.Timeout) -> bytes:
-        """Return the body of a response; its bytes may take longer than the call may be silent."""
+    async def _read_body(
+        self, response: aiohttp.ClientResponse, silence: asyncio.Timeout, limit_bytes: int
+    ) -> bytes | None:
+        """Return the body of a response, None if it exceeds a limit.
+
+        Its bytes may take longer than the call may be silent.
+        """
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + MAX_BODY_S
         body = bytearray()
-        async for data in response.content.iter_any():
+        is_too_large = (response.content_length or 0) > limit_bytes
+        while not is_too_large and (data := await response.content.readany()):
             body += data
+            self._metrics.count("store_bytes_read_total", len(data))
             silence.reschedule(min(loop.time() + self._timeout_s, ends_at_s))
-        self._metrics.count("store_bytes_read_total", len(body))
+            is_too_large = len(body) > limit_bytes
+        if is_too_large:
+            response.close()
+            return None
         return bytes(body)
 
     async def _call(
@@ -291,6 +304,7 @@
         body: msgspec.Struct | None,
         expected: tuple[int, ...],
         timeout_s: float | None = None,
+        limit_bytes: int | None = None,
     ) -> result.Result[tuple[int, bytes], errors.PlatformError]:
         self._metrics.count("store_calls_total", call=path.split("?")[0].split("/")[1])
         data = msgspec.json.encode(body) if body is not None else None
@@ -300,7 +314,9 @@
                 async with self._session.request(
                     method, self._base_url + path, data=data, headers=headers
                 ) as response:
-                    response_body = await self._read_body(response, silence)
+                    response_body = await self._read_body(
+                        response, silence, limit_bytes or MAX_BODY_BYTES
+                    )
                     era_text = response.headers.get(ERA_HEADER)
         except aiohttp.ClientConnectorError:
             return result.Err(errors.PlatformUnavailable("the store is unreachable; retry later"))
@@ -312,6 +328,9 @@
         if not self._is_of_present_era(era_text):
             message = "the answer is from before the store was restored; read back before retrying"
             return result.Err(errors.AnswerLost(message))
+        if response_body is None:
+            message = f"the answer exceeds {limit_bytes or MAX_BODY_BYTES} bytes; read the keys"
+            return result.Err(errors.ChangesTooLarge(message))
         if response.status in expected:
             return result.Ok((response.status, response_body))
         message = f"the store refused the call (status {response.status}); retry later"
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -15,6 +15,7 @@
 RECEIVER_RETRY_MS = 1000  # For the rest, to spare a store that fails; well within the catch-up.
 WATCH_TIMEOUT_MS = 1000  # Bounds the time until receivers learn that nothing has changed.
 MAX_WATCH_OVERRUN_MS = 300  # A later result is too old to be published as current.
+MIN_WATCH_BYTES = 64 * 1024  # Less costs no more than the call itself.
 BATCH_DELAY_MS = 900  # Groups changes into one call; under half the time to drain.
 URGENT_BATCH_DELAY_MS = 50  # For a coordinator whose repairs wait for each change.
 
@@ -107,7 +108,8 @@
 
     One watch over all keys takes one call instead of one for each prefix, and most daemons get the
     changes from others. A watch that ends may have missed changes, such as a leaving upstream in a
-    history that the store has dropped, so the snapshots are read again.
+    history that the store has dropped, so the snapshots are read again. So they are where the
+    changes are longer: a watch sends each version of a large key that is written in succession.
 
     :param store: store.
     :param key_followers: state to keep in step with the store.
@@ -125,6 +127,7 @@
         "_clock",
         "_log",
         "_era",
+        "_snapshot_bytes",
         "_store_monitor",
     )
 
@@ -144,6 +147,7 @@
         self._clock = clock
         self._log = log
         self._era: int | None = None
+        self._snapshot_bytes = MIN_WATCH_BYTES
         self._store_monitor = DependencyMonitor("store", clock, log)
 
     async def run(self) -> None:
@@ -164,9 +168,13 @@
                 self._dispatch(received)
                 return received.revision
         began_ms = self._clock.monotonic_ms()
-        outcome = await self._store.await_changes("", revision, WATCH_TIMEOUT_MS)
+        outcome = await self._store.await_changes(
+            "", revision, WATCH_TIMEOUT_MS, self._snapshot_bytes
+        )
         if isinstance(outcome, result.Err):
             self._log_failure("watch", outcome.err_value, began_ms)
+            if isinstance(outcome.err_value, errors.ChangesTooLarge):
+                return await self._read_snapshot()
             return None
         changes = outcome.ok_value
         self._dispatch(changes)
@@ -188,6 +196,7 @@
             for follower in self._key_followers:
                 follower.note_unreachable()
             return None
+        self._snapshot_bytes = max(found.ok_value.size_bytes, MIN_WATCH_BYTES)
         self._note_era(key_value.read_era(found.ok_value.revision))
         for follower in self._key_followers:
             entries = found.ok_value.entries
--- a/src/tanagerfork/storage/key_value.py
+++ b/src/tanagerfork/storage/key_value.py
@@ -101,10 +101,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Snapshot:
-    """All keys with a prefix, and a revision up to which they include every change."""
+    """All keys with a prefix, and a revision up to which they include every change.
+
+    `size_bytes` is the size of what was read for it.
+    """
 
     entries: list[Entry]
     revision: int
+    size_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -130,13 +134,15 @@
         """
 
     async def await_changes(
-        self, prefix: str, revision: int, wait_ms: int
+        self, prefix: str, revision: int, wait_ms: int, limit_bytes: int | None = None
     ) -> result.Result[Changes, errors.PlatformError]:
         """Wait for changes of the keys with a prefix.
 
         :param prefix: prefix of the keys.
         :param revision: last known revision.
         :param wait_ms: longest time to wait for a change, in milliseconds.
+        :param limit_bytes: size of the changes, each with its value, from which on the result is
+            `errors.ChangesTooLarge`; None for no limit.
         :return: all changes since the revision, or why some may have been missed; no changes
             mean that the service is alive and none occurred.
         """
--- a/tests/relay/test_store.py
+++ b/tests/relay/test_store.py
@@ -145,6 +145,16 @@
                 assert (entry.key, entry.value) == ("op/config", b"1")
                 break
 
+    async def test_changes_that_exceed_the_limit_are_not_read(self) -> None:
+        async with open_store() as (standin, store):
+            before = standin.put("a/x", b"1")
+            for _ in range(3):
+                standin.put("a/x", b"x" * 10_000)
+            found = await store.await_changes("a/", before, 500, limit_bytes=30_000)
+            assert isinstance(found.unwrap_err(), errors.ChangesTooLarge)
+            changes = await store.await_changes("a/", before, 500, limit_bytes=60_000)
+            assert [entry.key for entry in changes.unwrap().written] == ["a/x"]
+
     async def test_refusal_ends_the_watch(self) -> None:
         async with open_store() as (standin, store):
             standin.faults.error_status = 503
