Send a large value as a patch of the one that it replaced

What callers saw: late answers at all daemons for about a second after each change of a configuration, and acknowledgements to the operator that took 1 to 2 s, so that several changes in a row were in force later than their bound.

Cause: sources sent each changed value whole to all daemons of their cohort, and one over 64 KB not at all, so that each daemon read it from the store at the same moment. A configuration of 250 routes is 46 KB: 62 KB encoded, 33 times, is 2.3 s of a link of 7 Mbit/s for a change of a few bytes. One of 1,650 routes is 383 KB encoded, 100 times, which filled the store's link too. What a change costs grew with the size of the configuration and the number of daemons, not with the change.

Change: a source sends the difference from the value that it knew, cut at the objects of the JSON value, with the hashes of both; a daemon that knows another value reads the store, as before. A source that reads the keys instead of their history sends what that changed, too. Daemons of earlier builds see a gap and read the store, as they do for a value over 64 KB.

--- a/src/tanagerfork/relay/feeds.py
+++ b/src/tanagerfork/relay/feeds.py
@@ -2,7 +2,7 @@
 
 This limits the load on the store, as hundreds of daemons would otherwise watch the same keys. The
 store stays authoritative: a daemon that received no current batch for `FRESHNESS_LIMIT_MS`, or that
-missed one, reads the store itself.
+missed one, reads the store itself. Large values are sent as patches of those that they replaced.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork import metrics as metric
 from tanagerfork.generated import notices
-from tanagerfork.relay import cohorts
+from tanagerfork.relay import cohorts, value_patches
 from tanagerfork.storage import key_value
 
 FRESHNESS_LIMIT_MS = 1200  # With one store call, well within the time to apply a configuration.
@@ -37,6 +37,7 @@
         "_metrics",
         "_batches",
         "_batch_arrived",
+        "_large_values",
         "send",
     )
 
@@ -56,6 +57,7 @@
             maxlen=MAX_PENDING_BATCHES
         )
         self._batch_arrived = asyncio.Event()
+        self._large_values = value_patches.LargeValues()
         self.send = send
 
     def is_source(self) -> bool:
@@ -70,8 +72,9 @@
         """
         if not self.is_source():
             return
+        patches = [self._large_values.make_patch(entry) for entry in changes.written]
         batch = notices.ChangeBatch(
-            after=after,
+            after=changes.revision if any(patches) else after,
             revision=changes.revision,
             written=[
                 notices.WrittenKey(
@@ -79,12 +82,22 @@
                     value=base64.b64encode(entry.value).decode(),
                     revision=entry.revision,
                 )
-                for entry in changes.written
+                for entry, patch in zip(changes.written, patches, strict=True)
+                if patch is None
             ],
             removed=changes.removed,
+            patches=[patch for patch in patches if patch is not None],
+            patches_after=after,
         )
         self.send(batch, self._cohorts.list_own_cohort())
 
+    def record_values(self, changes: key_value.Changes) -> None:
+        """Record what this daemon knows now, as the base of patches.
+
+        :param changes: changes that were applied.
+        """
+        self._large_values.record(changes.written, changes.removed)
+
     def receive(self, batch: notices.ChangeBatch) -> None:
         """Queue a batch that a source sent.
 
@@ -103,12 +116,12 @@
         while True:
             while self._batches:
                 batch = self._batches.popleft()
-                if batch.after > revision:
+                after = batch.patches_after if batch.patches else batch.after
+                if after > revision:
                     self._metrics.count("relay_feed_gaps_total")
                     return None
                 if batch.revision >= revision:
-                    self._metrics.count("relay_feed_batches_total")
-                    return _decode(batch)
+                    return self._decode(batch)
             self._batch_arrived.clear()
             left_ms = deadline_ms - self._clock.monotonic_ms()
             if left_ms <= 0:
@@ -120,10 +133,16 @@
             except TimeoutError:
                 continue
 
-
-def _decode(batch: notices.ChangeBatch) -> key_value.Changes:
-    written = [
-        key_value.Entry(entry.key, base64.b64decode(entry.value), entry.revision)
-        for entry in batch.written
-    ]
-    return key_value.Changes(written, batch.removed, batch.revision)
+    def _decode(self, batch: notices.ChangeBatch) -> key_value.Changes | None:
+        written = [
+            key_value.Entry(entry.key, base64.b64decode(entry.value), entry.revision)
+            for entry in batch.written
+        ]
+        for patch in batch.patches:
+            entry = self._large_values.apply_patch(patch)
+            if entry is None:
+                self._metrics.count("relay_feed_patches_failed_total")
+                return None
+            written.append(entry)
+        self._metrics.count("relay_feed_batches_total")
+        return key_value.Changes(written, batch.removed, batch.revision)
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -95,6 +95,12 @@
         :param changes: all changes since that revision.
         """
 
+    def record_values(self, changes: key_value.Changes) -> None:
+        """Record what this daemon knows now, as the base of differences to send and receive.
+
+        :param changes: changes that were applied.
+        """
+
     async def wait_for_changes(self, revision: int) -> key_value.Changes | None:
         """Wait for the changes that follow a revision.
 
@@ -127,6 +133,8 @@
         "_clock",
         "_log",
         "_era",
+        "_revision",
+        "_keys",
         "_snapshot_bytes",
         "_store_monitor",
     )
@@ -147,26 +155,29 @@
         self._clock = clock
         self._log = log
         self._era: int | None = None
+        self._revision = key_value.ABSENT
+        self._keys: set[str] = set()
         self._snapshot_bytes = MIN_WATCH_BYTES
         self._store_monitor = DependencyMonitor("store", clock, log)
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            revision = await self._read_snapshot()
-            while revision is not None:
-                revision = await self._follow_once(revision)
+            is_followed = await self._read_snapshot()
+            while is_followed:
+                is_followed = await self._follow_once(self._revision)
             await self._clock.sleep_ms(
                 SOURCE_RETRY_MS if self._feed.is_source() else RECEIVER_RETRY_MS
             )
 
-    async def _follow_once(self, revision: int) -> int | None:
-        """Apply the changes after a revision; return the new one, None if some may be missing."""
+    async def _follow_once(self, revision: int) -> bool:
+        """Apply the changes after a revision; return False if some may be missing."""
         if not self._feed.is_source():
             received = await self._feed.wait_for_changes(revision)
             if received is not None:
                 self._dispatch(received)
-                return received.revision
+                self._record(received)
+                return True
         began_ms = self._clock.monotonic_ms()
         outcome = await self._store.await_changes(
             "", revision, WATCH_TIMEOUT_MS, self._snapshot_bytes
@@ -174,20 +185,29 @@
         if isinstance(outcome, result.Err):
             self._log_failure("watch", outcome.err_value, began_ms)
             if isinstance(outcome.err_value, errors.ChangesTooLarge):
-                return await self._read_snapshot()
-            return None
+                return await self._read_snapshot(follows_on=True)
+            return False
         changes = outcome.ok_value
         self._dispatch(changes)
-        if self._clock.monotonic_ms() - began_ms <= WATCH_TIMEOUT_MS + MAX_WATCH_OVERRUN_MS:
-            self._feed.publish(revision, changes)
+        self._publish(revision, changes, began_ms)
+        self._record(changes)
         if changes.written or changes.removed:
             await self._clock.sleep_ms(
                 URGENT_BATCH_DELAY_MS if self._is_urgent() else BATCH_DELAY_MS
             )
-        return changes.revision
+        return True
+
+    def _publish(self, after: int, changes: key_value.Changes, began_ms: float) -> None:
+        """Send changes to other daemons, unless their reading took so long that they are old."""
+        if self._clock.monotonic_ms() - began_ms <= WATCH_TIMEOUT_MS + MAX_WATCH_OVERRUN_MS:
+            self._feed.publish(after, changes)
+
+    async def _read_snapshot(self, follows_on: bool = False) -> bool:
+        """Read all keys, in one call where they fit into a page; return whether that succeeded.
 
-    async def _read_snapshot(self) -> int | None:
-        """Read all keys, in one call where they fit into a page; return the revision."""
+        With `follows_on`, the store was read without a break since the known revision. Otherwise
+        keys may have lapsed while it was away, which other daemons have to judge for themselves.
+        """
         began_ms = self._clock.monotonic_ms()
         found = await self._store.read_snapshot("")
         self._store_monitor.record(found.err_value if isinstance(found, result.Err) else None)
@@ -195,15 +215,35 @@
             self._log_failure("snapshot", found.err_value, began_ms)
             for follower in self._key_followers:
                 follower.note_unreachable()
-            return None
-        self._snapshot_bytes = max(found.ok_value.size_bytes, MIN_WATCH_BYTES)
-        self._note_era(key_value.read_era(found.ok_value.revision))
+            return False
+        snapshot = found.ok_value
+        self._snapshot_bytes = max(snapshot.size_bytes, MIN_WATCH_BYTES)
+        self._note_era(key_value.read_era(snapshot.revision))
+        changes = self._list_changes(snapshot)
         for follower in self._key_followers:
-            entries = found.ok_value.entries
             follower.apply_snapshot(
-                [entry for entry in entries if entry.key.startswith(follower.prefix)]
+                [entry for entry in snapshot.entries if entry.key.startswith(follower.prefix)]
             )
-        return found.ok_value.revision
+        if follows_on and key_value.read_era(self._revision) == self._era:
+            self._publish(self._revision, changes, began_ms)
+        self._record(changes)
+        return True
+
+    def _list_changes(self, snapshot: key_value.Snapshot) -> key_value.Changes:
+        """Return what a snapshot changes; all of it at the first one and after a restore."""
+        keys = {entry.key for entry in snapshot.entries}
+        return key_value.Changes(
+            [entry for entry in snapshot.entries if entry.revision > self._revision],
+            sorted(self._keys - keys),
+            snapshot.revision,
+        )
+
+    def _record(self, changes: key_value.Changes) -> None:
+        """Record the keys, their revision and their values as known."""
+        self._keys.difference_update(changes.removed)
+        self._keys.update(entry.key for entry in changes.written)
+        self._revision = changes.revision
+        self._feed.record_values(changes)
 
     def _log_failure(self, call: str, error: errors.PlatformError, began_ms: int) -> None:
         self._log.note(
--- a/tests/relay/test_large_configuration.py
+++ b/tests/relay/test_large_configuration.py
@@ -63,6 +63,36 @@
     return [newest - version for version in list_versions(deployed)]
 
 
+def count_bytes_read(deployed: deployments.Deployment) -> list[float]:
+    """Return how many bytes of the store each daemon that watches it for no others has read."""
+    return [
+        daemon.metrics.counter_value("store_bytes_read_total")
+        for daemon in deployed.daemons
+        if not daemon.feed.is_source()
+    ]
+
+
+class TestPatches:
+    async def test_change_of_a_few_bytes_is_not_read_whole_by_each_daemon(self) -> None:
+        async with deploy(daemon_count=5) as deployed:
+            assert await wait_for_version(deployed, CATCH_UP_MS) == [0] * 5
+            await deployed.wait_until(
+                lambda: all(len(daemon.directory.daemons) == 5 for daemon in deployed.daemons),
+                "all daemons are known",
+            )
+            before = count_bytes_read(deployed)
+            assert len(before) >= 2
+            for index in range(5):
+                deployed.site.extra_routes.insert(9 * index, sites.make_plain_route(f"new{index}"))
+                deployed.site.write_config()
+                assert await wait_for_version(deployed, CONFIG_APPLY_MS) == [0] * 5
+            read = [
+                after - start
+                for start, after in zip(before, count_bytes_read(deployed), strict=True)
+            ]
+            assert max(read) < len(deployed.site.store.items["op/config"].value or b"")
+
+
 class TestSlowLink:
     async def test_daemon_that_returns_behind_a_slow_link_gets_the_configuration(self) -> None:
         async with deploy(daemon_count=1) as deployed:
