--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -15,7 +15,7 @@
 RECEIVER_RETRY_MS = 1000  # For the rest, to spare a store that fails; well within the catch-up.
 WATCH_TIMEOUT_MS = 1000  # Bounds the time until receivers learn that nothing has changed.
 MAX_WATCH_OVERRUN_MS = 300  # A later result is too old to be published as current.
-MIN_WATCH_BYTES = 64 * 1024  # Less costs no more than the call itself.
+MIN_WATCH_BYTES = 256 * 1024  # More than the list of upstreams grows while these start.
 BATCH_DELAY_MS = 900  # Groups changes into one call; under half the time to drain.
 URGENT_BATCH_DELAY_MS = 50  # For a coordinator whose repairs wait for each change.
 
