--- a/tests/relay/test_value_patches.py
+++ b/tests/relay/test_value_patches.py
@@ -41,7 +41,9 @@
         changed = [name for name in names if rng.random() > 0.1]
         for index in range(rng.randrange(5)):
             changed.insert(rng.randrange(len(changed)), f"new{index}")
-        rng.shuffle(changed[: rng.randrange(50)])
+        moved = changed[: rng.randrange(50)]
+        rng.shuffle(moved)
+        changed[: len(moved)] = moved
         if rng.random() < 0.5:
             changed += rng.sample(names, 20)
         base, value = make_value(names), make_value(changed)
