Publish each second also after changes, so that receivers do not read the store all at once

What callers saw: late answers at all daemons of a cohort after changes of a large configuration, in spite of the patches, which came too late to be used.

Cause: after changes a source gathers more for 900 ms and then watched for up to a second, so that 1.9 s passed between two batches; receivers read the store after 1.2 s of silence, all of them at the same moment.

Change: a source watches for what is left of a second since its last batch.

--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -14,6 +14,7 @@
 SOURCE_RETRY_MS = 250  # For sources, which pass the changes on to other daemons.
 RECEIVER_RETRY_MS = 1000  # For the rest, to spare a store that fails; well within the catch-up.
 WATCH_TIMEOUT_MS = 1000  # Bounds the time until receivers learn that nothing has changed.
+MIN_WATCH_MS = 50
 MAX_WATCH_OVERRUN_MS = 300  # A later result is too old to be published as current.
 MIN_WATCH_BYTES = 256 * 1024  # More than the list of upstreams grows while these start.
 BATCH_DELAY_MS = 900  # Groups changes into one call; under half the time to drain.
@@ -136,6 +137,7 @@
         "_revision",
         "_keys",
         "_snapshot_bytes",
+        "_published_at_ms",
         "_store_monitor",
     )
 
@@ -158,6 +160,7 @@
         self._revision = key_value.ABSENT
         self._keys: set[str] = set()
         self._snapshot_bytes = MIN_WATCH_BYTES
+        self._published_at_ms = clock.monotonic_ms()
         self._store_monitor = DependencyMonitor("store", clock, log)
 
     async def run(self) -> None:
@@ -180,7 +183,7 @@
                 return True
         began_ms = self._clock.monotonic_ms()
         outcome = await self._store.await_changes(
-            "", revision, WATCH_TIMEOUT_MS, self._snapshot_bytes
+            "", revision, self._choose_watch_ms(), self._snapshot_bytes
         )
         if isinstance(outcome, result.Err):
             self._log_failure("watch", outcome.err_value, began_ms)
@@ -197,10 +200,19 @@
             )
         return True
 
+    def _choose_watch_ms(self) -> int:
+        """Return how long to watch, so that receivers get a batch each `WATCH_TIMEOUT_MS`."""
+        if not self._feed.is_source():
+            return WATCH_TIMEOUT_MS
+        since_ms = self._clock.monotonic_ms() - self._published_at_ms
+        return min(WATCH_TIMEOUT_MS, max(MIN_WATCH_MS, WATCH_TIMEOUT_MS - since_ms))
+
     def _publish(self, after: int, changes: key_value.Changes, began_ms: float) -> None:
         """Send changes to other daemons, unless their reading took so long that they are old."""
-        if self._clock.monotonic_ms() - began_ms <= WATCH_TIMEOUT_MS + MAX_WATCH_OVERRUN_MS:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - began_ms <= WATCH_TIMEOUT_MS + MAX_WATCH_OVERRUN_MS:
             self._feed.publish(after, changes)
+            self._published_at_ms = now_ms
 
     async def _read_snapshot(self, follows_on: bool = False) -> bool:
         """Read all keys, in one call where they fit into a page; return whether that succeeded.
