Let the daemons with the fastest links of a cohort be its sources

What callers saw: late answers at the daemons that pass changes on, and changes that the others learn late.

Cause: the first two daemons by name were sources.

Change: daemons tell the capacity of their link, from the settings, in their entries; the two greatest of a cohort are its sources, the names decide between equals. While some entries do not tell it (an earlier build), the names decide alone.

--- a/src/tanagerfork/relay/cohorts.py
+++ b/src/tanagerfork/relay/cohorts.py
@@ -1,7 +1,5 @@
 """Cohorts: sets of daemons of one failure domain, in which two sources inform all others."""
 
-from collections.abc import Sequence
-
 from tanagerfork.relay import daemon_directory
 
 # A source keeps a link to each daemon of its cohort and, in a fleet of thousands, as many again to
@@ -11,7 +9,7 @@
 
 
 class Cohorts:
-    """Divides the listed daemons by their names alone, so that all daemons get the same cohorts.
+    """Divides the listed daemons by their entries alone, so that all daemons get the same cohorts.
 
     :param name: name of this daemon.
     :param failure_domain: failure domain of this daemon.
@@ -28,8 +26,8 @@
         self._directory = directory
 
     def list_own_cohort(self) -> list[str]:
-        """Return the daemons of this daemon's cohort, sorted; the sources come first."""
-        cohorts = _split_into_cohorts(self._directory.list_names(self._failure_domain))
+        """Return the daemons of this daemon's cohort, the sources first."""
+        cohorts = self._list_cohorts(self._failure_domain)
         return next(cohort for cohort in cohorts if self._name in cohort)
 
     def is_source(self) -> bool:
@@ -42,13 +40,23 @@
         return [
             name
             for domain in domains
-            for cohort in _split_into_cohorts(self._directory.list_names(domain))
+            for cohort in self._list_cohorts(domain)
             if self._name not in cohort
             for name in cohort[:SOURCES_PER_COHORT]
         ]
 
+    def _list_cohorts(self, failure_domain: str) -> list[list[str]]:
+        """Return the cohorts of a failure domain.
 
-def _split_into_cohorts(names: Sequence[str]) -> list[list[str]]:
-    """Return the cohorts of the daemons of one failure domain."""
-    ordered = sorted(names)
-    return [ordered[start : start + COHORT_SIZE] for start in range(0, len(ordered), COHORT_SIZE)]
+        The daemons with the fastest links come first, as sources send to all others, unless the
+        links of some are unknown: those would choose others.
+        """
+        names = sorted(self._directory.list_names(failure_domain))
+        cohorts = [
+            names[start : start + COHORT_SIZE] for start in range(0, len(names), COHORT_SIZE)
+        ]
+        links = {name: self._directory.daemons[name].link_mbps for name in names}
+        if all(links.values()):
+            for cohort in cohorts:
+                cohort.sort(key=lambda name: (-links[name], name))
+        return cohorts
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -130,7 +130,9 @@
             ),
             self.clock,
         )
-        record = daemon_directory.DaemonRecord(settings.failure_domain, settings.peers)
+        record = daemon_directory.DaemonRecord(
+            settings.failure_domain, settings.peers, link_mbps=settings.link_mbps
+        )
         self.directory = daemon_directory.DaemonDirectory(
             self.store, settings.name, record, self.clock, self.log
         )
--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -20,12 +20,13 @@
     """Entry of a daemon in the store.
 
     `address` is where it receives notices, `forwarding` where it takes over requests, empty if it
-    takes over none.
+    takes over none; `link_mbps` is the capacity of its VM's link, 0 if it is unknown.
     """
 
     failure_domain: str
     address: str
     forwarding: str = ""
+    link_mbps: float = 0.0
 
 
 class DaemonDirectory:
--- a/tests/relay/test_feeds.py
+++ b/tests/relay/test_feeds.py
@@ -1,5 +1,8 @@
 """Store changes that daemons get from each other, and when they read the store instead."""
 
+import types
+from collections.abc import Mapping
+
 import pytest
 
 from tanagerfork import clock as clocks
@@ -14,13 +17,20 @@
 CONFIG_APPLY_MS = 2000  # The platform's limit from a confirmed configuration to its effect.
 
 
-def make_feed(name: str, daemons: list[str], is_coordinator: bool = False) -> feeds.ChangeFeed:
+def make_feed(
+    name: str,
+    daemons: list[str],
+    is_coordinator: bool = False,
+    links: Mapping[str, float] = types.MappingProxyType({}),
+) -> feeds.ChangeFeed:
     clock = clocks.SystemClock()
     log = decisions.DecisionLog(name, clock, deployments.LineList())
     record = daemon_directory.DaemonRecord("a", "127.0.0.1:1")
     directory = daemon_directory.DaemonDirectory(fakes.MemoryKeyValue(), name, record, clock, log)
     for other in daemons:
-        directory.daemons[other] = daemon_directory.DaemonRecord("a", "127.0.0.1:2")
+        directory.daemons[other] = daemon_directory.DaemonRecord(
+            "a", "127.0.0.1:2", link_mbps=links.get(other, 0.0)
+        )
     directory.daemons["elsewhere"] = daemon_directory.DaemonRecord("b", "127.0.0.1:3")
     own_cohorts = cohorts.Cohorts(name, "a", directory)
     return feeds.ChangeFeed(
@@ -39,6 +49,19 @@
         assert [name for name in names if make_feed(name, names).is_source()] == names[:2]
         assert make_feed("d004", names, is_coordinator=True).is_source()
 
+    def test_daemons_with_the_fastest_links_are_sources(self) -> None:
+        names = [f"d{index:03}" for index in range(5)]
+        links = dict(zip(names, (7.0, 100.0, 7.0, 100.0, 100.0), strict=True))
+        feeds_by_name = {name: make_feed(name, names, links=links) for name in names}
+        assert [name for name in names if feeds_by_name[name].is_source()] == ["d001", "d003"]
+
+    def test_links_decide_only_where_all_are_known(self) -> None:
+        """A daemon that does not tell its link would take others for sources."""
+        names = [f"d{index:03}" for index in range(5)]
+        links = dict(zip(names, (7.0, 100.0, 7.0, 100.0, 0.0), strict=True))
+        feeds_by_name = {name: make_feed(name, names, links=links) for name in names}
+        assert [name for name in names if feeds_by_name[name].is_source()] == names[:2]
+
     def test_large_domain_has_sources_for_each_cohort(self) -> None:
         names = [f"d{index:03}" for index in range(3 * cohorts.COHORT_SIZE)]
         sources = [name for name in names if make_feed(name, names).is_source()]
