Apply patches of earlier values, and bound what a patch may lead to

Cause: a receiver kept only its newest value. Two sources read a value at different times, so that the patch of the slower one, 5 to 7, no longer fitted once the patch 5 to 6 of the other had been applied: the receivers read the store, all at once. Of values that fit whole into a notice such a batch had been accepted before patches. And a patch of 5 KB could make a daemon build 112 MB before its hash was compared.

Change: the last four values of a key are kept as patches of their successors; a patch names the size of its value, beyond which it is not followed. A further test decodes a batch with patches as earlier builds do: they see a gap.

--- a/tests/relay/test_feeds.py
+++ b/tests/relay/test_feeds.py
@@ -3,14 +3,16 @@
 import types
 from collections.abc import Mapping
 
+import msgspec
 import pytest
 
 from tanagerfork import clock as clocks
-from tanagerfork import decisions
+from tanagerfork import decisions, record
 from tanagerfork import metrics as metric
 from tanagerfork.generated import notices
 from tanagerfork.relay import cohorts, daemon_directory, feeds
 from tanagerfork.storage import key_value
+from tanagerfork_standins.platform import site as sites
 from tests import fakes
 from tests.relay import deployments
 
@@ -102,6 +104,60 @@
         assert await feed.wait_for_changes(6) is None
 
 
+class EarlierBatch(record.CompactRecord):
+    """A batch as builds read it that know no patches."""
+
+    after: int
+    revision: int
+    written: list[notices.WrittenKey]
+    removed: list[str]
+
+
+class TestPatches:
+    @staticmethod
+    def make_entry(count: int, revision: int) -> key_value.Entry:
+        routes = [sites.make_plain_route(f"r{index}") for index in range(count)]
+        return key_value.Entry("op/config", msgspec.json.encode(routes), revision)
+
+    def publish(
+        self, sent: list[notices.ChangeBatch], name: str, count: int, revision: int
+    ) -> None:
+        """Let a source that knows 100 routes at revision 5 publish others."""
+        feed = make_feed(name, ["d0", "d1", "d9"])
+        feed.send = lambda batch, to: sent.append(batch)
+        feed.record_values(key_value.Changes([self.make_entry(100, 5)], [], 5))
+        feed.publish(5, key_value.Changes([self.make_entry(count, revision)], [], revision))
+
+    async def test_sources_out_of_step_do_not_force_a_read(self) -> None:
+        sent: list[notices.ChangeBatch] = []
+        self.publish(sent, "d0", count=101, revision=6)
+        self.publish(sent, "d1", count=102, revision=7)
+        receiver = make_feed("d9", ["d0", "d1", "d9"])
+        receiver.record_values(key_value.Changes([self.make_entry(100, 5)], [], 5))
+        for batch in sent:
+            receiver.receive(batch)
+        for known, count in ((5, 101), (6, 102)):
+            changes = await receiver.wait_for_changes(known)
+            assert changes is not None and changes.written == [self.make_entry(count, known + 1)]
+            receiver.record_values(changes)
+
+    async def test_patch_of_an_unknown_value_requires_a_read(self) -> None:
+        sent: list[notices.ChangeBatch] = []
+        self.publish(sent, "d0", count=101, revision=6)
+        receiver = make_feed("d9", ["d0", "d1", "d9"])
+        receiver.record_values(key_value.Changes([self.make_entry(99, 5)], [], 5))
+        receiver.receive(sent[0])
+        assert await receiver.wait_for_changes(5) is None
+
+    def test_batch_with_patches_is_a_gap_for_earlier_builds(self) -> None:
+        """They would take the revision for known without the patched value."""
+        sent: list[notices.ChangeBatch] = []
+        self.publish(sent, "d0", count=101, revision=6)
+        assert sent[0].patches and not sent[0].written
+        encoded = msgspec.msgpack.encode(sent[0])
+        assert msgspec.msgpack.decode(encoded, type=EarlierBatch).after == 6
+
+
 class TestDeployment:
     async def test_daemon_reads_the_store_in_one_call_at_its_start(self) -> None:
         async with deployments.deploy() as deployed:
--- a/tests/relay/test_value_patches.py
+++ b/tests/relay/test_value_patches.py
@@ -1,6 +1,7 @@
 """Large values as patches of the values that they replaced."""
 
 import random
+import tracemalloc
 
 import msgspec
 import pytest
@@ -82,6 +83,33 @@
         assert know(make_value(self.NAMES[1:])).apply_patch(patch) is None
         assert value_patches.LargeValues().apply_patch(patch) is None
 
+    def test_patches_of_earlier_values_are_applied(self) -> None:
+        """Two sources read a value at different times, and make patches of different ones."""
+        values = [make_value([*self.NAMES, *(f"new{i}" for i in range(n))]) for n in range(6)]
+        known = know(values[0])
+        for revision, value in enumerate(values[1:5], start=6):
+            known.record([key_value.Entry(KEY, value, revision)], [])
+        for base in values[:5]:
+            assert known.apply_patch(make_patch(base, values[5])) == key_value.Entry(
+                KEY, values[5], 6
+            )
+
+    def test_earlier_values_are_few(self) -> None:
+        known = know(make_value(self.NAMES))
+        last = make_value([*self.NAMES, "last"])
+        for index in range(value_patches.EARLIER_VALUES + 1):
+            known.record([key_value.Entry(KEY, make_value([*self.NAMES, str(index)]), 6)], [])
+        assert known.apply_patch(make_patch(make_value(self.NAMES), last)) is None
+
+    def test_patch_that_exceeds_its_size_is_not_followed_to_its_end(self) -> None:
+        base = make_value(self.NAMES)
+        patch = make_patch(base, make_value([*self.NAMES, "new"]))
+        patch.steps = [notices.PatchStep(start=0, count=100, added="")] * 10_000
+        tracemalloc.start()
+        assert know(base).apply_patch(patch) is None
+        assert tracemalloc.get_traced_memory()[1] < 20 * len(base)
+        tracemalloc.stop()
+
     def test_removed_value_is_no_base(self) -> None:
         patch = make_patch(make_value(self.NAMES), make_value([*self.NAMES, "new"]))
         values = know(make_value(self.NAMES))
