Have a daemon that starts after a restore of the store wait for the lease, also one that was released

Cause: a lease that was released at a planned stop is taken at once, unless the daemon saw the store's era rise between two of its own reads. A daemon that started just after the restore saw nothing rise: it found the released record of the copy, or no record, and took the lease, while a holder whose record the restore had lost still acted.

Change: the record names the era in which it was written. One of an earlier era than the store's is waited out, released or not, and so is a missing one where the store has ever been restored. The state that noted a rise between two reads is gone, as it decides nothing any more: a record that was written in the present era was written by a daemon that had waited.

Builds of both kinds read each other's records: unknown fields are ignored, and a record without an era counts as one of era 0. So a lease that the earlier build released is waited out once, for its TTL. The earlier build keeps its fault until it is replaced.

Evidence: tests/groups/test_lease.py; without the change three tests fail: test_daemon_that_starts_after_a_restore_waits_ out_a_released_record, the same where there is no record, and test_lease_that_the_earlier_build_released_is_waited_out.

--- a/src/tanagerfork/groups/lease.py
+++ b/src/tanagerfork/groups/lease.py
@@ -12,8 +12,9 @@
   numbers seen in records, in the layout and in the reports of the engines.
 * If no fencing number is known at all, there was no coordinator, and there is no wait.
 * A record released at a planned stop names no holder, and there is no wait, unless the service was
-  restored from a copy since, or a greater fencing number is known: another holder may have followed
-  whose record was lost.
+  restored from a copy since it was written, or a greater fencing number is known: another holder
+  may have followed whose record was lost. The same holds where there is no record and the service
+  has ever been restored.
 """
 
 import dataclasses
@@ -33,6 +34,7 @@
 CLOCK_DRIFT_DIVISOR = 20  # 1/20 of the TTL is a margin for clocks that run at different rates.
 RENEWALS_PER_TTL = 3
 READS_PER_TTL = 2
+FIRST_ERA = 1  # Of a key-value service that counts its restores and had none.
 RANK_STAGGER_DIVISOR = 4  # Each rank of candidates waits 1/4 of the TTL longer than the one before.
 
 
@@ -61,7 +63,6 @@
         "_pending_write",
         "_held",
         "_highest_fencing",
-        "_is_restored",
     )
 
     def __init__(self, daemon: str, ttl_ms: int) -> None:
@@ -74,7 +75,6 @@
         self._pending_write: _SentWrite | None = None
         self._held: _SentWrite | None = None
         self._highest_fencing = 0
-        self._is_restored = False
 
     @property
     def revision(self) -> int:
@@ -129,9 +129,6 @@
         is_first = self._last_read_at_ms is None
         if is_first or revision != self._revision or record != self._record:
             self._unchanged_since_ms = now_ms
-        if revision != self._revision:
-            has_later_era = key_value.read_era(revision) > key_value.read_era(self._revision)
-            self._is_restored = has_later_era and self._revision != key_value.ABSENT
         self._last_read_at_ms = now_ms
         self._record, self._revision = record, revision
         if record is not None:
@@ -171,6 +168,7 @@
             fencing=self._highest_fencing + 1,
             ttl_ms=self._ttl_ms,
             token=uuid.uuid4().hex,
+            era=key_value.read_era(self._revision),
         )
 
     def plan_release(self) -> layout.LeaseRecord | None:
@@ -181,7 +179,8 @@
         held, self._held = self._held, None
         if held is None:
             return None
-        return msgspec.structs.replace(held.record, holder="", token=uuid.uuid4().hex)
+        era = key_value.read_era(self._revision)
+        return msgspec.structs.replace(held.record, holder="", token=uuid.uuid4().hex, era=era)
 
     def on_write_sent(self, record: layout.LeaseRecord, now_ms: int) -> None:
         """Record a write immediately before it is sent.
@@ -200,7 +199,6 @@
             return
         self._held, self._pending_write = self._pending_write, None
         self._record, self._revision = self._held.record, revision
-        self._is_restored = False
         self._unchanged_since_ms = self._held.sent_at_ms
         self._highest_fencing = max(self._highest_fencing, self._held.record.fencing)
 
@@ -224,12 +222,14 @@
             ttl_ms=self._ttl_ms,
             renewals=held.record.renewals + 1,
             token=uuid.uuid4().hex,
+            era=key_value.read_era(self._revision),
         )
 
     def _find_takeover_wait_ms(self) -> int:
+        era = key_value.read_era(self._revision)
         if self._record is None:
-            return self._ttl_ms if self._highest_fencing else 0
-        may_have_followed = self._is_restored or self._record.fencing < self._highest_fencing
+            return self._ttl_ms if self._highest_fencing or era > FIRST_ERA else 0
+        may_have_followed = self._record.era < era or self._record.fencing < self._highest_fencing
         return self._record.ttl_ms if self._record.holder or may_have_followed else 0
 
 
@@ -319,7 +319,7 @@
             return False
         entry = found.ok_value
         record = self._decode(entry) if entry else None
-        revision = entry.revision if entry else key_value.ABSENT
+        revision = entry.revision if entry else key_value.make_revision(self._store.era, 0)
         self.state.on_read(record, revision, self._clock.monotonic_ms())
         return True
 
--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -101,6 +101,11 @@
         self._timeout_s = timeout_ms / 1000
         self._era = 0
 
+    @property
+    def era(self) -> int:
+        """Era of the store; see `key_value.KeyValue.era`."""
+        return self._era
+
     async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
         """Read one key; see `key_value.KeyValue.read`."""
         reply = await self._call("GET", f"/kv-key?key={_quote(key)}", None, (200, 404))
--- a/src/tanagerfork/storage/counted.py
+++ b/src/tanagerfork/storage/counted.py
@@ -30,6 +30,11 @@
         self._store = store
         self._metrics = metrics
 
+    @property
+    def era(self) -> int:
+        """Era of the service; see `KeyValue.era`."""
+        return self._store.era
+
     async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
         """Read one key; see `KeyValue.read`."""
         began_ns = time.monotonic_ns()
--- a/src/tanagerfork/storage/etcd.py
+++ b/src/tanagerfork/storage/etcd.py
@@ -152,6 +152,11 @@
         self._timeout_s = timeout_ms / 1000
         self._watch_silence_timeout_s = watch_silence_timeout_ms / 1000
 
+    @property
+    def era(self) -> int:
+        """None: the gateway counts no restores; see `key_value.KeyValue.era`."""
+        return 0
+
     async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
         """Read one key; see `key_value.KeyValue.read`."""
         call = _RangeCall(key=self._encode_key(key))
--- a/src/tanagerfork/storage/key_value.py
+++ b/src/tanagerfork/storage/key_value.py
@@ -54,6 +54,10 @@
 class KeyValue(Protocol):
     """Client of the key-value service."""
 
+    @property
+    def era(self) -> int:
+        """Era of the service by its last answer; 0 if it has none."""
+
     async def read(self, key: str) -> result.Result[Entry | None, errors.PlatformError]:
         """Read one key.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -28,6 +28,11 @@
         self.write_log: list[key_value.Entry] = []
         self._changed = asyncio.Event()
 
+    @property
+    def era(self) -> int:
+        """Era of the last revision."""
+        return key_value.read_era(self.revision)
+
     async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
         """Read one key."""
         self.reads += 1
@@ -59,7 +64,8 @@
             self.lost_calls -= 1
             return result.Err(errors.AnswerLost("answer lost; read the key back"))
         current = self.entries.get(key)
-        if (current.revision if current else key_value.ABSENT) != revision:
+        absent = (key_value.ABSENT, key_value.make_revision(self.era, key_value.ABSENT))
+        if revision not in ((current.revision,) if current else absent):
             return result.Err(errors.Conflict(f"{key} was written by another; read it again"))
         self.revision += 1
         self.entries[key] = key_value.Entry(key, value, self.revision)
--- a/tests/groups/test_lease.py
+++ b/tests/groups/test_lease.py
@@ -1,8 +1,10 @@
 """Tests of the coordinator's lease."""
 
+import msgspec
 import pytest
 
 from tanagerfork import clock as clocks
+from tanagerfork import record as records
 from tanagerfork.generated import layout
 from tanagerfork.groups import lease
 from tanagerfork.peers import rendezvous
@@ -12,9 +14,11 @@
 TTL_MS = 5000
 
 
-def make_record(holder: str = "b", fencing: int = 3, ttl_ms: int = TTL_MS) -> layout.LeaseRecord:
+def make_record(
+    holder: str = "b", fencing: int = 3, ttl_ms: int = TTL_MS, era: int = 0
+) -> layout.LeaseRecord:
     return layout.LeaseRecord(
-        holder=holder, fencing=fencing, ttl_ms=ttl_ms, token=f"{holder}-token"
+        holder=holder, fencing=fencing, ttl_ms=ttl_ms, token=f"{holder}-token", era=era
     )
 
 
@@ -60,16 +64,30 @@
     def test_released_record_after_one_of_the_same_era_is_not(self):
         state = lease.LeaseState("a", TTL_MS)
         state.on_read(None, key_value.ABSENT, 0)
-        state.on_read(make_record(), key_value.make_revision(2, 10), 0)
-        state.on_read(make_record(holder=""), key_value.make_revision(2, 12), 1000)
+        state.on_read(make_record(era=2), key_value.make_revision(2, 10), 0)
+        state.on_read(make_record(holder="", era=2), key_value.make_revision(2, 12), 1000)
         assert state.plan_write(1000) is not None
 
+    def test_daemon_that_starts_after_a_restore_waits_out_a_released_record(self):
+        """The record is of an earlier era, so that a successor's may be lost."""
+        state = lease.LeaseState("a", TTL_MS)
+        state.on_read(make_record(holder="", era=1), key_value.make_revision(2, 8), 1000)
+        assert state.plan_write(1000 + TTL_MS - 1) is None
+        assert state.plan_write(1000 + TTL_MS) is not None
+
+    def test_daemon_that_starts_after_a_restore_waits_where_there_is_no_record(self):
+        state = lease.LeaseState("a", TTL_MS)
+        state.on_read(None, key_value.make_revision(2, 0), 1000)
+        assert state.plan_write(1000 + TTL_MS - 1) is None
+        assert state.plan_write(1000 + TTL_MS) is not None
+
     def test_record_that_was_written_after_the_restore_ends_the_doubt(self):
         state = lease.LeaseState("a", TTL_MS)
         state.on_read(make_record(), key_value.make_revision(1, 10), 0)
         state.on_read(make_record(fencing=3), key_value.make_revision(2, 8), 1000)
-        state.on_read(make_record(fencing=4), key_value.make_revision(2, 20), 8000)
-        state.on_read(make_record(holder="", fencing=4), key_value.make_revision(2, 21), 9000)
+        state.on_read(make_record(fencing=4, era=2), key_value.make_revision(2, 20), 8000)
+        released = make_record(holder="", fencing=4, era=2)
+        state.on_read(released, key_value.make_revision(2, 21), 9000)
         assert state.plan_write(9000) is not None
 
     def test_renewal_restarts_the_wait(self):
@@ -156,6 +174,34 @@
         assert state.plan_release() is None
 
 
+class EarlierLeaseRecord(records.Record):
+    """Record as builds know it that write no era."""
+
+    holder: str
+    fencing: int
+    ttl_ms: int
+    renewals: int = 0
+    token: str = ""
+
+
+class TestMixedBuilds:
+    """A build whose records name no era, beside one whose records do."""
+
+    def test_each_reads_the_records_of_the_other(self):
+        later = msgspec.json.encode(make_record(era=2))
+        earlier = msgspec.json.decode(later, type=EarlierLeaseRecord)
+        assert (earlier.holder, earlier.fencing, earlier.token) == ("b", 3, "b-token")
+        read_back = msgspec.json.decode(msgspec.json.encode(earlier), type=layout.LeaseRecord)
+        assert read_back == make_record(era=0)
+
+    def test_lease_that_the_earlier_build_released_is_waited_out(self):
+        """Nothing says in which era it was."""
+        state = lease.LeaseState("a", TTL_MS)
+        state.on_read(make_record(holder="", era=0), key_value.make_revision(1, 8), 1000)
+        assert state.plan_write(1000 + TTL_MS - 1) is None
+        assert state.plan_write(1000 + TTL_MS) is not None
+
+
 class TestKeeper:
     @staticmethod
     def make_keeper(store, clock, name, names=()):
--- a/tests/stepping.py
+++ b/tests/stepping.py
@@ -163,6 +163,8 @@
 class SteppedStore:
     """Key-value service as seen by one daemon; its reads and writes of one key are steps."""
 
+    era = 0
+
     def __init__(self, world: SteppedWorld, daemon: str) -> None:
         self._world = world
         self._daemon = daemon
