Count no write of the daemon's own as done if the store was restored since the revision that it expects

Cause: a write under a revision from before a restore can take effect after it, as revisions are given out again.

Change: a write that a later era answers, or that is read back in one, is a conflict; a daemon holds the lease by a record of the present era only. It then waits like any other.

Evidence: four tests that fail without the change: two in tests/groups/test_lease.py (TestHolding), one each in tests/test_swap.py and tests/relay/test_restore.py.

--- a/src/tanagerfork/groups/lease.py
+++ b/src/tanagerfork/groups/lease.py
@@ -133,13 +133,12 @@
         self._record, self._revision = record, revision
         if record is not None:
             self._highest_fencing = max(self._highest_fencing, record.fencing)
-        if record is None or self._held is None or record.token != self._held.record.token:
+        # A record of an earlier era says nothing: its successor's may be lost.
+        is_of_present_era = record is not None and record.era == key_value.read_era(revision)
+        token = record.token if record is not None and is_of_present_era else ""
+        if self._held is not None and token != self._held.record.token:
             self._held = None
-        if (
-            record is not None
-            and self._pending_write
-            and record.token == self._pending_write.record.token
-        ):
+        if self._pending_write is not None and token == self._pending_write.record.token:
             self._held = self._pending_write
         self._pending_write = None
 
--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -188,9 +188,14 @@
         """Write a key under its revision; see `key_value.KeyValue.swap`."""
         if revision != key_value.ABSENT and key_value.read_era(revision) != self._era:
             return result.Err(errors.Conflict(f"{key} was read before a restore; read it again"))
+        era = self._era
         expected = _Expected(key, key_value.read_number(revision))
         change = _Change([expected], [_Write(key, _to_base64(value))])
-        return await self._change(key, change)
+        changed = await self._change(key, change)
+        if isinstance(changed, result.Ok) and era and era != self._era:
+            message = f"{key} was written under a revision from before a restore; read it again"
+            return result.Err(errors.Conflict(message))
+        return changed
 
     async def delete_range(
         self, first: str, after_last: str
--- a/src/tanagerfork/storage/swap.py
+++ b/src/tanagerfork/storage/swap.py
@@ -9,6 +9,7 @@
 from tanagerfork.storage import key_value
 
 MAX_SWAP_ATTEMPTS = 4
+RESTORED = "{key} was written under a revision from before a restore; read it again"
 
 
 class TokenedRecord(Protocol):
@@ -27,7 +28,8 @@
 
     After a lost response the same compare-and-swap is sent again. A first copy that took effect, or
     that is still in flight, makes one of the two conflict, so at most one takes effect, and the
-    token tells whose write is stored.
+    token tells whose write is stored. A write that is found after the service was restored from a
+    copy does not count: the copy may lack records that were written after the expected revision.
 
     :param store: key-value service.
     :param key: key of the record.
@@ -48,6 +50,8 @@
             continue
         entry = found.ok_value
         if entry is not None and entry.value == value:
+            if key_value.read_era(entry.revision) != key_value.read_era(revision):
+                return result.Err(errors.Conflict(RESTORED.format(key=key)))
             return result.Ok(entry.revision)
         if entry is not None and entry.revision > revision:
             return result.Err(errors.Conflict(f"{key} was written by another; read it again"))
--- a/tests/groups/test_lease.py
+++ b/tests/groups/test_lease.py
@@ -166,6 +166,27 @@
         state.on_read(renewal, 3, 5600)
         assert state.may_act(5600, 0) and not state.may_act(7000, 0)
 
+    def test_own_write_that_took_effect_after_a_restore_does_not_count(self):
+        """It was answered by nobody, and the record that it replaced may be lost."""
+        state = lease.LeaseState("a", TTL_MS)
+        state.on_read(None, key_value.make_revision(1, 0), 0)
+        record = state.plan_write(0)
+        state.on_write_sent(record, 0)
+        state.on_write_unconfirmed()
+        state.on_read(record, key_value.make_revision(2, 3), 100)
+        assert not state.may_act(100, 0)
+
+    def test_expired_holder_whose_record_was_restored_waits(self):
+        """Another holder may have followed before the restore."""
+        state = lease.LeaseState("a", TTL_MS)
+        state.on_read(None, key_value.make_revision(1, 0), 0)
+        own = take(state, 0, key_value.make_revision(1, 1))
+        state.on_write_sent(state.plan_write(TTL_MS), TTL_MS)
+        state.on_write_unconfirmed()
+        state.on_read(own, key_value.make_revision(2, 1), TTL_MS + 1)
+        assert state.plan_write(2 * TTL_MS) is None
+        assert state.plan_write(2 * TTL_MS + 1) is not None
+
     def test_released_lease_does_not_allow_actions(self):
         state = lease.LeaseState("a", TTL_MS)
         state.on_read(None, 0, 0)
--- a/tests/relay/test_restore.py
+++ b/tests/relay/test_restore.py
@@ -36,6 +36,16 @@
             entry = (await store.read("a/x")).unwrap()
             assert entry is not None and entry.value == b"other" and entry.revision > newer
 
+    async def test_write_that_a_store_of_a_later_era_answers_conflicts(self) -> None:
+        async with test_store.open_store() as (standin, store):
+            standin.era = 1
+            revision = (await store.swap("a/x", b"one", 0)).unwrap()
+            copy, number = dict(standin.items), standin.revision
+            (await store.swap("a/x", b"two", revision)).unwrap()
+            standin.restore(copy, number)
+            found = await store.swap("a/x", b"three", revision)
+            assert isinstance(found.unwrap_err(), errors.Conflict)
+
     async def test_watch_from_before_reads_anew_though_the_revision_is_given_out_again(
         self,
     ) -> None:
--- a/tests/test_swap.py
+++ b/tests/test_swap.py
@@ -7,7 +7,7 @@
 import result
 
 from tanagerfork import errors
-from tanagerfork.storage import swap
+from tanagerfork.storage import key_value, swap
 from tests import fakes
 
 
@@ -87,3 +87,13 @@
         store.lost_calls = 1
         written = await swap.swap_record(store, "k", Record("mine"), 0)
         assert written.unwrap_err().kind == "conflict"
+
+    async def test_write_that_took_effect_after_a_restore_does_not_count(self):
+        """The copy may lack what was written after the expected revision."""
+        store = fakes.MemoryKeyValue()
+        store.lost_calls = 1
+        store.revision = key_value.make_revision(2, 3)
+        store.entries["k"] = key_value.Entry("k", b'{"token":"mine"}', store.revision)
+        expected = key_value.make_revision(1, key_value.ABSENT)
+        written = await swap.swap_record(store, "k", Record("mine"), expected)
+        assert written.unwrap_err().kind == "conflict"
