Leave out epochs after a restore of the store also where there is no record of assignments

Cause: a missing record was read as if it were from before any restore. A coordinator that started after a restore from a copy without the record gave out epoch 1 again.

Change: the revision of a missing record names the era of the store, and such a record counts as one of the first era.

Evidence: tests/relay/test_restore.py, TestLostEpochs; without the change the cases of eras 2 and 3 fail (next epoch 1, not 1,001).

--- a/src/tanagerfork/groups/lease.py
+++ b/src/tanagerfork/groups/lease.py
@@ -34,7 +34,6 @@
 CLOCK_DRIFT_DIVISOR = 20  # 1/20 of the TTL is a margin for clocks that run at different rates.
 RENEWALS_PER_TTL = 3
 READS_PER_TTL = 2
-FIRST_ERA = 1  # Of a key-value service that counts its restores and had none.
 RANK_STAGGER_DIVISOR = 4  # Each rank of candidates waits 1/4 of the TTL longer than the one before.
 
 
@@ -227,7 +226,7 @@
     def _find_takeover_wait_ms(self) -> int:
         era = key_value.read_era(self._revision)
         if self._record is None:
-            return self._ttl_ms if self._highest_fencing or era > FIRST_ERA else 0
+            return self._ttl_ms if self._highest_fencing or era > key_value.FIRST_ERA else 0
         may_have_followed = self._record.era < era or self._record.fencing < self._highest_fencing
         return self._record.ttl_ms if self._record.holder or may_have_followed else 0
 
--- a/src/tanagerfork/relay/assignment_record.py
+++ b/src/tanagerfork/relay/assignment_record.py
@@ -11,7 +11,7 @@
 
 LOGGER = "relay.assignment_record"
 PREFIX = "tanagerfork/assignments/"
-EPOCHS_PER_RESTORE = 1000  # More groups than are formed in the seconds that a restore loses.
+EPOCHS_PER_RESTORE = 1000  # More epochs than are given out in the seconds that a restore loses.
 
 
 class AssignmentRecord:
@@ -50,11 +50,14 @@
         if isinstance(found, result.Err):
             return False
         entry = found.ok_value
-        self._revision = entry.revision if entry else key_value.ABSENT
+        absent = key_value.make_revision(self._store.era, key_value.ABSENT)
+        self._revision = entry.revision if entry else absent
         record = assignments.Assignments(
             failure_domain=self._failure_domain, next_epoch=1, groups=[]
         )
-        if entry is not None:
+        if entry is None:
+            record.era = key_value.FIRST_ERA  # Without a restore, none was lost.
+        else:
             try:
                 record = swap.decode_record(entry, assignments.Assignments)
             except msgspec.MsgspecError as error:
--- a/src/tanagerfork/storage/key_value.py
+++ b/src/tanagerfork/storage/key_value.py
@@ -9,8 +9,7 @@
 from tanagerfork import errors
 
 ABSENT = 0  # Revision of a key that does not exist.
-
-
+FIRST_ERA = 1  # Of a service that counts its restores and had none.
 ERA_SHIFT = 40  # Revisions of one era stay below 2**40, at 35,000 writes a second for a year.
 
 
--- a/tests/relay/test_restore.py
+++ b/tests/relay/test_restore.py
@@ -5,7 +5,8 @@
 import msgspec
 import pytest
 
-from tanagerfork import errors
+from tanagerfork import clock as clocks
+from tanagerfork import decisions, errors
 from tanagerfork.generated import assignments
 from tanagerfork.relay import assignment_record, members
 from tanagerfork.storage import key_value
@@ -156,6 +157,42 @@
             assert epoch >= lost.next_epoch, group
 
 
+class TestLostEpochs:
+    """Epochs that records may have used which this daemon cannot know."""
+
+    @staticmethod
+    def make_record(store: fakes.MemoryKeyValue) -> assignment_record.AssignmentRecord:
+        log = decisions.DecisionLog("d1", clocks.ManualClock(), deployments.LineList())
+        return assignment_record.AssignmentRecord("a", store, log)
+
+    async def read_next_epoch(self, store: fakes.MemoryKeyValue) -> int:
+        record = self.make_record(store)
+        assert await record.read() and record.current is not None
+        return record.current.next_epoch
+
+    @staticmethod
+    async def write(store: fakes.MemoryKeyValue) -> None:
+        record = TestLostEpochs.make_record(store)
+        assert await record.read() and record.current is not None
+        assert await record.write(msgspec.structs.replace(record.current, next_epoch=7), 1)
+
+    @staticmethod
+    def restore(store: fakes.MemoryKeyValue, era: int) -> None:
+        store.revision = key_value.make_revision(era, 100)
+        store.entries = {
+            key: dataclasses.replace(entry, revision=store.revision)
+            for key, entry in store.entries.items()
+        }
+
+    @pytest.mark.parametrize(("era", "next_epoch"), [(0, 1), (1, 1), (2, 1001), (3, 1001)])
+    async def test_missing_record_has_lost_epochs_once_the_store_was_restored(
+        self, era: int, next_epoch: int
+    ) -> None:
+        store = fakes.MemoryKeyValue()
+        self.restore(store, era)
+        assert await self.read_next_epoch(store) == next_epoch
+
+
 class TestDaemon:
     async def test_service_goes_on_and_nothing_goes_back(self) -> None:
         async with deployments.deploy(engines=4, plain=2, daemon_count=2) as deployed:
