Leave out epochs for each restore of the store that a record of assignments has missed

Cause: a record that is two eras old had 1,000 epochs left out, as one that is one era old. After two restores from the same copy the second coordinator gave out the epochs of the first again.

--- a/src/tanagerfork/relay/assignment_record.py
+++ b/src/tanagerfork/relay/assignment_record.py
@@ -97,6 +97,5 @@
         """
         era = key_value.read_era(self._revision)
         next_epoch = self._next_epoch = max(record.next_epoch, self._next_epoch)
-        if era > record.era:
-            next_epoch += EPOCHS_PER_RESTORE
+        next_epoch += max(0, era - record.era) * EPOCHS_PER_RESTORE
         return msgspec.structs.replace(record, next_epoch=next_epoch, era=era)
