Leave out the epochs that a late write of an earlier coordinator may use

Cause: a coordinator began with the next epoch of the record that it found, which a write of the one before, sent and not answered, used as well. The compare-and-swap keeps such a write out, unless the store is restored: revisions are given out again then.

Change: a coordinator that reads a record with another fencing number than its own leaves out 100 epochs, more than the groups that one failure domain forms by writes without an answer.

--- a/src/tanagerfork/relay/assignment_record.py
+++ b/src/tanagerfork/relay/assignment_record.py
@@ -11,7 +11,9 @@
 
 LOGGER = "relay.assignment_record"
 PREFIX = "tanagerfork/assignments/"
+FIRST_FENCING = 1
 EPOCHS_PER_RESTORE = 1000  # More epochs than are given out in the seconds that a restore loses.
+EPOCHS_PER_HOLDER = 100  # More groups than writes without an answer form before the lease ends.
 
 
 class AssignmentRecord:
@@ -41,9 +43,10 @@
         """Fencing number of the coordinator that wrote the record; 0 where it is not known."""
         return self.current.fencing if self.current else 0
 
-    async def read(self) -> bool:
+    async def read(self, fencing: int) -> bool:
         """Read the record; one that is absent or unreadable is empty.
 
+        :param fencing: fencing number of this coordinator.
         :return: whether the store could be read.
         """
         found = await self._store.read(PREFIX + self._failure_domain)
@@ -56,7 +59,8 @@
             failure_domain=self._failure_domain, next_epoch=1, groups=[]
         )
         if entry is None:
-            record.era = key_value.FIRST_ERA  # Without a restore, none was lost.
+            # The first coordinator before any restore need not leave out epochs.
+            record.era, record.fencing = key_value.FIRST_ERA, FIRST_FENCING
         else:
             try:
                 record = swap.decode_record(entry, assignments.Assignments)
@@ -64,7 +68,7 @@
                 self._log.note(
                     LOGGER, "assignments unreadable, ignored", key=entry.key, reason=str(error)
                 )
-        self.current = self._skip_lost_epochs(record)
+        self.current = self._skip_lost_epochs(record, fencing)
         return True
 
     async def write(self, record: assignments.Assignments, fencing: int) -> bool:
@@ -89,13 +93,18 @@
         """Have the record read again before it is used."""
         self.current = None
 
-    def _skip_lost_epochs(self, record: assignments.Assignments) -> assignments.Assignments:
+    def _skip_lost_epochs(
+        self, record: assignments.Assignments, fencing: int
+    ) -> assignments.Assignments:
         """Return a record whose next epoch was not given out, even if later records were lost.
 
         A store that was restored from a copy may have lost records with greater epochs, of which
-        this daemon knows only its own.
+        this daemon knows only its own. A late write of an earlier coordinator may still take effect
+        after a restore.
         """
         era = key_value.read_era(self._revision)
         next_epoch = self._next_epoch = max(record.next_epoch, self._next_epoch)
         next_epoch += max(0, era - record.era) * EPOCHS_PER_RESTORE
+        if record.fencing != fencing:
+            next_epoch += EPOCHS_PER_HOLDER
         return msgspec.structs.replace(record, next_epoch=next_epoch, era=era)
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -170,7 +170,8 @@
             self._assignments.forget()
         if not is_holder or self._register.current is None:
             return
-        if self._assignments.current is None and not await self._assignments.read():
+        fencing = self._keeper.state.fencing
+        if self._assignments.current is None and not await self._assignments.read(fencing):
             return
         self._update_observations(now_ms)
         for service in self._register.current.list_engine_services():
--- a/tests/relay/test_restore.py
+++ b/tests/relay/test_restore.py
@@ -165,15 +165,15 @@
         log = decisions.DecisionLog("d1", clocks.ManualClock(), deployments.LineList())
         return assignment_record.AssignmentRecord("a", store, log)
 
-    async def read_next_epoch(self, store: fakes.MemoryKeyValue) -> int:
+    async def read_next_epoch(self, store: fakes.MemoryKeyValue, fencing: int = 1) -> int:
         record = self.make_record(store)
-        assert await record.read() and record.current is not None
+        assert await record.read(fencing) and record.current is not None
         return record.current.next_epoch
 
     @staticmethod
     async def write(store: fakes.MemoryKeyValue) -> None:
         record = TestLostEpochs.make_record(store)
-        assert await record.read() and record.current is not None
+        assert await record.read(1) and record.current is not None
         assert await record.write(msgspec.structs.replace(record.current, next_epoch=7), 1)
 
     @staticmethod
@@ -200,6 +200,12 @@
         self.restore(store, era)
         assert await self.read_next_epoch(store) == next_epoch
 
+    async def test_another_coordinator_leaves_out_those_of_late_writes(self) -> None:
+        store = fakes.MemoryKeyValue()
+        await self.write(store)
+        assert await self.read_next_epoch(store, fencing=1) == 7
+        assert await self.read_next_epoch(store, fencing=2) == 107
+
 
 class TestDaemon:
     async def test_service_goes_on_and_nothing_goes_back(self) -> None:
