--- a/tests/groups/test_lease_model.py
+++ b/tests/groups/test_lease_model.py
@@ -32,18 +32,6 @@
 ItemT = TypeVar("ItemT")
 Work = Callable[[lease.LeaseKeeper], Coroutine[Any, Any, object]]
 
-# Fates of the calls of a write whose first answer is lost; the write may take effect at once, too.
-LOSSES = {
-    "late": (restored_store.LATE, restored_store.AWAY),
-    "late, retried": (restored_store.LATE, restored_store.AWAY, restored_store.ANSWERED),
-}
-RESTORED_BETWEEN = (
-    restored_store.LOST,
-    restored_store.AWAY,
-    restored_store.RESTORED,
-    restored_store.ANSWERED,
-)
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Case:
@@ -205,9 +193,9 @@
             changed.late_writes -= {write}
             found.append(changed)
         if world.may_come("restore"):
-            for position in range(len(world.store.history)):
+            for position, restored in enumerate(world.store.list_restored()):
                 changed = world.branch(f"restore {position}", "restore")
-                changed.store = world.store.restore(position)
+                changed.store = restored
                 found.append(changed)
         return found
 
@@ -241,9 +229,11 @@
             return []
         fates = [("", (restored_store.ANSWERED,), ())]
         if world.may_come("lost"):
-            fates += [(fate, script, ("lost",)) for fate, script in LOSSES.items()]
+            fates += [(fate, script, ("lost",)) for fate, script in restored_store.LOSSES.items()]
         if world.may_come("lost", "restore"):
-            fates.append(("lost, restored, retried", RESTORED_BETWEEN, ("lost", "restore")))
+            fates.append(
+                ("lost, restored, retried", restored_store.RESTORED_BETWEEN, ("lost", "restore"))
+            )
         found = []
         for fate, script, faults in fates:
             changed = world.branch(f"{NAMES[index]} writes {fate}".strip(), *faults)
@@ -258,7 +248,10 @@
     def _list_releases(self, world: World, index: int) -> list[World]:
         fates = [("", (restored_store.ANSWERED,), ("release",))]
         if world.may_come("release", "lost"):
-            fates += [(fate, script, ("release", "lost")) for fate, script in LOSSES.items()]
+            fates += [
+                (fate, script, ("release", "lost"))
+                for fate, script in restored_store.LOSSES.items()
+            ]
         found = []
         for fate, script, faults in fates:
             changed = world.branch(f"{NAMES[index]} releases {fate}".strip(), *faults)
--- a/tests/restored_store.py
+++ b/tests/restored_store.py
@@ -17,6 +17,9 @@
 LATE = "late"  # The write may take effect later; it has no answer.
 AWAY = "away"
 RESTORED = "restored"  # The store goes back to its earliest state; the call follows.
+# Fates of the calls of a write whose first answer is lost; a late one may take effect at once.
+LOSSES = {"late": (LATE, AWAY), "late, retried": (LATE, AWAY, ANSWERED)}
+RESTORED_BETWEEN = (LOST, AWAY, RESTORED, ANSWERED)
 
 ResultT = TypeVar("ResultT")
 
@@ -43,11 +46,18 @@
         past = dataclasses.replace(self, history=())
         return StoreState(self.era, counter, value, counter, (*self.history, past))
 
-    def restore(self, position: int) -> "StoreState":
-        """Return the state after the store was restored from one of its earlier states."""
-        return dataclasses.replace(
-            self.history[position], era=self.era + 1, history=self.history[:position]
-        )
+    def list_restored(self, is_present_included: bool = False) -> list["StoreState"]:
+        """Return the states after the store was restored from a copy of an earlier state.
+
+        :param is_present_included: whether the copy may be of the present state, so that only the
+            era changes.
+        """
+        present = dataclasses.replace(self, history=())
+        copies = (*self.history, present) if is_present_included else self.history
+        return [
+            dataclasses.replace(copy, era=self.era + 1, history=self.history[:position])
+            for position, copy in enumerate(copies)
+        ]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -93,7 +103,7 @@
         if fate == AWAY:
             return result.Err(errors.PlatformUnavailable("away"))
         if fate == RESTORED and self.state.history:
-            self.state = self.state.restore(0)
+            self.state = self.state.list_restored()[0]
         if fate == LATE and isinstance(body, platform_store._Change):
             self.late_writes |= {self._to_late_write(body)}
         else:
