--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -103,6 +103,11 @@
         self._timeout_s = timeout_ms / 1000
         self._era = 0
 
+    @property
+    def era(self) -> int:
+        """Era of the store; see `key_value.KeyValue.era`."""
+        return self._era
+
     async def read(self, key: str) -> result.Result[key_value.Entry | None, errors.PlatformError]:
         """Read one key; see `key_value.KeyValue.read`."""
         reply = await self._call("GET", f"/kv-key?key={_quote(key)}", None, (200, 404))
@@ -187,9 +192,14 @@
         """Write a key under its revision; see `key_value.KeyValue.swap`."""
         if revision != key_value.ABSENT and key_value.read_era(revision) != self._era:
             return result.Err(errors.Conflict(f"{key} was read before a restore; read it again"))
+        era = self._era
         expected = _Expected(key, key_value.read_number(revision))
         change = _Change([expected], [_Write(key, _to_base64(value))])
-        return await self._change(key, change)
+        changed = await self._change(key, change)
+        if isinstance(changed, result.Ok) and era and era != self._era:
+            message = f"{key} was written under a revision from before a restore; read it again"
+            return result.Err(errors.Conflict(message))
+        return changed
 
     async def delete_range(
         self, first: str, after_last: str
--- a/tests/relay/test_restore.py
+++ b/tests/relay/test_restore.py
@@ -5,7 +5,8 @@
 import msgspec
 import pytest
 
-from tanagerfork import errors
+from tanagerfork import clock as clocks
+from tanagerfork import decisions, errors
 from tanagerfork.generated import assignments
 from tanagerfork.relay import assignment_record, members
 from tanagerfork.storage import key_value
@@ -36,6 +37,16 @@
             entry = (await store.read("a/x")).unwrap()
             assert entry is not None and entry.value == b"other" and entry.revision > newer
 
+    async def test_write_that_a_store_of_a_later_era_answers_conflicts(self) -> None:
+        async with test_store.open_store() as (standin, store):
+            standin.era = 1
+            revision = (await store.swap("a/x", b"one", 0)).unwrap()
+            copy, number = dict(standin.items), standin.revision
+            (await store.swap("a/x", b"two", revision)).unwrap()
+            standin.restore(copy, number)
+            found = await store.swap("a/x", b"three", revision)
+            assert isinstance(found.unwrap_err(), errors.Conflict)
+
     async def test_watch_from_before_reads_anew_though_the_revision_is_given_out_again(
         self,
     ) -> None:
@@ -146,6 +157,56 @@
             assert epoch >= lost.next_epoch, group
 
 
+class TestLostEpochs:
+    """Epochs that records may have used which this daemon cannot know."""
+
+    @staticmethod
+    def make_record(store: fakes.MemoryKeyValue) -> assignment_record.AssignmentRecord:
+        log = decisions.DecisionLog("d1", clocks.ManualClock(), deployments.LineList())
+        return assignment_record.AssignmentRecord("a", store, log)
+
+    async def read_next_epoch(self, store: fakes.MemoryKeyValue, fencing: int = 1) -> int:
+        record = self.make_record(store)
+        assert await record.read(fencing) and record.current is not None
+        return record.current.next_epoch
+
+    @staticmethod
+    async def write(store: fakes.MemoryKeyValue) -> None:
+        record = TestLostEpochs.make_record(store)
+        assert await record.read(1) and record.current is not None
+        assert await record.write(msgspec.structs.replace(record.current, next_epoch=7), 1)
+
+    @staticmethod
+    def restore(store: fakes.MemoryKeyValue, era: int) -> None:
+        store.revision = key_value.make_revision(era, 100)
+        store.entries = {
+            key: dataclasses.replace(entry, revision=store.revision)
+            for key, entry in store.entries.items()
+        }
+
+    @pytest.mark.parametrize(("era", "next_epoch"), [(0, 1), (1, 1), (2, 1001), (3, 2001)])
+    async def test_missing_record_has_lost_epochs_once_the_store_was_restored(
+        self, era: int, next_epoch: int
+    ) -> None:
+        store = fakes.MemoryKeyValue()
+        self.restore(store, era)
+        assert await self.read_next_epoch(store) == next_epoch
+
+    @pytest.mark.parametrize(("era", "next_epoch"), [(1, 7), (2, 1007), (3, 2007)])
+    async def test_each_restore_may_have_lost_epochs(self, era: int, next_epoch: int) -> None:
+        store = fakes.MemoryKeyValue()
+        self.restore(store, 1)
+        await self.write(store)
+        self.restore(store, era)
+        assert await self.read_next_epoch(store) == next_epoch
+
+    async def test_another_coordinator_leaves_out_those_of_late_writes(self) -> None:
+        store = fakes.MemoryKeyValue()
+        await self.write(store)
+        assert await self.read_next_epoch(store, fencing=1) == 7
+        assert await self.read_next_epoch(store, fencing=2) == 107
+
+
 class TestDaemon:
     async def test_service_goes_on_and_nothing_goes_back(self) -> None:
         async with deployments.deploy(engines=4, plain=2, daemon_count=2) as deployed:
