Let the soak run daemons of an earlier commit beside the present ones

The soak takes an earlier commit from the repository's history (git archive) and replaces daemons one after the other by SIGTERM, up, down, or half way and back, between its faults. Each build gets the settings that it knows. New among the faults: keys that are granted and revoked. Two entries in the list of daemons only listen, and compare what daemons tell with what is true of the stand-ins; lines of daemons that cannot read what another one wrote break the run as well.

Checks of what earlier builds lack are not made on them: leaving upstreams, handover of requests.

--- a/src/tanagerfork_standins/platform/site.py
+++ b/src/tanagerfork_standins/platform/site.py
@@ -18,6 +18,8 @@
 class Site:
     """Store and runners of one deployment.
 
+    `keys` are the API keys in the configurations that are written.
+
     :param failure_domains: names of the failure domains.
     :param engine_count: number of model runners per failure domain, which has one fabric domain.
     :param plain_count: number of plain runners, all in the first failure domain.
@@ -37,6 +39,7 @@
             for index in range(plain_count)
         ]
         self.version = 1
+        self.keys = [API_KEY]
         self._listener = listener.Listener()
         self.store.serve(self._listener.app)
         self.address = ""
@@ -97,7 +100,7 @@
                 "headerTimeoutMs": 3000,
                 "idleTimeoutMs": 15_000,
             },
-            "tenants": [{"name": TEAM, "apiKeys": [API_KEY]}],
+            "tenants": [{"name": TEAM, "apiKeys": list(self.keys)}],
         }
 
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -11,22 +11,35 @@
 import sys
 
 from tanagerfork import errors
+from tools import builds
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
 FIRST_PORT, END_PORT = 20_000, 32_000  # Below the ports of outgoing connections.
 PORT_STRIDE = 613  # Between processes that were started one after the other, as by pytest.
 _NEXT_PORTS = iter(range(FIRST_PORT + os.getpid() * PORT_STRIDE % 10_000, END_PORT))
 
 
 class Daemon:
-    """One daemon in its own process."""
+    """One daemon in its own process.
 
-    def __init__(self, name: str, folder: pathlib.Path, store_port: int) -> None:
+    :param name: name of the daemon.
+    :param folder: folder for settings and logs.
+    :param store_port: port of the store.
+    :param build: build that it is started from.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        store_port: int,
+        build: builds.Build = builds.PRESENT,
+    ) -> None:
         self.name = name
+        self.build = build
         self.callers_port, *rest = find_ports(5)
         self._path = folder / f"{name}.json5"
         addresses = [f"127.0.0.1:{port}" for port in (self.callers_port, *rest)]
-        settings = {
+        self._settings = {
             "name": name,
             "failure_domain": "a",
             "failure_domains": ["a"],
@@ -41,16 +54,18 @@
             "bounds": {"grace_ms": 4000},
             "members": {"lease_ttl_ms": 1500, "probe_interval_ms": 200},
         }
-        self._path.write_text(json.dumps(settings))
         self._log = (folder / f"{name}.log").open("ab")
         self.process: asyncio.subprocess.Process | None = None
         self._restarting = asyncio.Lock()
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process with the settings that its build knows."""
+        known = self.build.list_settings()
+        settings = {name: value for name, value in self._settings.items() if name in known}
+        self._path.write_text(json.dumps(settings))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(ROOT / "deploy" / "relayd.py"),
+            str(self.build.program),
             env={**os.environ, "TANAGERFORK_SETTINGS": str(self._path)},
             stdout=self._log,
             stderr=self._log,
@@ -75,19 +90,33 @@
         status = self.process.returncode if self.process else None
         return f"{self.name} with {status}: {lines[-1][:500] if lines else 'no log'}"
 
+    def describe(self) -> str:
+        """Return the name and the build."""
+        return f"{self.name} ({self.build.name})"
+
+    def find_lines(self, *texts: str) -> list[str]:
+        """Return the lines of the log that contain one of some texts.
+
+        :param texts: texts.
+        """
+        lines = pathlib.Path(self._log.name).read_text(errors="replace").splitlines()
+        return [line for line in lines if any(text in line for text in texts)]
+
     def close(self) -> None:
         """Close the log file."""
         self._log.close()
 
-    async def restart(self, number: signal.Signals) -> None:
+    async def restart(self, number: signal.Signals, build: builds.Build | None = None) -> None:
         """End the process by a signal and start it again.
 
         :param number: signal.
+        :param build: build to start; None for the same one.
         """
         async with self._restarting:
             self.send(number)
             assert self.process is not None
             await self.process.wait()
+            self.build = build or self.build
             await self.start()
 
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,10 +5,13 @@
 from the runners, the store rejects calls, hangs or loses answers, runners crash, and the
 configuration changes.
 Callers use persistent connections. Responses and runner state are checked: see `verdicts.Verdict`.
+With an upgrade, daemons of an earlier commit and of the working tree run side by side, and are
+replaced one after the other between the faults.
 """
 
 import argparse
 import asyncio
+import collections
 import pathlib
 import random
 import signal
@@ -18,9 +21,10 @@
 import aiohttp
 import yarl
 
+from tanagerfork.relay import daemon_directory
 from tanagerfork_standins import proxy
 from tanagerfork_standins.platform import partition, runner, site
-from tools import processes, verdicts
+from tools import builds, keys, platform_faults, processes, upgrades, verdicts, witness
 
 CALL_TIMEOUT_S = 3.0
 CALLER_COUNT = 8
@@ -29,6 +33,8 @@
 PROBED_PATHS = ("/safe/", "/stream/")
 DRAIN_S = 2.0  # Time in which a daemon stops to send to an upstream that leaves.
 STABLE_S = 3.0  # After this time, callers of daemons that are cut off are served as well.
+START_TEXT = '"decision":"start"'
+UNREAD_TEXTS = ("cannot be decoded", "unreadable")  # Lines of a daemon on what another one wrote.
 SETTLE_S = 6.0  # Recovery time after the last fault; requests must be served again after it.
 
 
@@ -38,16 +44,29 @@
     :param seed: seed of the random faults and requests.
     :param daemon_count: number of daemons.
     :param folder: folder for settings and logs.
+    :param upgrade: replacement of one build by another; None to run the present one only.
     """
 
-    def __init__(self, seed: int, daemon_count: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        daemon_count: int,
+        folder: pathlib.Path,
+        upgrade: upgrades.Upgrade | None = None,
+    ) -> None:
         self.rng = random.Random(seed)
         self.verdict = verdicts.Verdict()
         self.site = site.Site(engine_count=8, plain_count=3)
         self._daemon_count = daemon_count
         self._folder = folder
-        self.daemons: list[processes.Daemon] = []
+        self._upgrade = upgrade
+        self._keys = keys.KeyRing(self.site, self.verdict)
         self._networks: dict[str, partition.DaemonNetwork] = {}
+        self._platform = platform_faults.PlatformFaults(
+            self.site, self._networks, self._keys, self.rng
+        )
+        self._witnesses: list[witness.Witness] = []
+        self.daemons: list[processes.Daemon] = []
         self._partitions: list[verdicts.Partition] = []
         self._request_count = 0
         self._faults = {
@@ -55,22 +74,9 @@
             "stop": self._stop_daemon,
             "pause": self._pause_daemon,
             "reload": self._reload_daemon,
-            "runner crashes": self._crash_runner,
-            "runner's answers": self._inject_answer_faults,
-            "store silent": self._silence_store,
-            "store slow": self._slow_store,
-            "store refuses": self._refuse_store_calls,
-            "store loses": self._lose_store_answers,
-            "store forgets": self._forget_store_history,
-            "store resets": self._reset_store_connections,
-            "new configuration": self._write_configuration,
-            "store goes back": self._restore_store,
-            "runner leaves": self._have_runner_leave,
-            "runner is in need": self._limit_runner,
-            "part crashes": self._crash_by_part,
             "daemons cut off": self._cut_daemons_off,
+            **self._platform.list_faults(),
         }
-        self._crashing_part_until_s = 0.0
         # By daemon and start of the runner: when a caller got the first answer that says it leaves.
         self._told_leaving_s: dict[tuple[str, str, int], float] = {}
 
@@ -90,22 +96,26 @@
             )
             await network.start()
             self._networks[f"d{number}"] = network
+            build = self._upgrade.first if self._upgrade else builds.PRESENT
             self.daemons.append(
-                processes.Daemon(f"d{number}", self._folder, network.store_path.port)
+                processes.Daemon(f"d{number}", self._folder, network.store_path.port, build)
             )
             await self.daemons[-1].start()
+        self._start_witnesses()
         try:
             await self._wait_until_served()
             stop = asyncio.Event()
             callers = [
                 asyncio.create_task(self._call_until_stopped(stop)) for _ in range(CALLER_COUNT)
             ]
-            await self._play_faults(length_s)
+            await asyncio.gather(self._play_faults(length_s), self._replace_daemons(length_s))
             stop.set()
             await asyncio.gather(*callers)
             await asyncio.sleep(SETTLE_S)
             await self._wait_until_served()
+            self._check_logs()
         finally:
+            await asyncio.gather(*(one.stop() for one in self._witnesses))
             for daemon in self.daemons:
                 daemon.send(signal.SIGCONT)
                 daemon.send(signal.SIGKILL)
@@ -114,6 +124,42 @@
             await self.site.stop()
         return self.verdict
 
+    @property
+    def told(self) -> set[str]:
+        """Daemons whose notices both witnesses have received."""
+        return set.intersection(*(one.senders for one in self._witnesses))
+
+    def _start_witnesses(self) -> None:
+        """List a daemon of the oldest form and one of the present form, which only listen."""
+        if self._upgrade is None:
+            return
+        oldest = daemon_directory.DaemonRecord("witnesses", "")
+        newest = daemon_directory.DaemonRecord("witnesses", "", "127.0.0.1:9")
+        for name, record in (("witness-of-old", oldest), ("witness-of-new", newest)):
+            self._witnesses.append(witness.Witness(self.site, self.verdict, record, name))
+            self._witnesses[-1].start()
+
+    async def _replace_daemons(self, length_s: float) -> None:
+        """Replace the daemons one after the other, as the upgrade plans it."""
+        if self._upgrade is None:
+            return
+        daemons = {daemon.name: daemon for daemon in self.daemons}
+        steps = self._upgrade.plan(sorted(daemons), self.rng)
+        for name, build in steps:
+            await asyncio.sleep(self.rng.uniform(0, length_s / len(steps)))
+            self._excuse(daemons[name])
+            await daemons[name].restart(signal.SIGTERM, build)
+            self._excuse(daemons[name])
+
+    def _check_logs(self) -> None:
+        """Check that no daemon has logged that it cannot read what another one wrote."""
+        for daemon in self.daemons if self._upgrade else []:
+            lines = daemon.find_lines(*UNREAD_TEXTS)
+            starts = len(daemon.find_lines(START_TEXT))
+            most = daemon.build.most_unread * starts
+            text = f"{daemon.describe()}, {len(lines)} lines: {lines[-1][:300] if lines else ''}"
+            self.verdict.check(len(lines) <= most, f"UNREAD: {text}")
+
     async def _wait_until_served(self) -> None:
         missing = {(daemon.name, path) for daemon in self.daemons for path in PROBED_PATHS}
         try:
@@ -144,16 +190,17 @@
     ) -> int:
         self._request_count += 1
         request_id, path = f"r{self._request_count}", f"{prefix}{self._request_count}"
+        key = self._keys.draw(self.rng) if prefix == "/safe/" else site.API_KEY
         headers = {
             "Host": site.HOST,
             "Tanagerfork-Request-Id": request_id,
             "Tanagerfork-Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000)),
-            "Authorization": f"Bearer {site.API_KEY}",
+            "Authorization": f"Bearer {key}",
         }
         sent_s = asyncio.get_running_loop().time()
         if prefix == "/stream/":
             headers.update({"Tanagerfork-Model": site.SMALL_MODEL, "Tanagerfork-Tokens": "100,20"})
-            is_crashing = sent_s < self._crashing_part_until_s and self.rng.random() < 0.1
+            is_crashing = sent_s < self._platform.crashing_part_until_s and self.rng.random() < 0.1
             middle = "bad" if is_crashing else "900d"
             headers["Tanagerfork-Prefix-Hash"] = f"f1257:40,{middle}:50,{self._request_count:x}:10"
         url = yarl.URL(f"http://127.0.0.1:{daemon.callers_port}{path}")
@@ -166,12 +213,15 @@
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0
-        self._check_response(request_id, path, response, body)
-        self._check_leaving(daemon.name, request_id, sent_s, response)
+        name = f"{request_id} {path} of {daemon.describe()}"
+        self._keys.check(key, response.status, sent_s, name)
+        self._check_response(request_id, path, name, response, body)
+        if daemon.build.is_present:  # Not all earlier builds know that upstreams leave.
+            self._check_leaving(daemon.name, request_id, sent_s, response)
         return response.status
 
     def _check_response(
-        self, request_id: str, path: str, response: aiohttp.ClientResponse, body: bytes
+        self, request_id: str, path: str, name: str, response: aiohttp.ClientResponse, body: bytes
     ) -> None:
         runs = [
             run
@@ -179,7 +229,6 @@
             for run in member.requests
             if run.request_id == request_id and run.has_run
         ]
-        name = f"{request_id} {path}"
         check = self.verdict.check
         if path.startswith("/unsafe/"):
             check(len(runs) <= 1, f"TWICE: {name} ran {len(runs)} times")
@@ -194,7 +243,7 @@
                 check(body.endswith(path.encode()), f"MIXED: {name} got {body[:60]!r}")
         is_upstreams = "Tanagerfork-Server-Stamp" in response.headers
         check(response.status != 500 or is_upstreams, f"FAILURE: {name} got 500 of a daemon")
-        check(response.status not in (401, 404), f"DENIED: {name} got {response.status}")
+        check(response.status != 404, f"DENIED: {name} got {response.status}")
 
     def _check_leaving(
         self, daemon: str, request_id: str, sent_s: float, response: aiohttp.ClientResponse
@@ -272,80 +321,12 @@
     async def _reload_daemon(self) -> None:
         self.rng.choice(self.daemons).send(signal.SIGHUP)
 
-    async def _crash_runner(self) -> None:
-        await self.rng.choice([*self.site.engine_runners, *self.site.plain_runners]).crash()
-
-    async def _inject_answer_faults(self) -> None:
-        member = self.rng.choice([*self.site.engine_runners, *self.site.plain_runners])
-        member.faults.extend(self.rng.choices(list(runner.Fault), k=3))
-
-    @property
-    def _store_paths(self) -> list[proxy.Proxy]:
-        return [network.store_path for network in self._networks.values()]
-
-    async def _silence_store(self) -> None:
-        for path in self._store_paths:
-            path.is_silent = True
-        await asyncio.sleep(self.rng.uniform(0.2, 2))
-        for path in self._store_paths:
-            path.is_silent = False
-            path.reset()
-
-    async def _slow_store(self) -> None:
-        for path in self._store_paths:
-            path.delay_s = 0.2
-        await asyncio.sleep(self.rng.uniform(0.2, 2))
-        for path in self._store_paths:
-            path.delay_s = 0.0
-
-    async def _refuse_store_calls(self) -> None:
-        self.site.store.faults.error_status = self.rng.choice((429, 503))
-        await asyncio.sleep(self.rng.uniform(0.2, 2))
-        self.site.store.faults.error_status = 0
-
-    async def _lose_store_answers(self) -> None:
-        self.site.store.faults.lost_responses += 2
-
-    async def _forget_store_history(self) -> None:
-        self.site.store.drop_history()
-
-    async def _reset_store_connections(self) -> None:
-        for path in self._store_paths:
-            path.reset()
-
-    async def _restore_store(self) -> None:
-        """Go back by up to three seconds; runners and the operator then write theirs again."""
-        store = self.site.store
-        store.era = store.era or 1
-        items, revision = dict(store.items), store.revision
-        config = store.items["op/config"].value
-        await asyncio.sleep(self.rng.uniform(0.2, 3))
-        config = max((config, store.items["op/config"].value), key=site.read_version)
-        store.restore(items, revision)
-        await asyncio.sleep(self.rng.uniform(0, 1))
-        store.put("op/config", config)
-        for member in [*self.site.engine_runners, *self.site.plain_runners]:
-            member.publish_entry()
-
-    async def _have_runner_leave(self) -> None:
-        member = self.rng.choice([*self.site.engine_runners, *self.site.plain_runners])
-        member.leaving_text = "1"
-        await asyncio.sleep(self.rng.uniform(2, 5))
-        member.leaving_text = None
-        await member.crash()
-
-    async def _limit_runner(self) -> None:
-        member = self.rng.choice([*self.site.engine_runners, *self.site.plain_runners])
-        member.limit_per_s = self.rng.choice((0.0, 0.5, 5.0))
-        await asyncio.sleep(self.rng.uniform(0.5, 3))
-        member.limit_per_s, member.quiet_text = None, "0.5"
-        await asyncio.sleep(self.rng.uniform(0.2, 1))
-        member.quiet_text = None
-
-    async def _crash_by_part(self) -> None:
-        for member in self.site.engine_runners:
-            member.crashing_parts = {"bad"}
-        self._crashing_part_until_s = asyncio.get_running_loop().time() + self.rng.uniform(1, 4)
+    def _excuse_builds_without_handover(self, found: verdicts.Partition) -> None:
+        """Excuse daemons whose build hands no request over, and all if none is left to take it."""
+        takers = {daemon.name for daemon in self.daemons if daemon.build.hands_over}
+        found.excused |= {daemon.name for daemon in self.daemons} - takers
+        if not takers - found.daemons:
+            found.excused |= found.daemons
 
     async def _cut_daemons_off(self) -> None:
         """Partition some daemons from all runners, and compare how their callers are served."""
@@ -353,6 +334,7 @@
         drawn = self.rng.sample(names, self.rng.randint(1, max(1, len(names) - 1)))
         how = self.rng.choice(list(proxy.Cut))
         found = verdicts.Partition(frozenset(drawn))
+        self._excuse_builds_without_handover(found)
         for other in self._partitions:
             other.excused |= found.daemons - other.daemons
             found.excused |= other.daemons - found.daemons
@@ -363,14 +345,12 @@
         found.is_counted = True
         await asyncio.sleep(self.rng.uniform(1, 3))
         self._partitions.remove(found)
+        self._excuse_builds_without_handover(found)
         for name in drawn:
             await self._networks[name].heal()
         tries = len(found.first_tries)
         self.verdict.check(not found.is_broken(), f"RECOVER: {drawn} {how.value}, {tries} tries")
 
-    async def _write_configuration(self) -> None:
-        self.site.write_config()
-
 
 async def play(run: Soak, length_s: float) -> verdicts.Verdict:
     """Run the soak; a SIGTERM ends it with all the processes that it started.
@@ -390,19 +370,44 @@
     parser.add_argument("seeds", type=int, nargs="+")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--build", default="", help="earlier commit, for an upgrade")
+    parser.add_argument(
+        "--directions", nargs="+", type=upgrades.Direction, default=list(upgrades.Direction)
+    )
     arguments = parser.parse_args()
+    directions = arguments.directions if arguments.build else [None]
     is_broken = False
     for seed in arguments.seeds:
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        verdict = asyncio.run(play(Soak(seed, arguments.daemons, folder), arguments.seconds))
-        is_broken |= bool(verdict.violations)
-        word = "broken" if verdict.violations else "kept"
-        statuses = dict(sorted(verdict.statuses.items()))
-        print(f"seed {seed}: {word}, statuses {statuses}, faults {sum(verdict.faults.values())}")
-        for line in verdict.violations[:10]:
-            print(f"  {line} (logs in {folder.name} of the temporary folder)")
+        for direction in directions:
+            folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+            upgrade = None
+            if direction is not None:
+                other = asyncio.run(builds.extract(arguments.build, folder))
+                upgrade = upgrades.Upgrade(other, direction)
+            run = Soak(seed, arguments.daemons, folder, upgrade)
+            verdict = asyncio.run(play(run, arguments.seconds))
+            is_broken |= bool(verdict.violations)
+            name = f"seed {seed}" + (f" {arguments.build} {direction.value}" if direction else "")
+            report(name, verdict, folder)
     sys.exit(is_broken)
 
 
+def report(name: str, verdict: verdicts.Verdict, folder: pathlib.Path) -> None:
+    """Print the verdict of a run.
+
+    :param name: name of the run.
+    :param verdict: verdict.
+    :param folder: folder with the logs.
+    """
+    word = "broken" if verdict.violations else "kept"
+    statuses = dict(sorted(verdict.statuses.items()))
+    print(f"{name}: {word}, statuses {statuses}, faults {sum(verdict.faults.values())}")
+    kinds = collections.Counter(line.partition(":")[0] for line in verdict.violations)
+    for kind, count in sorted(kinds.items()):
+        first = next(line for line in verdict.violations if line.startswith(kind))
+        print(f"  {count} times, first {first} (logs in {folder.name} of the temporary folder)")
+    sys.stdout.flush()
+
+
 if __name__ == "__main__":
     main()
