Append cut_off to notices, and write them in the form that each daemon reads

Each daemon counts only its own load, and hears of no silent, leaving or closed upstream, quarantined part or change of the store from the other build; receivers in a cohort whose sources run the other build read the store themselves.

Cause: notices are arrays, to which a later build may only append fields; cut_off was inserted before closed.

The entry of a daemon names its build and the format of notices that it reads. An entry with a handover address and no format is that of the builds with the inserted field; these get notices in their form, and theirs are read as well.

--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -10,8 +10,8 @@
 import aiohttp
 import aiohttp.web
 
+from tanagerfork import __version__, decisions, errors, lifecycle, ports
 from tanagerfork import clock as clocks
-from tanagerfork import decisions, errors, lifecycle, ports
 from tanagerfork import metrics as metric
 from tanagerfork import settings as settings_files
 from tanagerfork.front import listener
@@ -98,7 +98,7 @@
         :raises SettingsError: a listener's address cannot be bound.
         """
         settings = self.settings
-        self.log.note(LOGGER, "start", failure_domain=settings.failure_domain)
+        self.log.note(LOGGER, "start", failure_domain=settings.failure_domain, build=__version__)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=10, socket_factory=connections.open_socket
@@ -130,7 +130,12 @@
             ),
             self.clock,
         )
-        record = daemon_directory.DaemonRecord(settings.failure_domain, settings.peers)
+        record = daemon_directory.DaemonRecord(
+            settings.failure_domain,
+            settings.peers,
+            build=__version__,
+            notice_format=daemon_directory.NOTICE_FORMAT,
+        )
         self.directory = daemon_directory.DaemonDirectory(
             self.store, settings.name, record, self.clock, self.log
         )
--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -11,6 +11,7 @@
 
 LOGGER = "relay.daemon_directory"
 DAEMON_PREFIX = "tanagerfork/daemons/"
+NOTICE_FORMAT = 1  # Fields of notices are appended only.
 DAEMON_LEASE_MS = 6000  # Outlasts a short loss of the connection to the store.
 DAEMON_RENEW_INTERVAL_MS = 2000
 RETURN_GRACE_MS = 2 * DAEMON_RENEW_INTERVAL_MS  # Live daemons have written their entries by then.
@@ -20,12 +21,15 @@
     """Entry of a daemon in the store.
 
     `address` is where it receives notices, `forwarding` where it takes over requests, empty if it
-    takes over none.
+    takes over none. `build` is the version of its program, and `notice_format` that of the notices
+    it reads; earlier builds name neither.
     """
 
     failure_domain: str
     address: str
     forwarding: str = ""
+    build: str = ""
+    notice_format: int = 0
 
 
 class DaemonDirectory:
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -8,8 +8,6 @@
 from collections.abc import Mapping, Sequence
 from typing import Literal
 
-import msgspec
-
 from tanagerfork import clock as clocks
 from tanagerfork import decisions
 from tanagerfork import metrics as metric
@@ -23,8 +21,10 @@
     forwarding,
     loads,
     members,
+    notice_codec,
     part_notices,
     reach,
+    refused_notices,
     rules,
     send_limits,
 )
@@ -80,6 +80,7 @@
         "_log",
         "_metrics",
         "_inbox",
+        "_refused",
         "_links",
     )
 
@@ -121,6 +122,7 @@
         self._log = log
         self._metrics = metrics
         self._inbox = inbox
+        self._refused = refused_notices.RefusedNotices(directory, clock, log, metrics)
         self._links = link.LinkTable(2 * FANOUT + cohorts.COHORT_SIZE, clock, rng, metrics)
 
     @property
@@ -138,10 +140,11 @@
         while True:
             frame = await self._inbox.receive()
             try:
-                self._handle(msgspec.msgpack.decode(frame, type=notices.Notice))
-            except msgspec.MsgspecError as error:
-                self._metrics.count("relay_notices_refused_total")
-                self._log.note(LOGGER, "notice cannot be decoded", reason=str(error))
+                notice = notice_codec.decode(frame)
+            except notice_codec.UnreadableNotice as error:
+                self._refused.note(frame, str(error))
+                continue
+            self._handle(notice)
 
     async def broadcast_loads(self) -> None:
         """Send the open requests of this daemon in rounds until cancelled."""
@@ -234,13 +237,13 @@
         :param batch: changes.
         :param names: daemons to send them to.
         """
-        frame = msgspec.msgpack.encode(self._make_notice(changes=batch))
-        if len(frame) > MAX_NOTICE_BYTES:  # Receivers read the store when they see the gap.
-            gap = notices.ChangeBatch(
+        notice = self._make_notice(changes=batch)
+        if len(notice_codec.encode(notice)) > MAX_NOTICE_BYTES:
+            # Receivers read the store when they see the gap.
+            notice.changes = notices.ChangeBatch(
                 after=batch.revision, revision=batch.revision, written=[], removed=[]
             )
-            frame = msgspec.msgpack.encode(self._make_notice(changes=gap))
-        self._send_frame(names, frame)
+        self._send_to(names, notice)
 
     def announce_suspect(self, suspicion: fleets.PoisonNotice) -> None:
         """Announce a request that was open when an upstream crashed.
@@ -284,13 +287,16 @@
         self._send_to(names, notice)
 
     def _send_to(self, names: Sequence[str], notice: notices.Notice) -> None:
-        self._send_frame(names, msgspec.msgpack.encode(notice))
-
-    def _send_frame(self, names: Sequence[str], frame: bytes) -> None:
+        """Send a notice to each daemon in the form that it reads."""
+        frames: dict[notice_codec.Form, bytes] = {}
         for name in names:
             record = self._directory.daemons.get(name)
-            if name != self._name and record is not None and record.address:
-                self._links.send(record.address, frame)
+            if name == self._name or record is None or not record.address:
+                continue
+            form = notice_codec.find_form(record)
+            if form not in frames:
+                frames[form] = notice_codec.encode(notice, form)
+            self._links.send(record.address, frames[form])
 
     def _record_loads(self, notice: notices.Notice, now_ms: float) -> None:
         loads_by_upstream = {
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -34,6 +34,7 @@
 DRAIN_S = 2.0  # Time in which a daemon stops to send to an upstream that leaves.
 STABLE_S = 3.0  # After this time, callers of daemons that are cut off are served as well.
 START_TEXT = '"decision":"start"'
+NO_LISTENER = "127.0.0.1:9"
 UNREAD_TEXTS = ("cannot be decoded", "unreadable")  # Lines of a daemon on what another one wrote.
 SETTLE_S = 6.0  # Recovery time after the last fault; requests must be served again after it.
 
@@ -130,12 +131,12 @@
         return set.intersection(*(one.senders for one in self._witnesses))
 
     def _start_witnesses(self) -> None:
-        """List a daemon of the oldest form and one of the present form, which only listen."""
+        """List a daemon of each form of notices, which only listen."""
         if self._upgrade is None:
             return
-        oldest = daemon_directory.DaemonRecord("witnesses", "")
-        newest = daemon_directory.DaemonRecord("witnesses", "", "127.0.0.1:9")
-        for name, record in (("witness-of-old", oldest), ("witness-of-new", newest)):
+        appended = daemon_directory.DaemonRecord("witnesses", "")
+        inserted = daemon_directory.DaemonRecord("witnesses", "", NO_LISTENER)
+        for name, record in (("witness-1", appended), ("witness-2", inserted)):
             self._witnesses.append(witness.Witness(self.site, self.verdict, record, name))
             self._witnesses[-1].start()
 
--- a/tools/witness.py
+++ b/tools/witness.py
@@ -11,7 +11,7 @@
 
 from tanagerfork.generated import notices
 from tanagerfork.peers import link
-from tanagerfork.relay import daemon_directory, peers
+from tanagerfork.relay import daemon_directory, notice_codec, peers
 from tanagerfork_standins import listener
 from tanagerfork_standins.platform import runner, site
 from tools import verdicts
@@ -68,8 +68,8 @@
         while self._is_open:
             frame = await self._inbox.receive()
             try:
-                notice = msgspec.msgpack.decode(frame, type=notices.Notice)
-            except msgspec.MsgspecError as error:
+                notice = notice_codec.decode(frame)
+            except notice_codec.UnreadableNotice as error:
                 self._verdict.check(False, f"UNREAD: {self._name} got a notice: {error}")
                 continue
             self.senders.add(notice.daemon)
