Leave alone a record of assignments that cannot be read

What callers would see: a record that another build wrote in a form that this one cannot read, or that is cut short, counted as an empty one. The coordinator wrote over it and ordered the members of its groups into new ones (tests/relay/test_coordinator.py, TestUnreadableRecord: joins at the first steps, in all three cases), so that each group of the failure domain was lost and loaded anew.

Cause: the reader replaced what it could not decode by an empty record.

The record is not changed.

--- a/src/tanagerfork/relay/assignment_record.py
+++ b/src/tanagerfork/relay/assignment_record.py
@@ -17,14 +17,23 @@
 class AssignmentRecord:
     """The record of one failure domain, changed by compare-and-swap only.
 
-    `current` is the record as it was last read or written; None where it has to be read.
+    `current` is the record as it was last read or written; None where it has to be read. A record
+    that `is_unreadable` may be of another build, whose groups nobody here may touch.
 
     :param failure_domain: failure domain.
     :param store: store of the record.
     :param log: decision log.
     """
 
-    __slots__ = ("_failure_domain", "_store", "_log", "_revision", "_next_epoch", "current")
+    __slots__ = (
+        "_failure_domain",
+        "_store",
+        "_log",
+        "_revision",
+        "_next_epoch",
+        "current",
+        "is_unreadable",
+    )
 
     def __init__(
         self, failure_domain: str, store: key_value.KeyValue, log: decisions.DecisionLog
@@ -35,6 +44,7 @@
         self._revision = key_value.ABSENT
         self._next_epoch = 1
         self.current: assignments.Assignments | None = None
+        self.is_unreadable = False
 
     @property
     def fencing(self) -> int:
@@ -42,9 +52,9 @@
         return self.current.fencing if self.current else 0
 
     async def read(self) -> bool:
-        """Read the record; one that is absent or unreadable is empty.
+        """Read the record; one that is absent is empty.
 
-        :return: whether the store could be read.
+        :return: whether there is a record to plan from.
         """
         found = await self._store.read(PREFIX + self._failure_domain)
         if isinstance(found, result.Err):
@@ -58,9 +68,15 @@
             try:
                 record = swap.decode_record(entry, assignments.Assignments)
             except msgspec.MsgspecError as error:
+                self.is_unreadable = True
                 self._log.note(
-                    LOGGER, "assignments unreadable, ignored", key=entry.key, reason=str(error)
+                    LOGGER,
+                    "assignments cannot be decoded, delete the key if no other build runs",
+                    key=entry.key,
+                    reason=str(error),
                 )
+                return False
+        self.is_unreadable = False
         self.current = self._skip_lost_epochs(record)
         return True
 
--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -171,6 +171,8 @@
         if not is_holder or self._register.current is None:
             return
         if self._assignments.current is None and not await self._assignments.read():
+            if self._assignments.is_unreadable:
+                await self._resign()
             return
         self._update_observations(now_ms)
         for service in self._register.current.list_engine_services():
@@ -193,15 +195,19 @@
                 silent=sum(seen.is_silent for seen in probed),
                 asked=len(probed),
             )
-            self._isolated_until_ms = now_ms + ISOLATION_PAUSE_MS
-            self.is_holder = False
-            self._assignments.forget()
-            self._observations.clear()
-            for task in self._tasks:
-                task.cancel()
-            await self._keeper.release()
+            await self._resign()
         return is_cut_off or now_ms < self._isolated_until_ms
 
+    async def _resign(self) -> None:
+        """Release the lease, and leave it to other daemons for some time."""
+        self._isolated_until_ms = self._clock.monotonic_ms() + ISOLATION_PAUSE_MS
+        self.is_holder = False
+        self._assignments.forget()
+        self._observations.clear()
+        for task in self._tasks:
+            task.cancel()
+        await self._keeper.release()
+
     def _list_probed(self) -> list[observations.Observation]:
         """Return the observations of all assigned members."""
         assigned = {member for group in self._list_groups() for member in group.members}
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -5,6 +5,8 @@
 import random
 
 import aiohttp
+import msgspec
+import pytest
 import result
 
 from tanagerfork import clock as clocks
@@ -14,6 +16,7 @@
 from tanagerfork.groups import lease
 from tanagerfork.platform import runners
 from tanagerfork.relay import (
+    assignment_record,
     coordinator,
     demand,
     fleet,
@@ -25,6 +28,7 @@
     reach_checks,
     rules,
 )
+from tanagerfork.storage import key_value
 from tests import fakes
 from tests.relay import deployments, test_fleet, test_planner
 
@@ -168,6 +172,37 @@
         assert {order.group for order in joins} == {"a-1"}
 
 
+class TestUnreadableRecord:
+    """A record of assignments that another build wrote, or that was cut short."""
+
+    @pytest.mark.parametrize("value", [b'{"groups": {}}', b'{"failure_domain": "a"', b""])
+    async def test_coordinator_changes_nothing_and_gives_up_its_lease(self, value: bytes) -> None:
+        store = fakes.MemoryKeyValue()
+        key = assignment_record.PREFIX + "a"
+        store.entries[key] = key_value.Entry(key, value, 7)
+        harness = Harness(store)
+        harness.list_upstreams()
+        for _ in range(20):
+            await harness.step()
+        assert not harness.client.orders and not harness.closed
+        assert store.entries[key].value == value
+        lease_record = msgspec.json.decode(store.entries[lease.LEASE_PREFIX + "a"].value)
+        assert lease_record["holder"] == "" and not harness.coordinator.is_holder
+
+    async def test_coordinator_goes_on_once_the_record_can_be_read(self) -> None:
+        store = fakes.MemoryKeyValue()
+        key = assignment_record.PREFIX + "a"
+        store.entries[key] = key_value.Entry(key, b"{", 7)
+        harness = Harness(store)
+        harness.list_upstreams()
+        for _ in range(5):
+            await harness.step()
+        del store.entries[key]
+        for _ in range(coordinator.ISOLATION_PAUSE_MS // 100 + 20):
+            await harness.step()
+        assert {order.kind for order in harness.client.orders} == {plans.JOIN}
+
+
 class TestOrderCounts:
     """The order count in an upstream's report is some hundred milliseconds old."""
 
