Keep the proxy's silent connections until it resets them

A connection that one side closed while the proxy was silent was dropped from the set of open ones without being closed.

--- a/src/tanagerfork_standins/proxy.py
+++ b/src/tanagerfork_standins/proxy.py
@@ -69,6 +69,7 @@
         """Reset all open connections."""
         for writer in list(self._writers):
             transports.reset(writer.transport)
+        self._writers.clear()
 
     def cut(self, how: Cut) -> None:
         """Partition both sides from each other, if they are not yet.
@@ -123,7 +124,8 @@
             self._forward(far_reader, writer),
             return_exceptions=True,
         )
-        self._writers -= {writer, far_writer}
+        if not self.is_silent:  # Else they stay open on the side that has not closed them.
+            self._writers -= {writer, far_writer}
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
