List one witness in the soak, which takes over no requests

The second one named a handover address at which nothing listens. Notices in the inserted form are checked by the daemons of that form themselves.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -21,7 +21,6 @@
 import aiohttp
 import yarl
 
-from tanagerfork.relay import daemon_directory
 from tanagerfork_standins import proxy
 from tanagerfork_standins.platform import partition, runner, site
 from tools import builds, keys, platform_faults, processes, upgrades, verdicts, witness
@@ -35,7 +34,6 @@
 MAX_ZERO_COUNTS = 3  # An order may cross with the report of the one before.
 STABLE_S = 3.0  # After this time, callers of daemons that are cut off are served as well.
 START_TEXT = '"decision":"start"'
-NO_LISTENER = "127.0.0.1:9"
 UNREAD_TEXTS = ("cannot be decoded", "unreadable")  # Lines of a daemon on what another one wrote.
 SETTLE_S = 6.0  # Recovery time after the last fault; requests must be served again after it.
 
@@ -67,7 +65,7 @@
         self._platform = platform_faults.PlatformFaults(
             self.site, self._networks, self._keys, self.rng
         )
-        self._witnesses: list[witness.Witness] = []
+        self._witness = witness.Witness(self.site, self.verdict)
         self.daemons: list[processes.Daemon] = []
         self._zero_counts: collections.Counter[str] = collections.Counter()
         self._partitions: list[verdicts.Partition] = []
@@ -104,7 +102,8 @@
                 processes.Daemon(f"d{number}", self._folder, network.store_path.port, build)
             )
             await self.daemons[-1].start()
-        self._start_witnesses()
+        if self._upgrade is not None:
+            self._witness.start()
         try:
             await self._wait_until_served()
             stop = asyncio.Event()
@@ -118,7 +117,7 @@
             await self._wait_until_served()
             self._check_logs()
         finally:
-            await asyncio.gather(*(one.stop() for one in self._witnesses))
+            await self._witness.stop()
             for daemon in self.daemons:
                 daemon.send(signal.SIGCONT)
                 daemon.send(signal.SIGKILL)
@@ -129,18 +128,8 @@
 
     @property
     def told(self) -> set[str]:
-        """Daemons whose notices both witnesses have received."""
-        return set.intersection(*(one.senders for one in self._witnesses))
-
-    def _start_witnesses(self) -> None:
-        """List a daemon of each form of notices, which only listen."""
-        if self._upgrade is None:
-            return
-        appended = daemon_directory.DaemonRecord("witnesses", "")
-        inserted = daemon_directory.DaemonRecord("witnesses", "", NO_LISTENER)
-        for name, record in (("witness-1", appended), ("witness-2", inserted)):
-            self._witnesses.append(witness.Witness(self.site, self.verdict, record, name))
-            self._witnesses[-1].start()
+        """Daemons whose notices the witness has received."""
+        return self._witness.senders
 
     async def _replace_daemons(self, length_s: float) -> None:
         """Replace the daemons one after the other, as the upgrade plans it."""
--- a/tools/witness.py
+++ b/tools/witness.py
@@ -24,53 +24,47 @@
 class Witness:
     """An entry in the list of daemons, of a failure domain of its own, that only listens.
 
+    The entry takes over no requests, as those of the first builds.
+
     :param deployment: stand-ins.
     :param verdict: receives what is not true.
-    :param record: entry, without its address.
-    :param name: name of the entry.
     """
 
-    __slots__ = ("_site", "_verdict", "_record", "_name", "_inbox", "_task", "_is_open", "senders")
+    __slots__ = ("_site", "_verdict", "_inbox", "_task", "_is_open", "senders")
 
-    def __init__(
-        self,
-        deployment: site.Site,
-        verdict: verdicts.Verdict,
-        record: daemon_directory.DaemonRecord,
-        name: str = NAME,
-    ) -> None:
+    def __init__(self, deployment: site.Site, verdict: verdicts.Verdict) -> None:
         self._site = deployment
         self._verdict = verdict
-        self._record = record
-        self._name = name
-        self._inbox = link.Inbox(listener.LOOPBACK, 0, peers.MAX_NOTICE_BYTES)
+        self._inbox: link.Inbox | None = None
         self._task: asyncio.Task[None] | None = None
         self._is_open = True
         self.senders: set[str] = set()
 
     def start(self) -> None:
         """Write the entry to the store, and listen until `stop`."""
-        entry = msgspec.structs.replace(self._record, address=self._inbox.address)
-        key = daemon_directory.DAEMON_PREFIX + self._name
+        self._inbox = link.Inbox(listener.LOOPBACK, 0, peers.MAX_NOTICE_BYTES)
+        entry = daemon_directory.DaemonRecord("witnesses", self._inbox.address)
+        key = daemon_directory.DAEMON_PREFIX + NAME
         self._site.store.put(key, msgspec.json.encode(entry))
-        self._task = asyncio.create_task(self._listen())
+        self._task = asyncio.create_task(self._listen(self._inbox))
 
     async def stop(self) -> None:
         """Stop listening."""
         self._is_open = False  # A frame that arrives just now hides the cancellation.
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        if self._task is None or self._inbox is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
         self._inbox.close()
 
-    async def _listen(self) -> None:
+    async def _listen(self, inbox: link.Inbox) -> None:
         while self._is_open:
-            frame = await self._inbox.receive()
+            frame = await inbox.receive()
             try:
                 notice = notice_codec.decode(frame)
             except notice_codec.UnreadableNotice as error:
-                self._verdict.check(False, f"UNREAD: {self._name} got a notice: {error}")
+                self._verdict.check(False, f"UNREAD: the witness got a notice: {error}")
                 continue
             self.senders.add(notice.daemon)
             self.examine(notice)
