Refuse a handover that cannot be understood so that a third daemon may take it

What callers would see: a daemon of another build that names the sends or the version in other words gets 400 for the request that it hands over, and passes it on. The caller must not send such a request again, though nothing was wrong with it.

Change: the request is refused with not_run and Relay-Unavailable, like one that this daemon cannot serve, and the other daemon tries a third one.

--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -30,16 +30,18 @@
 def read_handover(headers: Mapping[str, str]) -> calls.Handover:
     """Read what another daemon says of a request that it hands over.
 
+    A daemon of another build may say it in other words; then a third one may understand it.
+
     :param headers: headers of the request.
-    :raises BadRequest: a header is missing or malformed.
+    :raises NotTakenOver: a header is missing or malformed.
     """
     try:
         handover = calls.Handover(int(headers[ATTEMPTS]), int(headers[RULES_VERSION]))
     except (KeyError, ValueError) as error:
         message = f"{ATTEMPTS} and {RULES_VERSION} are not whole numbers; this port is for daemons"
-        raise errors.BadRequest(message) from error
+        raise errors.NotTakenOver(message) from error
     if handover.attempts < 1:
-        raise errors.BadRequest(f"{ATTEMPTS} is below 1; answer the request without a send")
+        raise errors.NotTakenOver(f"{ATTEMPTS} is below 1; answer the request without a send")
     return handover
 
 
