Leave crashes before a daemon's start to daemons that know what was answered before

Cause: a part that was answered before needs five crashes instead of three, but a daemon that starts within the series does not know the answers.

Change: what others tell of crashes before the start does not count; the daemons that were there decide, and tell of the quarantine.

--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -84,7 +84,7 @@
         self.register = rules.RulesRegister()
         self.view = fleet.Fleet()
         self.book = loads.LoadBook()
-        self.evidence = crash_evidence.CrashEvidence()
+        self.evidence = crash_evidence.CrashEvidence(clock.monotonic_ms())
         self._rng = random.Random(settings.seed or None)
         self._send_limits = send_limits.SendLimits(self.book, self._rng, self.log)
         self._is_ready = asyncio.Event()
--- a/src/tanagerfork/routing/crash_evidence.py
+++ b/src/tanagerfork/routing/crash_evidence.py
@@ -67,9 +67,16 @@
 
 
 class CrashEvidence:
-    """Crashes and answers by part, of this daemon and of those that told theirs."""
+    """Crashes and answers by part, of this daemon and of those that told theirs.
+
+    Crashes before `since_ms` are left to the daemons that also know which parts were answered
+    before: a part that all requests share would seem at fault after few of them.
+
+    :param since_ms: start of this daemon, by its monotonic clock, in milliseconds.
+    """
 
     __slots__ = (
+        "_since_ms",
         "_sightings",
         "_candidates",
         "_answered_at_ms",
@@ -78,7 +85,8 @@
         "_told",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, since_ms: float = float("-inf")) -> None:
+        self._since_ms = since_ms
         self._sightings: collections.OrderedDict[str, dict[str, Sighting]] = (
             collections.OrderedDict()
         )
@@ -120,10 +128,10 @@
         :param finding: crash or answer, by the clock of this daemon.
         :param now_ms: monotonic clock, in milliseconds.
         """
-        if isinstance(finding, PartCrash):
-            self._add_crash(finding, False, now_ms)
-        else:
+        if isinstance(finding, PartAnswer):
             self._add_answer(finding, False, now_ms)
+        elif finding.at_ms >= self._since_ms:
+            self._add_crash(finding, False, now_ms)
 
     def list_recent(self, now_ms: float, with_heard: bool) -> list[Finding]:
         """Return the findings of the last `TELL_MS`, for the other daemons.
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -55,6 +55,17 @@
         evidence.record_crash(("first", "other"), "u9", "r9", 1400, 1400)  # A natural crash.
         assert list_parts(evidence, 10_000) == ["bad"]
 
+    def test_crashes_before_the_start_are_left_to_daemons_that_know_the_answers(self) -> None:
+        """A daemon that starts within a series of crashes heard of no answers before them."""
+        older, younger = crashes.CrashEvidence(), crashes.CrashEvidence(since_ms=900)
+        older.record_answer(("first",), -60_000)
+        record_crashes(older, ("first",), [0, 400, 800])
+        for finding in older.list_recent(1000, with_heard=False):
+            younger.hear(finding, 1000)
+        assert not list_parts(younger, 10_000) and not list_parts(older, 10_000)
+        record_crashes(younger, ("bad",), [11_000, 11_400, 11_800], name="v")
+        assert list_parts(younger, 20_000) == ["bad"]
+
     def test_neighbours_of_the_part_are_cleared_once_it_is_found(self) -> None:
         """Rare parts that were open at three of the crashes would be suspect by themselves."""
         evidence = crashes.CrashEvidence()
