--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -139,6 +139,7 @@
         self.directory = daemon_directory.DaemonDirectory(
             self.store, settings.name, record, self.clock, self.log
         )
+        self.metrics.collect_from(self.directory.write_metrics)
         self._forwarder = forwarding.Forwarder(
             self._upstream_client,
             self._dialect,
--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -1,5 +1,6 @@
 """Directory of daemons: this daemon's entry in the store, and those of the others."""
 
+import collections
 from collections.abc import Mapping, Sequence
 
 import msgspec
@@ -7,10 +8,12 @@
 
 from tanagerfork import clock as clocks
 from tanagerfork import decisions
+from tanagerfork import metrics as metric
 from tanagerfork.storage import key_value
 
 LOGGER = "relay.daemon_directory"
 DAEMON_PREFIX = "tanagerfork/daemons/"
+UNNAMED_BUILD = "unnamed"  # Label of the builds before 0.8.0.
 NOTICE_FORMAT = 1  # Fields of notices are appended only.
 DAEMON_LEASE_MS = 6000  # Outlasts a short loss of the connection to the store.
 DAEMON_RENEW_INTERVAL_MS = 2000
@@ -55,6 +58,7 @@
         "_lease",
         "_was_unreadable",
         "_missing_until_ms",
+        "_seen_builds",
         "daemons",
     )
 
@@ -75,6 +79,7 @@
         self._lease = 0
         self._was_unreadable = False
         self._missing_until_ms: dict[str, int] = {}
+        self._seen_builds: set[str] = set()
         self.daemons: dict[str, DaemonRecord] = {name: record}
 
     def list_names(self, failure_domain: str) -> list[str]:
@@ -86,6 +91,18 @@
             name for name, record in self.daemons.items() if record.failure_domain == failure_domain
         ]
 
+    def write_metrics(self, metrics: metric.Metrics) -> None:
+        """Set the number of listed daemons by build.
+
+        :param metrics: gauges.
+        """
+        counts = collections.Counter(
+            record.build or UNNAMED_BUILD for record in self.daemons.values()
+        )
+        self._seen_builds |= counts.keys()
+        for build in self._seen_builds:
+            metrics.set_gauge("relay_daemons", counts[build], build=build)
+
     async def run(self) -> None:
         """Maintain this daemon's entry until cancelled."""
         while True:
--- a/tests/relay/test_daemon_directory.py
+++ b/tests/relay/test_daemon_directory.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
+from tanagerfork import __version__, decisions
 from tanagerfork import clock as clocks
-from tanagerfork import decisions
+from tanagerfork import metrics as metric
 from tanagerfork.relay import daemon_directory
 from tanagerfork.storage import key_value
 from tests import fakes
@@ -78,3 +79,28 @@
         key = daemon_directory.DAEMON_PREFIX + "d2"
         setting.directory.apply_changes(key_value.Changes([], [key]))
         assert setting.names == {"d0"}
+
+
+class TestBuilds:
+    def test_daemons_are_counted_by_build_and_a_build_that_is_gone_is_none(self) -> None:
+        setting, counted = Setting(), metric.Metrics()
+        counted.collect_from(setting.directory.write_metrics)
+        later = daemon_directory.DaemonRecord("a", "10.0.0.1:3", build="0.9.0")
+        key = daemon_directory.DAEMON_PREFIX + "d2"
+        entry = key_value.Entry(key, msgspec.json.encode(later), 1)
+        setting.directory.apply_snapshot([make_entry("d1"), entry])
+        text = counted.render()
+        assert 'relay_daemons{build="unnamed"} 2' in text
+        assert 'relay_daemons{build="0.9.0"} 1' in text
+        setting.directory.apply_changes(key_value.Changes([], [key]))
+        assert 'relay_daemons{build="0.9.0"} 0' in counted.render()
+
+    async def test_daemon_names_its_build(self) -> None:
+        async with deployments.deploy(engines=0, plain=0) as deployed:
+            name = f'"build":"{__version__}"'
+            assert deployed.log.find('"decision":"start"', name)
+            await deployed.wait_until(
+                lambda: "tanagerfork/daemons/daemon-1" in deployed.site.store.items, "the entry"
+            )
+            entry = deployed.site.store.items["tanagerfork/daemons/daemon-1"].value
+            assert name.encode() in entry and b'"notice_format":1' in entry
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -32,6 +32,7 @@
 PROBED_PATHS = ("/safe/", "/stream/")
 DRAIN_S = 2.0  # Time in which a daemon stops to send to an upstream that leaves.
 MAX_ZERO_COUNTS = 3  # An order may cross with the report of the one before.
+UNAUTHORIZED = 401  # The right answer to a key that is not valid; see `keys.KeyRing.check`.
 STABLE_S = 3.0  # After this time, callers of daemons that are cut off are served as well.
 START_TEXT = '"decision":"start"'
 UNREAD_TEXTS = ("cannot be decoded", "unreadable")  # Lines of a daemon on what another one wrote.
@@ -174,7 +175,7 @@
                 counted = [found for found in self._partitions if found.is_counted]
                 status = await self._call(session, daemon, path)
                 self.verdict.statuses[status] += 1
-                for found in counted:
+                for found in counted if status != UNAUTHORIZED else ():
                     found.first_tries.append((daemon.name, status == 200))
 
     async def _call(
