Send notices in the form that a daemon's own notices have

Change: the form of the last notice that was heard from a daemon counts, and the entry only until one was heard (TestChoiceOfForm).

--- a/src/tanagerfork/relay/notice_codec.py
+++ b/src/tanagerfork/relay/notice_codec.py
@@ -6,6 +6,7 @@
 changes or null.
 """
 
+import dataclasses
 import enum
 
 import msgspec
@@ -27,6 +28,14 @@
     INSERTED = "inserted"  # `cut_off` before `closed`, and no fields after `leaving`.
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReadNotice:
+    """A notice, and the form in which its sender writes and reads notices."""
+
+    notice: notices.Notice
+    form: Form
+
+
 class UnreadableNotice(ValueError):
     """A frame that is no notice in any known form."""
 
@@ -54,19 +63,19 @@
     return msgspec.msgpack.encode(items)
 
 
-def decode(frame: bytes) -> notices.Notice:
+def decode(frame: bytes) -> ReadNotice:
     """Decode a notice of either form.
 
     :param frame: frame as received.
     :raises UnreadableNotice: it is no notice; the reason is that of the present form.
     """
     try:
-        return _DECODER.decode(frame)
+        return ReadNotice(_DECODER.decode(frame), Form.APPENDED)
     except (msgspec.MsgspecError, RecursionError) as error:
         found = _decode_inserted(frame)
         if found is None:
             raise UnreadableNotice(str(error)) from error
-        return found
+        return ReadNotice(found, Form.INSERTED)
 
 
 def read_sender(frame: bytes) -> str:
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -81,6 +81,7 @@
         "_metrics",
         "_inbox",
         "_refused",
+        "_heard_forms",
         "_links",
     )
 
@@ -122,6 +123,7 @@
         self._log = log
         self._metrics = metrics
         self._inbox = inbox
+        self._heard_forms: dict[str, notice_codec.Form] = {}
         self._refused = refused_notices.RefusedNotices(directory, clock, log, metrics)
         self._links = link.LinkTable(2 * FANOUT + cohorts.COHORT_SIZE, clock, rng, metrics)
 
@@ -140,11 +142,13 @@
         while True:
             frame = await self._inbox.receive()
             try:
-                notice = notice_codec.decode(frame)
+                read = notice_codec.decode(frame)
             except notice_codec.UnreadableNotice as error:
                 self._refused.note(frame, str(error))
                 continue
-            self._handle(notice)
+            if read.notice.daemon in self._directory.daemons:
+                self._heard_forms[read.notice.daemon] = read.form
+            self._handle(read.notice)
 
     async def broadcast_loads(self) -> None:
         """Send the open requests of this daemon in rounds until cancelled."""
@@ -287,13 +291,17 @@
         self._send_to(names, notice)
 
     def _send_to(self, names: Sequence[str], notice: notices.Notice) -> None:
-        """Send a notice to each daemon in the form that it reads."""
+        """Send a notice to each daemon in the form that it reads.
+
+        Its own notices show the form; its entry does, which a restored store may give an earlier
+        one of, only until they are heard.
+        """
         frames: dict[notice_codec.Form, bytes] = {}
         for name in names:
             record = self._directory.daemons.get(name)
             if name == self._name or record is None or not record.address:
                 continue
-            form = notice_codec.find_form(record)
+            form = self._heard_forms.get(name) or notice_codec.find_form(record)
             if form not in frames:
                 frames[form] = notice_codec.encode(notice, form)
             self._links.send(record.address, frames[form])
--- a/tests/relay/test_notice_codec.py
+++ b/tests/relay/test_notice_codec.py
@@ -1,5 +1,8 @@
 """Forms of notices of this build and of earlier ones, and notices that are none."""
 
+import asyncio
+import random
+
 import msgspec
 import pytest
 from tools import messages, samples
@@ -8,7 +11,8 @@
 from tanagerfork import decisions
 from tanagerfork import metrics as metric
 from tanagerfork.generated import notices
-from tanagerfork.relay import daemon_directory, notice_codec, refused_notices
+from tanagerfork.peers import link
+from tanagerfork.relay import daemon_directory, notice_codec, peers, refused_notices
 from tests.relay import deployments
 
 APPENDED = daemon_directory.DaemonRecord("a", "127.0.0.1:1")
@@ -36,12 +40,14 @@
     @pytest.mark.parametrize("form", notice_codec.Form)
     def test_every_notice_is_read_in_either_form(self, name: str, form: notice_codec.Form) -> None:
         notice = samples.list_notices()[name]
-        assert notice_codec.decode(notice_codec.encode(notice, form)) == notice
+        found = notice_codec.decode(notice_codec.encode(notice, form))
+        assert found == notice_codec.ReadNotice(notice, form)
 
     def test_fields_that_a_later_build_appends_are_ignored(self) -> None:
         notice = samples.list_notices()["closed"]
         items = msgspec.msgpack.decode(notice_codec.encode(notice))
-        assert notice_codec.decode(msgspec.msgpack.encode([*items, {"new": 1}, 5])) == notice
+        frame = msgspec.msgpack.encode([*items, {"new": 1}, 5])
+        assert notice_codec.decode(frame).notice == notice
 
 
 def change(frame: bytes, position: int, value: object) -> bytes:
@@ -86,7 +92,7 @@
     @pytest.mark.parametrize("length", range(4, 14))
     def test_missing_field_has_its_default(self, length: int) -> None:
         items = msgspec.msgpack.decode(LOADS)[:length]
-        found = notice_codec.decode(msgspec.msgpack.encode(items))
+        found = notice_codec.decode(msgspec.msgpack.encode(items)).notice
         assert not found.leaving and found.covers == "daemon"
 
     def test_frame_that_is_cut_short_is_refused(self) -> None:
@@ -101,6 +107,26 @@
         assert notice_codec.read_sender(frame) == ""
 
 
+class TestChoiceOfForm:
+    async def test_daemon_gets_the_form_that_it_writes_whatever_its_entry_says(self) -> None:
+        """The entry may be of an earlier build under the same name, as after a restored store."""
+        async with deployments.deploy(engines=0, plain=0) as deployed:
+            inbox = link.Inbox("127.0.0.1", 0, peers.MAX_NOTICE_BYTES)
+            entry = daemon_directory.DaemonRecord("b", inbox.address, "127.0.0.1:9", "0.8.0", 1)
+            key = daemon_directory.DAEMON_PREFIX + "d9"
+            deployed.site.store.put(key, msgspec.json.encode(entry))
+            assert notice_codec.decode(await inbox.receive()).form is notice_codec.Form.APPENDED
+            own = deployed.daemons[0]
+            sender = link.LinkTable(1, own.clock, random.Random(1), metric.Metrics())
+            frame = bytes.fromhex(messages.load_samples("240a1b7")["notices"]["silent"])
+            sender.send(own.peers.address, frame)
+            async with asyncio.timeout(deployments.WAIT_S):
+                while notice_codec.decode(await inbox.receive()).form is notice_codec.Form.APPENDED:
+                    pass
+            sender.close()
+            inbox.close()
+
+
 class TestRefusedNotices:
     def test_each_is_counted_and_few_are_logged_with_the_build_of_the_sender(self) -> None:
         clock, lines, metrics = clocks.ManualClock(), deployments.LineList(), metric.Metrics()
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -210,7 +210,9 @@
 
 def _find_decoder() -> Callable[[bytes], notices.Notice]:
     codec = _import("tanagerfork.relay.notice_codec")
-    return codec.decode if codec else msgspec.msgpack.Decoder(notices.Notice).decode
+    if codec is None:
+        return msgspec.msgpack.Decoder(notices.Notice).decode
+    return lambda frame: codec.decode(frame).notice
 
 
 def write() -> dict[str, Any]:
--- a/tools/witness.py
+++ b/tools/witness.py
@@ -62,7 +62,7 @@
         while self._is_open:
             frame = await inbox.receive()
             try:
-                notice = notice_codec.decode(frame)
+                notice = notice_codec.decode(frame).notice
             except notice_codec.UnreadableNotice as error:
                 self._verdict.check(False, f"UNREAD: the witness got a notice: {error}")
                 continue
