--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -10,8 +10,8 @@
 import aiohttp
 import aiohttp.web
 
+from tanagerfork import __version__, decisions, errors, lifecycle, ports
 from tanagerfork import clock as clocks
-from tanagerfork import decisions, errors, lifecycle, ports
 from tanagerfork import metrics as metric
 from tanagerfork import settings as settings_files
 from tanagerfork.front import listener
@@ -84,7 +84,7 @@
         self.register = rules.RulesRegister()
         self.view = fleet.Fleet()
         self.book = loads.LoadBook()
-        self.evidence = crash_evidence.CrashEvidence()
+        self.evidence = crash_evidence.CrashEvidence(clock.monotonic_ms())
         self._rng = random.Random(settings.seed or None)
         self._send_limits = send_limits.SendLimits(self.book, self._rng, self.log)
         self._is_ready = asyncio.Event()
@@ -98,7 +98,7 @@
         :raises SettingsError: a listener's address cannot be bound.
         """
         settings = self.settings
-        self.log.note(LOGGER, "start", failure_domain=settings.failure_domain)
+        self.log.note(LOGGER, "start", failure_domain=settings.failure_domain, build=__version__)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=10, socket_factory=connections.open_socket
@@ -131,11 +131,16 @@
             self.clock,
         )
         record = daemon_directory.DaemonRecord(
-            settings.failure_domain, settings.peers, link_mbps=settings.link_mbps
+            settings.failure_domain,
+            settings.peers,
+            link_mbps=settings.link_mbps,
+            build=__version__,
+            notice_format=daemon_directory.NOTICE_FORMAT,
         )
         self.directory = daemon_directory.DaemonDirectory(
             self.store, settings.name, record, self.clock, self.log
         )
+        self.metrics.collect_from(self.directory.write_metrics)
         self._forwarder = forwarding.Forwarder(
             self._upstream_client,
             self._dialect,
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,10 +5,13 @@
 from the runners, the store rejects calls, hangs or loses answers, runners crash, and the
 configuration changes.
 Callers use persistent connections. Responses and runner state are checked: see `verdicts.Verdict`.
+With an upgrade, daemons of an earlier commit and of the working tree run side by side, and are
+replaced one after the other between the faults.
 """
 
 import argparse
 import asyncio
+import collections
 import pathlib
 import random
 import signal
@@ -20,7 +23,7 @@
 
 from tanagerfork_standins import proxy
 from tanagerfork_standins.platform import partition, runner, site
-from tools import processes, verdicts
+from tools import builds, keys, platform_faults, processes, upgrades, verdicts, witness
 
 CALL_TIMEOUT_S = 3.0
 CALLER_COUNT = 8
@@ -28,7 +31,11 @@
 SERVING_TIMEOUT_S = 15.0
 PROBED_PATHS = ("/safe/", "/stream/")
 DRAIN_S = 2.0  # Time in which a daemon stops to send to an upstream that leaves.
+MAX_ZERO_COUNTS = 3  # An order may cross with the report of the one before.
+UNAUTHORIZED = 401  # The right answer to a key that is not valid; see `keys.KeyRing.check`.
 STABLE_S = 3.0  # After this time, callers of daemons that are cut off are served as well.
+START_TEXT = '"decision":"start"'
+UNREAD_TEXTS = ("cannot be decoded", "unreadable")  # Lines of a daemon on what another one wrote.
 SETTLE_S = 6.0  # Recovery time after the last fault; requests must be served again after it.
 
 
@@ -38,16 +45,30 @@
     :param seed: seed of the random faults and requests.
     :param daemon_count: number of daemons.
     :param folder: folder for settings and logs.
+    :param upgrade: replacement of one build by another; None to run the present one only.
     """
 
-    def __init__(self, seed: int, daemon_count: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        daemon_count: int,
+        folder: pathlib.Path,
+        upgrade: upgrades.Upgrade | None = None,
+    ) -> None:
         self.rng = random.Random(seed)
         self.verdict = verdicts.Verdict()
         self.site = site.Site(engine_count=8, plain_count=3)
         self._daemon_count = daemon_count
         self._folder = folder
-        self.daemons: list[processes.Daemon] = []
+        self._upgrade = upgrade
+        self._keys = keys.KeyRing(self.site, self.verdict)
         self._networks: dict[str, partition.DaemonNetwork] = {}
+        self._platform = platform_faults.PlatformFaults(
+            self.site, self._networks, self._keys, self.rng
+        )
+        self._witness = witness.Witness(self.site, self.verdict)
+        self.daemons: list[processes.Daemon] = []
+        self._zero_counts: collections.Counter[str] = collections.Counter()
         self._partitions: list[verdicts.Partition] = []
         self._request_count = 0
         self._faults = {
@@ -55,22 +76,9 @@
             "stop": self._stop_daemon,
             "pause": self._pause_daemon,
             "reload": self._reload_daemon,
-            "runner crashes": self._crash_runner,
-            "runner's answers": self._inject_answer_faults,
-            "store silent": self._silence_store,
-            "store slow": self._slow_store,
-            "store refuses": self._refuse_store_calls,
-            "store loses": self._lose_store_answers,
-            "store forgets": self._forget_store_history,
-            "store resets": self._reset_store_connections,
-            "new configuration": self._write_configuration,
-            "store goes back": self._restore_store,
-            "runner leaves": self._have_runner_leave,
-            "runner is in need": self._limit_runner,
-            "part crashes": self._crash_by_part,
             "daemons cut off": self._cut_daemons_off,
+            **self._platform.list_faults(),
         }
-        self._crashing_part_until_s = 0.0
         # By daemon and start of the runner: when a caller got the first answer that says it leaves.
         self._told_leaving_s: dict[tuple[str, str, int], float] = {}
 
@@ -82,7 +90,7 @@
         """
         await self.site.start()
         for member in self.site.engine_runners:
-            member.observer = self._check_membership
+            member.observer = self._check_orders
         runners = [*self.site.engine_runners, *self.site.plain_runners]
         for number in range(self._daemon_count):
             network = partition.DaemonNetwork(
@@ -90,22 +98,27 @@
             )
             await network.start()
             self._networks[f"d{number}"] = network
+            build = self._upgrade.first if self._upgrade else builds.PRESENT
             self.daemons.append(
-                processes.Daemon(f"d{number}", self._folder, network.store_path.port)
+                processes.Daemon(f"d{number}", self._folder, network.store_path.port, build)
             )
             await self.daemons[-1].start()
+        if self._upgrade is not None:
+            self._witness.start()
         try:
             await self._wait_until_served()
             stop = asyncio.Event()
             callers = [
                 asyncio.create_task(self._call_until_stopped(stop)) for _ in range(CALLER_COUNT)
             ]
-            await self._play_faults(length_s)
+            await asyncio.gather(self._play_faults(length_s), self._replace_daemons(length_s))
             stop.set()
             await asyncio.gather(*callers)
             await asyncio.sleep(SETTLE_S)
             await self._wait_until_served()
+            self._check_logs()
         finally:
+            await self._witness.stop()
             for daemon in self.daemons:
                 daemon.send(signal.SIGCONT)
                 daemon.send(signal.SIGKILL)
@@ -114,6 +127,32 @@
             await self.site.stop()
         return self.verdict
 
+    @property
+    def told(self) -> set[str]:
+        """Daemons whose notices the witness has received."""
+        return self._witness.senders
+
+    async def _replace_daemons(self, length_s: float) -> None:
+        """Replace the daemons one after the other, as the upgrade plans it."""
+        if self._upgrade is None:
+            return
+        daemons = {daemon.name: daemon for daemon in self.daemons}
+        steps = self._upgrade.plan(sorted(daemons), self.rng)
+        for name, build in steps:
+            await asyncio.sleep(self.rng.uniform(0, length_s / len(steps)))
+            self._excuse(daemons[name])
+            await daemons[name].restart(signal.SIGTERM, build)
+            self._excuse(daemons[name])
+
+    def _check_logs(self) -> None:
+        """Check that no daemon has logged that it cannot read what another one wrote."""
+        for daemon in self.daemons if self._upgrade else []:
+            lines = daemon.find_lines(*UNREAD_TEXTS)
+            starts = len(daemon.find_lines(START_TEXT))
+            most = daemon.build.most_unread * starts
+            text = f"{daemon.describe()}, {len(lines)} lines: {lines[-1][:300] if lines else ''}"
+            self.verdict.check(len(lines) <= most, f"UNREAD: {text}")
+
     async def _wait_until_served(self) -> None:
         missing = {(daemon.name, path) for daemon in self.daemons for path in PROBED_PATHS}
         try:
@@ -136,7 +175,7 @@
                 counted = [found for found in self._partitions if found.is_counted]
                 status = await self._call(session, daemon, path)
                 self.verdict.statuses[status] += 1
-                for found in counted:
+                for found in counted if status != UNAUTHORIZED else ():
                     found.first_tries.append((daemon.name, status == 200))
 
     async def _call(
@@ -144,16 +183,17 @@
     ) -> int:
         self._request_count += 1
         request_id, path = f"r{self._request_count}", f"{prefix}{self._request_count}"
+        key = self._keys.draw(self.rng) if prefix == "/safe/" else site.API_KEY
         headers = {
             "Host": site.HOST,
             "Tanagerfork-Request-Id": request_id,
             "Tanagerfork-Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000)),
-            "Authorization": f"Bearer {site.API_KEY}",
+            "Authorization": f"Bearer {key}",
         }
         sent_s = asyncio.get_running_loop().time()
         if prefix == "/stream/":
             headers.update({"Tanagerfork-Model": site.SMALL_MODEL, "Tanagerfork-Tokens": "100,20"})
-            is_crashing = sent_s < self._crashing_part_until_s and self.rng.random() < 0.1
+            is_crashing = sent_s < self._platform.crashing_part_until_s and self.rng.random() < 0.1
             middle = "bad" if is_crashing else "900d"
             headers["Tanagerfork-Prefix-Hash"] = f"f1257:40,{middle}:50,{self._request_count:x}:10"
         url = yarl.URL(f"http://127.0.0.1:{daemon.callers_port}{path}")
@@ -166,12 +206,20 @@
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0
-        self._check_response(request_id, path, response, body)
-        self._check_leaving(daemon.name, request_id, sent_s, response)
+        name = f"{request_id} {path} of {daemon.describe()}"
+        self._keys.check(key, response.status, sent_s, name)
+        self._check_response(request_id, path, daemon, response, body)
+        if daemon.build.is_present:  # Not all earlier builds know that upstreams leave.
+            self._check_leaving(daemon.name, request_id, sent_s, response)
         return response.status
 
     def _check_response(
-        self, request_id: str, path: str, response: aiohttp.ClientResponse, body: bytes
+        self,
+        request_id: str,
+        path: str,
+        daemon: processes.Daemon,
+        response: aiohttp.ClientResponse,
+        body: bytes,
     ) -> None:
         runs = [
             run
@@ -179,8 +227,7 @@
             for run in member.requests
             if run.request_id == request_id and run.has_run
         ]
-        name = f"{request_id} {path}"
-        check = self.verdict.check
+        check, name = self.verdict.check, f"{request_id} {path} of {daemon.describe()}"
         if path.startswith("/unsafe/"):
             check(len(runs) <= 1, f"TWICE: {name} ran {len(runs)} times")
             check(response.status not in (429, 503) or not runs, f"REFUSED: {name} has run")
@@ -193,8 +240,18 @@
             else:
                 check(body.endswith(path.encode()), f"MIXED: {name} got {body[:60]!r}")
         is_upstreams = "Tanagerfork-Server-Stamp" in response.headers
-        check(response.status != 500 or is_upstreams, f"FAILURE: {name} got 500 of a daemon")
-        check(response.status not in (401, 404), f"DENIED: {name} got {response.status}")
+        if response.status == 500 and not is_upstreams:
+            self._check_failure(daemon, name)
+        check(response.status != 404, f"DENIED: {name} got {response.status}")
+
+    def _check_failure(self, daemon: processes.Daemon, name: str) -> None:
+        """Record a failure of a daemon, apart from those of builds that are known to fail so.
+
+        Builds without handover fail a request that the end of their stop finds unsent.
+        """
+        is_known = not daemon.build.hands_over
+        self.verdict.excused[f"500 of {daemon.build.name}"] += is_known
+        self.verdict.check(is_known, f"FAILURE: {name} got 500 of a daemon")
 
     def _check_leaving(
         self, daemon: str, request_id: str, sent_s: float, response: aiohttp.ClientResponse
@@ -217,6 +274,14 @@
         for key in [key for key in self._told_leaving_s if key[0] == daemon.name]:
             del self._told_leaving_s[key]
 
+    def _check_orders(self, member: runner.Runner, event: str) -> None:
+        if event != "miscount":
+            self._check_membership(member, event)
+        elif member.order_count and not member.orders[-1]["expected"]:
+            self._zero_counts[member.id] += 1
+            text = f"COUNT: {member.id} is ordered as if it had accepted nothing, again and again"
+            self.verdict.check(self._zero_counts[member.id] <= MAX_ZERO_COUNTS, text)
+
     def _check_membership(self, member: runner.Runner, event: str) -> None:
         mark = member.membership
         if mark is None:
@@ -272,80 +337,12 @@
     async def _reload_daemon(self) -> None:
         self.rng.choice(self.daemons).send(signal.SIGHUP)
 
-    async def _crash_runner(self) -> None:
-        await self.rng.choice([*self.site.engine_runners, *self.site.plain_runners]).crash()
-
-    async def _inject_answer_faults(self) -> None:
-        member = self.rng.choice([*self.site.engine_runners, *self.site.plain_runners])
-        member.faults.extend(self.rng.choices(list(runner.Fault), k=3))
-
-    @property
-    def _store_paths(self) -> list[proxy.Proxy]:
-        return [network.store_path for network in self._networks.values()]
-
-    async def _silence_store(self) -> None:
-        for path in self._store_paths:
-            path.is_silent = True
-        await asyncio.sleep(self.rng.uniform(0.2, 2))
-        for path in self._store_paths:
-            path.is_silent = False
-            path.reset()
-
-    async def _slow_store(self) -> None:
-        for path in self._store_paths:
-            path.delay_s = 0.2
-        await asyncio.sleep(self.rng.uniform(0.2, 2))
-        for path in self._store_paths:
-            path.delay_s = 0.0
-
-    async def _refuse_store_calls(self) -> None:
-        self.site.store.faults.error_status = self.rng.choice((429, 503))
-        await asyncio.sleep(self.rng.uniform(0.2, 2))
-        self.site.store.faults.error_status = 0
-
-    async def _lose_store_answers(self) -> None:
-        self.site.store.faults.lost_responses += 2
-
-    async def _forget_store_history(self) -> None:
-        self.site.store.drop_history()
-
-    async def _reset_store_connections(self) -> None:
-        for path in self._store_paths:
-            path.reset()
-
-    async def _restore_store(self) -> None:
-        """Go back by up to three seconds; runners and the operator then write theirs again."""
-        store = self.site.store
-        store.era = store.era or 1
-        items, revision = dict(store.items), store.revision
-        config = store.items["op/config"].value
-        await asyncio.sleep(self.rng.uniform(0.2, 3))
-        config = max((config, store.items["op/config"].value), key=site.read_version)
-        store.restore(items, revision)
-        await asyncio.sleep(self.rng.uniform(0, 1))
-        store.put("op/config", config)
-        for member in [*self.site.engine_runners, *self.site.plain_runners]:
-            member.publish_entry()
-
-    async def _have_runner_leave(self) -> None:
-        member = self.rng.choice([*self.site.engine_runners, *self.site.plain_runners])
-        member.leaving_text = "1"
-        await asyncio.sleep(self.rng.uniform(2, 5))
-        member.leaving_text = None
-        await member.crash()
-
-    async def _limit_runner(self) -> None:
-        member = self.rng.choice([*self.site.engine_runners, *self.site.plain_runners])
-        member.limit_per_s = self.rng.choice((0.0, 0.5, 5.0))
-        await asyncio.sleep(self.rng.uniform(0.5, 3))
-        member.limit_per_s, member.quiet_text = None, "0.5"
-        await asyncio.sleep(self.rng.uniform(0.2, 1))
-        member.quiet_text = None
-
-    async def _crash_by_part(self) -> None:
-        for member in self.site.engine_runners:
-            member.crashing_parts = {"bad"}
-        self._crashing_part_until_s = asyncio.get_running_loop().time() + self.rng.uniform(1, 4)
+    def _excuse_builds_without_handover(self, found: verdicts.Partition) -> None:
+        """Excuse daemons whose build hands no request over, and all if none is left to take it."""
+        takers = {daemon.name for daemon in self.daemons if daemon.build.hands_over}
+        found.excused |= {daemon.name for daemon in self.daemons} - takers
+        if not takers - found.daemons:
+            found.excused |= found.daemons
 
     async def _cut_daemons_off(self) -> None:
         """Partition some daemons from all runners, and compare how their callers are served."""
@@ -353,6 +350,7 @@
         drawn = self.rng.sample(names, self.rng.randint(1, max(1, len(names) - 1)))
         how = self.rng.choice(list(proxy.Cut))
         found = verdicts.Partition(frozenset(drawn))
+        self._excuse_builds_without_handover(found)
         for other in self._partitions:
             other.excused |= found.daemons - other.daemons
             found.excused |= other.daemons - found.daemons
@@ -363,14 +361,12 @@
         found.is_counted = True
         await asyncio.sleep(self.rng.uniform(1, 3))
         self._partitions.remove(found)
+        self._excuse_builds_without_handover(found)
         for name in drawn:
             await self._networks[name].heal()
         tries = len(found.first_tries)
         self.verdict.check(not found.is_broken(), f"RECOVER: {drawn} {how.value}, {tries} tries")
 
-    async def _write_configuration(self) -> None:
-        self.site.write_config()
-
 
 async def play(run: Soak, length_s: float) -> verdicts.Verdict:
     """Run the soak; a SIGTERM ends it with all the processes that it started.
@@ -390,19 +386,46 @@
     parser.add_argument("seeds", type=int, nargs="+")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--build", default="", help="earlier commit, for an upgrade")
+    parser.add_argument(
+        "--directions", nargs="+", type=upgrades.Direction, default=list(upgrades.Direction)
+    )
     arguments = parser.parse_args()
+    directions = arguments.directions if arguments.build else [None]
     is_broken = False
     for seed in arguments.seeds:
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        verdict = asyncio.run(play(Soak(seed, arguments.daemons, folder), arguments.seconds))
-        is_broken |= bool(verdict.violations)
-        word = "broken" if verdict.violations else "kept"
-        statuses = dict(sorted(verdict.statuses.items()))
-        print(f"seed {seed}: {word}, statuses {statuses}, faults {sum(verdict.faults.values())}")
-        for line in verdict.violations[:10]:
-            print(f"  {line} (logs in {folder.name} of the temporary folder)")
+        for direction in directions:
+            folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+            upgrade = None
+            if direction is not None:
+                other = asyncio.run(builds.extract(arguments.build, folder))
+                upgrade = upgrades.Upgrade(other, direction)
+            run = Soak(seed, arguments.daemons, folder, upgrade)
+            verdict = asyncio.run(play(run, arguments.seconds))
+            is_broken |= bool(verdict.violations)
+            name = f"seed {seed}" + (f" {arguments.build} {direction.value}" if direction else "")
+            report(name, verdict, folder)
     sys.exit(is_broken)
 
 
+def report(name: str, verdict: verdicts.Verdict, folder: pathlib.Path) -> None:
+    """Print the verdict of a run.
+
+    :param name: name of the run.
+    :param verdict: verdict.
+    :param folder: folder with the logs.
+    """
+    word = "broken" if verdict.violations else "kept"
+    statuses = dict(sorted(verdict.statuses.items()))
+    excused = {text: count for text, count in verdict.excused.items() if count}
+    faults = f"faults {sum(verdict.faults.values())}, excused {excused}"
+    print(f"{name}: {word}, statuses {statuses}, {faults}")
+    kinds = collections.Counter(line.partition(":")[0] for line in verdict.violations)
+    for kind, count in sorted(kinds.items()):
+        first = next(line for line in verdict.violations if line.startswith(kind))
+        print(f"  {count} times, first {first} (logs in {folder.name} of the temporary folder)")
+    sys.stdout.flush()
+
+
 if __name__ == "__main__":
     main()
