Read the store after a batch of changes whose value is not base64

A batch with such a value raised out of the task that follows the store, which was started again. tests/relay/test_feeds.py fails with binascii.Error before; the batch counts as failed now, and the store is read.

--- a/src/tanagerfork/relay/feeds.py
+++ b/src/tanagerfork/relay/feeds.py
@@ -137,14 +137,18 @@
                 continue
 
     def _decode(self, batch: notices.ChangeBatch) -> key_value.Changes | None:
-        written = [
-            key_value.Entry(entry.key, base64.b64decode(entry.value), entry.revision)
-            for entry in batch.written
-        ]
+        try:
+            written = [
+                key_value.Entry(entry.key, base64.b64decode(entry.value), entry.revision)
+                for entry in batch.written
+            ]
+        except ValueError:
+            self._metrics.count("relay_feed_batches_failed_total")
+            return None
         for patch in batch.patches:
             entry = self._large_values.apply_patch(patch)
             if entry is None:
-                self._metrics.count("relay_feed_patches_failed_total")
+                self._metrics.count("relay_feed_batches_failed_total")
                 return None
             written.append(entry)
         self._metrics.count("relay_feed_batches_total")
--- a/tests/relay/test_feeds.py
+++ b/tests/relay/test_feeds.py
@@ -89,6 +89,13 @@
         feed.receive(make_batch(8, 8))
         assert await feed.wait_for_changes(8) == key_value.Changes([], [], 8)
 
+    async def test_value_that_is_no_base64_requires_a_read_of_the_store(self) -> None:
+        feed = make_feed("d9", ["d0", "d1"])
+        batch = make_batch(5, 8, "k")
+        batch.written[0].value = "a"
+        feed.receive(batch)
+        assert await feed.wait_for_changes(5) is None
+
     async def test_gap_requires_a_read_of_the_store(self) -> None:
         feed = make_feed("d9", ["d0", "d1"])
         feed.receive(make_batch(7, 8, "k"))
