--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -24,17 +24,17 @@
     """Entry of a daemon in the store.
 
     `address` is where it receives notices, `forwarding` where it takes over requests, empty if it
-    takes over none; `link_mbps` is the capacity of its VM's link, 0 if it is unknown. `build` is
-    the version of its program, and `notice_format` that of the notices it reads; earlier builds
-    name none of these.
+    takes over none. `build` is the version of its program, `notice_format` that of the notices it
+    reads, and `link_mbps` the capacity of its VM's link, 0 if it is unknown; earlier builds name
+    none of these.
     """
 
     failure_domain: str
     address: str
     forwarding: str = ""
-    link_mbps: float = 0.0
     build: str = ""
     notice_format: int = 0
+    link_mbps: float = 0.0
 
 
 class DaemonDirectory:
--- a/tests/relay/test_notice_codec.py
+++ b/tests/relay/test_notice_codec.py
@@ -115,7 +115,9 @@
             entry = daemon_directory.DaemonRecord("b", inbox.address, "127.0.0.1:9", "0.8.0", 1)
             key = daemon_directory.DAEMON_PREFIX + "d9"
             deployed.site.store.put(key, msgspec.json.encode(entry))
-            assert notice_codec.decode(await inbox.receive()).form is notice_codec.Form.APPENDED
+            async with asyncio.timeout(deployments.WAIT_S):
+                frame = await inbox.receive()
+            assert notice_codec.decode(frame).form is notice_codec.Form.APPENDED
             own = deployed.daemons[0]
             sender = link.LinkTable(1, own.clock, random.Random(1), metric.Metrics())
             frame = bytes.fromhex(messages.load_samples("240a1b7")["notices"]["silent"])
