--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -62,7 +62,7 @@
 def list_mutants(name: str) -> list[tuple[str, object]]:
     """Return what becomes of a record: a field, and its changed value, or None if it is renamed."""
     fields = samples.RECORDS[name]
-    wrong = {str: 5, int: "5", bool: "yes", list: "none"}
+    wrong = {str: 5, int: "5", float: "5.0", bool: "yes", list: "none"}
     renamed: list[tuple[str, object]] = [(field, None) for field in fields]
     return renamed + [(field, wrong[type(value)]) for field, value in fields.items()]
 
@@ -118,12 +118,14 @@
     async def test_record_without_an_era_leaves_out_epochs_after_a_restore(self) -> None:
         text = messages.load_samples("757f964")["records"]["Assignments"]
         key = assignment_record.PREFIX + "a"
-        for era, next_epoch in ((0, 4), (2, 4 + assignment_record.EPOCHS_PER_RESTORE)):
+        per_restore = assignment_record.EPOCHS_PER_RESTORE
+        for era, next_epoch in ((0, 4), (1, 4 + per_restore), (2, 4 + 2 * per_restore)):
             store = fakes.MemoryKeyValue()
             revision = key_value.make_revision(era, 5)
             store.entries[key] = key_value.Entry(key, text.encode(), revision)
             record = assignment_record.AssignmentRecord("a", store, LOG)
-            assert await record.read() and record.current is not None
+            fencing = msgspec.json.decode(text).get("fencing", 0)
+            assert await record.read(fencing) and record.current is not None
             assert record.current.next_epoch == next_epoch
 
     def test_daemon_whose_entry_cannot_be_read_is_not_listed(self) -> None:
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -69,6 +69,31 @@
             },
         )
     },
+    "patches": {
+        "changes": (
+            "ChangeBatch",
+            {
+                "after": 9,
+                "revision": 9,
+                "written": [],
+                "removed": [],
+                "patches": [
+                    (
+                        "ValuePatch",
+                        {
+                            "key": "k",
+                            "revision": 9,
+                            "base": "0a",
+                            "result": "0b",
+                            "size_bytes": 9000,
+                            "steps": [("PatchStep", {"start": 0, "count": 7, "added": "dg=="})],
+                        },
+                    )
+                ],
+                "patches_after": 7,
+            },
+        )
+    },
 }
 GROUP: Fields = {
     "group": "a-3",
@@ -91,13 +116,21 @@
     "token": "t",
     "era": 1,
 }
-LEASE: Fields = {"holder": "d0", "fencing": 2, "ttl_ms": 3000, "renewals": 4, "token": "t"}
+LEASE: Fields = {
+    "holder": "d0",
+    "fencing": 2,
+    "ttl_ms": 3000,
+    "renewals": 4,
+    "token": "t",
+    "era": 1,
+}
 ENTRY: Fields = {
     "failure_domain": "a",
     "address": "127.0.0.1:7",
     "forwarding": "127.0.0.1:8",
     "build": "0.8.0",
     "notice_format": 1,
+    "link_mbps": 100.0,
 }
 QUARANTINE: Fields = {"crashes": ["i-1@5"]}
 ORDER: Fields = {
