Order a join only as a report that counts all orders allows, with the order count of that decision

Cause: has a join wait for a report that names no other group, but two ways were left. A report that did not count yet an order of this coordinator allowed the join without a look at the group: a head that had just been told to open, or an upstream that had just joined, could be ordered into a second group if the list lacked the first one, as it does after a restore of the store. And the order count was read when the task of the order began, not when the join was decided: the answer to another order could clear it in between (then the join guards nothing) or raise it. Besides, an order that a report counted before its answer came was counted twice.

Change: a report allows a join only if it counts all orders; none is needed where the last order had the upstream leave its group. The count is taken with the decision and goes with the order; an accepted order raises it to one more than what was sent with it. As a count that is too high would now hold joins up for good, a report that comes more than 2 s after the last accepted order is believed. test_reported_count_is_taken_after_a_refusal hands over the count that was sent, as the coordinator does; what it checks is as before. A join that follows the staging of a model now waits until a report counts the staging, some hundred ms; not measured.

--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -373,7 +373,10 @@
             self._ordered_at_ms[key] = now_ms
             if order.model and status is not None and not status.holds(order.model):
                 self._load_limiter.note_ordered(order.upstream_id, order.model, now_ms)
-            self._start_task(self._send_order(order))
+            seen = self._observations.get(order.upstream_id)
+            # The answer to another order may change the count before this one is sent.
+            order_count = seen.note_order_sent() if seen else None
+            self._start_task(self._send_order(order, seen, order_count))
 
     def _may_join(self, order: plans.Order) -> bool:
         """Return whether a report allows an order to join; probe the upstream where it does not."""
@@ -388,14 +391,12 @@
             seen.is_probing, seen.probed_at_ms = True, self._clock.monotonic_ms()
             self._start_task(self._probe(seen))
 
-    async def _send_order(self, order: plans.Order) -> None:
+    async def _send_order(
+        self, order: plans.Order, seen: observations.Observation | None, order_count: int | None
+    ) -> None:
         if order.kind == plans.CLOSE:
             self._announce_closed(order.upstream_id, order.epoch)
-        seen = self._observations.get(order.upstream_id)
         fencing = self._keeper.state.fencing
-        order_count = seen.order_count if seen else None
-        if seen is not None:
-            seen.note_order_sent()
         reply = await self._client.send_order(order, fencing, order_count)
         outcome = reply.ok_value.value if isinstance(reply, result.Ok) else reply.err_value.message
         self._log.note(
@@ -419,7 +420,9 @@
             if is_refused:
                 seen.note_order_refused()
             elif reply.ok() is plans.Acceptance.BEGUN:
-                seen.note_order_accepted()
+                seen.note_order_accepted(order_count, self._clock.monotonic_ms())
+                if order.kind == plans.LEAVE:
+                    seen.note_group_left(order_count)
             seen.probed_at_ms = -1_000_000
 
     def _schedule_retry(self, order: plans.Order) -> None:
--- a/src/tanagerfork/relay/observations.py
+++ b/src/tanagerfork/relay/observations.py
@@ -6,6 +6,7 @@
 from tanagerfork.relay import members
 
 SILENT_AFTER_FAILURES = 2  # A single probe may be lost by the network.
+MAX_REPORT_LAG_MS = 2000  # Reports are some hundred milliseconds old.
 MIN_SILENCE_MS = 1500  # A sound upstream may be silent for a second or so.
 
 
@@ -17,6 +18,9 @@
     while an order is in flight or its outcome is unknown. Reports lag behind the orders by some
     hundred milliseconds, so that a report never lowers `min_order_count`. `reported_at_ms` is when
     the last report arrived, `reported_order_count` the number of orders that it counts.
+    `left_order_count` is the number of orders of which the last one, of this coordinator, had it
+    leave its group; -1 where that is not known. `accepted_at_ms` is when the last order was
+    accepted.
     `silent_since_ms` is when the first of the last `failed_probes` was sent, `is_silent` whether
     they say that it is gone.
     """
@@ -35,6 +39,8 @@
     reported_at_ms: float = -1e12
     reported_order_count: int = -1
     reported_born_at_ms: int = -1
+    left_order_count: int = -1
+    accepted_at_ms: float = -1e12
 
     def note_failed_probe(self, is_refused: bool, now_ms: float) -> None:
         """Record that the last probe was not answered.
@@ -57,14 +63,19 @@
         """Return whether an order to join a group is safe by what the upstream itself has reported.
 
         The list may be older than the upstream's present group. Its last report has to count all
-        orders, and to name no other group, or the order count guards nothing.
+        orders, and to name no other group, or the order count guards nothing. No report is needed
+        where the last order had it leave its group.
 
         :param group: name of the group.
         :param epoch: epoch of the group.
         """
         if self.order_count is None:
             return False
-        if self.membership is None or self.reported_order_count != self.order_count:
+        if self.left_order_count == self.order_count:
+            return True
+        if self.reported_order_count != self.order_count:
+            return False
+        if self.membership is None:
             return True
         return (self.membership.group, self.membership.epoch) == (group, epoch)
 
@@ -95,23 +106,46 @@
         if report.born_at_ms and report.born_at_ms != self.upstream.born_at_ms:
             self.upstream = dataclasses.replace(self.upstream, born_at_ms=report.born_at_ms)
             self.min_order_count = 0
+            self.left_order_count = -1
+        if now_ms - self.accepted_at_ms > MAX_REPORT_LAG_MS:
+            self.min_order_count = 0  # The report counts all accepted orders.
         self.min_order_count = max(self.min_order_count, report.order_count)
         self.order_count = self.min_order_count
         self.membership = report.membership
 
-    def note_order_sent(self) -> None:
-        """Record that an order is in flight, so that the number of accepted ones is unknown."""
-        self.order_count = None
+    def note_order_sent(self) -> int | None:
+        """Record that an order is in flight, so that the number of accepted ones is unknown.
+
+        :return: order count to send with it.
+        """
+        expected, self.order_count = self.order_count, None
+        return expected
+
+    def note_order_accepted(self, expected: int | None, now_ms: float = 0.0) -> None:
+        """Record that the upstream has accepted an order and carries it out.
 
-    def note_order_accepted(self) -> None:
-        """Record that the upstream has accepted an order and carries it out."""
-        self.min_order_count += 1
+        :param expected: order count that was sent with it, None for none; a report may already
+            count the order.
+        :param now_ms: clock of the coordinator, in milliseconds.
+        """
+        if expected is None:
+            return  # The next report tells the count.
+        self.accepted_at_ms = now_ms
+        self.min_order_count = max(self.min_order_count, expected + 1)
         self.order_count = self.min_order_count
 
+    def note_group_left(self, expected: int | None) -> None:
+        """Record that the upstream has accepted an order to leave its group.
+
+        :param expected: order count that was sent with it, None for none.
+        """
+        self.left_order_count = -1 if expected is None else expected + 1
+
     def note_order_refused(self) -> None:
         """Record that an order was refused, so that the count of the next report is taken."""
         self.min_order_count = 0
         self.order_count = None
+        self.left_order_count = -1
 
 
 def describe_member(
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -243,8 +243,7 @@
         observation = observations.Observation(test_planner.make_status("u0").upstream, 0)
         report = members.Report(1, 2, False, (), None, 1.0, 0, 0)
         observation.note_report(report)
-        observation.note_order_sent()
-        observation.note_order_accepted()
+        observation.note_order_accepted(observation.note_order_sent())
         observation.note_report(report)  # Made before the order.
         assert observation.order_count == 3
         observation.note_order_refused()
@@ -300,6 +299,93 @@
         assert seen.find_newest_membership(list_time_ms=0, report_lag_ms=200) is None
 
 
+class TestUnreportedOrders:
+    """Orders that an upstream has accepted, and that no report of it counts yet."""
+
+    GROUP = members.GroupMembership("a-9", 9, 0, members.MemberState.READY)
+
+    def make_observation(
+        self, group: members.GroupMembership | None = None
+    ) -> observations.Observation:
+        seen = observations.Observation(test_planner.make_status("u0").upstream, 0)
+        seen.note_report(members.Report(1, 3, False, (), group, 1.0, 0, 0))
+        return seen
+
+    def test_head_that_was_told_to_open_does_not_join_another_group(self) -> None:
+        """The list may lack its group, as after a restore of the store."""
+        seen = self.make_observation(self.GROUP)
+        seen.note_order_sent()
+        seen.note_order_accepted(3)
+        assert seen.order_count == 4 and not seen.may_join("b-10", 10)
+
+    def test_upstream_that_was_told_to_join_does_not_join_another_group(self) -> None:
+        seen = self.make_observation()
+        seen.note_order_sent()
+        seen.note_order_accepted(3)
+        assert not seen.may_join("b-10", 10)
+
+    def test_upstream_that_left_its_group_joins_another_one(self) -> None:
+        seen = self.make_observation(self.GROUP)
+        assert not seen.may_join("b-10", 10)
+        seen.note_order_sent()
+        seen.note_order_accepted(3)
+        seen.note_group_left(3)
+        assert seen.may_join("b-10", 10)
+        seen.note_report(members.Report(1, 3, False, (), self.GROUP, 1.0, 0, 0))  # Lags behind.
+        assert seen.may_join("b-10", 10) and seen.order_count == 4
+
+    def test_orders_of_another_coordinator_after_it_left_count(self) -> None:
+        seen = self.make_observation(self.GROUP)
+        seen.note_order_sent()
+        seen.note_order_accepted(3)
+        seen.note_group_left(3)
+        seen.note_report(members.Report(1, 5, False, (), self.GROUP, 1.0, 0, 0))
+        assert not seen.may_join("b-10", 10)
+
+    def test_it_has_not_left_after_a_restart_with_as_many_orders(self) -> None:
+        seen = self.make_observation(self.GROUP)
+        seen.note_order_accepted(3)
+        seen.note_group_left(3)
+        seen.note_report(members.Report(2, 4, False, (), self.GROUP, 1.0, 0, 0))
+        assert seen.order_count == 4 and not seen.may_join("b-10", 10)
+
+    def test_order_that_a_report_counts_before_its_answer_comes_is_counted_once(self) -> None:
+        seen = self.make_observation()
+        seen.note_order_sent()
+        seen.note_report(members.Report(1, 4, False, (), self.GROUP, 1.0, 0, 0))
+        seen.note_order_accepted(3)
+        assert seen.order_count == 4
+
+    def test_report_that_must_count_all_orders_corrects_a_count_that_is_too_high(self) -> None:
+        """An upstream that has started again in between would else never be ordered to join."""
+        seen = self.make_observation()
+        seen.note_order_accepted(7, now_ms=5000)
+        seen.note_report(members.Report(1, 3, False, (), None, 1.0, 0, 0), now_ms=5500)
+        assert seen.order_count == 8 and not seen.may_join("b-10", 10)
+        seen.note_report(members.Report(1, 3, False, (), None, 1.0, 0, 0), now_ms=7500)
+        assert seen.order_count == 3 and seen.may_join("b-10", 10)
+
+    def test_order_that_was_sent_without_a_count_leaves_the_count_to_a_report(self) -> None:
+        seen = self.make_observation()
+        seen.note_order_sent()
+        seen.note_report(members.Report(1, 4, False, (), None, 1.0, 0, 0))
+        seen.note_order_accepted(None)
+        assert seen.order_count == 4 and seen.may_join("b-10", 10)
+
+    async def test_join_goes_with_the_order_count_by_which_it_was_decided(self) -> None:
+        """The answer to another order comes between the decision and the sending."""
+        harness = Harness(fakes.MemoryKeyValue())
+        harness.list_upstreams()
+        await harness.step()
+        seen = self.make_observation()
+        harness.coordinator._observations = {"u0": seen}
+        join = plans.Order(plans.JOIN, "u0", "127.0.0.1:1", "a-9", 9, "small", ("u0", "u1"))
+        harness.coordinator._send_orders([join], {})
+        seen.note_order_refused()
+        await asyncio.sleep(0)
+        assert harness.client.expected == [3]
+
+
 class TestCutOff:
     """The coordinator's own links to all upstreams are cut."""
 
