--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -180,11 +180,8 @@
             await self._plan_service(service)
 
     async def _check_isolation(self) -> bool:
-        """Return whether this daemon, and not the upstreams, seems to be cut off.
-
-        It then stops coordinating, so that another daemon takes over.
-        """
-        probed = self._list_probed()
+        """Resign if this daemon itself seems cut off; return whether it may not coordinate."""
+        probed = observations.list_assigned(self._observations, self._list_groups())
         services = self._list_engine_services()
         is_cut_off = any(self._reach.is_cut_off(service.name) for service in services)
         now_ms = self._clock.monotonic_ms()
@@ -209,11 +206,6 @@
             task.cancel()
         await self._keeper.release()
 
-    def _list_probed(self) -> list[observations.Observation]:
-        """Return the observations of all assigned members."""
-        assigned = {member for group in self._list_groups() for member in group.members}
-        return [self._observations[member] for member in assigned & self._observations.keys()]
-
     def _may_act(self) -> bool:
         now_ms = self._clock.monotonic_ms()
         return self._keeper.state.may_act(now_ms, self._settings.members.order_timeout_ms)
@@ -247,7 +239,7 @@
         ]:
             del self._observations[gone]
         due_ms = now_ms - self._settings.members.probe_interval_ms
-        for seen in self._list_probed():
+        for seen in observations.list_assigned(self._observations, self._list_groups()):
             if seen.probed_at_ms <= due_ms:
                 self._start_probe(seen)
 
@@ -287,7 +279,9 @@
         list_time_ms = now_ms - self._view.measure_age(now_ms)
         lag_ms = service.engine.report_lag_ms if service.engine else 0.0
         lost = silence.find_lost(
-            self._observations, self._list_probed(), self._reach.was_reached_since
+            self._observations,
+            observations.list_assigned(self._observations, self._list_groups()),
+            self._reach.was_reached_since,
         )
         return {
             upstream_id: plans.UpstreamStatus(
--- a/src/tanagerfork/relay/observations.py
+++ b/src/tanagerfork/relay/observations.py
@@ -1,6 +1,7 @@
 """Observations: state of one upstream as known from its probes and orders."""
 
 import dataclasses
+from collections.abc import Iterable, Mapping
 
 from tanagerfork.generated import assignments
 from tanagerfork.relay import members
@@ -167,3 +168,15 @@
         born_at_ms=group.born_at_ms[rank],
         fabric_domain=group.fabric_domain,
     )
+
+
+def list_assigned(
+    seen_by_id: Mapping[str, Observation], groups: Iterable[assignments.Assignment]
+) -> list[Observation]:
+    """Return the observations of all assigned members.
+
+    :param seen_by_id: observations by upstream.
+    :param groups: groups of the record of assignments.
+    """
+    assigned = {member for group in groups for member in group.members}
+    return [seen_by_id[member] for member in assigned & seen_by_id.keys()]
