Log the time and size of the first read after an outage

Cause: only reads of the store that failed had a line, so that the hypotheses of late configurations could not be told apart: neither how long a read of all keys took nor how large it was could be seen. Change: "dependency available again" has both.

--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -40,10 +40,11 @@
         self._log = log
         self._lost_since_ms: int | None = None
 
-    def record(self, error: errors.TanagerforkError | None) -> None:
+    def record(self, error: errors.TanagerforkError | None, **details: int) -> None:
         """Record the result of a call to the dependency.
 
         :param error: why the call failed; None if it succeeded.
+        :param details: fields of the call that the line of its success after an outage has.
         """
         now_ms = self._clock.monotonic_ms()
         if error is not None and self._lost_since_ms is None:
@@ -55,7 +56,11 @@
             away_ms = now_ms - self._lost_since_ms
             self._lost_since_ms = None
             self._log.note(
-                LOGGER, "dependency available again", dependency=self._name, away_ms=away_ms
+                LOGGER,
+                "dependency available again",
+                dependency=self._name,
+                away_ms=away_ms,
+                **details,
             )
 
 
@@ -222,13 +227,18 @@
         """
         began_ms = self._clock.monotonic_ms()
         found = await self._store.read_snapshot("")
-        self._store_monitor.record(found.err_value if isinstance(found, result.Err) else None)
         if isinstance(found, result.Err):
+            self._store_monitor.record(found.err_value)
             self._log_failure("snapshot", found.err_value, began_ms)
             for follower in self._key_followers:
                 follower.note_unreachable()
             return False
         snapshot = found.ok_value
+        self._store_monitor.record(
+            None,
+            took_ms=self._clock.monotonic_ms() - began_ms,
+            size_bytes=snapshot.size_bytes,
+        )
         self._snapshot_bytes = max(snapshot.size_bytes, MIN_WATCH_BYTES)
         self._note_era(key_value.read_era(snapshot.revision))
         changes = self._list_changes(snapshot)
--- a/tests/relay/test_store_follower.py
+++ b/tests/relay/test_store_follower.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+import msgspec
 import result
 
 from tanagerfork import clock as clocks
@@ -155,3 +156,20 @@
             (make_snapshot(revision, make_entry("k", revision)), 10),
         )
         assert feed.published == []
+
+
+class TestOutageLog:
+    async def test_first_read_after_an_outage_is_logged_with_its_time_and_size(self) -> None:
+        async with deployments.deploy(engines=0) as deployed:
+            await deployed.wait_for_rules()
+            deployed.site.store.faults.error_status = 503
+            await deployed.wait_until(
+                lambda: deployed.log.find('"dependency unavailable"'), "the outage is logged"
+            )
+            deployed.site.store.faults.error_status = 0
+            await deployed.wait_until(
+                lambda: deployed.log.find('"dependency available again"', '"took_ms"'),
+                "the read is logged",
+            )
+            line = msgspec.json.decode(deployed.log.find('"dependency available again"')[0])
+            assert line["size_bytes"] > len(deployed.site.store.items["op/config"].value or b"")
