Treat values that are nested too deeply as malformed

What callers saw: one entry of another writer among those of the upstreams, nested 100,000 deep, and no configuration came into force any more; a daemon that started then was never ready. Cause: the JSON library raises RecursionError there, which is none of its own errors. Decoders that expected msgspec.MsgspecError let it through; the task that follows the store failed, started again after 500 ms, read the same entry and failed again, for as long as the entry stood. Change: all records that others wrote are decoded by decoding.decode_json, decode_msgpack or decode_with, which raise msgspec.MsgspecError whatever is wrong. The same place failed for the operator's configuration, the entries of daemons and quarantined parts; in the other product for the answers of engines, of etcd, of the VM list and of peers. Why it works: every caller of a decoder already handles a malformed record alone, and now sees these too.

--- a/src/tanagerfork/bundles/head.py
+++ b/src/tanagerfork/bundles/head.py
@@ -11,7 +11,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.bundles import manifest as manifests
 from tanagerfork.generated import bundle as records
 from tanagerfork.storage import key_value, swap
@@ -58,7 +58,7 @@
     :param value: value of the head's key.
     """
     try:
-        return msgspec.json.decode(value, type=records.Head)
+        return decoding.decode_json(value, records.Head)
     except msgspec.MsgspecError:
         return None
 
@@ -144,7 +144,7 @@
     :param known: newest head that this daemon accepted.
     :return: the new head; `StaleParent` names the version in force and who rolled it.
     """
-    manifest = msgspec.json.decode(signed.manifest_json, type=records.Manifest)
+    manifest = decoding.decode_json(signed.manifest_json, records.Manifest)
     found = await read_head(store)
     if isinstance(found, result.Err):
         return found
--- a/src/tanagerfork/bundles/manifest.py
+++ b/src/tanagerfork/bundles/manifest.py
@@ -13,7 +13,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.generated import bundle as records
 
 MODEL_PREFIX = "model/"
@@ -138,7 +138,7 @@
 
 
 def _join_parts(found: Mapping[str, bytes]) -> records.Bundle:
-    policy = msgspec.json.decode(found[POLICY_PART], type=Policy)
+    policy = decoding.decode_json(found[POLICY_PART], Policy)
     return records.Bundle(
         name=policy.name,
         priorities=policy.priorities,
@@ -181,4 +181,4 @@
 
 
 def _decode(found: Mapping[str, bytes], name: str, record_type: type[RecordT]) -> RecordT:
-    return msgspec.json.decode(found[name], type=record_type)
+    return decoding.decode_json(found[name], record_type)
--- a/src/tanagerfork/bundles/signature.py
+++ b/src/tanagerfork/bundles/signature.py
@@ -9,7 +9,7 @@
 from cryptography import exceptions
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.generated import bundle as records
 from tanagerfork.generated import settings as settings_records
 
@@ -55,7 +55,7 @@
         )
         return result.Err(errors.SignatureInvalid(message))
     try:
-        return result.Ok(msgspec.json.decode(encoded, type=records.Manifest))
+        return result.Ok(decoding.decode_json(encoded, records.Manifest))
     except msgspec.MsgspecError as error:
         return result.Err(
             errors.BundleInvalid(f"the manifest is invalid ({error}); draft it again")
--- a/src/tanagerfork/cli/client.py
+++ b/src/tanagerfork/cli/client.py
@@ -11,7 +11,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.cli import key_files
 from tanagerfork.generated import bundle, callers, operators
 
@@ -117,7 +117,7 @@
         if response.status != 200:
             return result.Err(_decode_refusal(url, response.status, content))
         try:
-            return result.Ok(msgspec.json.decode(content, type=record_type))
+            return result.Ok(decoding.decode_json(content, record_type))
         except msgspec.MsgspecError as error:
             message = (
                 f"{url}: the answer cannot be decoded ({error}); use a tool of the daemon's version"
@@ -138,7 +138,7 @@
 
 def _decode_refusal(url: str, status: int, content: bytes) -> errors.OperatorError:
     try:
-        refusal = msgspec.json.decode(content, type=callers.ErrorAnswer).error
+        refusal = decoding.decode_json(content, callers.ErrorAnswer).error
     except msgspec.MsgspecError:
         message = f"{url}: answered with status {status}; check that it is an operators' listener"
         return errors.DaemonAnswerLost(message)
--- a/src/tanagerfork/cli/config_commands.py
+++ b/src/tanagerfork/cli/config_commands.py
@@ -8,7 +8,7 @@
 import result
 import typer
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.cli import options, output
 from tanagerfork.platform import config, entries
 from tanagerfork.relay import config_check, config_difference, members
@@ -89,7 +89,7 @@
 
 def _read_upstreams(path: pathlib.Path) -> list[members.Upstream]:
     try:
-        values = msgspec.json.decode(_read(path), type=dict[str, msgspec.Raw])
+        values = decoding.decode_json(_read(path), dict[str, msgspec.Raw])
     except msgspec.MsgspecError as error:
         message = f"{path}: is no JSON object of entries ({error}); give one with an entry by key"
         raise errors.UsageInvalid(message) from error
--- a/src/tanagerfork/cli/drafts.py
+++ b/src/tanagerfork/cli/drafts.py
@@ -6,7 +6,7 @@
 import result
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.bundles import document, manifest, signature
 from tanagerfork.generated import bundle, operators
 
@@ -71,7 +71,7 @@
     if not base_file.exists():
         return result.Ok(None)
     try:
-        return result.Ok(msgspec.json.decode(base_file.read_bytes(), type=operators.BundleSnapshot))
+        return result.Ok(decoding.decode_json(base_file.read_bytes(), operators.BundleSnapshot))
     except (OSError, msgspec.MsgspecError) as error:
         message = f"{base_file}: cannot be read ({error}); draft anew with `tanagerfork bundle new`"
         return result.Err(errors.DraftInvalid(message))
@@ -84,7 +84,7 @@
     :return: the signed bundle, or why it cannot be read.
     """
     try:
-        return result.Ok(msgspec.json.decode(path.read_bytes(), type=operators.RollCall))
+        return result.Ok(decoding.decode_json(path.read_bytes(), operators.RollCall))
     except OSError as error:
         message = f"{path}: cannot be read ({error.strerror}); name a signed bundle"
     except msgspec.MsgspecError as error:
@@ -155,7 +155,7 @@
     """
     if not text:
         return bundle.Bundle(name="none", models=[], services=[], teams=[])
-    return msgspec.json.decode(text, type=bundle.Bundle)
+    return decoding.decode_json(text, bundle.Bundle)
 
 
 def format_bundle(text: str) -> str:
--- a/src/tanagerfork/cli/fields.py
+++ b/src/tanagerfork/cli/fields.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from tanagerfork import decoding
 from tanagerfork.generated import operators
 
 SCHEMA_FILE = "settings.json"
@@ -40,7 +41,7 @@
 def describe_fields() -> list[operators.FieldDescription]:
     """Return all fields of the settings, sections before their fields."""
     folder = importlib.resources.files("tanagerfork").joinpath("schema")
-    schema = msgspec.json.decode(folder.joinpath(SCHEMA_FILE).read_bytes(), type=Schema)
+    schema = decoding.decode_json(folder.joinpath(SCHEMA_FILE).read_bytes(), Schema)
     return _describe_definition(schema, ROOT_DEFINITION, "")
 
 
--- /dev/null
+++ b/src/tanagerfork/decoding.py
@@ -0,0 +1,58 @@
+"""Decodes records that others wrote; whatever is wrong with one raises `msgspec.MsgspecError`.
+
+The library lets other errors through, such as the one of a value that is nested too deeply. Whoever
+expects `msgspec.MsgspecError` alone would fail with the one record and with all that follow it.
+"""
+
+from collections.abc import Callable
+from typing import Annotated, TypeVar
+
+import msgspec
+
+MAX_COUNT = 2**53  # Larger whole numbers lose digits in writers that have floats only.
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
+RecordT = TypeVar("RecordT")
+
+
+class UnreadableRecord(msgspec.DecodeError):
+    """A record that the library fails to decode for another reason than its format or type."""
+
+
+def decode_json(data: bytes | str | msgspec.Raw, kind: type[RecordT]) -> RecordT:
+    """Decode a record from JSON.
+
+    :param data: record as received.
+    :param kind: type of the record.
+    :return: record.
+    :raises msgspec.MsgspecError: the data is no record of this type.
+    """
+    return decode_with(lambda: msgspec.json.decode(data, type=kind))
+
+
+def decode_msgpack(data: bytes, kind: type[RecordT]) -> RecordT:
+    """Decode a record from MessagePack.
+
+    :param data: record as received.
+    :param kind: type of the record.
+    :return: record.
+    :raises msgspec.MsgspecError: the data is no record of this type.
+    """
+    return decode_with(lambda: msgspec.msgpack.decode(data, type=kind))
+
+
+def decode_with(decode: Callable[[], RecordT]) -> RecordT:
+    """Call a function of the library that decodes a record.
+
+    :param decode: function.
+    :return: record.
+    :raises msgspec.MsgspecError: the data is no record of the type.
+    """
+    try:
+        return decode()
+    except RecursionError as error:
+        raise UnreadableRecord("the value is nested too deeply; flatten it") from error
+    except (ValueError, OverflowError) as error:
+        if isinstance(error, msgspec.MsgspecError):
+            raise
+        raise UnreadableRecord(f"a value cannot be represented ({error}); correct it") from error
--- a/src/tanagerfork/front/callers.py
+++ b/src/tanagerfork/front/callers.py
@@ -10,7 +10,7 @@
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import register
 from tanagerfork.front import attempts, chat, error_bodies, journal, services, sink, teams
@@ -326,8 +326,8 @@
 
 def _parse_chat_body(body: bytes) -> tuple[callers.ChatRequest, bytes]:
     try:
-        chat_request = msgspec.json.decode(body, type=callers.ChatRequest)
-        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+        chat_request = decoding.decode_json(body, callers.ChatRequest)
+        fields = decoding.decode_json(body, dict[str, msgspec.Raw])
     except msgspec.MsgspecError as error:
         raise errors.BadRequest(f"invalid chat request: {error}; correct the body") from error
     fields["stream"] = msgspec.Raw(b"true")
--- a/src/tanagerfork/front/operators.py
+++ b/src/tanagerfork/front/operators.py
@@ -10,7 +10,7 @@
 import result
 from absl import logging
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork import metrics as metric
 from tanagerfork import status as statuses
 from tanagerfork.bundles import document, register
@@ -205,7 +205,7 @@
 
     async def _serve_roll(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         try:
-            call = msgspec.json.decode(await request.read(), type=operators.RollCall)
+            call = decoding.decode_json(await request.read(), operators.RollCall)
         except msgspec.MsgspecError as error:
             return _make_error_response(errors.BadRequest(f"invalid roll call: {error}"))
         rolled = await self._roll(call)
@@ -266,7 +266,7 @@
 
 
 def _make_history_item(head: bundle.Head) -> operators.HistoryItem:
-    manifest = msgspec.json.decode(head.signed.manifest_json, type=bundle.Manifest)
+    manifest = decoding.decode_json(head.signed.manifest_json, bundle.Manifest)
     return operators.HistoryItem(
         version=head.version,
         name=manifest.name,
--- a/src/tanagerfork/front/sink.py
+++ b/src/tanagerfork/front/sink.py
@@ -7,6 +7,8 @@
 import aiohttp.web
 import msgspec
 
+from tanagerfork import decoding
+
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data: "
 END_MARKER = b"data: [DONE]\n\n"
@@ -195,7 +197,7 @@
         for event in bytes(self._events).split(EVENT_END):
             if not event:
                 continue
-            choice = msgspec.json.decode(event.removeprefix(DATA_PREFIX), type=Chunk).choices[0]
+            choice = decoding.decode_json(event.removeprefix(DATA_PREFIX), Chunk).choices[0]
             content.append(choice.delta.content)
             reason = choice.finish_reason or reason
         combined = CompletionChoice(CompletionMessage("".join(content)), finish_reason=reason)
--- a/src/tanagerfork/peers/claim_forwarding.py
+++ b/src/tanagerfork/peers/claim_forwarding.py
@@ -6,7 +6,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.generated import claims
 from tanagerfork.peers import exchange
 
@@ -57,7 +57,7 @@
         if isinstance(answered, result.Err):
             return result.Err(_to_platform_error(answered.err_value))
         try:
-            return result.Ok(msgspec.msgpack.decode(answered.ok_value, type=claims.ClaimReply))
+            return result.Ok(decoding.decode_msgpack(answered.ok_value, claims.ClaimReply))
         except msgspec.MsgspecError:
             return result.Err(
                 errors.AnswerLost(f"{name} sent an invalid answer; read the claim back")
@@ -70,7 +70,7 @@
         """
 
         async def answer(peer: str, body: bytes) -> bytes:
-            written = await write(msgspec.msgpack.decode(body, type=claims.ClaimCall))
+            written = await write(decoding.decode_msgpack(body, claims.ClaimCall))
             if isinstance(written, result.Err):
                 if written.err_value.ran != errors.NOT_RUN:
                     raise errors.AnswerWithheld(
--- a/src/tanagerfork/peers/observations.py
+++ b/src/tanagerfork/peers/observations.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from tanagerfork import decoding
 from tanagerfork.generated import engine, layout, peers
 from tanagerfork.peers import dissemination
 from tanagerfork.peers import topic as topic_interfaces
@@ -247,7 +248,7 @@
 
     def _apply_report(self, observation: peers.Observation, made_at_ms: int) -> None:
         try:
-            report = self._decoder.decode(observation.report_json)
+            report = decoding.decode_with(lambda: self._decoder.decode(observation.report_json))
         except msgspec.MsgspecError:
             return
         known = self._known.get(report.vm)
--- a/src/tanagerfork/peers/transfer.py
+++ b/src/tanagerfork/peers/transfer.py
@@ -6,7 +6,7 @@
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork import metrics as metric
 from tanagerfork.bundles import manifest as manifests
 from tanagerfork.bundles import register
@@ -115,7 +115,7 @@
         :param body: encoded request.
         :return: encoded answer.
         """
-        request = msgspec.msgpack.decode(body, type=peers.ContentAsk)
+        request = decoding.decode_msgpack(body, peers.ContentAsk)
         in_force = self._bundles.current
         if in_force is None:
             raise errors.NotFound("no bundle is in force; try another daemon")
@@ -128,7 +128,7 @@
         :param body: encoded request.
         :return: encoded answer.
         """
-        request = msgspec.msgpack.decode(body, type=peers.PartAsk)
+        request = decoding.decode_msgpack(body, peers.PartAsk)
         content = self._bundles.contents.get(request.sha256)
         if content is None:
             raise errors.NotFound("bundle part is not available here; try another daemon")
@@ -194,7 +194,7 @@
         if isinstance(unpacked, result.Err):
             return unpacked
         try:
-            head = msgspec.msgpack.decode(unpacked.ok_value, type=bundle_records.Head)
+            head = decoding.decode_msgpack(unpacked.ok_value, bundle_records.Head)
         except msgspec.MsgspecError as error:
             message = f"bundle head cannot be decoded ({error}); upgrade one of the two daemons"
             return result.Err(errors.PeerMessageInvalid(message))
@@ -211,7 +211,7 @@
             if isinstance(answered, result.Err):
                 return answered
             try:
-                answer = msgspec.msgpack.decode(answered.ok_value, type=peers.PartAnswer)
+                answer = decoding.decode_msgpack(answered.ok_value, peers.PartAnswer)
             except msgspec.MsgspecError as error:
                 message = f"bundle part cannot be decoded ({error}); upgrade one of the two daemons"
                 return result.Err(errors.PeerMessageInvalid(message))
@@ -266,7 +266,7 @@
         :param body: encoded request.
         :return: encoded answer.
         """
-        request = msgspec.msgpack.decode(body, type=peers.ContentAsk)
+        request = decoding.decode_msgpack(body, peers.ContentAsk)
         current = self._groups.layout
         if current is None:
             raise errors.NotFound("no layout is known; try another daemon")
@@ -312,7 +312,7 @@
         if isinstance(unpacked, result.Err):
             return unpacked
         try:
-            return result.Ok(msgspec.msgpack.decode(unpacked.ok_value, type=layout_records.Layout))
+            return result.Ok(decoding.decode_msgpack(unpacked.ok_value, layout_records.Layout))
         except msgspec.MsgspecError as error:
             message = f"layout cannot be decoded ({error}); upgrade one of the two daemons"
             return result.Err(errors.PeerMessageInvalid(message))
@@ -347,7 +347,7 @@
     :return: the content, or why it was rejected.
     """
     try:
-        answer = msgspec.msgpack.decode(body, type=peers.ContentAnswer)
+        answer = decoding.decode_msgpack(body, peers.ContentAnswer)
     except msgspec.MsgspecError as error:
         message = f"answer cannot be decoded ({error}); upgrade one of the two daemons"
         return result.Err(errors.PeerMessageInvalid(message))
--- a/src/tanagerfork/platform/config.py
+++ b/src/tanagerfork/platform/config.py
@@ -10,7 +10,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.relay import config_check, regions, rules
 
 CONFIG_KEY = "op/config"
@@ -148,7 +148,7 @@
     :return: the rules, or the error if the value is malformed.
     """
     try:
-        config = msgspec.json.decode(value, type=_Config)
+        config = decoding.decode_json(value, _Config)
         _raise_divisors(config)
         draft = _to_draft(config)
     except (msgspec.MsgspecError, ValueError) as error:
@@ -172,8 +172,8 @@
     :return: the draft, or why it cannot be read.
     """
     try:
-        config = msgspec.json.decode(value, type=_Config)
-        raw = msgspec.json.decode(value)
+        config = decoding.decode_json(value, _Config)
+        raw = decoding.decode_json(value, Any)
     except msgspec.ValidationError as error:
         text, _, path = str(error).partition(" - at `$")
         problem = Problem(path.rstrip("`").lstrip(".") or "$", text, "correct the value")
--- a/src/tanagerfork/platform/entries.py
+++ b/src/tanagerfork/platform/entries.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from tanagerfork import decoding
 from tanagerfork.relay import members
 
 SERVERS_PREFIX = "servers/"
@@ -68,7 +69,7 @@
     :return: the upstream; None if the entry is malformed, names no service or has an unknown state.
     """
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
+        entry = decoding.decode_json(value, _Entry)
         membership = _to_membership(entry.group)
         host, _, port = entry.address.rpartition(":")
         ipaddress.ip_address(host)
@@ -101,7 +102,7 @@
     :return: the report; None if it is malformed.
     """
     try:
-        report = msgspec.json.decode(body, type=_Report)
+        report = decoding.decode_json(body, _Report)
         membership = _to_membership(report.group)
     except (msgspec.MsgspecError, ValueError):
         return None
@@ -121,7 +122,7 @@
 def _to_cold_ms(value: msgspec.Raw) -> float:
     """Return a cold time as a number from 0 to `MAX_COLD_MS`; 0 for any other value."""
     try:
-        cold_ms = msgspec.json.decode(value, type=float)
+        cold_ms = decoding.decode_json(value, float)
     except msgspec.MsgspecError:
         return 0.0
     return min(MAX_COLD_MS, max(0.0, cold_ms)) if math.isfinite(cold_ms) else 0.0
--- a/src/tanagerfork/platform/store.py
+++ b/src/tanagerfork/platform/store.py
@@ -11,7 +11,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork import metrics as metric
 from tanagerfork.storage import key_value
 
@@ -349,7 +349,7 @@
 
 def _decode(body: bytes, kind: type[ResponseT]) -> result.Result[ResponseT, errors.PlatformError]:
     try:
-        return result.Ok(msgspec.json.decode(body, type=kind))
+        return result.Ok(decoding.decode_json(body, kind))
     except msgspec.MsgspecError as error:
         return result.Err(
             errors.AnswerLost(f"the store's response is malformed ({error}); read back")
--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -7,7 +7,7 @@
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import decisions
+from tanagerfork import decisions, decoding
 from tanagerfork import metrics as metric
 from tanagerfork.storage import key_value
 
@@ -161,7 +161,7 @@
     def _read_entries(self, entries: Sequence[key_value.Entry]) -> None:
         for entry in entries:
             try:
-                record = msgspec.json.decode(entry.value, type=DaemonRecord)
+                record = decoding.decode_json(entry.value, DaemonRecord)
             except msgspec.MsgspecError as error:
                 self._log.note(
                     LOGGER, "daemon entry cannot be decoded", key=entry.key, reason=str(error)
--- a/src/tanagerfork/relay/notice_codec.py
+++ b/src/tanagerfork/relay/notice_codec.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from tanagerfork import decoding
 from tanagerfork.generated import notices
 from tanagerfork.relay import daemon_directory
 
@@ -84,7 +85,7 @@
     :param frame: frame that is no notice.
     """
     try:
-        return msgspec.msgpack.decode(_ITEMS_DECODER.decode(frame)[0], type=str)
+        return decoding.decode_msgpack(_ITEMS_DECODER.decode(frame)[0], str)
     except (msgspec.MsgspecError, RecursionError, IndexError):
         return ""
 
--- a/src/tanagerfork/relay/quarantine.py
+++ b/src/tanagerfork/relay/quarantine.py
@@ -10,7 +10,7 @@
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import decisions
+from tanagerfork import decisions, decoding
 from tanagerfork import metrics as metric
 from tanagerfork.routing import crash_evidence
 from tanagerfork.storage import key_value
@@ -99,7 +99,7 @@
             self._stored.discard(key.removeprefix(self.prefix))
         for entry in changes.written:
             try:
-                record = msgspec.json.decode(entry.value, type=QuarantineRecord)
+                record = decoding.decode_json(entry.value, QuarantineRecord)
             except msgspec.MsgspecError as error:
                 self._log.note(
                     LOGGER, "quarantine cannot be decoded", key=entry.key, reason=str(error)
--- a/src/tanagerfork/storage/etcd.py
+++ b/src/tanagerfork/storage/etcd.py
@@ -9,7 +9,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.storage import key_value
 
 WATCH_BUFFER_BYTES = 4 * 1024 * 1024  # Has to hold a whole line of a watch.
@@ -211,7 +211,7 @@
                 read_bufsize=WATCH_BUFFER_BYTES,
             ) as response:
                 async for line in response.content:
-                    watch_result = msgspec.json.decode(line, type=_WatchLine).result
+                    watch_result = decoding.decode_json(line, _WatchLine).result
                     if watch_result.canceled:  # Its start was compacted; the caller reads again.
                         return
                     for event in watch_result.events:
@@ -252,7 +252,7 @@
         if response.status != 200:
             return result.Err(errors.AnswerLost(f"the key-value service said {response.status}"))
         try:
-            return result.Ok(msgspec.json.decode(body, type=answer_type))
+            return result.Ok(decoding.decode_json(body, answer_type))
         except msgspec.MsgspecError as error:
             return result.Err(errors.AnswerLost(f"the key-value service's answer is bad: {error}"))
 
--- a/src/tanagerfork/storage/swap.py
+++ b/src/tanagerfork/storage/swap.py
@@ -5,7 +5,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.storage import key_value
 
 MAX_SWAP_ATTEMPTS = 4
@@ -66,4 +66,4 @@
     :return: the record.
     :raises msgspec.ValidationError: the value is not a valid record of this type.
     """
-    return msgspec.json.decode(entry.value, type=record_type)
+    return decoding.decode_json(entry.value, record_type)
--- a/src/tanagerfork/storage/vms.py
+++ b/src/tanagerfork/storage/vms.py
@@ -7,7 +7,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.generated import engine
 
 
@@ -47,7 +47,7 @@
                     f"the VM list returned status {response.status}, not 200; keep the last list"
                 )
                 return result.Err(errors.PlatformUnavailable(message))
-            return result.Ok(msgspec.json.decode(body, type=engine.VmList))
+            return result.Ok(decoding.decode_json(body, engine.VmList))
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
             message = f"the VM list could not be read ({error!r}); keep the last list"
             return result.Err(errors.PlatformUnavailable(message))
--- a/src/tanagerfork/upstream/engine.py
+++ b/src/tanagerfork/upstream/engine.py
@@ -9,7 +9,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import decoding, errors
 from tanagerfork.generated import engine
 from tanagerfork.upstream import connections, stream
 
@@ -263,7 +263,7 @@
                         f"{url} returned status {response.status}, not 200; continue without it"
                     )
                 )
-            return result.Ok(msgspec.json.decode(answer, type=answer_type))
+            return result.Ok(decoding.decode_json(answer, answer_type))
         except msgspec.MsgspecError as error:
             return result.Err(
                 errors.UpstreamConfused(
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -83,7 +83,7 @@
     entry and its reports say that it is cold until `cold_until_s`, a time of the event loop.
     `padding_bytes` are added to each event, and to each answer to a path that starts with
     `padded_prefix`. A stream of which nothing is read for `unread_limit_s` is reset and counted in
-    `unread_resets`.
+    `unread_resets`. Its reports have the `extra_report_fields` too.
 
     :param runner_id: id of the runner.
     :param service: service that the runner belongs to.
@@ -120,6 +120,7 @@
         self.quiet_text: str | None = None
         self.leaving_text: str | None = None
         self.cold_until_s = 0.0
+        self.extra_report_fields: dict[str, object] = {}
         self.requests: list[ReceivedRequest] = []
         self.orders: list[dict[str, object]] = []
         self.order_count = 0
@@ -256,6 +257,7 @@
             "born": self.started_ms,
             "coldLeftMs": self._measure_cold_left_ms(),
             **self._make_group_fields(),
+            **self.extra_report_fields,
         }
         headers = {"Tanagerfork-Cold-Ms": str(report["coldLeftMs"])}
         if self.leaving_text is not None:
--- /dev/null
+++ b/tests/relay/test_odd_entries.py
@@ -0,0 +1,96 @@
+"""Items of other writers and of upstreams that are malformed cost themselves only."""
+
+import msgspec
+import pytest
+
+from tanagerfork_standins.platform import site
+from tests.relay import deployments
+
+DEPTH = 100_000
+DEEP = b"[" * DEPTH + b"]" * DEPTH
+ODD_UPSTREAM = "i-odd"
+
+
+def make_entry(service: str = site.PLAIN_SERVICE, **raw_fields: bytes) -> bytes:
+    """Return an entry whose fields are replaced or extended by raw JSON."""
+    fields: dict[str, object] = {
+        "service": service,
+        "address": "127.0.0.1:9",
+        "zone": "a",
+        "slots": 6,
+        "state": "ready",
+        "seq": 1,
+        "born": 1,
+    }
+    raw = {name: msgspec.Raw(value) for name, value in raw_fields.items()}
+    return msgspec.json.encode({**fields, **raw})
+
+
+ODD_ENTRIES = {
+    "deep": DEEP,
+    "deep unknown field": make_entry(note=DEEP),
+    "deep known field": make_entry(coldLeftMs=DEEP),
+    "no text": b"\xff\xfe",
+}
+
+
+async def check_that_service_goes_on(deployed: deployments.Deployment) -> None:
+    """Check that a new configuration comes into force and that requests are served by it."""
+    register = deployed.daemons[0].register
+    version = deployed.site.version
+    deployed.site.write_config()
+    await deployed.wait_until(
+        lambda: register.current and register.current.version == version,
+        "the new configuration is in force",
+    )
+    for number in range(6):
+        assert (await deployed.ask(f"/unsafe/{number}", "POST")).status == 200
+        assert (await deployed.ask(f"/stream/{number}", "POST", b"hello")).status == 200
+    assert not deployed.log.find('"task failed')
+
+
+class TestUpstreamEntries:
+    @pytest.mark.parametrize("name", ODD_ENTRIES)
+    async def test_odd_entry_stops_neither_configuration_nor_groups(self, name: str) -> None:
+        async with deployments.deploy() as deployed:
+            await deployed.wait_for_rules()
+            deployed.site.store.put(f"servers/{ODD_UPSTREAM}", ODD_ENTRIES[name])
+            await deployed.wait_for_group()
+            await check_that_service_goes_on(deployed)
+            assert ODD_UPSTREAM not in deployed.daemons[0].view.ids
+
+    async def test_odd_entry_that_was_there_first_keeps_no_daemon_from_starting(self) -> None:
+        async with deployments.deploy(daemon_count=0) as deployed:
+            for number, value in enumerate(ODD_ENTRIES.values()):
+                deployed.site.store.put(f"servers/{ODD_UPSTREAM}{number}", value)
+            await deployed.add_daemon()
+            await deployed.wait_for_group()
+            await check_that_service_goes_on(deployed)
+
+
+class TestOtherItems:
+    @pytest.mark.parametrize(
+        "key", ["op/config", "tanagerfork/daemons/odd", "tanagerfork/quarantine/odd"]
+    )
+    async def test_deeply_nested_value_stops_no_later_configuration(self, key: str) -> None:
+        async with deployments.deploy() as deployed:
+            await deployed.wait_for_group()
+            deployed.site.store.put(key, b'{"note":' + DEEP + b"}")
+            await deployed.wait_until(
+                lambda: deployed.log.find("cannot be decoded"), "the value is read"
+            )
+            await check_that_service_goes_on(deployed)
+
+    async def test_deeply_nested_report_costs_no_other_group(self) -> None:
+        async with deployments.deploy(engines=8) as deployed:
+            odd = deployed.site.engine_runners[0]
+            odd.extra_report_fields = {"note": msgspec.Raw(DEEP)}
+            await deployed.wait_for_group()
+            await check_that_service_goes_on(deployed)
+
+    async def test_deeply_nested_record_of_groups_leaves_requests_served(self) -> None:
+        async with deployments.deploy() as deployed:
+            await deployed.wait_for_group()
+            deployed.site.store.put("tanagerfork/assignments/a", DEEP)
+            deployed.site.store.put("lease/a", DEEP)
+            await check_that_service_goes_on(deployed)
