Treat numbers out of range as malformed

What callers saw: 500 for every request of a service after one answer whose load had 400 digits; a stream cut off at an event whose id had 5,000 digits; no later configuration in force after one with a version of 400 digits. Cause: whole numbers are decoded at any length. Later arithmetic and notices between daemons take 64 bits or a float, and fail where they use the number instead of where it is read. Change: entries, reports, configurations, the load of an answer and the ids of events have ranges. An entry out of range names no upstream, a load out of range is none, an id of more than 18 digits is no number. Why it works: nothing behind the decoders sees a number that does not fit where it is used.

--- a/src/tanagerfork/decoding.py
+++ b/src/tanagerfork/decoding.py
@@ -11,6 +11,7 @@
 
 MAX_COUNT = 2**53  # Larger whole numbers lose digits in writers that have floats only.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Whole = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 
 RecordT = TypeVar("RecordT")
 
--- a/src/tanagerfork/platform/config.py
+++ b/src/tanagerfork/platform/config.py
@@ -49,8 +49,8 @@
     timeout_ms: float = 30_000
     goal_ms: float = 1000
     gap_goal_ms: float = 0
-    attempts: int = 1
-    priority: int = 0
+    attempts: decoding.Whole = 1
+    priority: decoding.Whole = 0
     public: bool = False
     resumable: bool = False
     regions_allowed: list[str] | None = None
@@ -60,7 +60,7 @@
     """`warm_s` is the load time from host memory, `load_s` the one from the weight store."""
 
     name: str
-    size: int = 1
+    size: decoding.Whole = 1
     share: float = 0.0
     pace: float = 1.0
     load_s: float = 0.0
@@ -78,8 +78,8 @@
     `stride` is the number of steps, and so of tokens, between two events of a stream.
     """
 
-    slots: int = 1
-    kv_capacity: int = msgspec.field(default=0, name="kvCapacity")
+    slots: decoding.Whole = 1
+    kv_capacity: decoding.Whole = msgspec.field(default=0, name="kvCapacity")
     models: list[_Model] = []
     step_ms: float = 0.0
     per_seq_ms: float = 0.0
@@ -88,11 +88,11 @@
     usual: _UsualTokens = msgspec.field(default_factory=_UsualTokens)
     form_ms: float = msgspec.field(default=0.0, name="formMs")
     loads_per_s: float = msgspec.field(default=1.0, name="loadsPerS")
-    loads_at_once: int = 1
+    loads_at_once: decoding.Whole = 1
     far_x: float = 1.0
-    stride: int = 1
+    stride: decoding.Whole = 1
     report_lag_ms: float = rules.DEFAULT_REPORT_LAG_MS
-    keeps: int = 1
+    keeps: decoding.Whole = 1
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -102,15 +102,15 @@
     """
 
     name: str
-    max_conns: int = 0
+    max_conns: decoding.Whole = 0
     engine: _Engine | None = None
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: decoding.Whole = 16_384
+    max_body_bytes: decoding.Whole = 4_194_304
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15_000
 
@@ -120,12 +120,12 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: decoding.Whole | None = None
     regions_allowed: list[str] | None = None
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: decoding.Whole
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/tanagerfork/platform/entries.py
+++ b/src/tanagerfork/platform/entries.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -10,6 +11,8 @@
 
 SERVERS_PREFIX = "servers/"
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
+# No upstream runs more requests at once; a larger number would draw all requests to it.
+Slots = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
 MAX_COLD_MS = 600_000.0  # A longer time is a mistake, and is renewed with the entry if it is not.
 
 
@@ -17,8 +20,8 @@
     """`state` is the state of the member, not of the group."""
 
     name: str
-    epoch: int
-    rank: int
+    epoch: decoding.Count
+    rank: decoding.Count
     state: str
 
 
@@ -37,9 +40,9 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
-    seq: int = 0
-    born: int = 0
+    slots: Slots = 1
+    seq: decoding.Count = 0
+    born: decoding.Count = 0
     domain: str = ""
     staged: list[str] = []
     models: list[_Model] = []
@@ -50,9 +53,9 @@
 class _Report(msgspec.Struct):
     """`seq` is the number of accepted orders; `active` and `queued` are numbers of requests."""
 
-    seq: int = 0
+    seq: decoding.Count = 0
     busy: bool = False
-    born: int = 0
+    born: decoding.Count = 0
     staged: list[str] = []
     group: _Group | None = None
     pace: float = 1.0
--- a/src/tanagerfork/platform/headers.py
+++ b/src/tanagerfork/platform/headers.py
@@ -27,6 +27,7 @@
 BEARER_PREFIX = "Bearer "
 
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
+LOAD_FIGURES = re.compile(r" *([0-9]{1,6}) *, *([0-9]{1,6}) *, *([0-9]{1,6}) *")
 PART_ID = re.compile("[0-9a-f]{1,64}")
 MAX_TOKENS = 2**31  # No prompt or answer is as long; larger ones would spoil learned means.
 MAX_SHARED_PARTS = 16  # Bounds what one request can add to the evidence of crashes.
@@ -175,8 +176,5 @@
 
 
 def _parse_load(text: str) -> calls.Load | None:
-    try:
-        running, waiting, slots = (int(part) for part in text.split(","))
-    except ValueError:
-        return None
-    return calls.Load(running, waiting, slots)
+    figures = LOAD_FIGURES.fullmatch(text)
+    return calls.Load(*(int(figure) for figure in figures.groups())) if figures else None
--- a/src/tanagerfork/relay/events.py
+++ b/src/tanagerfork/relay/events.py
@@ -7,6 +7,7 @@
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_ID_DIGITS = 18  # Longer ids are no counts of events; Python converts no more than 4,300 digits.
 
 
 class EventSplitter:
@@ -66,6 +67,10 @@
 
 
 def _is_consecutive(last_id: str, event_id: str) -> bool:
-    if last_id.isdecimal() and event_id.isdecimal():
+    if _is_number(last_id) and _is_number(event_id):
         return int(event_id) == int(last_id) + 1
     return True
+
+
+def _is_number(event_id: str) -> bool:
+    return event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import random
+import re
 from collections.abc import Collection, Mapping
 
 import result
@@ -19,6 +20,7 @@
 # by which it was.
 RULES_VERSION = "Relay-Rules-Version"
 UNAVAILABLE = "Relay-Unavailable"  # It did not serve the request, and a third daemon may.
+VERSION = re.compile("[0-9]{1,16}")
 HEADERS = frozenset(name.lower() for name in (ATTEMPTS, RULES_VERSION))
 # How long a daemon is avoided that took no connection, or that answered that it takes nothing over.
 AVOIDED_MS = {calls.Outcome.UNREACHED: 1000, calls.Outcome.REFUSED: 300}
@@ -287,7 +289,7 @@
     def _note_version(self, response: exchange.UpstreamResponse) -> None:
         """Record the version of a response, so that callers here never go back to an older one."""
         version = response.http_response.headers.get(RULES_VERSION, "")
-        if version.isascii() and version.isdigit():
+        if VERSION.fullmatch(version):
             self._relayed_version = max(self._relayed_version, int(version))
         response.headers = drop_headers(response.headers)
 
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -83,7 +83,8 @@
     entry and its reports say that it is cold until `cold_until_s`, a time of the event loop.
     `padding_bytes` are added to each event, and to each answer to a path that starts with
     `padded_prefix`. A stream of which nothing is read for `unread_limit_s` is reset and counted in
-    `unread_resets`. Its reports have the `extra_report_fields` too.
+    `unread_resets`. Its reports have the `extra_report_fields` too, and the ids of
+    its events begin with `id_prefix`.
 
     :param runner_id: id of the runner.
     :param service: service that the runner belongs to.
@@ -121,6 +122,7 @@
         self.leaving_text: str | None = None
         self.cold_until_s = 0.0
         self.extra_report_fields: dict[str, object] = {}
+        self.id_prefix = ""
         self.requests: list[ReceivedRequest] = []
         self.orders: list[dict[str, object]] = []
         self.order_count = 0
@@ -477,7 +479,9 @@
             padding = "." * self.padding_bytes
             try:
                 async with asyncio.timeout(self.unread_limit_s):
-                    await response.write(f"id: {event_id}\ndata: {self.id}{padding}\n\n".encode())
+                    await response.write(
+                        f"id: {self.id_prefix}{event_id}\ndata: {self.id}{padding}\n\n".encode()
+                    )
             except TimeoutError:
                 self.unread_resets += 1
                 transports.reset(transport)
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -8,6 +8,7 @@
 
 DEPTH = 100_000
 DEEP = b"[" * DEPTH + b"]" * DEPTH
+HUGE = b"1" + b"0" * 400
 ODD_UPSTREAM = "i-odd"
 
 
@@ -26,10 +27,25 @@
     return msgspec.json.encode({**fields, **raw})
 
 
+def make_member(**raw_group: bytes) -> bytes:
+    """Return an entry of a model's upstream that claims to be the open head of a group."""
+    group = {"name": b'"g"', "epoch": b"1", "rank": b"0", "state": b'"open"', **raw_group}
+    raw = msgspec.json.encode({name: msgspec.Raw(value) for name, value in group.items()})
+    models = msgspec.json.encode([{"name": site.SMALL_MODEL}])
+    return make_entry(site.ENGINE_SERVICE, domain=b'"a-f0"', models=models, group=raw)
+
+
 ODD_ENTRIES = {
     "deep": DEEP,
     "deep unknown field": make_entry(note=DEEP),
     "deep known field": make_entry(coldLeftMs=DEEP),
+    "huge slots": make_entry(slots=HUGE),
+    "negative slots": make_entry(slots=b"-3"),
+    "huge refresh count": make_entry(seq=HUGE),
+    "huge start": make_entry(born=HUGE),
+    "huge epoch": make_member(epoch=HUGE),
+    "negative epoch": make_member(epoch=b"-1"),
+    "huge rank": make_member(rank=HUGE),
     "no text": b"\xff\xfe",
 }
 
@@ -94,3 +110,31 @@
             deployed.site.store.put("tanagerfork/assignments/a", DEEP)
             deployed.site.store.put("lease/a", DEEP)
             await check_that_service_goes_on(deployed)
+
+    async def test_configuration_with_a_huge_version_does_not_keep_later_ones_out(self) -> None:
+        async with deployments.deploy() as deployed:
+            await deployed.wait_for_group()
+            config = {**deployed.site.make_config(), "version": msgspec.Raw(HUGE)}
+            deployed.site.store.put("op/config", msgspec.json.encode(config))
+            await deployed.wait_until(
+                lambda: deployed.log.find("configuration cannot be decoded"), "the value is read"
+            )
+            await check_that_service_goes_on(deployed)
+
+
+class TestResponses:
+    async def test_load_with_huge_figures_costs_no_later_request(self) -> None:
+        async with deployments.deploy() as deployed:
+            await deployed.wait_for_group()
+            for odd in (*deployed.site.plain_runners, *deployed.site.engine_runners):
+                odd.waiting_count = int(HUGE)
+            await check_that_service_goes_on(deployed)
+
+    async def test_event_with_a_huge_id_is_relayed(self) -> None:
+        async with deployments.deploy(engines=2) as deployed:
+            await deployed.wait_for_group()
+            for odd in deployed.site.engine_runners:
+                odd.id_prefix = "1" * 5000
+            response = await deployed.ask("/stream/x", "POST", b"hello")
+            assert response.status == 200 and response.is_whole
+            assert response.body.count(b"data:") == deployed.site.engine_runners[0].events
