Check addresses where they are read

What callers saw: an entry of a daemon with a port out of range, and no daemon told its loads any more or passed on changes of the store; where an entry of an upstream had such a port, requests and probes failed with errors that nobody handles. Cause: the port of an upstream was only read as a number of any size, the addresses of daemons not at all. Connecting to them raises ValueError, OverflowError or AddressInvalid, where callers expect a refused connection; the tasks that send notices and that follow the store and publish its changes failed for good. Change: an entry whose address is not an IPv4 address and a port from 1 to 65535 names no upstream or daemon. Probes, orders, sends and handovers check the address, which may also come from the record of groups, and say that no byte was sent. A link to an address that cannot be dialled sends nothing. Why it works: an address is checked before it is used, so that only its own item is lost.

--- a/src/tanagerfork/peers/link.py
+++ b/src/tanagerfork/peers/link.py
@@ -42,7 +42,7 @@
         """
         if self._socket is None:
             self._socket = self._dial()
-        if self._is_reconnecting.is_set():
+        if self._socket is None or self._is_reconnecting.is_set():
             return False
         try:
             self._socket.send(frame, block=False)
@@ -72,13 +72,18 @@
             self._socket = self._dial()
             self._is_reconnecting.clear()
 
-    def _dial(self) -> pynng.Push0:
+    def _dial(self) -> pynng.Push0 | None:
+        """Return a socket that connects in the background; None if there is no such address."""
         socket = pynng.Push0(
             send_buffer_size=QUEUE_MESSAGES,
             reconnect_time_min=MIN_RECONNECT_MS,
             reconnect_time_max=MAX_BACKOFF_MS,
         )
-        socket.dial(self._url, block=False)
+        try:
+            socket.dial(self._url, block=False)
+        except pynng.NNGException:
+            socket.close()
+            return None
         return socket
 
     def _close_socket(self) -> None:
--- a/src/tanagerfork/platform/entries.py
+++ b/src/tanagerfork/platform/entries.py
@@ -1,12 +1,11 @@
 """Decodes the directory entries and the reports of upstreams."""
 
-import ipaddress
 import math
 from typing import Annotated
 
 import msgspec
 
-from tanagerfork import decoding
+from tanagerfork import addresses, decoding
 from tanagerfork.relay import members
 
 SERVERS_PREFIX = "servers/"
@@ -69,18 +68,18 @@
 
     :param key: key of the entry, which ends in the upstream's id.
     :param value: value of the entry.
-    :return: the upstream; None if the entry is malformed, names no service or has an unknown state.
+    :return: the upstream; None if the entry is malformed, names no service or no address to connect
+        to, or has an unknown state.
     """
     try:
         entry = decoding.decode_json(value, _Entry)
         membership = _to_membership(entry.group)
-        host, _, port = entry.address.rpartition(":")
-        ipaddress.ip_address(host)
-        int(port)
     except (msgspec.MsgspecError, ValueError):
         return None
     if entry.state not in IS_LEAVING_BY_STATE or not entry.service:
         return None
+    if not addresses.is_valid(entry.address):
+        return None
     return members.Upstream(
         id=key.removeprefix(SERVERS_PREFIX),
         service=entry.service,
--- a/src/tanagerfork/platform/runners.py
+++ b/src/tanagerfork/platform/runners.py
@@ -7,7 +7,7 @@
 import msgspec
 import result
 
-from tanagerfork import errors
+from tanagerfork import addresses, errors
 from tanagerfork.platform import entries, headers
 from tanagerfork.relay import members, plans
 from tanagerfork.upstream import connections
@@ -54,6 +54,8 @@
         :param upstream: upstream.
         :return: its report, or why it could not be fetched.
         """
+        if not addresses.is_valid(upstream.address):
+            return result.Err(connections.describe_bad_address(upstream.id, upstream.address))
         probe_headers = {headers.EXPECTED_ID: upstream.id}
         try:
             async with asyncio.timeout(self._probe_timeout_s):
@@ -81,6 +83,8 @@
         :param order_count: number of orders that the upstream has accepted; None if unknown.
         :return: how the upstream accepted it, or why it was refused or its outcome is unknown.
         """
+        if not addresses.is_valid(order.address):
+            return result.Err(connections.describe_bad_address(order.upstream_id, order.address))
         mode = ("cut" if order.cancels_requests else "wait") if order.kind == plans.CLOSE else ""
         body = _Order(
             op=OP_BY_KIND.get(order.kind, order.kind),
--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -6,8 +6,8 @@
 import msgspec
 import result
 
+from tanagerfork import addresses, decisions, decoding
 from tanagerfork import clock as clocks
-from tanagerfork import decisions, decoding
 from tanagerfork import metrics as metric
 from tanagerfork.storage import key_value
 
@@ -167,6 +167,15 @@
                     LOGGER, "daemon entry cannot be decoded", key=entry.key, reason=str(error)
                 )
                 continue
+            unusable = _find_unusable_address(record)
+            if unusable:
+                self._log.note(
+                    LOGGER,
+                    "daemon entry cannot be decoded",
+                    key=entry.key,
+                    reason=f"{unusable[:100]!r} is no address of a daemon",
+                )
+                continue
             name = entry.key.removeprefix(self.prefix)
             self.daemons[name] = record
             self._missing_until_ms.pop(name, None)
@@ -191,3 +200,9 @@
         put = await self._store.put_leased(DAEMON_PREFIX + self._name, value, granted.ok_value)
         if isinstance(put, result.Ok):
             self._lease = granted.ok_value
+
+
+def _find_unusable_address(record: DaemonRecord) -> str:
+    """Return an address of a daemon that cannot be connected to; empty if there is none."""
+    named = (address for address in (record.address, record.forwarding) if address)
+    return next((address for address in named if not addresses.is_valid(address)), "")
--- a/src/tanagerfork/relay/exchange.py
+++ b/src/tanagerfork/relay/exchange.py
@@ -11,7 +11,7 @@
 import yarl
 from aiohttp import abc, client_proto, payload
 
-from tanagerfork import errors
+from tanagerfork import addresses, errors
 from tanagerfork.relay import calls, members, memory
 from tanagerfork.upstream import connections, guarded
 
@@ -203,6 +203,8 @@
         :raises UpstreamLost: the request may have run.
         """
         session = self._pooled if is_repeatable else self._unpooled
+        if not addresses.is_valid(address):
+            raise connections.describe_bad_address(name, address)
         if session.closed:
             raise errors.UpstreamUnreachable("the daemon is stopping; send the request again")
         try:
--- a/src/tanagerfork/upstream/connections.py
+++ b/src/tanagerfork/upstream/connections.py
@@ -133,3 +133,14 @@
     if isinstance(error, (TimeoutError, asyncio.TimeoutError)):
         return errors.UpstreamSilent(f"{upstream} gave no answer in time; go elsewhere")
     return errors.UpstreamLost(f"{upstream} broke off ({error!r}); go elsewhere")
+
+
+def describe_bad_address(upstream: str, address: str) -> errors.UpstreamUnreachable:
+    """Return the error of an upstream whose address cannot be connected to.
+
+    :param upstream: name of the upstream.
+    :param address: its address.
+    """
+    return errors.UpstreamUnreachable(
+        f"{upstream} has an address that is none ({address[:100]!r}); go elsewhere"
+    )
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -3,6 +3,9 @@
 import msgspec
 import pytest
 
+from tanagerfork import errors
+from tanagerfork.platform import runners
+from tanagerfork.relay import exchange, members, plans
 from tanagerfork_standins.platform import site
 from tests.relay import deployments
 
@@ -27,12 +30,14 @@
     return msgspec.json.encode({**fields, **raw})
 
 
-def make_member(**raw_group: bytes) -> bytes:
+def make_member(address: bytes = b'"127.0.0.1:9"', **raw_group: bytes) -> bytes:
     """Return an entry of a model's upstream that claims to be the open head of a group."""
     group = {"name": b'"g"', "epoch": b"1", "rank": b"0", "state": b'"open"', **raw_group}
     raw = msgspec.json.encode({name: msgspec.Raw(value) for name, value in group.items()})
     models = msgspec.json.encode([{"name": site.SMALL_MODEL}])
-    return make_entry(site.ENGINE_SERVICE, domain=b'"a-f0"', models=models, group=raw)
+    return make_entry(
+        site.ENGINE_SERVICE, address=address, domain=b'"a-f0"', models=models, group=raw
+    )
 
 
 ODD_ENTRIES = {
@@ -46,6 +51,14 @@
     "huge epoch": make_member(epoch=HUGE),
     "negative epoch": make_member(epoch=b"-1"),
     "huge rank": make_member(rank=HUGE),
+    "port above the range": make_entry(address=b'"127.0.0.1:65536"'),
+    "port below the range": make_entry(address=b'"127.0.0.1:0"'),
+    "negative port": make_entry(address=b'"127.0.0.1:-80"'),
+    "port with many digits": make_entry(address=b'"127.0.0.1:' + b"9" * 5000 + b'"'),
+    "port that is no plain number": make_entry(address=b'"127.0.0.1:8_0"'),
+    "address without a host": make_entry(address=b'":80"'),
+    "address of no IPv4 host": make_entry(address=b'"::1:80"'),
+    "member with a port above the range": make_member(address=b'"127.0.0.1:65536"'),
     "no text": b"\xff\xfe",
 }
 
@@ -111,6 +124,23 @@
             deployed.site.store.put("lease/a", DEEP)
             await check_that_service_goes_on(deployed)
 
+    @pytest.mark.parametrize("address", ["127.0.0.1:65536", "127.0.0.1:x", "nowhere"])
+    async def test_daemon_entry_with_an_odd_address_costs_no_notices(self, address: str) -> None:
+        async with deployments.deploy(daemon_count=2) as deployed:
+            await deployed.wait_for_group()
+            record = {"failure_domain": "a", "address": address, "forwarding": address}
+            deployed.site.store.put("tanagerfork/daemons/daemon-0", msgspec.json.encode(record))
+            await deployed.wait_until(
+                lambda: deployed.log.find("daemon entry cannot be decoded"), "the entry is read"
+            )
+            await check_that_service_goes_on(deployed)
+            sent = deployed.daemons[0].metrics.counter_value("peer_messages_sent_total")
+            await deployed.wait_until(
+                lambda: deployed.daemons[0].metrics.counter_value("peer_messages_sent_total")
+                > sent + 3,
+                "notices are sent",
+            )
+
     async def test_configuration_with_a_huge_version_does_not_keep_later_ones_out(self) -> None:
         async with deployments.deploy() as deployed:
             await deployed.wait_for_group()
@@ -138,3 +168,20 @@
             response = await deployed.ask("/stream/x", "POST", b"hello")
             assert response.status == 200 and response.is_whole
             assert response.body.count(b"data:") == deployed.site.engine_runners[0].events
+
+
+class TestConnections:
+    @pytest.mark.parametrize("address", ["127.0.0.1:65536", "127.0.0.1:x", "nowhere"])
+    async def test_no_connection_to_an_odd_address_is_an_upstream_out_of_reach(
+        self, address: str
+    ) -> None:
+        """Addresses of members are read from the record of groups too."""
+        upstream = members.Upstream("i-odd", site.ENGINE_SERVICE, address, "a", False, 6, 1)
+        order = plans.Order(plans.LEAVE, "i-odd", address, "g", 1, "", ())
+        session = exchange.open_session(is_pooled=False)
+        try:
+            client = runners.RunnerClient(session, 100, 100)
+            for outcome in (await client.probe(upstream), await client.send_order(order, 1, 0)):
+                assert isinstance(outcome.err(), errors.UpstreamUnreachable)
+        finally:
+            await session.close()
