Believe a refusal only for the request that it names

What callers saw: 503, "not run, try again", for a request that two upstreams had run, and a request that ran at more upstreams than its route's attempts. Cause: an upstream may send an earlier answer once more on a connection that is in use again. The id of an answer was compared only after a refusal had been believed, so that the copy of an earlier refusal counted for the request that was just sent; the same for the answer of another daemon that takes nothing over. Change: an answer whose id is not the request's says nothing: no refusal, load, limit or leaving is read from it, and the request may have run. Ruled out: refusals without an id. Evidence: tests/relay/test_late_answers.py, TestRepeatedRefusal, by a real daemon: 3 of 4 ways to send the copy got 503 after two runs before, none does now. Why it works: what a copy names is another request, whenever and however it arrives.

--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -262,12 +262,15 @@
         except errors.UpstreamError as error:
             return result.Err(error)
         try:
+            if response.facts.request_id != request.facts.request_id:
+                message = "the response is for another request; close the connection"
+                return result.Err(errors.UpstreamConfused(message))
             if UNAVAILABLE in response.http_response.headers:
                 message = f"{daemon} cannot serve the request; use another daemon"
                 return result.Err(errors.UpstreamRefused(message))
             progress.sends = progress.attempts
             self._note_version(response)
-            return await self._relay(request, progress, response, sink)
+            return await self._relay(progress, response, sink)
         except errors.UpstreamError as error:
             return result.Err(error)
         finally:
@@ -295,15 +298,11 @@
 
     async def _relay(
         self,
-        request: calls.CallerRequest,
         progress: progresses.Progress,
         response: exchange.UpstreamResponse,
         sink: progresses.Sink,
     ) -> result.Result[calls.Outcome, errors.UpstreamError]:
-        facts, status = response.facts, response.status
-        if facts.request_id != request.facts.request_id:
-            message = "the response is for another request; close the connection"
-            return result.Err(errors.UpstreamConfused(message))
+        status = response.status
         if status in calls.NOT_RUN_STATUSES and progress.may_have_run:
             message = f"refused with status {status}, but an earlier send may have run"
             return result.Err(errors.UpstreamFailed(message))
--- a/src/tanagerfork/relay/sending.py
+++ b/src/tanagerfork/relay/sending.py
@@ -124,6 +124,10 @@
             return result.Err(error)
         self.note_prompt_read(progress, upstream.id, request.facts.prompt_tokens)
         try:
+            # A late copy of another answer, and a refusal above all, says nothing of this request.
+            if response.facts.request_id != request.facts.request_id:
+                message = "the response is for another request; use another upstream"
+                return result.Err(errors.UpstreamConfused(message))
             now_ms = self._clock.monotonic_ms()
             self._book.note_load(upstream.id, response.facts.load, now_ms)
             self._send_limits.note_answer(
@@ -132,7 +136,7 @@
             self._send_limits.note_quiet(upstream, response.facts.quiet_ms, now_ms)
             if response.facts.is_leaving:
                 self._announce_leaving(upstream)
-            refusal = self._check_headers(request, progress, response)
+            refusal = self._check_headers(progress, response)
             if refusal is not None:
                 return result.Err(refusal)
             if progress.route.repetition is rules.Repetition.STREAM and response.status == 200:
@@ -173,10 +177,7 @@
         return max(MIN_HEADERS_TIMEOUT_MS, HEADERS_TIMEOUT_FACTOR * choice.expected_ms)
 
     def _check_headers(
-        self,
-        request: calls.CallerRequest,
-        progress: progresses.Progress,
-        response: exchange.UpstreamResponse,
+        self, progress: progresses.Progress, response: exchange.UpstreamResponse
     ) -> errors.UpstreamError | None:
         facts = response.facts
         if facts.says_not_run:
@@ -188,10 +189,6 @@
             return errors.UpstreamRefused(
                 f"refused with status {response.status}; use another upstream"
             )
-        if facts.request_id != request.facts.request_id:
-            return errors.UpstreamConfused(
-                "the response is for another request; use another upstream"
-            )
         if "Content-Encoding" in response.http_response.headers:
             return errors.UpstreamConfused(
                 "the response body has an encoding that was not requested; use another upstream"
--- a/tests/relay/test_late_answers.py
+++ b/tests/relay/test_late_answers.py
@@ -33,6 +33,7 @@
         self._copy = copy
         self.paths: list[bytes] = []
         self.connections = 0
+        self.refuses_next = False
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
@@ -86,11 +87,28 @@
         await writer.drain()
 
 
+class RefusingUpstream(CopyingUpstream):
+    """A copying upstream that refuses the next request where `refuses_next` is set."""
+
+    def _make_answer(self, head: bytes) -> bytes:
+        answer = super()._make_answer(head)
+        if self.refuses_next:
+            self.refuses_next = False
+            self.paths.pop()
+            at = answer.index(b"Tanagerfork-Request-Id")
+            id_line = answer[at : answer.index(b"\r\n", at)]
+            return (
+                b"HTTP/1.1 503 Service Unavailable\r\nTanagerfork-Not-Run: 1\r\n%s\r\n"
+                b"Content-Length: 0\r\n\r\n" % id_line
+            )
+        return answer
+
+
 @contextlib.asynccontextmanager
 async def run_upstreams(
-    deployed: deployments.Deployment, copy: Copy
+    deployed: deployments.Deployment, copy: Copy, kind: type[CopyingUpstream] = CopyingUpstream
 ) -> AsyncIterator[list[CopyingUpstream]]:
-    upstreams = [CopyingUpstream(copy) for _ in range(2)]
+    upstreams = [kind(copy) for _ in range(2)]
     servers = [await asyncio.start_server(item.serve, "127.0.0.1", 0) for item in upstreams]
     for number, server in enumerate(servers):
         entry = {
@@ -142,3 +160,30 @@
                 assert response.body == b"answer to " + path.encode()
             ran = [path for item in upstreams for path in item.paths]
             assert all(ran.count(b"/unsafe/%d" % number) == 1 for number in range(12))
+
+
+class TestRepeatedRefusal:
+    @pytest.mark.parametrize(
+        "copy",
+        [Copy.SPLIT_OVER_REQUESTS, Copy.BEFORE_NEXT, Copy.BEHIND_INFORMATIONAL, Copy.NEXT_IN_ONE],
+        ids=lambda copy: copy.name,
+    )
+    async def test_request_that_ran_is_not_called_refused(self, copy: Copy) -> None:
+        async with (
+            deployments.deploy(engines=0, plain=0) as deployed,
+            run_upstreams(deployed, copy, RefusingUpstream) as upstreams,
+        ):
+            await deployed.wait_until(
+                lambda: len(deployed.daemons[0].view.list_plain(site.PLAIN_SERVICE)) == 2,
+                "both upstreams",
+            )
+            for number in range(8):
+                for item in upstreams:
+                    item.refuses_next = True
+                await deployed.ask(f"/safe/refused{number}")
+                path = f"/safe/{number}"
+                response = await deployed.ask(path)
+                runs = sum(item.paths.count(path.encode()) for item in upstreams)
+                assert response.status in (200, 502) or not runs, path
+                assert runs <= 2, path
+                await asyncio.sleep(0.02)
