Send each order on a connection of its own

What callers would have seen: nothing directly; a coordinator could take the copy of the answer to an earlier order for that of the one it had just sent, and go on to order members elsewhere whose old group was still open, or not at all. Answers to orders name no order, and the session for probes and orders reused connections, also those on which bytes had arrived while they were idle. Change: an order gets a new connection, as requests do that may not be repeated; connections of probes are closed if bytes arrive on them while they are idle. A late copy of a report can still be taken for the next report; the order count in it keeps it from allowing an order. Evidence: tests/relay/test_late_answers.py, TestRepeatedAnswerToAnOrder, with the client of a real daemon: both ways failed before (begun, begun, refused instead of begun, refused, begun), none now. Why it works: nothing but the answer to the one order can arrive on its connection. It costs a connection for each order.

--- a/src/tanagerfork/platform/runners.py
+++ b/src/tanagerfork/platform/runners.py
@@ -32,17 +32,26 @@
 class RunnerClient:
     """Probes upstreams and sends orders to them; see `member_client.MemberClient`.
 
-    :param session: HTTP session, closed by its owner.
+    An order gets a connection of its own, as its answer names no order: a late copy of the answer
+    to an earlier one would be taken for it.
+
+    :param session: HTTP session for probes, closed by its owner.
+    :param order_session: HTTP session that does not reuse connections, closed by its owner.
     :param probe_timeout_ms: timeout of one probe, in milliseconds.
     :param order_timeout_ms: timeout of one order, in milliseconds.
     """
 
-    __slots__ = ("_session", "_probe_timeout_s", "_order_timeout_s")
+    __slots__ = ("_session", "_order_session", "_probe_timeout_s", "_order_timeout_s")
 
     def __init__(
-        self, session: aiohttp.ClientSession, probe_timeout_ms: int, order_timeout_ms: int
+        self,
+        session: aiohttp.ClientSession,
+        order_session: aiohttp.ClientSession,
+        probe_timeout_ms: int,
+        order_timeout_ms: int,
     ) -> None:
         self._session = session
+        self._order_session = order_session
         self._probe_timeout_s = probe_timeout_ms / 1000
         self._order_timeout_s = order_timeout_ms / 1000
 
@@ -102,7 +111,7 @@
         }
         try:
             async with asyncio.timeout(self._order_timeout_s):
-                async with self._session.post(
+                async with self._order_session.post(
                     f"http://{order.address}/order",
                     data=msgspec.json.encode(body),
                     headers=order_headers,
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -53,7 +53,7 @@
     tasks,
 )
 from tanagerfork.routing import crash_evidence, poison
-from tanagerfork.upstream import connections
+from tanagerfork.upstream import connections, guarded
 
 LOGGER = "relay.daemon"
 BODY_LIMIT_BYTES = 8 * 1024 * 1024  # Twice the largest body of the platform's callers.
@@ -121,7 +121,7 @@
         settings = self.settings
         self.log.note(LOGGER, "start", failure_domain=settings.failure_domain, build=__version__)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=guarded.GuardedConnector(
                 limit=0, keepalive_timeout=10, socket_factory=connections.open_socket
             ),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=exchange.CONNECT_TIMEOUT_S),
@@ -134,12 +134,13 @@
         self._upstream_client = exchange.UpstreamClient(self._dialect, self.account.is_bounded)
         self._retry_budget = budget.make_budget(settings.bounds)
         self._reach = reach.Reach(self.clock, self._rng, self.log, self.metrics)
-        self._check_session = exchange.open_session(is_pooled=False)
+        self._unpooled_session = exchange.open_session(is_pooled=False)
         self._reach_checks = reach_checks.ReachChecks(
             self._reach,
             self.view,
             runners.RunnerClient(
-                self._check_session,
+                self._unpooled_session,
+                self._unpooled_session,
                 reach_checks.CHECK_TIMEOUT_MS,
                 settings.members.order_timeout_ms,
             ),
@@ -172,7 +173,10 @@
         )
         suspects = poison.PoisonRegister()
         self._client = runners.RunnerClient(
-            self._session, settings.members.probe_timeout_ms, settings.members.order_timeout_ms
+            self._session,
+            self._unpooled_session,
+            settings.members.probe_timeout_ms,
+            settings.members.order_timeout_ms,
         )
         relay = attempts.Relay(
             self.register,
@@ -306,7 +310,7 @@
                     self._listeners.stop(),
                     self._upstream_client.close(),  # May wait for an upstream that went dark.
                     self._session.close(),
-                    self._check_session.close(),
+                    self._unpooled_session.close(),
                 )
         self.peers.close()
         self.lifecycle.apply("stop")
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -280,7 +280,7 @@
             member = next(runner for runner in deployed.site.engine_runners if runner.membership)
             mark, count = member.membership, member.order_count
             async with aiohttp.ClientSession() as session:
-                client = runners.RunnerClient(session, 1000, 1000)
+                client = runners.RunnerClient(session, session, 1000, 1000)
                 order = plans.Order(plans.LEAVE, member.id, member.address, mark.name, mark.epoch)
                 reply = await client.send_order(order, 1, count)
             assert reply.ok() is plans.Acceptance.BEGUN
--- a/tests/relay/test_late_answers.py
+++ b/tests/relay/test_late_answers.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from tanagerfork.relay import plans
 from tanagerfork_standins.platform import site
 from tests.relay import deployments
 
@@ -187,3 +188,52 @@
                 assert response.status in (200, 502) or not runs, path
                 assert runs <= 2, path
                 await asyncio.sleep(0.02)
+
+
+class CopyingMember:
+    """A member that sends each answer once more, before the next one or while it is idle."""
+
+    def __init__(self, statuses: list[int], copies_when_idle: bool) -> None:
+        self._statuses = statuses
+        self._copies_when_idle = copies_when_idle
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        last = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().partition(b"content-length:")[2].split()[0])
+                await reader.readexactly(length)
+                writer.write(last)
+                last = b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % self._statuses.pop(0)
+                writer.write(last)
+                await writer.drain()
+                if self._copies_when_idle:
+                    await asyncio.sleep(0.02)
+                    writer.write(last)
+                    last = b""
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass  # The daemon has closed the connection.
+        finally:
+            writer.close()
+
+
+class TestRepeatedAnswerToAnOrder:
+    @pytest.mark.parametrize("copies_when_idle", [False, True])
+    async def test_each_order_gets_its_own_answer(self, copies_when_idle: bool) -> None:
+        async with deployments.deploy(engines=0, plain=0) as deployed:
+            statuses = [202, 409, 202]
+            member = CopyingMember(statuses, copies_when_idle)
+            server = await asyncio.start_server(member.serve, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            order = plans.Order(plans.OPEN, "i-copies", address, "g", 1)
+            replies = []
+            for _ in range(3):
+                replies.append(await deployed.daemons[0]._client.send_order(order, 1, None))
+                await asyncio.sleep(0.05)
+            assert [reply.ok() for reply in replies] == [
+                plans.Acceptance.BEGUN,
+                None,
+                plans.Acceptance.BEGUN,
+            ]
+            server.close()
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -180,7 +180,7 @@
         order = plans.Order(plans.LEAVE, "i-odd", address, "g", 1, "", ())
         session = exchange.open_session(is_pooled=False)
         try:
-            client = runners.RunnerClient(session, 100, 100)
+            client = runners.RunnerClient(session, session, 100, 100)
             for outcome in (await client.probe(upstream), await client.send_order(order, 1, 0)):
                 assert isinstance(outcome.err(), errors.UpstreamUnreachable)
         finally:
