Resume a stream only with a stream of the same type

What callers saw: the text of an error between the events of their stream, and the end of a complete stream, where a stream had begun and broke off and the next upstream answered the resumed request with status 200 and a page that tells of an error. Cause: the body of any answer with status 200 was taken for the rest of the stream. Change: an answer to a resumed request whose media type is not that of the begun stream is no part of it; another upstream is tried, or the caller's connection is aborted. The stand-in shows its faults on streams too, which it did for plain requests only. Ruled out: answers with an error status (400 and above, refusals, crossed ones, no bytes, no receipt): the caller got the events of the first upstream and an aborted connection, before and now. Evidence: tests/relay/test_broken_streams.py by a real daemon: 2 of 18 cases failed before, none now. Why it works: a page has another type than the events.

--- a/src/tanagerfork/relay/responses.py
+++ b/src/tanagerfork/relay/responses.py
@@ -46,6 +46,15 @@
         return error
 
 
+def read_media_type(response: exchange.UpstreamResponse) -> str:
+    """Return the media type of a response, in lower case; empty if it names none.
+
+    :param response: response of an upstream.
+    """
+    named = response.http_response.headers.get("Content-Type", "")
+    return named.partition(";")[0].strip().lower()
+
+
 class ResponseRelay:
     """Relays responses whose headers have been checked.
 
@@ -107,6 +116,11 @@
         :return: that the request was answered, or why not.
         :raises UpstreamError: the stream broke off.
         """
+        media_type = read_media_type(response)
+        if sink.has_started and media_type != progress.stream_type:
+            message = f"the stream goes on as {media_type or 'no type'}; resume on another upstream"
+            return result.Err(errors.UpstreamConfused(message))
+        progress.stream_type = media_type
         progress.holding.source = response
         unread = UnreadTimes()
         try:
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -38,6 +38,8 @@
     PACKED = "packed"  # The body has an encoding that was not requested.
     HANGS = "hangs"  # No response is ever sent.
     NO_BYTES = "no_bytes"  # The bytes sent are not an HTTP response.
+    NOT_FOUND = "not_found"  # Runs, and answers with status 404.
+    ERROR_PAGE = "error_page"  # Runs, and answers a stream with a page that tells of an error.
 
 
 @dataclasses.dataclass(slots=True)
@@ -420,6 +422,15 @@
             await asyncio.Event().wait()
         if fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET, Fault.UNFRAMED_PART):
             return await self._send_unframed_stream(request, headers, fault)
+        if fault in (Fault.RESETS, Fault.NO_BYTES) or fault in _STATUS_BY_FAULT:
+            return await self._send_answer(request, headers, fault)
+        if fault is Fault.ERROR_PAGE:
+            return aiohttp.web.Response(
+                headers=headers, content_type="text/plain", body=b"error: out of memory\n\n"
+            )
+        headers.update(_HEADERS_BY_FAULT.get(fault, {}))
+        if fault is Fault.NO_RECEIPT:
+            del headers["Tanagerfork-Server-Stamp"]
         response = aiohttp.web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
@@ -496,7 +507,7 @@
     return {part.partition(":")[0] for part in parts[:-1]}
 
 
-_STATUS_BY_FAULT = {Fault.FULL_SILENTLY: 503, Fault.FAILS: 500}
+_STATUS_BY_FAULT = {Fault.FULL_SILENTLY: 503, Fault.FAILS: 500, Fault.NOT_FOUND: 404}
 _HEADERS_BY_FAULT = {
     Fault.CROSSED: {REQUEST_ID_HEADER: "another"},
     Fault.PACKED: {"Content-Encoding": "br"},
--- /dev/null
+++ b/tests/relay/test_broken_streams.py
@@ -0,0 +1,79 @@
+"""A stream that has begun and breaks off, while the next upstream answers with an error."""
+
+import asyncio
+
+import pytest
+
+from tanagerfork_standins.platform import runner, site
+from tests.relay import deployments
+
+FAULT = runner.Fault
+WHOLE = [b"id: %d" % event_id for event_id in range(1, 6)]
+
+
+def list_ids(body: bytes) -> list[bytes]:
+    return [line for line in body.split(b"\n") if line.startswith(b"id")]
+
+
+async def read_raw(deployed: deployments.Deployment, version: str = "1.1") -> tuple[bytes, bool]:
+    """Return all bytes that a caller of a stream gets, and whether the connection was reset."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", deployed.daemons[0].callers_port)
+    writer.write(
+        f"POST /stream/x HTTP/{version}\r\nHost: {site.HOST}\r\nConnection: close\r\n"
+        f"Authorization: Bearer {site.API_KEY}\r\nTanagerfork-Request-Id: raw1\r\n"
+        "Tanagerfork-Deadline-Ms: 3000\r\nTanagerfork-Tokens: 100,20\r\n"
+        f"Tanagerfork-Model: {site.SMALL_MODEL}\r\nContent-Length: 5\r\n\r\nhello".encode()
+    )
+    received = b""
+    try:
+        while part := await reader.read(65_536):
+            received += part
+    except ConnectionError:
+        return received, True
+    finally:
+        writer.close()
+    return received, False
+
+
+class TestErrorAfterABrokenStream:
+    """The first upstream resets its stream within an event; the others show the fault."""
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            FAULT.FULL,
+            FAULT.FULL_SILENTLY,
+            FAULT.FAILS,
+            FAULT.RESETS,
+            FAULT.NO_BYTES,
+            FAULT.CROSSED,
+            FAULT.NO_RECEIPT,
+            FAULT.ERROR_PAGE,
+            FAULT.NOT_FOUND,
+        ],
+    )
+    @pytest.mark.parametrize("attempts", [2, 3])
+    @pytest.mark.parametrize("version", ["1.1"])
+    async def test_caller_gets_events_alone_and_sees_that_the_stream_is_cut(
+        self, fault: runner.Fault, attempts: int, version: str
+    ) -> None:
+        async with deployments.deploy(engines=8) as deployed:
+            config = deployed.site.make_config()
+            for route in config["routes"]:
+                route["attempts"] = attempts
+            deployed.site.write_config(routes=config["routes"])
+            await deployed.wait_until(
+                lambda: len(deployed.daemons[0].view.list_groups(site.ENGINE_SERVICE, "")) == 3,
+                "three groups",
+            )
+            shared_faults = [FAULT.RESETS_MIDWAY, *[fault] * 12]
+            for member in deployed.site.engine_runners:
+                member.faults = shared_faults
+            received, was_reset = await read_raw(deployed, version)
+            head, _, body = received.partition(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200") or head.startswith(b"HTTP/1.0 200")
+            assert list_ids(body.replace(b"\r", b"")) == WHOLE[:2]
+            for unwanted in (b"HTTP/1", b"failed", b"error", b"Retry-After", b"par"):
+                assert unwanted not in body, body
+            assert not body.endswith(b"0\r\n\r\n")
+            assert was_reset or version == "1.1"
