Reset the connection of a cut stream that has no other end

What callers saw: a stream that broke off and could not be resumed looked complete to callers that speak HTTP/1.0. Cause: a response to them has neither chunks nor a length and ends with its connection; the aborted connection was closed in the regular way. Change: where only the close of the connection marks the end of a response, a cut response ends by a reset. Why it works: the caller's read fails instead of finding the end. Others see a missing last chunk, as before.

--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -10,6 +10,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.front import error_bodies
 from tanagerfork.relay import attempts, calls, choosing, exchange, forwarding, memory
+from tanagerfork.upstream import connections
 
 LOGGER = "relay.front"
 STOPPING_RETRY_AFTER_MS = 10  # Another daemon can take the request at once.
@@ -116,8 +117,12 @@
     def abort(self) -> None:
         """Abort the connection; see `progress.Sink.abort`."""
         self.was_cut = True
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._response is not None and _ends_with_connection(self._response):
+            connections.reset_on_close(transport)  # A close would look like the end of the stream.
+        transport.abort()
 
     async def _prepare(self, response: aiohttp.web.StreamResponse, headers: calls.Headers) -> None:
         self.status = response.status
@@ -368,6 +373,11 @@
         )
 
 
+def _ends_with_connection(response: aiohttp.web.StreamResponse) -> bool:
+    """Return whether only the close of the connection marks the end of a response."""
+    return not response.chunked and response.content_length is None
+
+
 def build_readiness_app(is_ready: "asyncio.Event") -> aiohttp.web.Application:
     """Return the application for the balancer's readiness probes.
 
--- a/src/tanagerfork/upstream/connections.py
+++ b/src/tanagerfork/upstream/connections.py
@@ -1,7 +1,9 @@
 """Connections to upstreams: socket options, lifetime, and protection against resending."""
 
 import asyncio
+import contextlib
 import socket
+import struct
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -39,6 +41,17 @@
     return tcp_socket
 
 
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Have the peer see a reset, not the regular end, when a connection is closed.
+
+    :param transport: transport of the connection.
+    """
+    tcp_socket = transport.get_extra_info("socket")
+    if tcp_socket is not None:
+        with contextlib.suppress(OSError):  # The connection is closed already.
+            tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 async def send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/tests/relay/test_broken_streams.py
+++ b/tests/relay/test_broken_streams.py
@@ -53,7 +53,7 @@
         ],
     )
     @pytest.mark.parametrize("attempts", [2, 3])
-    @pytest.mark.parametrize("version", ["1.1"])
+    @pytest.mark.parametrize("version", ["1.0", "1.1"])
     async def test_caller_gets_events_alone_and_sees_that_the_stream_is_cut(
         self, fault: runner.Fault, attempts: int, version: str
     ) -> None:
