Cut a response that has begun where an error would follow it

What callers would have seen: the head and the body of an error response in the middle of their stream. Cause: every error for a caller was sent as a response, whether one had begun or not. Today no error is raised after the start of a stream, which nothing made sure of. Change: an error after the start cuts the response, as a stream that cannot be resumed is. Evidence: tests/relay/test_broken_streams.py, with a relay that fails after the start of a stream: two heads arrived before, one does now. Why it works: the one place that sends errors to callers knows whether a response has begun.

--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -245,6 +245,10 @@
             outcome = "cut" if sink.was_cut else "answered"
         except errors.CallerError as error:
             outcome = error.kind
+            if sink.has_started:  # An error response would stand in the middle of the other one.
+                outcome = "cut"
+                sink.abort()
+                return sink.response
             with contextlib.suppress(ConnectionError):  # The caller has disconnected.
                 await self._send_error(sink, facts, error)
         except (ConnectionError, asyncio.CancelledError):
--- a/tests/relay/test_broken_streams.py
+++ b/tests/relay/test_broken_streams.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from tanagerfork import errors
+from tanagerfork.relay import attempts, calls, front
 from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
@@ -77,3 +79,19 @@
                 assert unwanted not in body, body
             assert not body.endswith(b"0\r\n\r\n")
             assert was_reset or version == "1.1"
+
+    async def test_own_error_does_not_follow_a_stream_that_has_begun(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def fail_after_start(request: calls.CallerRequest, sink: front.WebSink) -> None:
+            await sink.start_stream(200, [])
+            await sink.send(b"id: 1\ndata: x\n\n")
+            raise errors.NotRun("no upstream is left; retry later", 100)
+
+        async with deployments.deploy(engines=0) as deployed:
+            await deployed.wait_for_rules()
+            monkeypatch.setattr(attempts.Relay, "serve", lambda _, *given: fail_after_start(*given))
+            received, _ = await read_raw(deployed)
+            assert received.count(b"HTTP/1") == 1 and b"not_run" not in received
+            assert not received.endswith(b"0\r\n\r\n")
+            assert deployed.log.find('"outcome":"cut"')
