Resume streams that name no type, by the id of the next event

What callers would have seen: a stream cut off where it had begun without a media type and the next upstream named one. Cause: the comparison of media types took a missing one for another type; found by tests/relay/test_faults.py (streams that end with their connection), before anything was landed. Change: types are compared only where both answers name one. Where events are counted, the first event of a resumed stream must have the next id, so that a page without a type is no part of it either. Why it works: an event that goes on with a counted stream always says which one it is.

--- a/src/tanagerfork/relay/events.py
+++ b/src/tanagerfork/relay/events.py
@@ -63,7 +63,8 @@
             is_next = _is_consecutive(self.last_id, event_id)
             self.last_id = event_id
             return is_next
-        return True
+        # Where events are counted, a stream that goes on begins with the next one.
+        return self.event_count > 1 or not _is_number(self.last_id)
 
 
 def _is_consecutive(last_id: str, event_id: str) -> bool:
--- a/src/tanagerfork/relay/progress.py
+++ b/src/tanagerfork/relay/progress.py
@@ -75,7 +75,7 @@
     tried_ids: set[str] = dataclasses.field(default_factory=set)
     last_failure: str = ""
     retry_after_ms: float = DEFAULT_RETRY_AFTER_MS
-    stream_type: str = ""  # Media type of the stream that the caller gets; empty before its start.
+    stream_type: str = ""  # Media type that the stream began with; empty if none was named.
     answer_events: int = 0  # Events of a stream that this daemon has passed on.
     is_prompt_unread: bool = False  # Whether the present upstream has yet to read the prompt.
     timing: capacities.SendTiming | None = None  # Of the present send.
--- a/src/tanagerfork/relay/responses.py
+++ b/src/tanagerfork/relay/responses.py
@@ -117,10 +117,11 @@
         :raises UpstreamError: the stream broke off.
         """
         media_type = read_media_type(response)
-        if sink.has_started and media_type != progress.stream_type:
-            message = f"the stream goes on as {media_type or 'no type'}; resume on another upstream"
+        begun_type = progress.stream_type
+        if sink.has_started and media_type and begun_type and media_type != begun_type:
+            message = f"the stream goes on as {media_type}; resume on another upstream"
             return result.Err(errors.UpstreamConfused(message))
-        progress.stream_type = media_type
+        progress.stream_type = begun_type or media_type
         progress.holding.source = response
         unread = UnreadTimes()
         try:
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -23,7 +23,7 @@
     NONE = "none"
     FULL = "full"  # Refused, with the header that says it has not run.
     FULL_SILENTLY = "full_silently"  # Refused without that header.
-    FAILS = "fails"  # Runs, and fails with status 500.
+    FAILS = "fails"  # Runs, and fails with the status `failure_status`.
     RESETS = "resets"  # Runs, and the connection is aborted before the response.
     CRASHES = "crashes"  # As RESETS, and the runner shows a new start time.
     RESETS_MIDWAY = "resets_midway"  # The connection is reset within the body.
@@ -38,8 +38,6 @@
     PACKED = "packed"  # The body has an encoding that was not requested.
     HANGS = "hangs"  # No response is ever sent.
     NO_BYTES = "no_bytes"  # The bytes sent are not an HTTP response.
-    NOT_FOUND = "not_found"  # Runs, and answers with status 404.
-    ERROR_PAGE = "error_page"  # Runs, and answers a stream with a page that tells of an error.
 
 
 @dataclasses.dataclass(slots=True)
@@ -125,6 +123,7 @@
         self.cold_until_s = 0.0
         self.extra_report_fields: dict[str, object] = {}
         self.id_prefix = ""
+        self.failure_status = 500
         self.requests: list[ReceivedRequest] = []
         self.orders: list[dict[str, object]] = []
         self.order_count = 0
@@ -398,10 +397,9 @@
             self.publish_entry()
         if fault in (Fault.RESETS, Fault.CRASHES):
             transport.abort()
-        if fault in _STATUS_BY_FAULT:
-            return aiohttp.web.Response(
-                status=_STATUS_BY_FAULT[fault], headers=headers, body=b"failed"
-            )
+        if fault in (Fault.FULL_SILENTLY, Fault.FAILS):
+            status = 503 if fault is Fault.FULL_SILENTLY else self.failure_status
+            return aiohttp.web.Response(status=status, headers=headers, body=b"failed\n\n")
         headers.update(_HEADERS_BY_FAULT.get(fault, {}))
         if fault is Fault.NO_RECEIPT:
             del headers["Tanagerfork-Server-Stamp"]
@@ -422,12 +420,8 @@
             await asyncio.Event().wait()
         if fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET, Fault.UNFRAMED_PART):
             return await self._send_unframed_stream(request, headers, fault)
-        if fault in (Fault.RESETS, Fault.NO_BYTES) or fault in _STATUS_BY_FAULT:
+        if fault in _FAULTS_WITHOUT_EVENTS:
             return await self._send_answer(request, headers, fault)
-        if fault is Fault.ERROR_PAGE:
-            return aiohttp.web.Response(
-                headers=headers, content_type="text/plain", body=b"error: out of memory\n\n"
-            )
         headers.update(_HEADERS_BY_FAULT.get(fault, {}))
         if fault is Fault.NO_RECEIPT:
             del headers["Tanagerfork-Server-Stamp"]
@@ -507,7 +501,7 @@
     return {part.partition(":")[0] for part in parts[:-1]}
 
 
-_STATUS_BY_FAULT = {Fault.FULL_SILENTLY: 503, Fault.FAILS: 500, Fault.NOT_FOUND: 404}
+_FAULTS_WITHOUT_EVENTS = (Fault.FULL_SILENTLY, Fault.FAILS, Fault.RESETS, Fault.NO_BYTES)
 _HEADERS_BY_FAULT = {
     Fault.CROSSED: {REQUEST_ID_HEADER: "another"},
     Fault.PACKED: {"Content-Encoding": "br"},
--- a/tests/relay/test_broken_streams.py
+++ b/tests/relay/test_broken_streams.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tanagerfork import errors
-from tanagerfork.relay import attempts, calls, front
+from tanagerfork.relay import attempts, calls, events, front
 from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
@@ -41,23 +41,23 @@
     """The first upstream resets its stream within an event; the others show the fault."""
 
     @pytest.mark.parametrize(
-        "fault",
+        "fault, failure_status",
         [
-            FAULT.FULL,
-            FAULT.FULL_SILENTLY,
-            FAULT.FAILS,
-            FAULT.RESETS,
-            FAULT.NO_BYTES,
-            FAULT.CROSSED,
-            FAULT.NO_RECEIPT,
-            FAULT.ERROR_PAGE,
-            FAULT.NOT_FOUND,
+            (FAULT.FULL, 0),
+            (FAULT.FULL_SILENTLY, 0),
+            (FAULT.RESETS, 0),
+            (FAULT.NO_BYTES, 0),
+            (FAULT.CROSSED, 0),
+            (FAULT.NO_RECEIPT, 0),
+            (FAULT.FAILS, 500),
+            (FAULT.FAILS, 404),
+            (FAULT.FAILS, 200),  # A page that tells of the error.
         ],
     )
     @pytest.mark.parametrize("attempts", [2, 3])
     @pytest.mark.parametrize("version", ["1.0", "1.1"])
     async def test_caller_gets_events_alone_and_sees_that_the_stream_is_cut(
-        self, fault: runner.Fault, attempts: int, version: str
+        self, fault: runner.Fault, failure_status: int, attempts: int, version: str
     ) -> None:
         async with deployments.deploy(engines=8) as deployed:
             config = deployed.site.make_config()
@@ -71,6 +71,7 @@
             shared_faults = [FAULT.RESETS_MIDWAY, *[fault] * 12]
             for member in deployed.site.engine_runners:
                 member.faults = shared_faults
+                member.failure_status = failure_status
             received, was_reset = await read_raw(deployed, version)
             head, _, body = received.partition(b"\r\n\r\n")
             assert head.startswith(b"HTTP/1.1 200") or head.startswith(b"HTTP/1.0 200")
@@ -95,3 +96,25 @@
             assert received.count(b"HTTP/1") == 1 and b"not_run" not in received
             assert not received.endswith(b"0\r\n\r\n")
             assert deployed.log.find('"outcome":"cut"')
+
+
+class TestFirstEventOfAResumedStream:
+    @pytest.mark.parametrize(
+        "last_id, data, is_accepted",
+        [
+            ("2", b"id: 3\ndata: x\n\n", True),
+            ("2", b"id: 4\ndata: x\n\n", False),
+            ("2", b"error: out of memory\n\n", False),
+            ("", b"data: x\n\n", True),
+            ("x", b"data: x\n\n", True),
+        ],
+    )
+    def test_it_has_the_next_id_where_events_are_counted(
+        self, last_id: str, data: bytes, is_accepted: bool
+    ) -> None:
+        fed = events.EventSplitter(last_id).feed(data)
+        assert fed.is_ok() is is_accepted
+
+    def test_later_events_may_have_no_id(self) -> None:
+        fed = events.EventSplitter("2").feed(b"id: 3\ndata: x\n\n: still here\n\n")
+        assert fed.is_ok()
