Call malformed items malformed in their tests

Cause: the tests of malformed items used other words than the code and the field do. Change: names only; the reason for the decoding module says which error is meant.

--- a/src/tanagerfork/decoding.py
+++ b/src/tanagerfork/decoding.py
@@ -1,7 +1,7 @@
-"""Decodes records that others wrote; whatever is wrong with one raises `msgspec.MsgspecError`.
+"""Decodes records of other writers; every malformed record raises `msgspec.MsgspecError`.
 
-The library lets other errors through, such as the one of a value that is nested too deeply. Whoever
-expects `msgspec.MsgspecError` alone would fail with the one record and with all that follow it.
+The library itself also raises `RecursionError` for values that are nested too deeply. A task that
+handles only `msgspec.MsgspecError` would end with it, and no other record would be read.
 """
 
 from collections.abc import Callable
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_malformed_items.py
@@ -12,7 +12,7 @@
 DEPTH = 100_000
 DEEP = b"[" * DEPTH + b"]" * DEPTH
 HUGE = b"1" + b"0" * 400
-ODD_UPSTREAM = "i-odd"
+MALFORMED_UPSTREAM = "i-malformed"
 
 
 def make_entry(service: str = site.PLAIN_SERVICE, **raw_fields: bytes) -> bytes:
@@ -40,7 +40,7 @@
     )
 
 
-ODD_ENTRIES = {
+MALFORMED_ENTRIES = {
     "deep": DEEP,
     "deep unknown field": make_entry(note=DEEP),
     "deep known field": make_entry(coldLeftMs=DEEP),
@@ -79,19 +79,19 @@
 
 
 class TestUpstreamEntries:
-    @pytest.mark.parametrize("name", ODD_ENTRIES)
-    async def test_odd_entry_stops_neither_configuration_nor_groups(self, name: str) -> None:
+    @pytest.mark.parametrize("name", MALFORMED_ENTRIES)
+    async def test_malformed_entry_stops_neither_configuration_nor_groups(self, name: str) -> None:
         async with deployments.deploy() as deployed:
             await deployed.wait_for_rules()
-            deployed.site.store.put(f"servers/{ODD_UPSTREAM}", ODD_ENTRIES[name])
+            deployed.site.store.put(f"servers/{MALFORMED_UPSTREAM}", MALFORMED_ENTRIES[name])
             await deployed.wait_for_group()
             await check_that_service_goes_on(deployed)
-            assert ODD_UPSTREAM not in deployed.daemons[0].view.ids
+            assert MALFORMED_UPSTREAM not in deployed.daemons[0].view.ids
 
-    async def test_odd_entry_that_was_there_first_keeps_no_daemon_from_starting(self) -> None:
+    async def test_malformed_entry_that_was_there_first_keeps_no_daemon_from_starting(self) -> None:
         async with deployments.deploy(daemon_count=0) as deployed:
-            for number, value in enumerate(ODD_ENTRIES.values()):
-                deployed.site.store.put(f"servers/{ODD_UPSTREAM}{number}", value)
+            for number, value in enumerate(MALFORMED_ENTRIES.values()):
+                deployed.site.store.put(f"servers/{MALFORMED_UPSTREAM}{number}", value)
             await deployed.add_daemon()
             await deployed.wait_for_group()
             await check_that_service_goes_on(deployed)
@@ -99,7 +99,7 @@
 
 class TestOtherItems:
     @pytest.mark.parametrize(
-        "key", ["op/config", "tanagerfork/daemons/odd", "tanagerfork/quarantine/odd"]
+        "key", ["op/config", "tanagerfork/daemons/malformed", "tanagerfork/quarantine/malformed"]
     )
     async def test_deeply_nested_value_stops_no_later_configuration(self, key: str) -> None:
         async with deployments.deploy() as deployed:
@@ -112,8 +112,8 @@
 
     async def test_deeply_nested_report_costs_no_other_group(self) -> None:
         async with deployments.deploy(engines=8) as deployed:
-            odd = deployed.site.engine_runners[0]
-            odd.extra_report_fields = {"note": msgspec.Raw(DEEP)}
+            malformed = deployed.site.engine_runners[0]
+            malformed.extra_report_fields = {"note": msgspec.Raw(DEEP)}
             await deployed.wait_for_group()
             await check_that_service_goes_on(deployed)
 
@@ -125,7 +125,9 @@
             await check_that_service_goes_on(deployed)
 
     @pytest.mark.parametrize("address", ["127.0.0.1:65536", "127.0.0.1:x", "nowhere"])
-    async def test_daemon_entry_with_an_odd_address_costs_no_notices(self, address: str) -> None:
+    async def test_daemon_entry_with_an_unusable_address_costs_no_notices(
+        self, address: str
+    ) -> None:
         async with deployments.deploy(daemon_count=2) as deployed:
             await deployed.wait_for_group()
             record = {"failure_domain": "a", "address": address, "forwarding": address}
@@ -156,15 +158,15 @@
     async def test_load_with_huge_figures_costs_no_later_request(self) -> None:
         async with deployments.deploy() as deployed:
             await deployed.wait_for_group()
-            for odd in (*deployed.site.plain_runners, *deployed.site.engine_runners):
-                odd.waiting_count = int(HUGE)
+            for upstream in (*deployed.site.plain_runners, *deployed.site.engine_runners):
+                upstream.waiting_count = int(HUGE)
             await check_that_service_goes_on(deployed)
 
     async def test_event_with_a_huge_id_is_relayed(self) -> None:
         async with deployments.deploy(engines=2) as deployed:
             await deployed.wait_for_group()
-            for odd in deployed.site.engine_runners:
-                odd.id_prefix = "1" * 5000
+            for upstream in deployed.site.engine_runners:
+                upstream.id_prefix = "1" * 5000
             response = await deployed.ask("/stream/x", "POST", b"hello")
             assert response.status == 200 and response.is_whole
             assert response.body.count(b"data:") == deployed.site.engine_runners[0].events
@@ -172,12 +174,12 @@
 
 class TestConnections:
     @pytest.mark.parametrize("address", ["127.0.0.1:65536", "127.0.0.1:x", "nowhere"])
-    async def test_no_connection_to_an_odd_address_is_an_upstream_out_of_reach(
+    async def test_no_connection_to_an_unusable_address_is_an_upstream_out_of_reach(
         self, address: str
     ) -> None:
         """Addresses of members are read from the record of groups too."""
-        upstream = members.Upstream("i-odd", site.ENGINE_SERVICE, address, "a", False, 6, 1)
-        order = plans.Order(plans.LEAVE, "i-odd", address, "g", 1, "", ())
+        upstream = members.Upstream("i-malformed", site.ENGINE_SERVICE, address, "a", False, 6, 1)
+        order = plans.Order(plans.LEAVE, "i-malformed", address, "g", 1, "", ())
         session = exchange.open_session(is_pooled=False)
         try:
             client = runners.RunnerClient(session, session, 100, 100)
