Take the type of a stream from the answer that began it

What callers would have seen: a stream cut off although an upstream went on with it properly, where an earlier answer of another type had broken off before the first event. Change: the type is recorded as long as the stream has not begun. Evidence: tests/relay/test_broken_streams.py, TestTypeOfAStream, failed before. Why it works: what is compared is what the caller got.

--- a/src/tanagerfork/relay/responses.py
+++ b/src/tanagerfork/relay/responses.py
@@ -46,15 +46,6 @@
         return error
 
 
-def read_media_type(response: exchange.UpstreamResponse) -> str:
-    """Return the media type of a response, in lower case; empty if it names none.
-
-    :param response: response of an upstream.
-    """
-    named = response.http_response.headers.get("Content-Type", "")
-    return named.partition(";")[0].strip().lower()
-
-
 class ResponseRelay:
     """Relays responses whose headers have been checked.
 
@@ -116,12 +107,12 @@
         :return: that the request was answered, or why not.
         :raises UpstreamError: the stream broke off.
         """
-        media_type = read_media_type(response)
-        begun_type = progress.stream_type
-        if sink.has_started and media_type and begun_type and media_type != begun_type:
+        media_type = _read_media_type(response)
+        if not sink.has_started:
+            progress.stream_type = media_type
+        elif media_type and progress.stream_type and media_type != progress.stream_type:
             message = f"the stream goes on as {media_type}; resume on another upstream"
             return result.Err(errors.UpstreamConfused(message))
-        progress.stream_type = begun_type or media_type
         progress.holding.source = response
         unread = UnreadTimes()
         try:
@@ -202,3 +193,9 @@
             await sink.start_stream(
                 response.status, self._dialect.filter_response_headers(response.headers)
             )
+
+
+def _read_media_type(response: exchange.UpstreamResponse) -> str:
+    """Return the media type of a response, in lower case; empty if it names none."""
+    named = response.http_response.headers.get("Content-Type", "")
+    return named.partition(";")[0].strip().lower()
--- a/tests/relay/test_broken_streams.py
+++ b/tests/relay/test_broken_streams.py
@@ -1,11 +1,14 @@
 """A stream that has begun and breaks off, while the next upstream answers with an error."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 
+from tanagerfork import clock as clocks
 from tanagerfork import errors
-from tanagerfork.relay import attempts, calls, events, front
+from tanagerfork.platform import headers
+from tanagerfork.relay import attempts, calls, events, front, responses
 from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
@@ -118,3 +121,37 @@
     def test_later_events_may_have_no_id(self) -> None:
         fed = events.EventSplitter("2").feed(b"id: 3\ndata: x\n\n: still here\n\n")
         assert fed.is_ok()
+
+
+class RecordingSink:
+    """Sink that keeps what a caller gets."""
+
+    def __init__(self) -> None:
+        self.has_started = False
+        self.received = b""
+
+    async def start_stream(self, status: int, headers: calls.Headers) -> None:
+        self.has_started = True
+
+    async def send(self, data: bytes) -> None:
+        self.received += data
+
+    async def finish_stream(self) -> None:
+        """Do nothing."""
+
+
+class TestTypeOfAStream:
+    async def test_page_that_broke_off_before_the_stream_began_does_not_set_its_type(self) -> None:
+        relay = responses.ResponseRelay(headers.PlatformDialect(), clocks.ManualClock())
+        progress = mock.Mock(stream_type="", last_event_id="", answer_events=0)
+        sink = RecordingSink()
+        for media_type, chunks in (
+            ("text/plain", [b"out of mem"]),
+            ("text/event-stream", [b"id: 1\ndata: x\n\nid: 2"]),
+            ("text/event-stream; charset=utf-8", [b"id: 2\ndata: x\n\n"]),
+        ):
+            response = mock.Mock(status=200, headers=[])
+            response.http_response.headers = {"Content-Type": media_type}
+            read_chunk = mock.AsyncMock(side_effect=[*chunks, b""])
+            relayed = await relay.relay_stream(progress, response, sink, read_chunk, mock.Mock())
+        assert relayed.is_ok() and list_ids(sink.received) == WHOLE[:2]
