Have two tests of malformed records fail without the decoding module

Cause: the tests of a deeply nested report and of deeply nested records of groups passed before the fix: the report was set before its member was probed, the records were no objects at all. Change: the report belongs to a member that is probed, the records nest within an unknown field, and both tests wait until they were read. Evidence: with RecursionError let through again both fail; none does with the module as it is.

--- a/tests/relay/test_malformed_items.py
+++ b/tests/relay/test_malformed_items.py
@@ -112,16 +112,23 @@
 
     async def test_deeply_nested_report_costs_no_other_group(self) -> None:
         async with deployments.deploy(engines=8) as deployed:
-            malformed = deployed.site.engine_runners[0]
-            malformed.extra_report_fields = {"note": msgspec.Raw(DEEP)}
             await deployed.wait_for_group()
+            malformed = next(item for item in deployed.site.engine_runners if item.membership)
+            malformed.extra_report_fields = {"note": msgspec.Raw(DEEP)}
+            await deployed.wait_until(
+                lambda: deployed.log.find('"member does not answer"', malformed.id),
+                "the report counts as none",
+            )
             await check_that_service_goes_on(deployed)
 
     async def test_deeply_nested_record_of_groups_leaves_requests_served(self) -> None:
         async with deployments.deploy() as deployed:
             await deployed.wait_for_group()
-            deployed.site.store.put("tanagerfork/assignments/a", DEEP)
-            deployed.site.store.put("lease/a", DEEP)
+            for key in ("tanagerfork/assignments/a", "lease/a"):
+                deployed.site.store.put(key, b'{"note":' + DEEP + b"}")
+            await deployed.wait_until(
+                lambda: deployed.log.find('"no longer coordinator"'), "the records are read"
+            )
             await check_that_service_goes_on(deployed)
 
     @pytest.mark.parametrize("address", ["127.0.0.1:65536", "127.0.0.1:x", "nowhere"])
