--- a/src/tanagerfork/decoding.py
+++ b/src/tanagerfork/decoding.py
@@ -54,6 +54,4 @@
     except RecursionError as error:
         raise UnreadableRecord("the value is nested too deeply; flatten it") from error
     except (ValueError, OverflowError) as error:
-        if isinstance(error, msgspec.MsgspecError):
-            raise
         raise UnreadableRecord(f"a value cannot be represented ({error}); correct it") from error
--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -173,7 +173,7 @@
                     LOGGER,
                     "daemon entry cannot be decoded",
                     key=entry.key,
-                    reason=f"{unusable[:100]!r} is no address of a daemon",
+                    reason=f"{unusable[:100]!r} is not an IPv4 address with a port",
                 )
                 continue
             name = entry.key.removeprefix(self.prefix)
--- a/src/tanagerfork/relay/events.py
+++ b/src/tanagerfork/relay/events.py
@@ -63,7 +63,7 @@
             is_next = _is_consecutive(self.last_id, event_id)
             self.last_id = event_id
             return is_next
-        # Where events are counted, a stream that goes on begins with the next one.
+        # A resumed stream whose events are numbered begins with the next number.
         return self.event_count > 1 or not _is_number(self.last_id)
 
 
--- a/src/tanagerfork/upstream/connections.py
+++ b/src/tanagerfork/upstream/connections.py
@@ -155,5 +155,5 @@
     :param address: its address.
     """
     return errors.UpstreamUnreachable(
-        f"{upstream} has an address that is none ({address[:100]!r}); go elsewhere"
+        f"{upstream} has the invalid address {address[:100]!r}; use another upstream"
     )
