Let the library's own decoding errors through unchanged

What operators saw: a check of a configuration said "is no JSON" for a value of the wrong type, without its path. Change: they are raised again as they are. Why it works: only errors that are not the library's are wrapped.

--- a/src/tanagerfork/decoding.py
+++ b/src/tanagerfork/decoding.py
@@ -51,6 +51,8 @@
     """
     try:
         return decode()
+    except msgspec.MsgspecError:  # Most are ValueErrors too, and keep their path and reason.
+        raise
     except RecursionError as error:
         raise UnreadableRecord("the value is nested too deeply; flatten it") from error
     except (ValueError, OverflowError) as error:
