--- a/review/support/plain_runner.py
+++ b/review/support/plain_runner.py
@@ -35,7 +35,7 @@
         self.name, self.service, self.zone = name, service, zone
         self._registry, self._note_run = registry, note_run
         self._work_s, self._crash_body, self._away_s = work_s, crash_body, away_s
-        self._port = 0
+        self.port = 0
         self.crashes = 0
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
@@ -45,8 +45,8 @@
         """Begin a new life."""
         self.id = f"i-{self.name}-{next(_LIVES)}"
         self._born_ms, self._seq, self._load = int(time.time() * 1000), 0, 0
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
-        self._port = self._server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
         self._beats = self._spawn(self._beat(self.id))
 
     def _spawn(self, work: object) -> "asyncio.Task[None]":
@@ -60,7 +60,7 @@
             self._seq += 1
             entry = {
                 "service": self.service,
-                "address": f"127.0.0.1:{self._port}",
+                "address": f"127.0.0.1:{self.port}",
                 "zone": self.zone,
                 "version": "v1",
                 "slots": 6,
