--- a/review/support/plain_runner.py
+++ b/review/support/plain_runner.py
@@ -15,10 +15,11 @@
 
 
 class PlainRunner:
-    """One runner; each start has a new id, on the same address.
+    """One runner; each start is on the same address, and has a new id unless it `keeps_id`.
 
     `note_run` is called with the runner and the request when a request begins to run. A request
-    whose body begins with `crash_body` crashes the runner, which is back after `away_s`.
+    whose body begins with `crash_body` crashes the runner, which is back after `away_s`. After a
+    crash it is cold for `cold_s`.
     """
 
     def __init__(
@@ -31,19 +32,23 @@
         work_s: float = 0.05,
         crash_body: bytes = b"",
         away_s: float = 2.0,
+        keeps_id: bool = False,
+        cold_s: float = 0.0,
     ) -> None:
         self.name, self.service, self.zone = name, service, zone
         self._registry, self._note_run = registry, note_run
         self._work_s, self._crash_body, self._away_s = work_s, crash_body, away_s
+        self._keeps_id, self._cold_s = keeps_id, cold_s
         self.port = 0
         self.crashes = 0
+        self.cold_until_s = 0.0  # By the monotonic clock.
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Begin a new life."""
-        self.id = f"i-{self.name}-{next(_LIVES)}"
+        self.id = f"i-{self.name}" if self._keeps_id else f"i-{self.name}-{next(_LIVES)}"
         self._born_ms, self._seq, self._load = int(time.time() * 1000), 0, 0
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
@@ -65,16 +70,20 @@
                 "version": "v1",
                 "slots": 6,
                 "state": "ready",
-                "coldLeftMs": 0,
+                "coldLeftMs": self._measure_cold_ms(),
                 "seq": self._seq,
                 "born": self._born_ms,
             }
             self._registry.put(f"servers/{own_id}", json.dumps(entry).encode())
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _measure_cold_ms(self) -> int:
+        return max(0, round((self.cold_until_s - time.monotonic()) * 1000))
+
     async def _lapse(self, own_id: str) -> None:
         await asyncio.sleep(LAPSE_S)
-        self._registry.remove(f"servers/{own_id}")
+        if self._beats.cancelled() or own_id != self.id:  # Else it is back under its id.
+            self._registry.remove(f"servers/{own_id}")
 
     def crash(self) -> None:
         """Reset all connections, be away for a while, and start anew."""
@@ -89,6 +98,7 @@
 
     async def _return(self) -> None:
         await asyncio.sleep(self._away_s)
+        self.cold_until_s = time.monotonic() + self._cold_s
         await self.start()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -103,9 +113,9 @@
                     if line
                 }
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
-                own_id = self.id
+                born_ms = self._born_ms
                 answer = await self._answer(first.split(" ")[1], headers, body)
-                if own_id != self.id or writer.is_closing():
+                if born_ms != self._born_ms or writer.is_closing():
                     return
                 writer.write(answer)
                 await writer.drain()
@@ -126,8 +136,10 @@
                 "queued": 0,
                 "active": self._load,
                 "born": self._born_ms,
+                "coldLeftMs": self._measure_cold_ms(),
             }
-            return _make_answer("200 OK", {"Content-Type": "application/json"}, json.dumps(report).encode())
+            kind = {"Content-Type": "application/json"}
+            return _make_answer("200 OK", kind, json.dumps(report).encode())
         self._note_run(self, headers, body, path)
         self._load += 1
         try:
