--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -53,7 +53,9 @@
     return value
 
 
-def render(text: str, fields: object, entry: object = None, key: str = "", last: bool = True) -> str:
+def render(
+    text: str, fields: object, entry: object = None, key: str = "", last: bool = True
+) -> str:
     """Fill in a template with the fields, by the rules of the platform for its placeholders."""
     out, at = [], 0
     while (found := TAG.search(text, at)) is not None:
@@ -73,9 +75,7 @@
                     out.append(render(inner, fields, value[name], name, name == names[-1]))
             elif isinstance(value, list):
                 for index, item in enumerate(value):
-                    out.append(
-                        render(inner, fields, item, str(index), index == len(value) - 1)
-                    )
+                    out.append(render(inner, fields, item, str(index), index == len(value) - 1))
             elif value:
                 out.append(render(inner, fields, value, key, last))
         elif path == ",":
@@ -102,11 +102,12 @@
         """Time since the start, in seconds."""
         return time.monotonic() - self._began_s
 
-    def note(self, text: str) -> None:
-        """Write a line."""
+    def note(self, text: str, is_shown: bool = True) -> None:
+        """Write a line, and print it if it is to be shown."""
         line = f"{self.now_s:8.3f}  {text}"
         self._file.write(line + "\n")
-        print(line, flush=True)
+        if is_shown:
+            print(line, flush=True)
 
 
 class Daemon:
--- a/review/support/silent_proxy.py
+++ b/review/support/silent_proxy.py
@@ -47,9 +47,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         try:
-            far_reader, far_writer = await asyncio.open_connection(
-                self._far_host, self._far_port
-            )
+            far_reader, far_writer = await asyncio.open_connection(self._far_host, self._far_port)
         except OSError:
             writer.transport.abort()
             return
