--- a/review/3/run.py
+++ b/review/3/run.py
@@ -216,6 +216,7 @@
 
 
 def main() -> int:
+    deployment.end_on_sigterm()
     with tempfile.TemporaryDirectory() as folder:
         try:
             return asyncio.run(Case(pathlib.Path(folder)).run())
--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -229,6 +229,15 @@
     return Answer(status, headers, bytes(body))
 
 
+def end_on_sigterm() -> None:
+    """Have SIGTERM end the script by its own end, which ends the processes that it started."""
+
+    def end(number: int, frame: object) -> None:
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, end)
+
+
 def find_addresses(count: int) -> list[str]:
     """Return loopback addresses on which the ports of a daemon are free."""
     ports = [*PORTS.values(), PORT_RANGE[0], PORT_RANGE[1], 9464]
