Log since when an upstream is silent, and what of a request a stop has cut

A send now says how long ago this daemon and any other one received something from its upstream, a request that is not answered how many upstreams were tried and whether the response had begun, and the end of a request whether the daemon was stopping.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -338,6 +338,8 @@
             reason=reason,
             sends=progress.sends,
             may_have_run=progress.may_have_run,
+            tried=len(progress.tried_ids),
+            has_response_begun=sink.has_started,
             team=progress.team,
             priority=progress.priority,
             admitted_share=round(progress.admitted_share, 2),
@@ -374,6 +376,8 @@
     ) -> None:
         self._metrics.count("relay_sends_total", outcome=outcome.value)
         self._metrics.observe_ms("relay_send_seconds", took_ms, service=progress.service.name)
+        now_ms = self._clock.monotonic_ms()
+        load = self._book.find(choice.upstream.id)
         self._log.note(
             LOGGER,
             "send",
@@ -384,9 +388,11 @@
             expected_ms=round(choice.expected_ms),
             requests_there=round(choice.estimated_requests, 1),
             told_age_ms=round(choice.load_age_ms),
-            list_age_ms=self._view.measure_age(self._clock.monotonic_ms()),
+            list_age_ms=self._view.measure_age(now_ms),
             outcome=outcome.value,
             reason=reason,
             took_ms=round(took_ms),
             last_event_id=progress.last_event_id,
+            heard_age_ms=load.measure_heard_age_ms(now_ms),
+            peer_heard_age_ms=load.measure_peer_heard_age_ms(now_ms),
         )
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -374,6 +374,7 @@
             outcome=outcome,
             status=status,
             took_ms=took_ms,
+            is_stopping=self.is_draining,
         )
 
 
--- a/src/tanagerfork/relay/loads.py
+++ b/src/tanagerfork/relay/loads.py
@@ -97,6 +97,20 @@
         is_recent = now_ms - self.peer_heard_at_ms <= PEER_HEARD_TTL_MS
         return is_recent and now_ms >= self.suspect_until_ms
 
+    def measure_heard_age_ms(self, now_ms: float) -> int:
+        """Return the time since this daemon received anything from the upstream; -1 for never.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        return _measure_age_ms(self.heard_at_ms, now_ms)
+
+    def measure_peer_heard_age_ms(self, now_ms: float) -> int:
+        """Return the time since another daemon received anything from it; -1 if none is known.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        return _measure_age_ms(self.peer_heard_at_ms, now_ms)
+
     def estimate_failure_share(self, now_ms: float) -> float:
         """Return the share of requests that are expected to fail.
 
@@ -136,7 +150,7 @@
 
         :param now_ms: monotonic clock, in milliseconds.
         """
-        return -1 if self.heard_at_ms == NEVER_MS else max(0, round(now_ms - self.heard_at_ms))
+        return _measure_age_ms(self.heard_at_ms, now_ms)
 
     @property
     def is_idle(self) -> bool:
@@ -362,3 +376,7 @@
         for gone in self._loads.keys() - upstream_ids:
             if not self._loads[gone].open and not self._loads[gone].peer_open:
                 del self._loads[gone]
+
+
+def _measure_age_ms(time_ms: float, now_ms: float) -> int:
+    return -1 if time_ms == NEVER_MS else max(0, round(now_ms - time_ms))
