Keep a silent send open until another upstream has answered

What callers saw: a stream whose upstream paused for more than 400 to 600 ms was reset, though the upstream lived and went on, where no other upstream took the stream.

Cause: silence was taken for loss. A send without a byte for its limit was closed first, and another upstream looked for afterwards. If there was none, if it refused, failed or was silent too, or if the check of the reach found nobody (as all pause at once), nothing was left to wait for.

Change: a silent send stays open while another upstream is asked (request hedging, relay/open_sends.py). The first send that writes to the caller ends the others; a send that is refused or fails ends by itself only. With no other upstream, the request waits on until its deadline and looks again every 300 ms. An upstream that is suspected of silence itself is not asked. The attempts of the route and the retry budget hold as before; a request that may not be repeated is sent once. An error that another daemon or upstream gives is kept while another send is open. Bytes that arrived while the daemon itself stood still no longer count as silence. What is logged of sends moves to relay/send_records.py.

This works as nothing is given up on the absence of evidence: an open send costs its upstream a slot, and ends as soon as any answer has begun.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -1,11 +1,12 @@
-"""Sends a caller's request to one upstream after another until one answers or it must stop."""
+"""Sends a caller's request to upstreams until one answers or no further send may be made."""
 
 import asyncio
+import functools
 
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import decisions, errors
+from tanagerfork import errors
 from tanagerfork import metrics as metric
 from tanagerfork.relay import (
     budget,
@@ -13,19 +14,20 @@
     capacities,
     choosing,
     crashes,
-    fleet,
     forwarding,
     loads,
+    open_sends,
     placing,
     reach,
     reach_checks,
     regions,
     rules,
+    send_records,
     sending,
 )
 from tanagerfork.relay import progress as progresses
 
-LOGGER = "relay.attempts"
+HEDGE_INTERVAL_MS = 300  # Between two looks for another upstream while the present one is silent.
 MAX_NOT_RUN_SENDS = 8  # A failure domain that is cut off takes a third of the groups with it.
 
 
@@ -33,7 +35,6 @@
     """Relays requests to upstreams, with retries that the route and the retry budget allow.
 
     :param register: rules in force.
-    :param view: known upstreams and groups.
     :param book: loads of the upstreams.
     :param chooser: chooses upstreams.
     :param own_reach: which services this daemon reaches.
@@ -42,7 +43,7 @@
     :param retry_budget: limits retries.
     :param sender: sends a request to one upstream.
     :param clock: clock of the deadlines.
-    :param log: decision log.
+    :param records: records sends and unanswered requests.
     :param metrics: counters.
     :param crash_watch: detects requests that crash upstreams.
     :param own_capacities: learns from answers what upstreams handle well.
@@ -50,7 +51,6 @@
 
     __slots__ = (
         "_register",
-        "_view",
         "_book",
         "_chooser",
         "_reach",
@@ -59,7 +59,7 @@
         "_retry_budget",
         "_sender",
         "_clock",
-        "_log",
+        "_records",
         "_metrics",
         "_crash_watch",
         "_capacities",
@@ -68,7 +68,6 @@
     def __init__(
         self,
         register: rules.RulesRegister,
-        view: fleet.Fleet,
         book: loads.LoadBook,
         chooser: choosing.Chooser,
         own_reach: reach.Reach,
@@ -77,7 +76,7 @@
         retry_budget: budget.RetryBudget,
         sender: sending.Sender,
         clock: clocks.Clock,
-        log: decisions.DecisionLog,
+        records: send_records.SendRecords,
         metrics: metric.Metrics,
         crash_watch: crashes.CrashWatch,
         own_capacities: capacities.Capacities,
@@ -85,7 +84,6 @@
         self._capacities = own_capacities
         self._crash_watch = crash_watch
         self._register = register
-        self._view = view
         self._book = book
         self._chooser = chooser
         self._reach = own_reach
@@ -94,7 +92,7 @@
         self._retry_budget = retry_budget
         self._sender = sender
         self._clock = clock
-        self._log = log
+        self._records = records
         self._metrics = metrics
 
     @property
@@ -162,21 +160,58 @@
     async def _send_until_answered(
         self, request: calls.CallerRequest, progress: progresses.Progress, sink: progresses.Sink
     ) -> None:
-        while True:
-            path = await self._choose_path(request, progress)
-            obstacle = self._find_obstacle(progress, path)
-            if path is None or obstacle:
-                await self._finish_unanswered(request, progress, sink, obstacle)
-                return
-            if isinstance(path, placing.Choice):
-                outcome = await self._send_once(request, progress, path, sink)
-            else:
-                outcome = await self._forwarder.forward(request, progress, path, sink)
-            if outcome is calls.Outcome.ANSWERED:
-                return
-            if not self._may_retry(progress, outcome):
-                await self._finish_unanswered(request, progress, sink, progress.last_failure)
-                return
+        sends = open_sends.OpenSends(progress, sink)
+        try:
+            while True:
+                obstacle = ""
+                if sends.are_silent:
+                    obstacle = await self._start_send(request, progress, sends)
+                if not sends.is_any_open:
+                    await self._finish_unanswered(request, progress, sink, obstacle)
+                    return
+                outcome = await sends.wait(HEDGE_INTERVAL_MS)
+                if outcome is calls.Outcome.ANSWERED:
+                    return
+                progress.not_run_sends += outcome in calls.NOT_RUN
+        finally:
+            await sends.close()
+
+    async def _start_send(
+        self,
+        request: calls.CallerRequest,
+        progress: progresses.Progress,
+        sends: open_sends.OpenSends,
+    ) -> str:
+        """Start the next send, if there may be one while the open ones are silent.
+
+        :return: why none was started; empty if one was, or if an open one is silent no more.
+        """
+        if not self._may_send(progress):
+            return progress.last_failure
+        path = await self._choose_path(request, progress)
+        if not sends.are_silent:
+            return ""
+        obstacle = self._find_obstacle(progress, path)
+        if path is None or obstacle:
+            return obstacle
+        if sends.is_any_open:
+            self._metrics.count("relay_hedged_sends_total", service=progress.service.name)
+        if isinstance(path, placing.Choice):
+            run = functools.partial(self._send_once, request, progress, path)
+        else:
+            run = functools.partial(self._forward, request, progress, path)
+        sends.start(run)
+        return ""
+
+    async def _forward(
+        self,
+        request: calls.CallerRequest,
+        progress: progresses.Progress,
+        daemon: str,
+        send: open_sends.Send,
+        sink: progresses.Sink,
+    ) -> calls.Outcome:
+        return await self._forwarder.forward(request, progress, daemon, sink)
 
     async def _choose_path(
         self, request: calls.CallerRequest, progress: progresses.Progress
@@ -206,9 +241,12 @@
             return progress.last_failure or "no upstream can take the request"
         if progress.remaining_ms(now_ms) < progresses.MIN_REMAINING_MS:
             return "the time left before the deadline is too short"
-        if progress.has_reached_upstream and not self._retry_budget.try_acquire(
-            progress.service.name, now_ms
-        ):
+        if progress.open_sends and isinstance(path, placing.Choice):
+            is_silent_too = now_ms < self._book.find(path.upstream.id).suspect_until_ms
+            if is_silent_too:
+                return "all upstreams are silent"
+        has_sent = progress.has_reached_upstream or progress.open_sends
+        if has_sent and not self._retry_budget.try_acquire(progress.service.name, now_ms):
             return "the retry budget of the service is used up"
         return ""
 
@@ -219,7 +257,8 @@
 
         :raises NotTakenOver: the request was handed over already, so another one has to choose.
         """
-        if request.handover is not None and not progress.has_reached_upstream:
+        has_sent = progress.has_reached_upstream or progress.open_sends
+        if request.handover is not None and not has_sent:
             raise errors.NotTakenOver("no upstream is reached from here; use another daemon")
         daemon = None
         if request.handover is None:
@@ -231,17 +270,18 @@
             progress.retry_after_ms = reach.RECHECK_INTERVAL_MS
         return daemon
 
-    def _may_retry(self, progress: progresses.Progress, outcome: calls.Outcome) -> bool:
-        if outcome in calls.NOT_RUN:
-            progress.not_run_sends += 1
-            return progress.not_run_sends < MAX_NOT_RUN_SENDS
-        return progress.sends < progress.attempts and progress.route.is_repeatable
+    def _may_send(self, progress: progresses.Progress) -> bool:
+        """Return whether another send may be made, beside or after the earlier ones."""
+        if progress.not_run_sends >= MAX_NOT_RUN_SENDS:
+            return False
+        return not (progress.sends or progress.open_sends) or progress.can_retry
 
     async def _send_once(
         self,
         request: calls.CallerRequest,
         progress: progresses.Progress,
         choice: placing.Choice,
+        send: open_sends.Send,
         sink: progresses.Sink,
     ) -> calls.Outcome:
         upstream = choice.upstream
@@ -251,8 +291,8 @@
         self._book.begin(upstream.id, tokens)
         held_tokens = tokens + request.facts.answer_tokens
         self._book.find(upstream.id).held_tokens += held_tokens
-        progress.is_prompt_unread = True
-        timing = progress.timing = self._capacities.begin(
+        send.is_prompt_unread = True
+        send.timing = self._capacities.begin(
             progress.service,
             request.facts.model,
             upstream,
@@ -262,35 +302,38 @@
         )
         outcome = calls.Outcome.LOST
         is_unread = False
-        reason = "cancelled at the deadline or because the caller left"
+        reason = ""
         try:
-            sent = await self._sender.send(request, progress, choice, sink)
+            sent = await self._sender.send(request, progress, send, choice, sink)
             outcome = sent.unwrap_or(calls.Outcome.ANSWERED)
             if isinstance(sent, result.Err):
                 outcome, reason = calls.classify(sent.err_value), sent.err_value.message
                 is_unread = isinstance(sent.err_value, errors.UpstreamUnread)
                 self._record_failure(request, progress, choice, sent.err_value)
             else:
-                reason = ""
                 self._chooser.note_answer(request, progress)
                 if progress.has_succeeded:
                     self._crash_watch.record_success(
                         progress.fingerprint, request.facts.prompt_parts
                     )
         except (asyncio.CancelledError, ConnectionError):
-            # The deadline passed, or the connection to the caller broke, in a write or before.
+            # Another send answered, the deadline passed, or the connection to the caller broke.
             progress.may_have_run = True
-            outcome = calls.Outcome.REFUSED  # Neither a success nor a failure of the upstream.
+            progress.sends += 1
+            # A send without silence is neither a success nor a failure of the upstream.
+            outcome = calls.Outcome.LOST if send.silence else calls.Outcome.REFUSED
+            reason = _describe_cancellation(send)
             raise
         finally:
             now_ms = self._clock.monotonic_ms()
-            self._sender.note_prompt_read(progress, upstream.id, tokens)
+            self._sender.note_prompt_read(send, upstream.id, tokens)
             # An upstream that gave up a response which was left unread has not failed.
             counted = calls.Outcome.REFUSED if is_unread else outcome
-            self._capacities.end(timing, upstream, counted, progress.has_succeeded, now_ms)
+            has_succeeded = progress.has_succeeded and not send.is_superseded
+            self._capacities.end(send.timing, upstream, counted, has_succeeded, now_ms)
             self._book.find(upstream.id).held_tokens -= held_tokens
             self._book.end(upstream.id, counted, now_ms - began_ms, now_ms)
-            self._record_send(request, progress, choice, outcome, reason, now_ms - began_ms)
+            self._records.record_send(request, progress, choice, outcome, reason, now_ms - began_ms)
         if outcome is calls.Outcome.UNREACHED:
             self._book.suspect(upstream.id, self._clock.monotonic_ms())
         else:
@@ -330,22 +373,7 @@
         sink: progresses.Sink,
         reason: str,
     ) -> None:
-        self._log.note(
-            LOGGER,
-            "request not answered",
-            request_id=request.facts.request_id,
-            route=progress.route.name,
-            reason=reason,
-            sends=progress.sends,
-            may_have_run=progress.may_have_run,
-            tried=len(progress.tried_ids),
-            has_response_begun=sink.has_started,
-            team=progress.team,
-            priority=progress.priority,
-            admitted_share=round(progress.admitted_share, 2),
-            left_ms=round(progress.remaining_ms(self._clock.monotonic_ms())),
-            list_age_ms=self._view.measure_age(self._clock.monotonic_ms()),
-        )
+        self._records.record_unanswered(request, progress, sink.has_started, reason)
         if sink.has_started:
             sink.abort()
             return
@@ -365,34 +393,11 @@
         left_ms = progress.remaining_ms(self._clock.monotonic_ms())
         return round(max(1, min(progress.retry_after_ms, left_ms * choosing.MAX_RETRY_AFTER_SHARE)))
 
-    def _record_send(
-        self,
-        request: calls.CallerRequest,
-        progress: progresses.Progress,
-        choice: placing.Choice,
-        outcome: calls.Outcome,
-        reason: str,
-        took_ms: float,
-    ) -> None:
-        self._metrics.count("relay_sends_total", outcome=outcome.value)
-        self._metrics.observe_ms("relay_send_seconds", took_ms, service=progress.service.name)
-        now_ms = self._clock.monotonic_ms()
-        load = self._book.find(choice.upstream.id)
-        self._log.note(
-            LOGGER,
-            "send",
-            request_id=request.facts.request_id,
-            route=progress.route.name,
-            upstream=choice.upstream.id,
-            candidates=choice.candidates,
-            expected_ms=round(choice.expected_ms),
-            requests_there=round(choice.estimated_requests, 1),
-            told_age_ms=round(choice.load_age_ms),
-            list_age_ms=self._view.measure_age(now_ms),
-            outcome=outcome.value,
-            reason=reason,
-            took_ms=round(took_ms),
-            last_event_id=progress.last_event_id,
-            heard_age_ms=load.measure_heard_age_ms(now_ms),
-            peer_heard_age_ms=load.measure_peer_heard_age_ms(now_ms),
-        )
+
+def _describe_cancellation(send: open_sends.Send) -> str:
+    reason = (
+        "another upstream has answered"
+        if send.is_superseded
+        else "cancelled at the deadline or because the caller left"
+    )
+    return f"{send.silence}; {reason}" if send.silence else reason
--- a/src/tanagerfork/relay/choosing.py
+++ b/src/tanagerfork/relay/choosing.py
@@ -109,16 +109,15 @@
         whole = self._list_groups(progress, request.facts.model)
         unlimited = [item for item in whole if self._may_send(item.head, service, now_ms)]
         model_usage = self._usages.find(service.name, request.facts.model, service.engine)
-        if not progress.sends and not progress.not_run_sends:
+        is_new = not (progress.sends or progress.open_sends or progress.not_run_sends)
+        if is_new:
             model_usage.record_request(request.facts, service.engine.kv_tokens)
         groups = self._list_with_room(request.facts, service.engine, model_usage, unlimited, now_ms)
         arrival = admission.Arrival(
             goal_ms=model_usage.note_arrival(progress.route.name, progress.route.goal_ms),
             waited_ms=progress.route.timeout_ms - request.facts.deadline_ms,
             must_continue=(
-                progress.has_reached_upstream
-                or progress.not_run_sends > 0
-                or bool(progress.last_event_id)
+                progress.has_reached_upstream or not is_new or bool(progress.last_event_id)
             ),
         )
         engine = dataclasses.replace(service.engine, usual_answer_tokens=model_usage.answer_tokens)
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -49,6 +49,7 @@
     regions,
     rules,
     send_limits,
+    send_records,
     sending,
     tasks,
 )
@@ -180,7 +181,6 @@
         )
         relay = attempts.Relay(
             self.register,
-            self.view,
             self.book,
             choosing.Chooser(
                 self.view,
@@ -214,7 +214,7 @@
                 lambda upstream: self.peers.announce_leaving(upstream),
             ),
             self.clock,
-            self.log,
+            send_records.SendRecords(self.view, self.book, self.clock, self.log, self.metrics),
             self.metrics,
             crashes.CrashWatch(
                 suspects,
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -285,7 +285,8 @@
         )
         in_force = self._register.current
         version = max(self._relayed_version, in_force.version if in_force else 0)
-        headers.append((ATTEMPTS, str(progress.attempts - progress.sends)))
+        other_sends = progress.sends + progress.open_sends - 1
+        headers.append((ATTEMPTS, str(progress.attempts - other_sends)))
         headers.append((RULES_VERSION, str(version)))
         return headers
 
@@ -303,11 +304,11 @@
         sink: progresses.Sink,
     ) -> result.Result[calls.Outcome, errors.UpstreamError]:
         status = response.status
-        if status in calls.NOT_RUN_STATUSES and progress.may_have_run:
+        if status in calls.NOT_RUN_STATUSES and (progress.may_have_run or progress.open_sends > 1):
             message = f"refused with status {status}, but an earlier send may have run"
             return result.Err(errors.UpstreamFailed(message))
         if progress.route.repetition is rules.Repetition.STREAM and status == 200:
             return await self._responses.relay_stream(
                 progress, response, sink, lambda *_: response.read_chunk(), lambda: None
             )
-        return await self._responses.relay_body(progress, response, sink)
+        return await self._responses.relay_body(progress, response, sink, lambda has_failed: None)
--- a/src/tanagerfork/relay/memory.py
+++ b/src/tanagerfork/relay/memory.py
@@ -113,7 +113,7 @@
         "request_bytes",
         "response_bytes",
         "buffered_bytes",
-        "is_gathering",
+        "_gathered_count",
         "has_ended",
         "behind_since_ms",
         "_taken_before_bytes",
@@ -130,12 +130,17 @@
         self.request_bytes = 0
         self.response_bytes = 0
         self.buffered_bytes = 0
-        self.is_gathering = False
+        self._gathered_count = 0
         self.has_ended = False
         self.behind_since_ms: float | None = None
         self._taken_before_bytes = 0
         self._unread_bytes = 0
 
+    @property
+    def is_gathering(self) -> bool:
+        """Whether a response is gathered whole."""
+        return self._gathered_count > 0 and not self.has_ended
+
     @property
     def held_bytes(self) -> int:
         """Bytes held for the exchange."""
@@ -170,8 +175,9 @@
 
         :param kept_bytes: size of an earlier response that is kept.
         """
-        self._add(response=kept_bytes - self.response_bytes)
-        self.is_gathering = True
+        if not self._gathered_count:
+            self._add(response=kept_bytes - self.response_bytes)
+        self._gathered_count += 1
 
     def grow_response(self, size: int) -> None:
         """Record that a part of a response was gathered.
@@ -181,8 +187,8 @@
         self._add(response=size)
 
     def end_gathering(self) -> None:
-        """Record that nothing is gathered any more."""
-        self.is_gathering = False
+        """Record that a response is gathered no more."""
+        self._gathered_count -= 1
 
     def measure(self, now_ms: float) -> None:
         """Measure the buffers of the connections.
@@ -282,7 +288,6 @@
         before_bytes = holding.held_bytes
         holding.end()
         holding.request_bytes = holding.response_bytes = 0
-        holding.is_gathering = False
         self.record_growth(holding.held_bytes - before_bytes)
         if not holding.buffered_bytes and not (
             holding.reader and holding.reader.measure_unread_bytes()
--- a/src/tanagerfork/relay/progress.py
+++ b/src/tanagerfork/relay/progress.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import Protocol
 
-from tanagerfork.relay import calls, capacities, memory, rules
+from tanagerfork.relay import calls, memory, rules
 from tanagerfork.relay import regions as region_rules
 
 MIN_REMAINING_MS = 20  # No upstream can answer in less.
@@ -22,7 +22,9 @@
 class Sink(Protocol):
     """Receives the response for a caller."""
 
-    has_started: bool
+    @property
+    def has_started(self) -> bool:
+        """Whether anything was written to the caller."""
 
     async def start_stream(self, status: int, headers: calls.Headers) -> None:
         """Send the status and headers of a stream.
@@ -67,6 +69,7 @@
     queue_priority: int | None = None  # See `calls.SendFields`.
     admitted_share: float = 1.0  # Of requests of its team and priority; below 1 in an overload.
     sends: int = 0  # Sends that may have run; refused ones do not count.
+    open_sends: int = 0  # Sends that have not ended.
     not_run_sends: int = 0  # Sends that reached no upstream or were refused.
     has_reached_upstream: bool = False  # If so, further sends use the retry budget.
     may_have_run: bool = False
@@ -77,26 +80,19 @@
     retry_after_ms: float = DEFAULT_RETRY_AFTER_MS
     stream_type: str = ""  # Media type that the stream began with; empty if none was named.
     answer_events: int = 0  # Events of a stream that this daemon has passed on.
-    is_prompt_unread: bool = False  # Whether the present upstream has yet to read the prompt.
-    timing: capacities.SendTiming | None = None  # Of the present send.
     kept_failure: KeptFailure | None = None
     regions: region_rules.Regions = None  # Those in which the request may run.
     holding: memory.Holding = dataclasses.field(default_factory=memory.Holding)
 
     @property
     def can_retry(self) -> bool:
-        """Whether the request may go to another upstream after the present send."""
-        return self.route.is_repeatable and self.sends + 1 < self.attempts
-
-    def note_answer(self, now_ms: float, has_failed: bool = False) -> None:
-        """Record that the first event, or all of a plain answer, is there.
+        """Whether the request may go to another upstream beside or after the open sends."""
+        return self.route.is_repeatable and self.sends + self.open_sends < self.attempts
 
-        :param now_ms: monotonic clock, in milliseconds.
-        :param has_failed: whether it is a failure of the upstream.
-        """
-        if self.timing is not None:
-            self.timing.note_answer(now_ms)
-            self.timing.has_failed = has_failed
+    @property
+    def may_be_answered_otherwise(self) -> bool:
+        """Whether an answer may still come from another send than the one that asks."""
+        return self.open_sends > 1 or self.can_retry
 
     def remaining_ms(self, now_ms: float) -> float:
         """Return the time until the deadline, in milliseconds.
--- a/src/tanagerfork/relay/responses.py
+++ b/src/tanagerfork/relay/responses.py
@@ -64,19 +64,21 @@
         progress: progresses.Progress,
         response: exchange.UpstreamResponse,
         sink: progresses.Sink,
+        note_answer: Callable[[bool], None],
     ) -> result.Result[calls.Outcome, errors.UpstreamError]:
         """Relay a response once its body is complete; a failure only where nothing may follow it.
 
         :param progress: state of the request.
         :param response: response of an upstream.
         :param sink: receives the response.
+        :param note_answer: called with whether the response is a failure, once it is complete.
         :return: that the request was answered, or why not.
         :raises UpstreamError: the body broke off.
         """
         body = await self._gather(progress, response)
-        progress.note_answer(self._clock.monotonic_ms(), has_failed=response.status >= 500)
+        note_answer(response.status >= 500)
         headers = self._dialect.filter_response_headers(response.headers)
-        if response.status >= 500 and progress.can_retry:
+        if response.status >= 500 and progress.may_be_answered_otherwise:
             progress.kept_failure = progresses.KeptFailure(response.status, headers, body)
             return result.Err(
                 errors.UpstreamFailed(f"failed with status {response.status}; use another upstream")
@@ -113,7 +115,6 @@
         elif media_type and progress.stream_type and media_type != progress.stream_type:
             message = f"the stream goes on as {media_type}; resume on another upstream"
             return result.Err(errors.UpstreamConfused(message))
-        progress.holding.source = response
         unread = UnreadTimes()
         try:
             relayed = await self._relay_events(
@@ -144,6 +145,7 @@
             if not complete.ok_value:
                 continue  # Bytes of an event that is never complete are no sign of work.
             note_events()
+            progress.holding.source = response
             began_ms = self._clock.monotonic_ms()
             await self._start_stream(response, sink)
             await sink.send(complete.ok_value)
--- a/src/tanagerfork/relay/sending.py
+++ b/src/tanagerfork/relay/sending.py
@@ -15,6 +15,7 @@
     exchange,
     loads,
     members,
+    open_sends,
     placing,
     reach_checks,
     responses,
@@ -32,7 +33,7 @@
 
 
 class Sender:
-    """Sends requests, abandons silent upstreams, and relays complete responses and events.
+    """Sends requests, reports silent upstreams, and relays complete responses and events.
 
     :param book: loads of the upstreams.
     :param limits: limits that upstreams named.
@@ -83,6 +84,7 @@
         self,
         request: calls.CallerRequest,
         progress: progresses.Progress,
+        send: open_sends.Send,
         choice: placing.Choice,
         sink: progresses.Sink,
     ) -> result.Result[calls.Outcome, errors.UpstreamError]:
@@ -90,6 +92,7 @@
 
         :param request: caller's request.
         :param progress: state of the request.
+        :param send: state of the send.
         :param choice: upstream and its expected time to answer.
         :param sink: receives the response.
         :return: that the request was answered, or why not.
@@ -106,23 +109,16 @@
             last_event_id=progress.last_event_id,
             queue_priority=progress.queue_priority,
         )
-        headers_timeout_ms = self._headers_timeout_ms(progress, choice, left_ms)
         sending = self._upstream_client.send(
             request, upstream, outgoing, progress.route.is_repeatable
         )
         try:
-            response = await self._wait_for_headers(sending, upstream.id, headers_timeout_ms)
-        except TimeoutError:
-            self._mark_suspect(upstream)
-            message = (
-                f"{upstream.id} sent nothing for {headers_timeout_ms:.0f} ms; use another upstream"
-            )
-            return result.Err(errors.UpstreamSilent(message))
+            response = await self._wait_for_headers(sending, progress, send, choice)
         except errors.UpstreamError as error:
             if isinstance(error, errors.UpstreamUnreachable):
                 self._reach_checks.doubt(upstream.service)
             return result.Err(error)
-        self.note_prompt_read(progress, upstream.id, request.facts.prompt_tokens)
+        self.note_prompt_read(send, upstream.id, request.facts.prompt_tokens)
         try:
             # A late copy of another answer, and a refusal above all, says nothing of this request.
             if response.facts.request_id != request.facts.request_id:
@@ -144,32 +140,34 @@
                     progress,
                     response,
                     sink,
-                    functools.partial(self._read_stream_chunk, response, progress, choice),
-                    functools.partial(self._note_events, progress, upstream.id),
+                    functools.partial(self._read_stream_chunk, response, progress, send, choice),
+                    functools.partial(self._note_events, send, upstream.id),
                 )
-            return await self._responses.relay_body(progress, response, sink)
+            return await self._responses.relay_body(
+                progress,
+                response,
+                sink,
+                lambda has_failed: send.note_answer(self._clock.monotonic_ms(), has_failed),
+            )
         except errors.UpstreamError as error:
             return result.Err(error)
         finally:
             response.http_response.close()
 
-    def note_prompt_read(
-        self, progress: progresses.Progress, upstream_id: str, tokens: int
-    ) -> None:
+    def note_prompt_read(self, send: open_sends.Send, upstream_id: str, tokens: int) -> None:
         """Record, once for each send, that the upstream has read the prompt.
 
-        :param progress: state of the request.
+        :param send: state of the send.
         :param upstream_id: id of the upstream.
         :param tokens: tokens of the prompt.
         """
-        if progress.is_prompt_unread:
-            progress.is_prompt_unread = False
+        if send.is_prompt_unread:
+            send.is_prompt_unread = False
             self._book.end_reading(upstream_id, tokens)
 
-    def _headers_timeout_ms(
-        self, progress: progresses.Progress, choice: placing.Choice, left_ms: float
-    ) -> float:
-        """Return how long to wait for the headers of a response, in milliseconds."""
+    def _headers_timeout_ms(self, progress: progresses.Progress, choice: placing.Choice) -> float:
+        """Return after what time without headers an upstream is silent, in milliseconds."""
+        left_ms = progress.remaining_ms(self._clock.monotonic_ms())
         if not progress.can_retry:
             return left_ms + progresses.MIN_REMAINING_MS  # The deadline passes first.
         if progress.service.engine is None:
@@ -203,26 +201,26 @@
             )
         return None
 
-    def _note_events(self, progress: progresses.Progress, upstream_id: str) -> None:
+    def _note_events(self, send: open_sends.Send, upstream_id: str) -> None:
         now_ms = self._clock.monotonic_ms()
         self._book.find(upstream_id).heard_at_ms = now_ms
-        progress.note_answer(now_ms)
+        send.note_answer(now_ms)
 
     async def _read_stream_chunk(
         self,
         response: exchange.UpstreamResponse,
         progress: progresses.Progress,
+        send: open_sends.Send,
         choice: placing.Choice,
         event_count: int,
         event_at_ms: float,
     ) -> bytes:
-        if not progress.can_retry:
+        """Return the next bytes of a stream; report that the upstream is silent meanwhile."""
+        if send.silence or not progress.can_retry:
             return await response.read_chunk()
         limit_ms = max(MIN_GAP_TIMEOUT_MS, 2 * progress.route.gap_goal_ms)
         if not event_count:
-            limit_ms = self._headers_timeout_ms(
-                progress, choice, progress.remaining_ms(self._clock.monotonic_ms())
-            )
+            limit_ms = self._headers_timeout_ms(progress, choice)
         load = self._book.find(choice.upstream.id)
         silent_since_ms = event_at_ms
         while True:
@@ -230,47 +228,51 @@
             try:
                 async with asyncio.timeout(max(0.0, left_ms / 1000)):
                     return await response.read_chunk()
-            except TimeoutError as error:
+            except TimeoutError:
                 if event_count == 0 and load.heard_at_ms > silent_since_ms:
                     silent_since_ms = load.heard_at_ms  # The group works; this request is queued.
-                    continue
-                if event_count == 0 and load.is_heard_elsewhere(self._clock.monotonic_ms()):
+                elif event_count == 0 and load.is_heard_elsewhere(self._clock.monotonic_ms()):
                     silent_since_ms += RECHECK_INTERVAL_MS
-                    continue
-                self._mark_suspect(choice.upstream)
-                message = (
-                    f"the stream had no event for {limit_ms:.0f} ms; resume on another upstream"
-                )
-                raise errors.UpstreamSilent(message) from error
+                elif response.measure_buffered_bytes():
+                    return await response.read_chunk()  # This daemon itself stood still.
+                else:
+                    break
+        self._mark_suspect(choice.upstream)
+        send.note_silence(f"the stream had no event for {limit_ms:.0f} ms")
+        return await response.read_chunk()
 
     async def _wait_for_headers(
         self,
         sending: Coroutine[Any, Any, exchange.UpstreamResponse],
-        upstream_id: str,
-        limit_ms: float,
+        progress: progresses.Progress,
+        send: open_sends.Send,
+        choice: placing.Choice,
     ) -> exchange.UpstreamResponse:
-        """Wait for the headers of a response for as long as the upstream is heard from.
+        """Wait for the headers of a response; report that the upstream is silent meanwhile.
 
         In an overload a request is queued for longer than the limit, while the daemon may have no
         other request there; what other daemons receive from the upstream counts then.
-
-        :raises TimeoutError: nothing was received from the upstream within the limit.
         """
-        load = self._book.find(upstream_id)
+        limit_ms = self._headers_timeout_ms(progress, choice)
+        load = self._book.find(choice.upstream.id)
         silent_since_ms = float(self._clock.monotonic_ms())
         task = asyncio.create_task(sending)
         try:
-            while True:
+            while not task.done():
                 left_ms = silent_since_ms + limit_ms - self._clock.monotonic_ms()
-                done, _ = await asyncio.wait({task}, timeout=max(0.0, left_ms / 1000))
+                timeout_s = None if send.silence else max(0.0, left_ms / 1000)
+                done, _ = await asyncio.wait({task}, timeout=timeout_s)
                 if done:
-                    return task.result()
+                    break
                 if load.heard_at_ms > silent_since_ms:
                     silent_since_ms = load.heard_at_ms
                 elif load.is_heard_elsewhere(self._clock.monotonic_ms()):
                     silent_since_ms += RECHECK_INTERVAL_MS
                 else:
-                    raise TimeoutError
+                    self._mark_suspect(choice.upstream)
+                    send.note_silence(f"{choice.upstream.id} sent nothing for {limit_ms:.0f} ms")
+            send.silence = ""
+            return task.result()
         finally:
             if not task.done():
                 task.cancel()
--- a/tests/relay/test_paused_upstreams.py
+++ b/tests/relay/test_paused_upstreams.py
@@ -1,7 +1,6 @@
-"""Upstreams that all pause at once and then go on, with and without a planned stop of the daemon."""
+"""Upstreams that pause and then go on, with and without a planned stop of the daemon."""
 
 import asyncio
-import contextlib
 
 import pytest
 
@@ -31,12 +30,12 @@
 
 
 def pause(deployed: deployments.Deployment) -> None:
-    for member in deployed.site.engine_runners:
+    for member in [*deployed.site.engine_runners, *deployed.site.plain_runners]:
         member.answer_gate.clear()
 
 
 def go_on(deployed: deployments.Deployment) -> None:
-    for member in deployed.site.engine_runners:
+    for member in [*deployed.site.engine_runners, *deployed.site.plain_runners]:
         member.answer_gate.set()
 
 
@@ -77,3 +76,106 @@
                 deployed.daemons.clear()
             assert [response.is_whole for response in responses] == [True] * STREAMS
             assert [list_ids(response) for response in responses] == [IDS] * STREAMS
+
+
+async def start_and_pause(
+    deployed: deployments.Deployment, path: str, is_begun: bool
+) -> tuple[asyncio.Task[deployments.CallerResponse], runner.Runner]:
+    """Send a request and pause the runner that has it, before or after its first events."""
+    runners = [*deployed.site.engine_runners, *deployed.site.plain_runners]
+    if not is_begun:
+        pause(deployed)
+    method = "GET" if path.startswith("/safe/") else "POST"
+    asked = asyncio.create_task(deployed.ask(path, method, deadline_ms=DEADLINE_MS))
+    book = deployed.daemons[0].book
+    await deployed.wait_until(
+        lambda: any(book.find(member.id).open for member in runners), "the request is sent"
+    )
+    await asyncio.sleep(0.1)
+    first = next(member for member in runners if book.find(member.id).open)
+    for member in runners:
+        if member is first:
+            member.answer_gate.clear()
+        else:
+            member.answer_gate.set()
+    return asked, first
+
+
+class TestOtherUpstream:
+    """One upstream pauses; the one that is asked instead refuses, fails, or is no better."""
+
+    FAULTS = (
+        FAULT.FULL,
+        FAULT.FULL_SILENTLY,
+        FAULT.FAILS,
+        FAULT.RESETS,
+        FAULT.NO_BYTES,
+        FAULT.CROSSED,
+        FAULT.NO_RECEIPT,
+        FAULT.HANGS,
+    )
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    @pytest.mark.parametrize("is_begun", [False, True])
+    async def test_stream_goes_on_at_the_upstream_that_paused(
+        self, fault: runner.Fault, is_begun: bool
+    ) -> None:
+        async with deployments.deploy(engines=6) as deployed:
+            await deploy_groups(deployed, 3)
+            asked, first = await start_and_pause(deployed, "/stream/x", is_begun)
+            others = [member for member in deployed.site.engine_runners if member is not first]
+            for member in others:
+                member.faults = [fault] * 8
+            await deployed.wait_until(
+                lambda: any(member.requests for member in others), "another upstream is asked"
+            )
+            await asyncio.sleep(0.3)
+            first.answer_gate.set()
+            response = await asked
+            assert response.status == 200 and response.is_whole
+            assert list_ids(response) == IDS
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_plain_answer_comes_from_the_upstream_that_paused(
+        self, fault: runner.Fault
+    ) -> None:
+        async with deployments.deploy(engines=0, plain=2) as deployed:
+            await deployed.wait_for_rules()
+            asked, first = await start_and_pause(deployed, "/safe/x", is_begun=False)
+            other = next(one for one in deployed.site.plain_runners if one is not first)
+            other.faults = [fault] * 8
+            await deployed.wait_until(lambda: other.requests, "another upstream is asked")
+            await asyncio.sleep(0.3)
+            first.answer_gate.set()
+            response = await asked
+            assert response.status == 200 and response.is_whole
+            assert response.body == f"answer of {first.id} to /safe/x".encode()
+
+    async def test_first_answer_ends_the_other_send(self) -> None:
+        async with deployments.deploy(engines=4) as deployed:
+            await deploy_groups(deployed, 2)
+            asked, first = await start_and_pause(deployed, "/stream/x", is_begun=True)
+            response = await asked
+            assert response.is_whole and list_ids(response) == IDS
+            book = deployed.daemons[0].book
+            assert not any(book.find(member.id).open for member in deployed.site.engine_runners)
+            assert deployed.log.find('"decision":"send"', first.id, "another upstream has answered")
+
+    async def test_no_more_upstreams_than_attempts_are_asked(self) -> None:
+        async with deployments.deploy(engines=6) as deployed:
+            await deploy_groups(deployed, 3)
+            pause(deployed)
+            response = await deployed.ask("/stream/x", "POST", deadline_ms=2500)
+            assert response.status == 504
+            await asyncio.sleep(0.1)
+            go_on(deployed)
+            assert len(deployed.log.find('"decision":"send"')) <= 2
+
+    async def test_request_that_must_run_once_is_sent_once(self) -> None:
+        async with deployments.deploy(engines=0, plain=2) as deployed:
+            await deployed.wait_for_rules()
+            asked, first = await start_and_pause(deployed, "/unsafe/x", is_begun=False)
+            await asyncio.sleep(1)
+            first.answer_gate.set()
+            assert (await asked).status == 200
+            assert sum(len(one.requests) for one in deployed.site.plain_runners) == 1
