Have a daemon receive notices until the end of its planned stop

What callers saw: around a SIGTERM, a request that was queued at a group ended with 502, "sent nothing for 400 ms; use another upstream", though the group was answering other daemons all the while.

Cause: a daemon removed its entry from the directory when it got the signal, so that the others sent it no notices from then on. A second later it no longer knew that they receive from the group, and took the queue for silence. Loads of the others were gone as well, by which it still chose upstreams for 2.5 s. The task that renews the entry wrote it again within 2 s, and nobody removed that one: it lapsed with its lease, after the process had ended.

Change: at the signal the entry is written once more, with is_leaving, and it is removed at the end of the stop, once nothing renews it. Daemons that leave take over no requests and no coordination. Earlier builds ignore the field.

--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -62,6 +62,7 @@
 DRAIN_CHECK_INTERVAL_MS = 20
 BALANCER_REMOVAL_MS = 2500  # The balancer probes each second, drops a daemon after 2 failures.
 SHUTDOWN_MARGIN_MS = 1200  # Longest time to close, before the kill that ends the grace time.
+LEAVE_TIMEOUT_S = 0.2  # The entry lapses with its lease if the store does not answer by then.
 CLOSE_TIMEOUT_S = 0.8  # Connections still open by then end with the process.
 MAX_ADMIN_CONNECTIONS = 64
 
@@ -293,7 +294,7 @@
         self.front.is_draining = True
         began_ms = self.clock.monotonic_ms()
         limit_ms = self.settings.bounds.grace_ms - SHUTDOWN_MARGIN_MS
-        releasing = asyncio.create_task(self._release_leases())
+        releasing = asyncio.create_task(self._hand_over_duties())
         while (waited_ms := self.clock.monotonic_ms() - began_ms) < limit_ms:
             if waited_ms >= BALANCER_REMOVAL_MS:
                 self.front.is_rejecting = True  # A new request might outlast the grace period.
@@ -304,6 +305,9 @@
         self._tasks.cancel()
         releasing.cancel()
         self._reach_checks.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self.directory.leave()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await asyncio.gather(
@@ -315,11 +319,11 @@
         self.peers.close()
         self.lifecycle.apply("stop")
 
-    async def _release_leases(self) -> None:
-        """Give up coordination and this daemon's entry while open requests are finished."""
+    async def _hand_over_duties(self) -> None:
+        """Give up coordination and handed-over requests while open requests are finished."""
         self._coordinator_task.cancel()
         await self._coordinator.stop()
-        await self.directory.leave()
+        await self.directory.announce_leaving()
 
     def reload(self, path: pathlib.Path) -> None:
         """Read the settings again and log whether they differ; a restart is needed to apply them.
--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -6,7 +6,7 @@
 import msgspec
 import result
 
-from tanagerfork import addresses, decisions, decoding
+from tanagerfork import addresses, decisions, decoding, errors
 from tanagerfork import clock as clocks
 from tanagerfork import metrics as metric
 from tanagerfork.storage import key_value
@@ -27,7 +27,8 @@
     takes over none. `build` is the version of its program, `notice_format` that of the notices it
     reads, and `link_mbps` the capacity of its VM's link, 0 if it is unknown; earlier builds name
     none of these. `keeps_regions` says that it sends requests only to the regions in which they may
-    run, which builds up to 0.8.0 do not.
+    run, which builds up to 0.8.0 do not. `is_leaving` says that it is being stopped: it still
+    receives notices, but takes over no requests and no coordination.
     """
 
     failure_domain: str
@@ -37,6 +38,7 @@
     notice_format: int = 0
     link_mbps: float = 0.0
     keeps_regions: bool = False
+    is_leaving: bool = False
 
 
 class DaemonDirectory:
@@ -113,8 +115,14 @@
             await self._maintain_entry()
             await self._clock.sleep_ms(DAEMON_RENEW_INTERVAL_MS)
 
+    async def announce_leaving(self) -> None:
+        """Write to this daemon's entry that it is being stopped."""
+        self._record.is_leaving = True
+        if self._lease:
+            await self._put_entry(self._lease)
+
     async def leave(self) -> None:
-        """Remove this daemon's entry at a planned stop."""
+        """Remove this daemon's entry at the end of a planned stop."""
         if self._lease:
             await self._store.end_lease(self._lease)
 
@@ -196,11 +204,14 @@
         granted = await self._store.grant_lease(DAEMON_LEASE_MS)
         if isinstance(granted, result.Err):
             return
-        value = msgspec.json.encode(self._record)
-        put = await self._store.put_leased(DAEMON_PREFIX + self._name, value, granted.ok_value)
+        put = await self._put_entry(granted.ok_value)
         if isinstance(put, result.Ok):
             self._lease = granted.ok_value
 
+    async def _put_entry(self, lease: int) -> result.Result[int, errors.PlatformError]:
+        value = msgspec.json.encode(self._record)
+        return await self._store.put_leased(DAEMON_PREFIX + self._name, value, lease)
+
 
 def _find_unusable_address(record: DaemonRecord) -> str:
     """Return an address of a daemon that cannot be connected to; empty if there is none."""
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -158,12 +158,16 @@
         return state is not None and bool(state.list_cut_off(self._clock.monotonic_ms()))
 
     def list_reaching(self, failure_domain: str) -> list[str]:
-        """Return the daemons of a failure domain that did not say they are cut off.
+        """Return the daemons of a failure domain that are neither cut off nor leave, by their word.
 
         :param failure_domain: failure domain.
         """
         names = self._directory.list_names(failure_domain)
-        return [name for name in names if not self.is_cut_off(name)]
+        return [
+            name
+            for name in names
+            if not self.is_cut_off(name) and not self._directory.daemons[name].is_leaving
+        ]
 
     def choose_daemon(
         self, service: str, avoided: Collection[str], allowed: regions.Regions = None
@@ -182,6 +186,7 @@
             if name not in avoided
             and name != self._name
             and record.forwarding
+            and not record.is_leaving
             and self._may_receive(record, allowed)
             and (name not in self._states or self._states[name].may_take(service, now_ms))
         ]
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -73,6 +73,7 @@
 
     `waiting_count` is the number of waiting requests that it reports. While `answer_gate` is
     cleared, the runner is silent: it answers nothing, and its streams stand still.
+    Answers to paths that start with `delayed_prefix` are delayed by `answer_delay_s`.
     `faults` holds the faults of its next requests, one each. `stream_gate` holds streams back while
     it is cleared. `observer` is called with "join", "run", "crash" and "miscount" when it joins a
     group, runs a request for a model, crashes, or is sent an order that expects another number of
@@ -138,6 +139,7 @@
         self.answer_gate = asyncio.Event()
         self.answer_gate.set()
         self.answer_delay_s = 0.0
+        self.delayed_prefix = "/"
         self._registry = registry
         self.address = ""
         self.observer: Callable[[Runner, str], None] = lambda runner, event: None
@@ -342,7 +344,8 @@
         request_id = request.headers.get(REQUEST_ID_HEADER, "")
         body = await request.read()
         await self.answer_gate.wait()
-        await asyncio.sleep(self.answer_delay_s)
+        if request.raw_path.startswith(self.delayed_prefix):
+            await asyncio.sleep(self.answer_delay_s)
         fault = self.faults.pop(0) if self.faults else Fault.NONE
         received = ReceivedRequest(
             request_id,
--- a/tests/relay/test_stop.py
+++ b/tests/relay/test_stop.py
@@ -9,7 +9,7 @@
 from tanagerfork.peers import link
 from tanagerfork.relay import daemon as daemons
 from tanagerfork.relay import exchange, tasks
-from tanagerfork_standins.platform import runner
+from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
 
@@ -133,3 +133,66 @@
             await deployed.daemons[0]._upstream_client.close()  # As at the end of the stop.
             response = await deployed.ask("/unsafe/x", "POST")
             assert response.status == 503 and float(response.headers["Retry-After"]) > 0
+
+
+class TestNotices:
+    async def test_stopping_daemon_still_knows_that_others_receive_from_an_upstream(self) -> None:
+        """It got no notices, and took requests that were queued at the upstream for lost."""
+        async with deployments.deploy(engines=2, daemon_count=2) as deployed:
+            stopping, other = deployed.daemons
+            stopping.settings.bounds.grace_ms = 8000
+            config = deployed.site.make_config()
+            for route in config["routes"]:
+                route["timeoutMs"] = 6000
+            deployed.site.write_config(routes=config["routes"])
+            await deployed.wait_for_group()
+            await deployed.wait_until(
+                lambda: all(len(daemon.directory.daemons) == 2 for daemon in deployed.daemons),
+                "the daemons know each other",
+            )
+            for member in deployed.site.engine_runners:
+                member.delayed_prefix, member.answer_delay_s = "/stream/queued", 4.0
+            is_loaded = True
+
+            async def load() -> None:
+                while is_loaded:
+                    await deployed.ask("/stream/x", "POST", daemon=1)
+
+            loads = [asyncio.create_task(load()) for _ in range(3)]
+            queued = asyncio.create_task(deployed.ask("/stream/queued", "POST", deadline_ms=6000))
+            await deployed.wait_until(lambda: stopping.front.open_requests, "a request is open")
+            calls = deployed.site.store.calls
+            renewals = calls.get("kv-keep", 0)
+            await deployed.wait_until(
+                lambda: calls.get("kv-keep", 0) >= renewals + 2, "entries are renewed"
+            )
+            head = stopping.view.list_groups(site.ENGINE_SERVICE, site.SMALL_MODEL)[0].head
+            stop_task = asyncio.create_task(stopping.stop())
+            response = await queued
+            is_heard = stopping.book.find(head.id).is_heard_elsewhere(stopping.clock.monotonic_ms())
+            removals = deployed.log.find("list of daemons changed", '"went":["daemon-1"]')
+            is_loaded = False
+            await asyncio.gather(*loads, stop_task)
+            deployed.daemons.remove(stopping)
+            assert response.status == 200 and is_heard and not removals
+            assert not deployed.log.find('"decision":"send"', "sent nothing")
+            await deployed.wait_until(
+                lambda: len(other.directory.daemons) == 1, "the stopped daemon is not listed"
+            )
+
+    async def test_stopping_daemon_is_handed_no_requests_and_coordinates_nothing(self) -> None:
+        async with deployments.deploy(engines=0, daemon_count=2) as deployed:
+            stopping, other = deployed.daemons
+            stopping.settings.bounds.grace_ms = 6000
+            await deployed.wait_until(
+                lambda: len(other.directory.daemons) == 2, "the daemons know each other"
+            )
+            assert other._forwarder.choose_daemon(site.PLAIN_SERVICE, ()) == "daemon-1"
+            stop_task = asyncio.create_task(stopping.stop())
+            await deployed.wait_until(
+                lambda: other.directory.daemons["daemon-1"].is_leaving, "it is told"
+            )
+            assert other._forwarder.choose_daemon(site.PLAIN_SERVICE, ()) is None
+            assert other._forwarder.list_reaching("a") == ["daemon-2"]
+            await stop_task
+            deployed.daemons.remove(stopping)
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -190,6 +190,7 @@
     "notice_format": 1,
     "link_mbps": 100.0,
     "keeps_regions": True,
+    "is_leaving": True,
 }
 QUARANTINE: Fields = {"crashes": ["i-1@5"]}
 ORDER: Fields = {
