Count a crash once for all copies of a request

Cause: each lost copy of a request counted as a crash. Two callers' copies of a sound request that were open at one upstream when it crashed, or at two that crashed together, quarantined it for 15 minutes. So did one copy at each of two daemons, as the crash that the other one told counted as an earlier one.

Change: a crash counts once more for a request only if the lost run overlaps no run that was counted, and began after the crash that another daemon told. A request that crashes its upstreams one after the other is counted as before; checks of two crashes that end in reverse order both count.

Evidence: three of the four tests of TestCopies in tests/test_poison.py fail without the comparison of runs ("assert not 900000"), and pass with it. test_crashes_that_are_confirmed_in_reverse_order_both_count passes in both cases; it guards the order in which checks end. tests/test_poison.py, tests/test_chat.py, tests/test_neighbours.py and tests/relay/test_crashes.py pass.

--- a/src/tanagerfork/front/chat.py
+++ b/src/tanagerfork/front/chat.py
@@ -183,6 +183,7 @@
             if view is None:
                 break
             progress.attempts += 1
+            began_ms = self._clock.monotonic_ms()
             outcome = await self._attempt_runner.run(
                 call, view, response_sink, progress.tokens, fingerprint
             )
@@ -190,7 +191,9 @@
                 self._record_success(call, progress, view, fingerprint)
                 return None
             self._record_failed_attempt(call, progress, view, outcome)
-            final = await self._handle_failed_attempt(call, progress, view, outcome, fingerprint)
+            final = await self._handle_failed_attempt(
+                call, progress, view, outcome, fingerprint, began_ms
+            )
             if final is not None:
                 return final
         return self._make_final_error(call, response_sink, progress)
@@ -230,10 +233,13 @@
         view: presence.GroupView,
         outcome: attempts.AttemptOutcome,
         fingerprint: str,
+        began_ms: int,
     ) -> errors.CallerError | None:
         now_ms = self._clock.monotonic_ms()
         if outcome.has_crashed:
-            notice = self._policy.poison.record_crash(fingerprint, view.record.group, now_ms)
+            notice = self._policy.poison.record_crash(
+                fingerprint, view.record.group, now_ms, poison.LostRun(began_ms, now_ms)
+            )
             if notice is not None:
                 await self._policy.fleet.broadcast_poison(notice)
             if notice is not None and notice.is_quarantined:
--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -269,7 +269,7 @@
             if isinstance(sent, result.Err):
                 outcome, reason = calls.classify(sent.err_value), sent.err_value.message
                 is_unread = isinstance(sent.err_value, errors.UpstreamUnread)
-                self._record_failure(request, progress, choice, sent.err_value)
+                self._record_failure(request, progress, choice, sent.err_value, began_ms)
             else:
                 reason = ""
                 self._chooser.note_answer(request, progress)
@@ -308,6 +308,7 @@
         progress: progresses.Progress,
         choice: placing.Choice,
         error: errors.UpstreamError,
+        began_ms: float,
     ) -> None:
         """Record what the failure of a send says of the upstream and of the request."""
         upstream = choice.upstream
@@ -319,6 +320,7 @@
             lost = crashes.LostRequest(
                 request.facts.request_id,
                 progress.fingerprint,
+                began_ms,
                 request.facts.prompt_parts,
             )
             self._crash_watch.check_for_crash(lost, upstream)
--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -36,6 +36,7 @@
 
     request_id: str
     fingerprint: str
+    sent_at_ms: float
     prompt_parts: tuple[str, ...] = ()
 
 
@@ -112,12 +113,14 @@
         :param lost: request whose response was broken off.
         :param upstream: upstream that broke off the response.
         """
-        task = asyncio.create_task(self._check_crash(lost, upstream))
+        run = poison.LostRun(lost.sent_at_ms, self._clock.monotonic_ms())
+        task = asyncio.create_task(self._check_crash(lost, run, upstream))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _check_crash(self, lost: LostRequest, upstream: members.Upstream) -> None:
-        lost_at_ms = self._clock.monotonic_ms()
+    async def _check_crash(
+        self, lost: LostRequest, run: poison.LostRun, upstream: members.Upstream
+    ) -> None:
         await self._clock.sleep_ms(RESTART_WAIT_MS)
         asked = await self._client.probe(upstream)
         if isinstance(asked, result.Ok) and asked.ok_value.born_at_ms == upstream.born_at_ms:
@@ -136,8 +139,8 @@
         now_ms = self._clock.monotonic_ms()
         crash = f"{upstream.id}/{upstream.born_at_ms}"
         request = lost.fingerprint[:FINGERPRINT_LENGTH]
-        self._evidence.record_crash(lost.prompt_parts, crash, request, lost_at_ms, now_ms)
-        notice = self._suspects.record_crash(lost.fingerprint, upstream.id, now_ms)
+        self._evidence.record_crash(lost.prompt_parts, crash, request, run.lost_at_ms, now_ms)
+        notice = self._suspects.record_crash(lost.fingerprint, upstream.id, now_ms, run)
         if notice is None:
             return
         self._log.note(
--- a/src/tanagerfork/routing/poison.py
+++ b/src/tanagerfork/routing/poison.py
@@ -14,14 +14,30 @@
 CORRELATED_CRASH_WINDOW_MS = 2_000
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LostRun:
+    """A run of a request that ended with the crash of its group."""
+
+    sent_at_ms: float
+    lost_at_ms: float
+
+    def overlaps(self, other: "LostRun") -> bool:
+        """Return whether both runs were under way at the same time.
+
+        :param other: other run of the request.
+        """
+        return self.sent_at_ms < other.lost_at_ms and other.sent_at_ms < self.lost_at_ms
+
+
 @dataclasses.dataclass(slots=True)
 class Suspicion:
-    """State of a fingerprint that was in flight at a crash."""
+    """State of a fingerprint that was in flight at a crash; `runs` are those that were counted."""
 
     crashes: int
     expires_at_ms: int
     is_quarantined: bool = False
     peer_trial_until_ms: int = 0
+    runs: list[LostRun] = dataclasses.field(default_factory=list)
 
 
 class PoisonRegister:
@@ -30,8 +46,10 @@
     A suspect is retried on a group where this daemon runs no other suspect, so that the next crash
     tells the poison request from requests that ran beside it. A suspect that is answered completely
     is cleared. A suspect that was in flight at two crashes is quarantined for
-    `QUARANTINE_TTL_MS`. If several groups crash within `CORRELATED_CRASH_WINDOW_MS`, the cause is
-    not a single request, and only requests that were already suspects are counted.
+    `QUARANTINE_TTL_MS`. Copies of a request that were in flight at the same time, at one group or
+    at several that crash together, count once. If several groups crash within
+    `CORRELATED_CRASH_WINDOW_MS`, the cause is not a single request, and only requests that were
+    already suspects are counted.
     """
 
     __slots__ = ("_suspicions", "_trials", "_last_crash_ms", "_last_group")
@@ -87,19 +105,26 @@
         """
         self._trials.pop(attempt_id, None)
 
-    def record_crash(self, fingerprint: str, group: str, now_ms: int) -> fleets.PoisonNotice | None:
+    def record_crash(
+        self, fingerprint: str, group: str, now_ms: int, run: LostRun | None = None
+    ) -> fleets.PoisonNotice | None:
         """Record that a fingerprint was in flight when its group crashed.
 
         :param fingerprint: fingerprint.
         :param group: group.
         :param now_ms: monotonic clock, in milliseconds.
+        :param run: run that was lost; by default one that overlaps no other.
         :return: notice for the peers; None if the crash is not attributed to the request.
         """
+        run = run or LostRun(now_ms, now_ms)
         suspicion = self._find_unexpired(fingerprint, now_ms)
         is_isolated = self._is_isolated_crash(group, now_ms)
         if suspicion is None and not is_isolated:
             return None
         suspicion = suspicion or Suspicion(0, 0)
+        if any(run.overlaps(counted) for counted in suspicion.runs):
+            return None
+        suspicion.runs.append(run)
         suspicion.crashes += 1
         suspicion.is_quarantined = suspicion.crashes >= CRASHES_TO_QUARANTINE
         ttl_ms = QUARANTINE_TTL_MS if suspicion.is_quarantined else SUSPECT_TTL_MS
@@ -123,7 +148,10 @@
         :param now_ms: monotonic clock, in milliseconds.
         """
         suspicion = self._find_unexpired(notice.fingerprint, now_ms) or Suspicion(0, 0)
-        suspicion.crashes = max(suspicion.crashes, notice.crashes)
+        if notice.crashes > suspicion.crashes:
+            # A run here that was sent before may have been lost in the crash that the peer tells.
+            suspicion.runs.append(LostRun(float("-inf"), now_ms))
+            suspicion.crashes = notice.crashes
         suspicion.is_quarantined = suspicion.is_quarantined or notice.is_quarantined
         notice_ttl_ms = min(notice.expires_in_ms, QUARANTINE_TTL_MS)
         suspicion.expires_at_ms = max(suspicion.expires_at_ms, now_ms + notice_ttl_ms)
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -39,3 +39,32 @@
         for number in range(poison.MAX_FINGERPRINTS + 5):
             register.record_crash(str(number), "a", 0)
         assert not register.is_suspect("0", 0) and register.is_suspect("9", 0)
+
+
+class TestCopies:
+    """Copies of a request that is sound may be in flight at the same crash."""
+
+    def test_copies_lost_in_one_crash_count_once(self):
+        register = poison.PoisonRegister()
+        register.record_crash("f", "a", 110, poison.LostRun(0, 100))
+        assert register.record_crash("f", "a", 120, poison.LostRun(50, 100)) is None
+        assert not register.quarantine_left_ms("f", 120)
+        assert register.record_crash("f", "b", 300, poison.LostRun(100, 200)).is_quarantined
+
+    def test_copies_lost_in_crashes_of_several_groups_at_once_count_once(self):
+        register = poison.PoisonRegister()
+        register.record_crash("f", "a", 110, poison.LostRun(0, 100))
+        register.record_crash("f", "b", 120, poison.LostRun(50, 101))
+        assert not register.quarantine_left_ms("f", 120)
+
+    def test_crash_that_a_peer_tells_counts_once(self):
+        register = poison.PoisonRegister()
+        register.hear(fleet.PoisonNotice("f", 1, False, 1000), 0, 110)
+        register.record_crash("f", "a", 120, poison.LostRun(0, 100))
+        assert not register.quarantine_left_ms("f", 120)
+        assert register.record_crash("f", "b", 300, poison.LostRun(130, 200)).is_quarantined
+
+    def test_crashes_that_are_confirmed_in_reverse_order_both_count(self):
+        register = poison.PoisonRegister()
+        register.record_crash("f", "b", 300, poison.LostRun(100, 200))
+        assert register.record_crash("f", "a", 310, poison.LostRun(0, 100)).is_quarantined
