Count crashes within a wave, and end the wave 2 s after its first crash

Cause: a crash within 2 s of another upstream's counted for nothing unless the request was a suspect already, and each such crash moved the 2 s on.

Change: a wave ends 2 s after its first crash, so that the next crash counts as one by itself. A request first lost at a later crash of a wave is remembered; a second crash, by a run that does not overlap the first, makes it a suspect, and a third quarantines it. A complete answer clears it as before. A request lost in several upstreams that crash at once is still no suspect by that.

Evidence: test_request_that_goes_on_to_crash_groups_after_a_wave_is_quarantined fails on the code before with 20 and 40 crashes, as many as were sent (5 are allowed), test_third_crash_within_one_wave_quarantines as the request is never counted. test_waves_of_several_groups_at_once_quarantine_no_request guards sound requests; it passes on the code before and fails if the copies lost in one crash are counted each. test_answer_between_two_crashes_of_waves_ends_the_doubt and test_doubt_expires pass in both cases.

--- a/src/tanagerfork/routing/poison.py
+++ b/src/tanagerfork/routing/poison.py
@@ -47,18 +47,21 @@
     tells the poison request from requests that ran beside it. A suspect that is answered completely
     is cleared. A suspect that was in flight at two crashes is quarantined for
     `QUARANTINE_TTL_MS`. Copies of a request that were in flight at the same time, at one group or
-    at several that crash together, count once. If several groups crash within
-    `CORRELATED_CRASH_WINDOW_MS`, the cause is not a single request, and only requests that were
-    already suspects are counted.
+    at several that crash together, count once.
+
+    Crashes of several groups within `CORRELATED_CRASH_WINDOW_MS` of the first one are a wave, whose
+    cause may be no single request. A request that was first in flight at a later crash of a wave
+    becomes a suspect only if it is in flight at another one.
     """
 
-    __slots__ = ("_suspicions", "_trials", "_last_crash_ms", "_last_group")
+    __slots__ = ("_suspicions", "_doubts", "_trials", "_wave_began_ms", "_wave_group")
 
     def __init__(self) -> None:
         self._suspicions: collections.OrderedDict[str, Suspicion] = collections.OrderedDict()
+        self._doubts: collections.OrderedDict[str, LostRun] = collections.OrderedDict()
         self._trials: dict[str, str] = {}
-        self._last_crash_ms = -CORRELATED_CRASH_WINDOW_MS
-        self._last_group = ""
+        self._wave_began_ms = float("-inf")
+        self._wave_group = ""
 
     def quarantine_left_ms(self, fingerprint: str, now_ms: int) -> int:
         """Return how long a fingerprint stays quarantined, in milliseconds; 0 if it is not.
@@ -118,10 +121,15 @@
         """
         run = run or LostRun(now_ms, now_ms)
         suspicion = self._find_unexpired(fingerprint, now_ms)
-        is_isolated = self._is_isolated_crash(group, now_ms)
-        if suspicion is None and not is_isolated:
-            return None
-        suspicion = suspicion or Suspicion(0, 0)
+        is_first_of_wave = self._is_first_of_wave(group, run.lost_at_ms)
+        if suspicion is None:
+            suspicion = Suspicion(0, 0)
+            if not is_first_of_wave:
+                doubted = self._find_doubt(fingerprint, now_ms)
+                if doubted is None:
+                    self._doubt(fingerprint, run)
+                    return None
+                suspicion.runs.append(doubted)
         if any(run.overlaps(counted) for counted in suspicion.runs):
             return None
         suspicion.runs.append(run)
@@ -137,8 +145,9 @@
 
         :param fingerprint: fingerprint.
         """
-        if self._suspicions:
+        if self._suspicions or self._doubts:
             self._suspicions.pop(fingerprint, None)
+            self._doubts.pop(fingerprint, None)
 
     def hear(self, notice: fleets.PoisonNotice, trial_ms: int, now_ms: int) -> None:
         """Apply a notice of a peer.
@@ -158,14 +167,26 @@
         suspicion.peer_trial_until_ms = 0 if notice.is_quarantined else now_ms + trial_ms
         self._store(notice.fingerprint, suspicion)
 
-    def _is_isolated_crash(self, group: str, now_ms: int) -> bool:
-        is_correlated = (
-            group != self._last_group and now_ms - self._last_crash_ms < CORRELATED_CRASH_WINDOW_MS
-        )
-        if not is_correlated:
-            self._last_group = group
-        self._last_crash_ms = now_ms
-        return not is_correlated
+    def _is_first_of_wave(self, group: str, lost_at_ms: float) -> bool:
+        """Return whether the crash of a group begins a wave; losses of one crash come one by one.
+
+        Later crashes don't prolong the wave, or a request that causes them would never be counted.
+        """
+        if lost_at_ms - self._wave_began_ms >= CORRELATED_CRASH_WINDOW_MS:
+            self._wave_began_ms, self._wave_group = lost_at_ms, group
+        return group == self._wave_group
+
+    def _find_doubt(self, fingerprint: str, now_ms: int) -> LostRun | None:
+        doubted = self._doubts.get(fingerprint)
+        if doubted is not None and doubted.lost_at_ms + SUSPECT_TTL_MS <= now_ms:
+            return None
+        return doubted
+
+    def _doubt(self, fingerprint: str, run: LostRun) -> None:
+        self._doubts[fingerprint] = run
+        self._doubts.move_to_end(fingerprint)
+        if len(self._doubts) > MAX_FINGERPRINTS:
+            self._doubts.popitem(last=False)
 
     def _find_unexpired(self, fingerprint: str, now_ms: int) -> Suspicion | None:
         suspicion = self._suspicions.get(fingerprint)
@@ -177,6 +198,7 @@
     def _store(self, fingerprint: str, suspicion: Suspicion) -> None:
         self._suspicions[fingerprint] = suspicion
         self._suspicions.move_to_end(fingerprint)
+        self._doubts.pop(fingerprint, None)
         if len(self._suspicions) > MAX_FINGERPRINTS:
             self._suspicions.popitem(last=False)
 
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -1,5 +1,10 @@
 """Tests of suspect fingerprints and their quarantine."""
 
+import itertools
+import random
+
+import pytest
+
 from tanagerfork.routing import fleet, poison
 
 
@@ -68,3 +73,102 @@
         register = poison.PoisonRegister()
         register.record_crash("f", "b", 300, poison.LostRun(100, 200))
         assert register.record_crash("f", "a", 310, poison.LostRun(0, 100)).is_quarantined
+
+
+class Callers:
+    """Sends a request that crashes each group, beside one that is sound, to two registers in turn.
+
+    Each daemon loses requests in every crash, and hears the notices of the other one.
+    """
+
+    def __init__(self) -> None:
+        self.registers = [poison.PoisonRegister(), poison.PoisonRegister()]
+        self.crashes = 0
+
+    def lose(self, index: int, fingerprint: str, group: str, sent_at_ms: int, at_ms: int) -> None:
+        run = poison.LostRun(sent_at_ms, at_ms)
+        notice = self.registers[index].record_crash(fingerprint, group, at_ms + 100, run)
+        if notice is not None:
+            self.registers[1 - index].hear(notice, 0, at_ms + 100)
+
+    def send(self, index: int, sent_at_ms: int, attempts: int, runs_ms: int) -> None:
+        for attempt in range(attempts):
+            sent = sent_at_ms + attempt * runs_ms
+            if self.registers[index].quarantine_left_ms("bad", sent):
+                return
+            self.crashes += 1
+            for other in (index, 1 - index):
+                group = f"g{self.crashes}"
+                self.lose(other, f"sound {other} {self.crashes}", group, sent, sent + runs_ms)
+            self.lose(index, "bad", group, sent, sent + runs_ms)
+
+
+class TestWaves:
+    @pytest.mark.parametrize("attempts", [1, 2])
+    def test_request_that_goes_on_to_crash_groups_after_a_wave_is_quarantined(self, attempts):
+        callers = Callers()
+        for index, group in itertools.product((0, 1), ("x", "y")):
+            callers.lose(index, f"sound {group}", group, -200, 0)
+        for turn in range(20):
+            callers.send(turn % 2, 600 + 900 * turn, attempts, 300)
+        assert callers.crashes <= 5
+        for index, register in enumerate(callers.registers):
+            assert register.quarantine_left_ms("bad", 20_000)
+            for number in range(callers.crashes):
+                assert not register.quarantine_left_ms(f"sound {index} {number}", 20_000)
+
+    def test_third_crash_within_one_wave_quarantines(self):
+        register = poison.PoisonRegister()
+        register.record_crash("sound", "x", 0)
+        assert register.record_crash("bad", "a", 400) is None
+        assert not register.record_crash("bad", "b", 800).is_quarantined
+        assert register.record_crash("bad", "c", 1200).is_quarantined
+
+    def test_copies_lost_within_a_wave_make_no_suspect(self):
+        register = poison.PoisonRegister()
+        register.record_crash("other", "x", 0)
+        for group in "aab":
+            run = poison.LostRun(-50, 1)
+            assert register.record_crash("sound", group, 110, run) is None
+        assert not register.is_suspect("sound", 120)
+
+    def test_answer_between_two_crashes_of_waves_ends_the_doubt(self):
+        register = poison.PoisonRegister()
+        register.record_crash("other", "x", 0)
+        register.record_crash("sound", "a", 400)
+        register.record_completed("sound")
+        assert register.record_crash("sound", "b", 800) is None
+
+    def test_doubt_expires(self):
+        register = poison.PoisonRegister()
+        register.record_crash("other", "x", 0)
+        register.record_crash("sound", "a", 400)
+        later_ms = 400 + poison.SUSPECT_TTL_MS
+        register.record_crash("other", "y", later_ms - 100)
+        assert register.record_crash("sound", "b", later_ms) is None
+
+    def test_doubts_are_bounded(self):
+        register = poison.PoisonRegister()
+        register.record_crash("other", "x", 0)
+        for number in range(poison.MAX_FINGERPRINTS + 5):
+            register.record_crash(str(number), "a", 0)
+        assert len(register._doubts) == poison.MAX_FINGERPRINTS
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_waves_of_several_groups_at_once_quarantine_no_request(self, seed):
+        """One request in three is the same one; the lost ones are answered when sent again."""
+        rng = random.Random(seed)
+        register = poison.PoisonRegister()
+        lost = set()
+        for wave in range(20):
+            at_ms = 1500 * wave + rng.randrange(200)
+            for group in rng.sample(range(12), 3):
+                for number in range(30):
+                    key = f"{wave} {group} {number}" if number % 3 else "popular"
+                    run = poison.LostRun(at_ms - rng.randrange(1, 900), at_ms + rng.randrange(3))
+                    confirmed_ms = at_ms + 100 + rng.randrange(300)
+                    register.record_crash(key, f"{group}-{wave}", confirmed_ms, run)
+                    lost.add(key)
+            assert not any(register.quarantine_left_ms(key, at_ms + 400) for key in lost)
+            for key in lost:
+                register.record_completed(key)
