Tell quarantined requests again, so that restarted daemons know them

Cause: a daemon kept quarantined requests in memory and told them once, to the daemons that ran at that moment.

Change: each daemon tells the quarantines that it knows, its own and those it heard, with its loads: each one every 0.9 s, at most two in a notice, those told longest ago first. In a fleet of more than 24 daemons the sources pass them on to all. A quarantine is told with the time that is left, is not renewed by being told, and is not told in its last minute, so that it ends at all daemons about 15 minutes after the crash. `age_ms`, appended to Suspect, is the time since the crash: a request that was answered after it is not quarantined again by what others repeat.

Weighed: the store, as for parts of prompts. It also keeps what all daemons forget if they are restarted at once, after which a request now crashes two more upstreams; but it takes writes for each request, and while it is away a daemon that missed the notice would not learn of it.

--- a/src/tanagerfork/front/chat.py
+++ b/src/tanagerfork/front/chat.py
@@ -306,7 +306,7 @@
     def _record_success(
         self, call: ChatCall, progress: Progress, view: presence.GroupView, fingerprint: str
     ) -> None:
-        self._policy.poison.record_completed(fingerprint)
+        self._policy.poison.record_completed(fingerprint, self._clock.monotonic_ms())
         if progress.attempts > 1:
             self._metrics.count("requests_resumed_total", team=call.team.name)
             self._timeline.record(
--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -104,8 +104,9 @@
         :param fingerprint: fingerprint of the request.
         :param prompt_parts: shared parts of its prompt.
         """
-        self._suspects.record_completed(fingerprint)
-        self._evidence.record_answer(prompt_parts, self._clock.monotonic_ms())
+        now_ms = self._clock.monotonic_ms()
+        self._suspects.record_completed(fingerprint, now_ms)
+        self._evidence.record_answer(prompt_parts, now_ms)
 
     def check_for_crash(self, lost: LostRequest, upstream: members.Upstream) -> None:
         """Start a check of whether an upstream broke off a response because it crashed.
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -28,6 +28,7 @@
     refused_notices,
     rules,
     send_limits,
+    suspect_notices,
 )
 from tanagerfork.routing import crash_evidence, poison
 from tanagerfork.routing import fleet as fleets
@@ -82,6 +83,7 @@
         "_inbox",
         "_refused",
         "_heard_forms",
+        "_repeated_suspects",
         "_links",
     )
 
@@ -125,6 +127,7 @@
         self._metrics = metrics
         self._inbox = inbox
         self._heard_forms: dict[str, notice_codec.Form] = {}
+        self._repeated_suspects: list[notices.Suspect] = []
         self._refused = refused_notices.RefusedNotices(directory, clock, log, metrics)
         self._links = link.LinkTable(2 * FANOUT + cohorts.COHORT_SIZE, clock, rng, metrics)
 
@@ -156,6 +159,8 @@
         while True:
             now_ms = self._clock.monotonic_ms()
             self._book.note_recent_sends(self._send_limits.count_sends(now_ms))
+            repeats = self._suspects.take_repeats(now_ms)
+            self._repeated_suspects = [suspect_notices.encode(repeat) for repeat in repeats]
             own_notice = self._make_load_notice(self._sums.measure_own(now_ms))
             if len(self._directory.daemons) - 1 <= FANOUT:
                 self._broadcast(own_notice)
@@ -196,6 +201,7 @@
         notice.covers, notice.cohort = covers, cohort
         figures.add_to_notice(notice, now_ms)
         notice.cut_off = self._reach.cut_off_services
+        notice.suspects = self._repeated_suspects
         part_notices.add_to_notice(notice, self._evidence, now_ms, with_heard=covers != "daemon")
         return notice
 
@@ -247,13 +253,7 @@
 
         :param suspicion: fingerprint, crashes and quarantine of the request.
         """
-        suspect = notices.Suspect(
-            fingerprint=suspicion.fingerprint,
-            crashes=suspicion.crashes,
-            is_quarantined=suspicion.is_quarantined,
-            expires_in_ms=suspicion.expires_in_ms,
-        )
-        self._broadcast(self._make_notice(suspects=[suspect]))
+        self._broadcast(self._make_notice(suspects=[suspect_notices.encode(suspicion)]))
 
     def _make_notice(
         self,
@@ -312,18 +312,7 @@
                     upstream=leaving.upstream,
                     told_by=notice.daemon,
                 )
-        for suspect in notice.suspects:
-            suspicion = fleets.PoisonNotice(
-                suspect.fingerprint, suspect.crashes, suspect.is_quarantined, suspect.expires_in_ms
-            )
-            self._suspects.hear(suspicion, 0, now_ms)
-            self._log.note(
-                LOGGER,
-                "request suspected",
-                fingerprint=suspect.fingerprint,
-                crashes=suspect.crashes,
-                told_by=notice.daemon,
-            )
+        self._hear_suspects(notice, now_ms)
         for group in notice.closed:
             self._book.note_closed(group.head, group.epoch, now_ms)
             self._log.note(
@@ -338,3 +327,15 @@
                 self._log.note(
                     LOGGER, "upstream suspected", upstream=upstream_id, told_by=notice.daemon
                 )
+
+    def _hear_suspects(self, notice: notices.Notice, now_ms: int) -> None:
+        for suspect in notice.suspects:
+            if not self._suspects.hear(suspect_notices.decode(suspect), 0, now_ms):
+                continue
+            self._log.note(
+                LOGGER,
+                "request suspected",
+                fingerprint=suspect.fingerprint,
+                crashes=suspect.crashes,
+                told_by=notice.daemon,
+            )
--- a/src/tanagerfork/routing/fleet.py
+++ b/src/tanagerfork/routing/fleet.py
@@ -24,12 +24,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PoisonNotice:
-    """A request fingerprint that was in flight when groups crashed."""
+    """A request fingerprint that was in flight when groups crashed.
+
+    `age_ms` is the time since the last crash that counted; -1 if it is not known.
+    """
 
     fingerprint: str
     crashes: int
     is_quarantined: bool
     expires_in_ms: int
+    age_ms: int = -1
 
 
 class Fleet(Protocol):
--- a/src/tanagerfork/routing/poison.py
+++ b/src/tanagerfork/routing/poison.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import heapq
 
 import xxhash
 
@@ -12,6 +13,10 @@
 QUARANTINE_TTL_MS = 900_000
 MAX_FINGERPRINTS = 10_000
 CORRELATED_CRASH_WINDOW_MS = 2_000
+REPEAT_INTERVAL_MS = 900
+MAX_REPEATS = 2  # Quarantines in one round of notices.
+# Longer than a notice takes, or two daemons would renew an expired quarantine by turns.
+MIN_REPEATED_MS = 60_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -38,6 +43,8 @@
     is_quarantined: bool = False
     peer_trial_until_ms: int = 0
     runs: list[LostRun] = dataclasses.field(default_factory=list)
+    crashed_at_ms: float = float("-inf")
+    told_at_ms: float = float("-inf")
 
 
 class PoisonRegister:
@@ -52,13 +59,24 @@
     Crashes of several groups within `CORRELATED_CRASH_WINDOW_MS` of the first one are a wave, whose
     cause may be no single request. A request that was first in flight at a later crash of a wave
     becomes a suspect only if it is in flight at another one.
+
+    Quarantines are told to the peers again and again with the time that is left, so that a daemon
+    that was restarted knows them, and they end at all daemons at about the same time.
     """
 
-    __slots__ = ("_suspicions", "_doubts", "_trials", "_wave_began_ms", "_wave_group")
+    __slots__ = (
+        "_suspicions",
+        "_doubts",
+        "_answered_at_ms",
+        "_trials",
+        "_wave_began_ms",
+        "_wave_group",
+    )
 
     def __init__(self) -> None:
         self._suspicions: collections.OrderedDict[str, Suspicion] = collections.OrderedDict()
         self._doubts: collections.OrderedDict[str, LostRun] = collections.OrderedDict()
+        self._answered_at_ms: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._trials: dict[str, str] = {}
         self._wave_began_ms = float("-inf")
         self._wave_group = ""
@@ -137,35 +155,72 @@
         suspicion.is_quarantined = suspicion.crashes >= CRASHES_TO_QUARANTINE
         ttl_ms = QUARANTINE_TTL_MS if suspicion.is_quarantined else SUSPECT_TTL_MS
         suspicion.expires_at_ms = now_ms + ttl_ms
+        suspicion.crashed_at_ms = max(suspicion.crashed_at_ms, run.lost_at_ms)
         self._store(fingerprint, suspicion)
-        return fleets.PoisonNotice(fingerprint, suspicion.crashes, suspicion.is_quarantined, ttl_ms)
+        return _make_notice(fingerprint, suspicion, now_ms)
 
-    def record_completed(self, fingerprint: str) -> None:
+    def record_completed(self, fingerprint: str, now_ms: int) -> None:
         """Clear a fingerprint whose request was answered completely.
 
         :param fingerprint: fingerprint.
+        :param now_ms: monotonic clock, in milliseconds.
         """
-        if self._suspicions or self._doubts:
-            self._suspicions.pop(fingerprint, None)
-            self._doubts.pop(fingerprint, None)
+        if not self._suspicions and not self._doubts:
+            return
+        self._doubts.pop(fingerprint, None)
+        if self._suspicions.pop(fingerprint, None) is not None:
+            self._answered_at_ms[fingerprint] = now_ms
+            self._answered_at_ms.move_to_end(fingerprint)
+            if len(self._answered_at_ms) > MAX_FINGERPRINTS:
+                self._answered_at_ms.popitem(last=False)
 
-    def hear(self, notice: fleets.PoisonNotice, trial_ms: int, now_ms: int) -> None:
-        """Apply a notice of a peer.
+    def take_repeats(self, now_ms: int) -> list[fleets.PoisonNotice]:
+        """Return the quarantines to tell in a round of notices, those told longest ago first.
+
+        Peers that have started since, or missed a notice, learn of them in this way.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        due = [
+            (suspicion.told_at_ms, fingerprint)
+            for fingerprint, suspicion in self._suspicions.items()
+            if suspicion.is_quarantined
+            and suspicion.expires_at_ms - now_ms >= MIN_REPEATED_MS
+            and now_ms - suspicion.told_at_ms >= REPEAT_INTERVAL_MS
+        ]
+        repeats = []
+        for _, fingerprint in heapq.nsmallest(MAX_REPEATS, due):
+            suspicion = self._suspicions[fingerprint]
+            suspicion.told_at_ms = now_ms
+            repeats.append(_make_notice(fingerprint, suspicion, now_ms))
+        return repeats
+
+    def hear(self, notice: fleets.PoisonNotice, trial_ms: int, now_ms: int) -> bool:
+        """Apply a notice of a peer, unless the fingerprint was cleared after the crash it tells.
 
         :param notice: notice.
         :param trial_ms: time for which the peer may retry the suspect, in milliseconds.
         :param now_ms: monotonic clock, in milliseconds.
+        :return: whether it tells something new.
         """
+        crashed_at_ms = now_ms - max(0, notice.age_ms)
+        answered_at_ms = self._answered_at_ms.get(notice.fingerprint, float("-inf"))
+        if notice.age_ms >= 0 and crashed_at_ms <= answered_at_ms:
+            return False
         suspicion = self._find_unexpired(notice.fingerprint, now_ms) or Suspicion(0, 0)
+        if suspicion.is_quarantined:
+            return False  # Else quarantines told to and fro would last a little longer each time.
         if notice.crashes > suspicion.crashes:
             # A run here that was sent before may have been lost in the crash that the peer tells.
             suspicion.runs.append(LostRun(float("-inf"), now_ms))
             suspicion.crashes = notice.crashes
-        suspicion.is_quarantined = suspicion.is_quarantined or notice.is_quarantined
+        suspicion.crashed_at_ms = max(suspicion.crashed_at_ms, crashed_at_ms)
+        suspicion.is_quarantined = notice.is_quarantined
         notice_ttl_ms = min(notice.expires_in_ms, QUARANTINE_TTL_MS)
         suspicion.expires_at_ms = max(suspicion.expires_at_ms, now_ms + notice_ttl_ms)
         suspicion.peer_trial_until_ms = 0 if notice.is_quarantined else now_ms + trial_ms
         self._store(notice.fingerprint, suspicion)
+        return True
 
     def _is_first_of_wave(self, group: str, lost_at_ms: float) -> bool:
         """Return whether the crash of a group begins a wave; losses of one crash come one by one.
@@ -203,6 +258,16 @@
             self._suspicions.popitem(last=False)
 
 
+def _make_notice(fingerprint: str, suspicion: Suspicion, now_ms: int) -> fleets.PoisonNotice:
+    return fleets.PoisonNotice(
+        fingerprint,
+        suspicion.crashes,
+        suspicion.is_quarantined,
+        suspicion.expires_at_ms - now_ms,
+        max(0, round(now_ms - suspicion.crashed_at_ms)),
+    )
+
+
 def make_fingerprint(model: str, body: bytes) -> str:
     """Return the fingerprint of a request, which is the same each time the request is sent.
 
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from tanagerfork.relay import daemon as daemons
+from tanagerfork.relay import peers
 from tanagerfork_standins.platform import runner
 from tests.relay import deployments
 
@@ -61,6 +64,36 @@
             await asyncio.sleep(0.3)
             assert (await deployed.ask("/safe/x")).status == 200
 
+    @pytest.mark.parametrize("fanout", [24, 1])
+    async def test_daemons_that_start_later_refuse_the_request(
+        self, monkeypatch: pytest.MonkeyPatch, fanout: int
+    ) -> None:
+        """With a fan-out of 1 the daemons count as a large fleet, whose sources pass notices on."""
+        monkeypatch.setattr(peers, "FANOUT", fanout)
+        async with deployments.deploy(engines=0, plain=3) as deployed:
+            await deployed.wait_for_rules()
+            shared_faults = [CRASHES] * 2
+            for member in deployed.site.plain_runners:
+                member.faults = shared_faults
+            assert (await deployed.ask("/safe/poison")).status == 502
+            await deployed.wait_until(
+                lambda: deployed.log.find("request suspected", '"crashes":2'), "the quarantine"
+            )
+            runs = sum(len(member.requests) for member in deployed.site.plain_runners)
+            for count in (4, 5):
+                while len(deployed.daemons) < 5:
+                    await deployed.add_daemon()
+                await deployed.wait_until(
+                    lambda count=count: len(deployed.log.find("request suspected", "told_by"))
+                    == count,
+                    "all know",
+                )
+                await deployed.daemons.pop(0).stop()
+            for index in range(4):
+                assert (await deployed.ask("/safe/poison", daemon=index)).status == 503
+            assert sum(len(member.requests) for member in deployed.site.plain_runners) == runs
+            assert (await deployed.ask("/safe/other")).status == 200
+
 
 class TestStoredQuarantine:
     """Parts at fault are kept in the store, so that a restart of all daemons does not lose them."""
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -20,7 +20,7 @@
     def test_complete_answer_clears_a_suspect(self):
         register = poison.PoisonRegister()
         register.record_crash("f", "a", 0)
-        register.record_completed("f")
+        register.record_completed("f", 10)
         assert not register.record_crash("f", "a", 10_000).is_quarantined
 
     def test_correlated_crashes_of_groups_make_no_new_suspect(self):
@@ -75,6 +75,75 @@
         assert register.record_crash("f", "a", 310, poison.LostRun(0, 100)).is_quarantined
 
 
+class TestRepeats:
+    """Quarantines are told again, to daemons that started since or missed a notice."""
+
+    def _quarantine(self, fingerprint: str = "f", at_ms: int = 0) -> poison.PoisonRegister:
+        register = poison.PoisonRegister()
+        register.record_crash(fingerprint, "a", at_ms)
+        register.record_crash(fingerprint, "b", at_ms)
+        return register
+
+    def test_daemons_restarted_in_turn_know_the_quarantine_until_it_ends(self):
+        registers = [self._quarantine(), poison.PoisonRegister()]
+        restarts = range(0, poison.QUARANTINE_TTL_MS - poison.MIN_REPEATED_MS, 10_000)
+        for turn, at_ms in enumerate(restarts):
+            registers[1 - turn % 2] = poison.PoisonRegister()
+            notices = registers[turn % 2].take_repeats(at_ms)
+            assert [registers[1 - turn % 2].hear(each, 0, at_ms) for each in notices] == [True]
+        for register in registers:
+            assert register.quarantine_left_ms("f", poison.QUARANTINE_TTL_MS - 1)
+            assert not register.quarantine_left_ms("f", poison.QUARANTINE_TTL_MS)
+
+    def test_notices_that_take_long_do_not_renew_the_quarantine(self):
+        registers = [self._quarantine(), poison.PoisonRegister()]
+        delay_ms = 5000
+        for at_ms in range(0, 2 * poison.QUARANTINE_TTL_MS, 1000):
+            sent = [register.take_repeats(at_ms) for register in registers]
+            for register, notices in zip(registers, reversed(sent), strict=True):
+                for notice in notices:
+                    register.hear(notice, 0, at_ms + delay_ms)
+        for register in registers:
+            assert not register.quarantine_left_ms("f", poison.QUARANTINE_TTL_MS + delay_ms)
+            assert not register.is_suspect("f", at_ms + delay_ms)
+
+    def test_quarantine_is_told_in_each_interval_and_a_suspicion_is_not(self):
+        register = self._quarantine()
+        register.record_crash("suspect", "c", 3000)
+        assert [each.fingerprint for each in register.take_repeats(3000)] == ["f"]
+        assert not register.take_repeats(3000 + poison.REPEAT_INTERVAL_MS - 1)
+        assert len(register.take_repeats(3000 + poison.REPEAT_INTERVAL_MS)) == 1
+
+    def test_many_quarantines_are_told_in_turn(self):
+        register = poison.PoisonRegister()
+        for number in range(3 * poison.MAX_REPEATS):
+            register.hear(fleet.PoisonNotice(str(number), 2, True, 900_000), 0, 0)
+        rounds = [register.take_repeats(300 * number) for number in range(6)]
+        assert {len(notices) for notices in rounds} == {poison.MAX_REPEATS}
+        assert (
+            len({notice.fingerprint for notices in rounds for notice in notices})
+            == 3 * poison.MAX_REPEATS
+        )
+
+    def test_quarantine_is_passed_on_with_the_time_that_is_left(self):
+        registers = [self._quarantine(), poison.PoisonRegister(), poison.PoisonRegister()]
+        for index in (0, 1):
+            notice = registers[index].take_repeats(1000 + index)[0]
+            assert notice.age_ms == 1000 + index
+            registers[index + 1].hear(notice, 0, 1000 + index)
+        left_ms = registers[2].quarantine_left_ms("f", 1001)
+        assert left_ms == poison.QUARANTINE_TTL_MS - 1001
+
+    def test_answer_is_not_undone_by_what_peers_repeat_but_by_a_later_crash(self):
+        registers = [self._quarantine(), self._quarantine()]
+        registers[0].record_completed("f", 500)
+        assert not registers[0].hear(registers[1].take_repeats(1000)[0], 0, 1000)
+        assert not registers[0].quarantine_left_ms("f", 1000)
+        later = self._quarantine(at_ms=2000)
+        assert registers[0].hear(later.take_repeats(2500)[0], 0, 2500)
+        assert registers[0].quarantine_left_ms("f", 2500)
+
+
 class Callers:
     """Sends a request that crashes each group, beside one that is sound, to two registers in turn.
 
@@ -136,7 +205,7 @@
         register = poison.PoisonRegister()
         register.record_crash("other", "x", 0)
         register.record_crash("sound", "a", 400)
-        register.record_completed("sound")
+        register.record_completed("sound", 500)
         assert register.record_crash("sound", "b", 800) is None
 
     def test_doubt_expires(self):
@@ -171,4 +240,4 @@
                     lost.add(key)
             assert not any(register.quarantine_left_ms(key, at_ms + 400) for key in lost)
             for key in lost:
-                register.record_completed(key)
+                register.record_completed(key, at_ms + 400)
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -101,7 +101,13 @@
         "suspects": [
             (
                 "Suspect",
-                {"fingerprint": "f1", "crashes": 2, "is_quarantined": True, "expires_in_ms": 900},
+                {
+                    "fingerprint": "f1",
+                    "crashes": 2,
+                    "is_quarantined": True,
+                    "expires_in_ms": 900,
+                    "age_ms": 40,
+                },
             )
         ]
     },
