--- a/src/tanagerfork/routing/poison.py
+++ b/src/tanagerfork/routing/poison.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import heapq
 
 import xxhash
 
@@ -12,16 +13,38 @@
 QUARANTINE_TTL_MS = 900_000
 MAX_FINGERPRINTS = 10_000
 CORRELATED_CRASH_WINDOW_MS = 2_000
+REPEAT_INTERVAL_MS = 900
+MAX_REPEATS = 2  # Quarantines in one round of notices.
+# Longer than a notice takes, or two daemons would renew an expired quarantine by turns.
+MIN_REPEATED_MS = 60_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LostRun:
+    """A run of a request that ended with the crash of its group."""
+
+    sent_at_ms: float
+    lost_at_ms: float
+
+    def overlaps(self, other: "LostRun") -> bool:
+        """Return whether both runs were under way at the same time.
+
+        :param other: other run of the request.
+        """
+        return self.sent_at_ms < other.lost_at_ms and other.sent_at_ms < self.lost_at_ms
 
 
 @dataclasses.dataclass(slots=True)
 class Suspicion:
-    """State of a fingerprint that was in flight at a crash."""
+    """State of a fingerprint that was in flight at a crash; `runs` are those that were counted."""
 
     crashes: int
     expires_at_ms: int
     is_quarantined: bool = False
     peer_trial_until_ms: int = 0
+    runs: list[LostRun] = dataclasses.field(default_factory=list)
+    crashed_at_ms: float = float("-inf")
+    told_at_ms: float = float("-inf")
 
 
 class PoisonRegister:
@@ -30,17 +53,33 @@
     A suspect is retried on a group where this daemon runs no other suspect, so that the next crash
     tells the poison request from requests that ran beside it. A suspect that is answered completely
     is cleared. A suspect that was in flight at two crashes is quarantined for
-    `QUARANTINE_TTL_MS`. If several groups crash within `CORRELATED_CRASH_WINDOW_MS`, the cause is
-    not a single request, and only requests that were already suspects are counted.
+    `QUARANTINE_TTL_MS`. Copies of a request that were in flight at the same time, at one group or
+    at several that crash together, count once.
+
+    Crashes of several groups within `CORRELATED_CRASH_WINDOW_MS` of the first one are a wave, whose
+    cause may be no single request. A request that was first in flight at a later crash of a wave
+    becomes a suspect only if it is in flight at another one.
+
+    Quarantines are told to the peers again and again with the time that is left, so that a daemon
+    that was restarted knows them, and they end at all daemons at about the same time.
     """
 
-    __slots__ = ("_suspicions", "_trials", "_last_crash_ms", "_last_group")
+    __slots__ = (
+        "_suspicions",
+        "_doubts",
+        "_answered_at_ms",
+        "_trials",
+        "_wave_began_ms",
+        "_wave_group",
+    )
 
     def __init__(self) -> None:
         self._suspicions: collections.OrderedDict[str, Suspicion] = collections.OrderedDict()
+        self._doubts: collections.OrderedDict[str, LostRun] = collections.OrderedDict()
+        self._answered_at_ms: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._trials: dict[str, str] = {}
-        self._last_crash_ms = -CORRELATED_CRASH_WINDOW_MS
-        self._last_group = ""
+        self._wave_began_ms = float("-inf")
+        self._wave_group = ""
 
     def quarantine_left_ms(self, fingerprint: str, now_ms: int) -> int:
         """Return how long a fingerprint stays quarantined, in milliseconds; 0 if it is not.
@@ -87,57 +126,122 @@
         """
         self._trials.pop(attempt_id, None)
 
-    def record_crash(self, fingerprint: str, group: str, now_ms: int) -> fleets.PoisonNotice | None:
+    def record_crash(
+        self, fingerprint: str, group: str, now_ms: int, run: LostRun | None = None
+    ) -> fleets.PoisonNotice | None:
         """Record that a fingerprint was in flight when its group crashed.
 
         :param fingerprint: fingerprint.
         :param group: group.
         :param now_ms: monotonic clock, in milliseconds.
+        :param run: run that was lost; by default one that overlaps no other.
         :return: notice for the peers; None if the crash is not attributed to the request.
         """
+        run = run or LostRun(now_ms, now_ms)
         suspicion = self._find_unexpired(fingerprint, now_ms)
-        is_isolated = self._is_isolated_crash(group, now_ms)
-        if suspicion is None and not is_isolated:
+        is_first_of_wave = self._is_first_of_wave(group, run.lost_at_ms)
+        if suspicion is None:
+            suspicion = Suspicion(0, 0)
+            if not is_first_of_wave:
+                doubted = self._find_doubt(fingerprint, now_ms)
+                if doubted is None:
+                    self._doubt(fingerprint, run)
+                    return None
+                suspicion.runs.append(doubted)
+        if any(run.overlaps(counted) for counted in suspicion.runs):
             return None
-        suspicion = suspicion or Suspicion(0, 0)
+        suspicion.runs.append(run)
         suspicion.crashes += 1
         suspicion.is_quarantined = suspicion.crashes >= CRASHES_TO_QUARANTINE
         ttl_ms = QUARANTINE_TTL_MS if suspicion.is_quarantined else SUSPECT_TTL_MS
         suspicion.expires_at_ms = now_ms + ttl_ms
+        suspicion.crashed_at_ms = max(suspicion.crashed_at_ms, run.lost_at_ms)
         self._store(fingerprint, suspicion)
-        return fleets.PoisonNotice(fingerprint, suspicion.crashes, suspicion.is_quarantined, ttl_ms)
+        return _make_notice(fingerprint, suspicion, now_ms)
 
-    def record_completed(self, fingerprint: str) -> None:
+    def record_completed(self, fingerprint: str, now_ms: int) -> None:
         """Clear a fingerprint whose request was answered completely.
 
         :param fingerprint: fingerprint.
+        :param now_ms: monotonic clock, in milliseconds.
         """
-        if self._suspicions:
-            self._suspicions.pop(fingerprint, None)
+        if not self._suspicions and not self._doubts:
+            return
+        self._doubts.pop(fingerprint, None)
+        if self._suspicions.pop(fingerprint, None) is not None:
+            self._answered_at_ms[fingerprint] = now_ms
+            self._answered_at_ms.move_to_end(fingerprint)
+            if len(self._answered_at_ms) > MAX_FINGERPRINTS:
+                self._answered_at_ms.popitem(last=False)
+
+    def take_repeats(self, now_ms: int) -> list[fleets.PoisonNotice]:
+        """Return the quarantines to tell in a round of notices, those told longest ago first.
 
-    def hear(self, notice: fleets.PoisonNotice, trial_ms: int, now_ms: int) -> None:
-        """Apply a notice of a peer.
+        Peers that have started since, or missed a notice, learn of them in this way.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        due = [
+            (suspicion.told_at_ms, fingerprint)
+            for fingerprint, suspicion in self._suspicions.items()
+            if suspicion.is_quarantined
+            and suspicion.expires_at_ms - now_ms >= MIN_REPEATED_MS
+            and now_ms - suspicion.told_at_ms >= REPEAT_INTERVAL_MS
+        ]
+        repeats = []
+        for _, fingerprint in heapq.nsmallest(MAX_REPEATS, due):
+            suspicion = self._suspicions[fingerprint]
+            suspicion.told_at_ms = now_ms
+            repeats.append(_make_notice(fingerprint, suspicion, now_ms))
+        return repeats
+
+    def hear(self, notice: fleets.PoisonNotice, trial_ms: int, now_ms: int) -> bool:
+        """Apply a notice of a peer, unless the fingerprint was cleared after the crash it tells.
 
         :param notice: notice.
         :param trial_ms: time for which the peer may retry the suspect, in milliseconds.
         :param now_ms: monotonic clock, in milliseconds.
+        :return: whether it tells something new.
         """
+        crashed_at_ms = now_ms - max(0, notice.age_ms)
+        answered_at_ms = self._answered_at_ms.get(notice.fingerprint, float("-inf"))
+        if notice.age_ms >= 0 and crashed_at_ms <= answered_at_ms:
+            return False
         suspicion = self._find_unexpired(notice.fingerprint, now_ms) or Suspicion(0, 0)
-        suspicion.crashes = max(suspicion.crashes, notice.crashes)
-        suspicion.is_quarantined = suspicion.is_quarantined or notice.is_quarantined
+        if suspicion.is_quarantined:
+            return False  # Else quarantines told to and fro would last a little longer each time.
+        if notice.crashes > suspicion.crashes:
+            # A run here that was sent before may have been lost in the crash that the peer tells.
+            suspicion.runs.append(LostRun(float("-inf"), now_ms))
+            suspicion.crashes = notice.crashes
+        suspicion.crashed_at_ms = max(suspicion.crashed_at_ms, crashed_at_ms)
+        suspicion.is_quarantined = notice.is_quarantined
         notice_ttl_ms = min(notice.expires_in_ms, QUARANTINE_TTL_MS)
         suspicion.expires_at_ms = max(suspicion.expires_at_ms, now_ms + notice_ttl_ms)
         suspicion.peer_trial_until_ms = 0 if notice.is_quarantined else now_ms + trial_ms
         self._store(notice.fingerprint, suspicion)
+        return True
+
+    def _is_first_of_wave(self, group: str, lost_at_ms: float) -> bool:
+        """Return whether the crash of a group begins a wave; losses of one crash come one by one.
+
+        Later crashes don't prolong the wave, or a request that causes them would never be counted.
+        """
+        if lost_at_ms - self._wave_began_ms >= CORRELATED_CRASH_WINDOW_MS:
+            self._wave_began_ms, self._wave_group = lost_at_ms, group
+        return group == self._wave_group
+
+    def _find_doubt(self, fingerprint: str, now_ms: int) -> LostRun | None:
+        doubted = self._doubts.get(fingerprint)
+        if doubted is not None and doubted.lost_at_ms + SUSPECT_TTL_MS <= now_ms:
+            return None
+        return doubted
 
-    def _is_isolated_crash(self, group: str, now_ms: int) -> bool:
-        is_correlated = (
-            group != self._last_group and now_ms - self._last_crash_ms < CORRELATED_CRASH_WINDOW_MS
-        )
-        if not is_correlated:
-            self._last_group = group
-        self._last_crash_ms = now_ms
-        return not is_correlated
+    def _doubt(self, fingerprint: str, run: LostRun) -> None:
+        self._doubts[fingerprint] = run
+        self._doubts.move_to_end(fingerprint)
+        if len(self._doubts) > MAX_FINGERPRINTS:
+            self._doubts.popitem(last=False)
 
     def _find_unexpired(self, fingerprint: str, now_ms: int) -> Suspicion | None:
         suspicion = self._suspicions.get(fingerprint)
@@ -149,10 +253,21 @@
     def _store(self, fingerprint: str, suspicion: Suspicion) -> None:
         self._suspicions[fingerprint] = suspicion
         self._suspicions.move_to_end(fingerprint)
+        self._doubts.pop(fingerprint, None)
         if len(self._suspicions) > MAX_FINGERPRINTS:
             self._suspicions.popitem(last=False)
 
 
+def _make_notice(fingerprint: str, suspicion: Suspicion, now_ms: int) -> fleets.PoisonNotice:
+    return fleets.PoisonNotice(
+        fingerprint,
+        suspicion.crashes,
+        suspicion.is_quarantined,
+        suspicion.expires_at_ms - now_ms,
+        max(0, round(now_ms - suspicion.crashed_at_ms)),
+    )
+
+
 def make_fingerprint(model: str, body: bytes) -> str:
     """Return the fingerprint of a request, which is the same each time the request is sent.
 
