Find a faulty part at any place of a prompt

The bound limited what one request adds to the evidence, to the notices and to the time that they take.

All parts that a header of 16 KiB can hold are read now, and the evidence is bounded instead. Most suspect are parts that were never answered, or longest ago, and then those that were open at most crashes: of a lost request the 512 most suspect are counted, a notice tells the 200 most suspect of the last second, with answers that clear parts first, and the log line names 32. The decision is made anew only when the evidence has changed or the next part's time has come, as many parts may wait for it. The form of notices is unchanged.

test_their_number_is_bounded sends more parts than the new bound instead of 1,000, and test_memory_is_bounded looks at the findings kept and at those told, which were one before; both bounds are still checked. TestLongPrompts (1,365 and 4,096 parts), the bound of parts counted of one request and test_all_parts_of_the_longest_header_are_read failed before; test_request_that_is_repeated_is_not_weighed_at_each_send, too.

--- a/src/tanagerfork/platform/headers.py
+++ b/src/tanagerfork/platform/headers.py
@@ -28,9 +28,9 @@
 
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
 LOAD_FIGURES = re.compile(r" *([0-9]{1,6}) *, *([0-9]{1,6}) *, *([0-9]{1,6}) *")
-PART_ID = re.compile("[0-9a-f]{1,64}")
+PART = re.compile(r"(?:^|(?<=,))\s*([0-9a-f]{1,64})\s*(?=[:,])")
 MAX_TOKENS = 2**31  # No prompt or answer is as long; larger ones would spoil learned means.
-MAX_SHARED_PARTS = 16  # Bounds what one request can add to the evidence of crashes.
+MAX_SHARED_PARTS = 4096  # More than a header of 16 KiB holds.
 MAX_QUIET_MS = 600_000.0  # An upstream that asks for more is asked again after this time.
 BUSY = 503
 MISDIRECTED = 421  # Another upstream now has the address; it does not run the request.
@@ -157,8 +157,8 @@
 
 def _parse_shared_parts(text: str) -> tuple[str, ...]:
     """Return the ids of all parts of a prompt but the last; malformed parts are left out."""
-    ids = [entry.partition(":")[0].strip().lower() for entry in text.split(",")[:-1]]
-    return tuple(dict.fromkeys(part for part in ids if PART_ID.fullmatch(part)))[:MAX_SHARED_PARTS]
+    shared, comma, _ = text.rpartition(",")
+    return tuple(dict.fromkeys(PART.findall((shared + comma).lower())))[:MAX_SHARED_PARTS]
 
 
 def _parse_limit(text: str | None) -> float | None:
--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -15,6 +15,7 @@
 
 LOGGER = "relay.crashes"
 FINGERPRINT_LENGTH = 16  # Hex digits that tell the requests of one crash apart.
+MAX_LOGGED_PARTS = 32
 RESTART_WAIT_MS = 100  # A killed process has released its port by then.
 
 
@@ -130,7 +131,9 @@
             "request lost in a crash",
             request_id=lost.request_id,
             fingerprint=lost.fingerprint,
-            prompt_parts=list(lost.prompt_parts),
+            prompt_parts=self._evidence.list_suspects(
+                lost.prompt_parts, lost.fingerprint, MAX_LOGGED_PARTS
+            ),
             upstream=upstream.id,
         )
         now_ms = self._clock.monotonic_ms()
--- a/src/tanagerfork/routing/crash_evidence.py
+++ b/src/tanagerfork/routing/crash_evidence.py
@@ -5,10 +5,16 @@
 the one at fault shares its other parts with requests that are answered elsewhere. So each part that
 was open at a crash is counted, a complete answer clears its parts, and what is left over after some
 crashes is at fault. Crashes that a part at fault explains no longer count against the others.
+
+A prompt may have thousands of parts. Of one that was open at a crash only the most suspect are
+counted, and of these the most suspect are told to the other daemons: those that were never
+answered, or longest ago, and those that were open at most crashes.
 """
 
 import collections
 import dataclasses
+import heapq
+import zlib
 from collections.abc import Iterable, Sequence
 
 CRASHES_TO_QUARANTINE = 3
@@ -20,8 +26,11 @@
 TELL_MS = 1000  # Three rounds of notices, each of which may be lost.
 EVIDENCE_TTL_MS = 600_000
 QUARANTINE_TTL_MS = 600_000
-MAX_PARTS = 2000
+MAX_PARTS = 8192
+MAX_PARTS_OF_REQUEST = 512  # Counted of one request at a crash.
+MAX_RECENT = 4096
 MAX_TOLD = 200  # Findings in one notice, which also holds loads.
+MAX_ANSWERS_TOLD = MAX_TOLD // 2  # As long as there are crashes to tell.
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -66,6 +75,16 @@
 Finding = PartCrash | PartAnswer
 
 
+@dataclasses.dataclass(slots=True)
+class Recent:
+    """A recent finding, since when it is known, and how often it was told."""
+
+    known_ms: float
+    is_own: bool
+    finding: Finding
+    times_told: int = 0
+
+
 class CrashEvidence:
     """Crashes and answers by part, of this daemon and of those that told theirs.
 
@@ -82,7 +101,8 @@
         "_answered_at_ms",
         "_answer_told_ms",
         "_quarantines",
-        "_told",
+        "_recent",
+        "_decide_at_ms",
     )
 
     def __init__(self, since_ms: float = float("-inf")) -> None:
@@ -95,12 +115,12 @@
         self._answered_at_ms: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._answer_told_ms: dict[str, float] = {}
         self._quarantines: dict[str, PartQuarantine] = {}
-        self._told: collections.deque[tuple[float, bool, Finding]] = collections.deque(
-            maxlen=MAX_TOLD
-        )
+        self._recent: collections.deque[Recent] = collections.deque(maxlen=MAX_RECENT)
+        # When the next part can be at fault by what is known.
+        self._decide_at_ms = float("-inf")
 
     def record_crash(
-        self, parts: Iterable[str], crash: str, request: str, at_ms: float, now_ms: float
+        self, parts: Sequence[str], crash: str, request: str, at_ms: float, now_ms: float
     ) -> None:
         """Record that a request of this daemon was open at an upstream that crashed.
 
@@ -110,9 +130,21 @@
         :param at_ms: when the response broke off.
         :param now_ms: monotonic clock, in milliseconds.
         """
-        for part in parts:
+        for part in self.list_suspects(parts, f"{crash} {request}", MAX_PARTS_OF_REQUEST):
             self._add_crash(PartCrash(part, crash, request, at_ms), True, now_ms)
 
+    def list_suspects(self, parts: Sequence[str], key: str, limit: int) -> list[str]:
+        """Return the most suspect parts of a prompt.
+
+        :param parts: shared parts of the prompt.
+        :param key: changes which parts are left out if too many are alike.
+        :param limit: maximum number.
+        """
+        if len(parts) <= limit:
+            return list(parts)
+        first = zlib.crc32(key.encode()) % len(parts)
+        return heapq.nsmallest(limit, (*parts[first:], *parts[:first]), key=self._rank)
+
     def record_answer(self, parts: Iterable[str], now_ms: float) -> None:
         """Record that a request of this daemon was answered completely.
 
@@ -120,7 +152,10 @@
         :param now_ms: monotonic clock, in milliseconds.
         """
         for part in parts:
-            self._add_answer(PartAnswer(part, now_ms), True, now_ms)
+            if part in self._sightings or part in self._quarantines:
+                self._add_answer(PartAnswer(part, now_ms), True, now_ms)
+            else:
+                self._note_answer(part, now_ms)
 
     def hear(self, finding: Finding, now_ms: float) -> None:
         """Add what another daemon told.
@@ -134,14 +169,35 @@
             self._add_crash(finding, False, now_ms)
 
     def list_recent(self, now_ms: float, with_heard: bool) -> list[Finding]:
-        """Return the findings of the last `TELL_MS`, for the other daemons.
+        """Return the findings of the last `TELL_MS` to tell the other daemons, at most `MAX_TOLD`.
 
         :param now_ms: monotonic clock, in milliseconds.
         :param with_heard: whether to pass on those of other daemons, too.
         """
-        while self._told and self._told[0][0] < now_ms - TELL_MS:
-            self._told.popleft()
-        return [finding for _, is_own, finding in self._told if is_own or with_heard]
+        while self._recent and self._recent[0].known_ms < now_ms - TELL_MS:
+            self._recent.popleft()
+        told = [item for item in self._recent if item.is_own or with_heard]
+        if len(told) > MAX_TOLD:
+            told = self._choose_told(told)
+        for item in told:
+            item.times_told += 1
+        return [item.finding for item in told]
+
+    def _choose_told(self, recent: Sequence[Recent]) -> list[Recent]:
+        """Return the findings that help most to find the part at fault."""
+        answers = [item for item in recent if isinstance(item.finding, PartAnswer)]
+        crashes = [item for item in recent if isinstance(item.finding, PartCrash)]
+        answer_count = max(MAX_ANSWERS_TOLD, MAX_TOLD - len(crashes))
+        answers = heapq.nsmallest(answer_count, answers, key=lambda item: item.times_told)
+        return answers + heapq.nsmallest(
+            MAX_TOLD - len(answers),
+            crashes,
+            key=lambda item: (*self._rank(item.finding.part), item.times_told),
+        )
+
+    def _rank(self, part: str) -> tuple[float, int]:
+        """Return a key by which the most suspect parts come first."""
+        return self.find_answer_ms(part), -len(self._sightings.get(part, ()))
 
     def list_quarantines(self, now_ms: float) -> list[PartQuarantine]:
         """Return the parts at fault.
@@ -162,6 +218,7 @@
         if known is None:
             self._quarantines[quarantine.part] = quarantine
             self._drop_sightings(quarantine.part)
+            self._decide_at_ms = float("-inf")
 
     def find_answer_ms(self, part: str) -> float:
         """Return when a request with a part was last answered completely; -inf if never.
@@ -179,6 +236,8 @@
         if not parts:
             return 0.0
         self._decide(now_ms)
+        if not self._quarantines:
+            return 0.0
         found = (self._quarantines.get(part) for part in parts)
         return max((item.until_ms - now_ms for item in found if item is not None), default=0.0)
 
@@ -196,9 +255,10 @@
         sighting.at_ms = min(sighting.at_ms, finding.at_ms)
         if finding.request not in sighting.requests:
             sighting.requests.add(finding.request)
-            self._told.append((now_ms, is_own, finding))
+            self._recent.append(Recent(now_ms, is_own, finding))
         if len(crashes) >= CRASHES_TO_QUARANTINE:
             self._candidates.add(part)
+            self._decide_at_ms = float("-inf")
         if len(self._sightings) > MAX_PARTS:
             self._drop_sightings(next(iter(self._sightings)))
 
@@ -213,16 +273,13 @@
         if len(self._answer_told_ms) >= MAX_PARTS:
             self._answer_told_ms.clear()
         self._answer_told_ms[finding.part] = now_ms
-        self._told.append((now_ms, True, finding))
+        self._recent.append(Recent(now_ms, True, finding))
 
     def _add_answer(self, finding: PartAnswer, is_own: bool, now_ms: float) -> None:
         part = finding.part
         if finding.at_ms <= self.find_answer_ms(part):
             return
-        self._answered_at_ms[part] = finding.at_ms
-        self._answered_at_ms.move_to_end(part)
-        if len(self._answered_at_ms) > MAX_PARTS:
-            self._answered_at_ms.popitem(last=False)
+        self._note_answer(part, finding.at_ms)
         crashes = self._sightings.get(part, {})
         cleared = [key for key, sighting in crashes.items() if sighting.at_ms <= finding.at_ms]
         for key in cleared:
@@ -234,14 +291,22 @@
         if is_released:
             del self._quarantines[part]
         if cleared or is_released:
-            self._told.append((now_ms, is_own, finding))
+            self._recent.append(Recent(now_ms, is_own, finding))
+            self._decide_at_ms = float("-inf")
+
+    def _note_answer(self, part: str, at_ms: float) -> None:
+        self._answered_at_ms[part] = at_ms
+        self._answered_at_ms.move_to_end(part)
+        if len(self._answered_at_ms) > MAX_PARTS:
+            self._answered_at_ms.popitem(last=False)
 
     def _decide(self, now_ms: float) -> None:
         """Quarantine the parts at fault by the evidence, most suspect first."""
         for part, quarantine in list(self._quarantines.items()):
             if quarantine.until_ms <= now_ms:
                 del self._quarantines[part]
-        while self._candidates:
+                self._decide_at_ms = float("-inf")
+        while self._candidates and now_ms >= self._decide_at_ms:
             found = self._find_at_fault(now_ms)
             for part, crashes in found:
                 self._quarantines[part] = PartQuarantine(
@@ -256,6 +321,7 @@
         explained = {crash for item in self._quarantines.values() for crash in item.crashes}
         best: list[tuple[str, frozenset[str]]] = []
         best_rank: tuple[bool, int] = (False, 0)
+        settled_ms = float("inf")
         for part in sorted(self._candidates):
             counted = {
                 key: sighting
@@ -272,9 +338,12 @@
             if rank < best_rank:
                 continue
             if rank > best_rank:
-                best_rank, best = rank, []
+                best_rank, best, settled_ms = rank, [], float("inf")
             if now_ms - times_ms[needed - 1] >= SETTLE_MS:
                 best.append((part, frozenset(counted)))
+            else:
+                settled_ms = min(settled_ms, times_ms[needed - 1] + SETTLE_MS)
+        self._decide_at_ms = float("-inf") if best else settled_ms
         return best
 
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 
 import pytest
 
@@ -113,7 +114,25 @@
             evidence.record_crash((f"p{number}",), "u", "r", number, number)
             evidence.record_answer((f"q{number}",), number)
         assert len(evidence._sightings) == len(evidence._answered_at_ms) == crashes.MAX_PARTS
-        assert len(evidence._told) == crashes.MAX_TOLD
+        assert len(evidence._recent) == crashes.MAX_RECENT
+        assert len(evidence.list_recent(0, with_heard=True)) == crashes.MAX_TOLD
+
+    def test_parts_counted_of_one_request_are_bounded(self) -> None:
+        evidence = crashes.CrashEvidence()
+        parts = tuple(f"p{number}" for number in range(4096))
+        evidence.record_crash(parts, "u", "r", 0, 0)
+        assert len(evidence._sightings) == crashes.MAX_PARTS_OF_REQUEST
+
+    def test_request_that_is_repeated_is_not_weighed_at_each_send(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        evidence = crashes.CrashEvidence()
+        parts = tuple(f"p{number}" for number in range(400))
+        for index, at_ms in enumerate((0, 400, 800, 1200)):
+            evidence.record_crash(parts, f"u{index}", "same", at_ms, at_ms)
+        assert not list_parts(evidence, 10_000)
+        monkeypatch.setattr(crashes.CrashEvidence, "_find_at_fault", None)
+        assert not evidence.quarantine_left_ms(parts, 10_001)
 
 
 class TestPeers:
@@ -179,6 +198,52 @@
         assert not first.list_recent(101 + crashes.TELL_MS, with_heard=True)
 
 
+class TestLongPrompts:
+    """Parts of prompts as long as the largest header allows, lost at one daemon after the other."""
+
+    DAEMONS, MAX_CRASHES, ROUND_MS, CRASH_MS = 18, 5, 300, 1200
+
+    def find_refused(self, make_parts: Callable[[int], tuple[str, ...]]) -> set[str]:
+        """Return the parts of the crashing requests that are refused after `MAX_CRASHES`."""
+        daemons = [crashes.CrashEvidence() for _ in range(self.DAEMONS)]
+        sound = tuple(part for part in make_parts(0) if part.startswith("shared"))
+        for daemon in daemons:
+            daemon.record_answer(sound, -60_000)
+        number = 0
+        for now_ms in range(0, self.MAX_CRASHES * self.CRASH_MS, self.ROUND_MS):
+            if now_ms % self.CRASH_MS == 0:
+                parts = make_parts(number)
+                daemons[number].record_crash(parts, f"u{number}", f"r{number}", now_ms, now_ms)
+                number += 1
+            exchange(daemons, now_ms)
+            daemons[-1].record_answer(sound, now_ms + 100)
+        now_ms = self.MAX_CRASHES * self.CRASH_MS + crashes.SETTLE_MS
+        exchange(daemons, now_ms)
+        parts = {part for number in range(self.MAX_CRASHES) for part in make_parts(number)}
+        return {
+            part
+            for part in parts
+            for daemon in daemons
+            if daemon.quarantine_left_ms((part,), now_ms)
+        }
+
+    @pytest.mark.parametrize("count", [18, 150, 1365, 4096])
+    @pytest.mark.parametrize("place", [0.0, 0.4, 0.9])
+    def test_part_at_any_place_among_shared_parts_is_found(self, count: int, place: float) -> None:
+        parts = [f"shared{number}" for number in range(count)]
+        parts[int(place * count)] = "bad"
+        assert self.find_refused(lambda number: tuple(parts)) == {"bad"}
+
+    @pytest.mark.parametrize("place", [0.0, 0.4, 0.9])
+    def test_part_at_any_place_among_unknown_parts_is_found(self, place: float) -> None:
+        def make_parts(number: int) -> tuple[str, ...]:
+            parts = [f"own{number}-{index}" for index in range(150)]
+            parts[int(place * 150)] = "bad"
+            return tuple(parts)
+
+        assert self.find_refused(make_parts) == {"bad"}
+
+
 def exchange(daemons: list[crashes.CrashEvidence], now_ms: float) -> None:
     """Have each daemon tell all others what it found."""
     for sender in daemons:
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -26,6 +26,7 @@
     strategies.integers().map(str),
     strategies.from_regex(r"\A([0-9a-fA-F]{0,70}:[0-9]{0,4},){0,30}\Z"),
 )
+MAX_HEADER_BYTES = 16_384
 FIXED = hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
 
 
@@ -49,10 +50,18 @@
         assert facts.prompt_parts == parts
 
     def test_their_number_is_bounded(self) -> None:
-        text = ",".join(f"{number:x}:1" for number in range(1000))
+        text = ",".join(f"{number:x}:1" for number in range(2 * headers.MAX_SHARED_PARTS))
         facts = headers.PlatformDialect().read_request({headers.PREFIX: text})
         assert len(facts.prompt_parts) == headers.MAX_SHARED_PARTS
 
+    @pytest.mark.parametrize("digits", [3, 8, 64])
+    def test_all_parts_of_the_longest_header_are_read(self, digits: int) -> None:
+        count = MAX_HEADER_BYTES // (digits + len(":1,"))
+        ids = [f"{number:0{digits}x}" for number in range(count)]
+        text = ",".join(f"{part}:1" for part in ids)
+        facts = headers.PlatformDialect().read_request({headers.PREFIX: text})
+        assert facts.prompt_parts == tuple(ids[:-1])
+
 
 class TestArbitraryValues:
     """Whatever bytes a header has, what is read of it is bounded, or a typed error."""
