Renew links between daemons that went silent

Notices go one way over a transport that only notices an end or a reset, so that the sender sees nothing.

Daemons tell with their loads whom they heard, and how long ago (field heard, appended to notices). A link whose receiver did not hear this daemon for 1.5 s gets a new connection before the next send; if that does not help, a further one each 3 s. A daemon of an earlier build names nobody; while it is heard, it is taken to hear. In a large fleet, links that carry no rounds are renewed before a send, as nothing confirms them. What was sent on a silent connection stays lost.

--- a/src/tanagerfork/peers/link.py
+++ b/src/tanagerfork/peers/link.py
@@ -54,6 +54,12 @@
         """Close the connection and dial again after a backoff, as the peer did not answer."""
         self._is_reconnecting.set()
 
+    def renew(self) -> None:
+        """Close the connection and dial again at once, as the present one may be dead."""
+        if not self._is_reconnecting.is_set():
+            self._close_socket()
+            self._socket = self._dial()
+
     def reset_backoff(self) -> None:
         """Reset the backoff, as the peer answers."""
         self._backoff_ms = INITIAL_BACKOFF_MS
@@ -144,6 +150,16 @@
             self._metrics.count("peer_links_renewed_total")
             link.reconnect()
 
+    def renew(self, address: str) -> None:
+        """Close the link to a peer, if there is one, and dial again at once.
+
+        :param address: IP:port of the peer.
+        """
+        link = self._links.get(address)
+        if link is not None:
+            self._metrics.count("peer_links_renewed_total")
+            link.renew()
+
     def reset_backoff(self, address: str) -> None:
         """Reset the backoff of the link to a peer that answers.
 
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -20,6 +20,7 @@
     fleet,
     fleet_sums,
     forwarding,
+    link_checks,
     loads,
     members,
     notice_codec,
@@ -83,6 +84,7 @@
         "_refused",
         "_heard_forms",
         "_links",
+        "_link_checks",
     )
 
     def __init__(
@@ -127,6 +129,7 @@
         self._heard_forms: dict[str, notice_codec.Form] = {}
         self._refused = refused_notices.RefusedNotices(directory, clock, log, metrics)
         self._links = link.LinkTable(2 * FANOUT + cohorts.COHORT_SIZE, clock, rng, metrics)
+        self._link_checks = link_checks.LinkChecks(name, self._links, clock, log)
 
     @property
     def address(self) -> str:
@@ -149,6 +152,7 @@
                 continue
             if read.notice.daemon in self._directory.daemons:
                 self._heard_forms[read.notice.daemon] = read.form
+            self._link_checks.note_notice(read.notice)
             self._handle(read.notice)
 
     async def broadcast_loads(self) -> None:
@@ -196,6 +200,7 @@
         notice.covers, notice.cohort = covers, cohort
         figures.add_to_notice(notice, now_ms)
         notice.cut_off = self._reach.cut_off_services
+        notice.heard = self._link_checks.list_heard()
         part_notices.add_to_notice(notice, self._evidence, now_ms, with_heard=covers != "daemon")
         return notice
 
@@ -294,6 +299,7 @@
             form = self._heard_forms.get(name) or notice_codec.find_form(record)
             if form not in frames:
                 frames[form] = notice_codec.encode(notice, form)
+            self._link_checks.check(name, record.address)
             self._links.send(record.address, frames[form])
 
     def _handle(self, notice: notices.Notice) -> None:
--- a/src/tanagerfork_standins/proxy.py
+++ b/src/tanagerfork_standins/proxy.py
@@ -46,6 +46,7 @@
         self.bytes_per_s = 0
         self._is_free_at_s = 0.0
         self.is_silent = False
+        self._silences = 0
         self._port_holder = open_port(0)
         self.port: int = self._port_holder.getsockname()[1]
         self._writers: set[asyncio.StreamWriter] = set()
@@ -76,6 +77,10 @@
             transports.reset(writer.transport)
         self._writers.clear()
 
+    def silence(self) -> None:
+        """Have the open connections carry nothing any more, unseen by both sides."""
+        self._silences += 1
+
     def cut(self, how: Cut) -> None:
         """Partition both sides from each other, if they are not yet.
 
@@ -144,8 +149,11 @@
         writer: asyncio.StreamWriter,
         is_to_client: bool = False,
     ) -> None:
+        silences = self._silences
         try:
             while data := await reader.read(BLOCK_BYTES):
+                if silences != self._silences:
+                    continue
                 await asyncio.sleep(self.delay_s)
                 if is_to_client and self.bytes_per_s:
                     await self._wait_for_link(len(data))
@@ -156,5 +164,5 @@
         except ConnectionError:
             transports.reset(writer.transport)
         finally:
-            if not self.is_silent:
+            if not self.is_silent and silences == self._silences:
                 writer.close()
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -93,6 +93,10 @@
             )
         ],
     },
+    "heard": {
+        "has_loads": True,
+        "heard": [("HeardDaemon", {"daemon": "d2", "age_ms": 150})],
+    },
     "closed": {"closed": [("ClosedGroup", {"head": "i-1", "epoch": 12})]},
     "many closed": {
         "closed": [("ClosedGroup", {"head": f"i-{n}", "epoch": n}) for n in range(1, 6)]
