--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -20,6 +20,7 @@
     fleet,
     fleet_sums,
     forwarding,
+    link_checks,
     loads,
     members,
     notice_codec,
@@ -85,6 +86,7 @@
         "_heard_forms",
         "_repeated_suspects",
         "_links",
+        "_link_checks",
     )
 
     def __init__(
@@ -130,6 +132,7 @@
         self._repeated_suspects: list[notices.Suspect] = []
         self._refused = refused_notices.RefusedNotices(directory, clock, log, metrics)
         self._links = link.LinkTable(2 * FANOUT + cohorts.COHORT_SIZE, clock, rng, metrics)
+        self._link_checks = link_checks.LinkChecks(name, self._links, clock, log)
 
     @property
     def address(self) -> str:
@@ -152,6 +155,7 @@
                 continue
             if read.notice.daemon in self._directory.daemons:
                 self._heard_forms[read.notice.daemon] = read.form
+            self._link_checks.note_notice(read.notice)
             self._handle(read.notice)
 
     async def broadcast_loads(self) -> None:
@@ -202,6 +206,7 @@
         figures.add_to_notice(notice, now_ms)
         notice.cut_off = self._reach.cut_off_services
         notice.suspects = self._repeated_suspects
+        notice.heard = self._link_checks.list_heard()
         part_notices.add_to_notice(notice, self._evidence, now_ms, with_heard=covers != "daemon")
         return notice
 
@@ -294,6 +299,7 @@
             form = self._heard_forms.get(name) or notice_codec.find_form(record)
             if form not in frames:
                 frames[form] = notice_codec.encode(notice, form)
+            self._link_checks.check(name, record.address)
             self._links.send(record.address, frames[form])
 
     def _handle(self, notice: notices.Notice) -> None:
