Refuse requests whose body is complete only once the daemon rejects

Reported by an operator of a similar system: requests that came late in the grace period of a planned stop were passed on and cut at its end, among them requests that may not be repeated.

Cause: whether the daemon rejects new requests was checked when the headers had arrived. A request with a slow or chunked body whose headers came up to 2.5 s after the signal was sent on whenever its body was complete, up to the end of the grace period; the same for requests that other daemons handed over.

It is checked once more when the body has been read. The request is then answered 503 with Retry-After and has not run; the answer to another daemon says that a third one may take it.

--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -226,16 +226,13 @@
         try:
             facts = self._dialect.read_request(request.headers)
             handover = forwarding.read_handover(request.headers) if is_forwarded else None
-            if self.is_rejecting:
-                kind = errors.NotTakenOver if is_forwarded else errors.NotRun
-                raise kind(
-                    "the daemon is stopping; send the request again", STOPPING_RETRY_AFTER_MS
-                )
+            self._check_stopping(is_forwarded)
             holding.request_id = facts.request_id
             self._check_memory(request, facts, is_forwarded)
             caller_request = await self._read_request(
                 request, facts, arrived_at_ms, holding, is_forwarded
             )
+            self._check_stopping(is_forwarded)  # The body may have taken long.
             if handover is not None:
                 caller_request.handover = handover
                 caller_request.headers = forwarding.drop_headers(caller_request.headers)
@@ -260,6 +257,15 @@
             self._record_end(request, facts, outcome, sink.status, arrived_at_ms)
         return sink.response
 
+    def _check_stopping(self, is_forwarded: bool) -> None:
+        """Check that a request may be sent on.
+
+        :raises NotRun: it might outlast the grace period.
+        """
+        if self.is_rejecting:
+            kind = errors.NotTakenOver if is_forwarded else errors.NotRun
+            raise kind("the daemon is stopping; send the request again", STOPPING_RETRY_AFTER_MS)
+
     def _check_memory(
         self, request: aiohttp.web.Request, facts: calls.CallerFacts, is_forwarded: bool
     ) -> None:
