Answer open requests at the end of the grace period instead of cutting them

Reported by an operator of a similar system: at the end of the grace period of a planned stop, open requests were cut with no answer.

Cause: at the end of the drain the listeners and the connections to upstreams were closed together. A request that had been sent got an answer only as a side effect of the closed connection to its upstream, and none where that close waited, as for an upstream that went dark. A request whose body was incomplete got none, as its handler was cancelled.

Reading the body and sending now run under a time limit of the request, which the end of the drain brings forward unless the response has begun. The usual end of a deadline then answers: 502 if the request may have run, 503 with Retry-After if it has not. Only then are connections closed; the daemon waits at most 100 ms for these answers, usually a few. Streams that have begun are cut as before. Where the memory is not known, a body is now also given up at the caller's deadline (408), as elsewhere.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -26,6 +26,8 @@
 from tanagerfork.relay import progress as progresses
 
 LOGGER = "relay.attempts"
+DEADLINE_PASSED = "the deadline of the request has passed"
+STOPPING = "the daemon is stopping"
 MAX_NOT_RUN_SENDS = 8  # A failure domain that is cut off takes a third of the groups with it.
 
 
@@ -113,12 +115,12 @@
         if request.handover is None:  # Else the other daemon has recorded it.
             self._retry_budget.record_request(progress.service.name, self._clock.monotonic_ms())
         try:
-            async with asyncio.timeout(progress.remaining_ms(self._clock.monotonic_ms()) / 1000):
+            async with request.time_limit.limit(progress.remaining_ms(self._clock.monotonic_ms())):
                 await self._send_until_answered(request, progress, sink)
         except TimeoutError:
-            await self._finish_unanswered(
-                request, progress, sink, "the deadline of the request has passed"
-            )
+            is_stopping = request.time_limit.has_ended_early
+            reason = STOPPING if is_stopping else DEADLINE_PASSED
+            await self._finish_unanswered(request, progress, sink, reason)
 
     def _start_progress(self, request: calls.CallerRequest) -> progresses.Progress:
         in_force = self._register.current
--- a/src/tanagerfork/relay/calls.py
+++ b/src/tanagerfork/relay/calls.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from tanagerfork import errors
-from tanagerfork.relay import memory
+from tanagerfork.relay import memory, time_limits
 
 NOT_RUN_STATUSES = frozenset((429, 503, 408, 421))  # These promise callers "not run".
 
@@ -48,7 +48,7 @@
     """A caller's request as received; `target` is the path with the query, not normalized.
 
     `handover` is None where the caller sent the request to this daemon. `holding` counts the memory
-    that the exchange takes.
+    that the exchange takes. `time_limit` may end before the deadline.
     """
 
     facts: CallerFacts
@@ -60,6 +60,7 @@
     arrived_at_ms: float
     handover: Handover | None = None
     holding: memory.Holding = dataclasses.field(default_factory=memory.Holding)
+    time_limit: time_limits.TimeLimit = dataclasses.field(default_factory=time_limits.TimeLimit)
 
     @property
     def path(self) -> str:
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -300,6 +300,7 @@
                 if not self.front.open_requests:
                     break
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+        await self.front.end_waiting()
         self.log.note(LOGGER, "stop", waited_ms=waited_ms, cut_off=self.front.open_requests)
         self._tasks.cancel()
         releasing.cancel()
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -9,11 +9,21 @@
 from tanagerfork import decisions, errors
 from tanagerfork import metrics as metric
 from tanagerfork.front import error_bodies
-from tanagerfork.relay import attempts, calls, choosing, exchange, forwarding, memory
+from tanagerfork.relay import (
+    attempts,
+    calls,
+    choosing,
+    exchange,
+    forwarding,
+    memory,
+    time_limits,
+)
 from tanagerfork.upstream import connections
 
 LOGGER = "relay.front"
 STOPPING_RETRY_AFTER_MS = 10  # Another daemon can take the request at once.
+LAST_ANSWERS_MS = 100  # To write the answers of requests that are ended early.
+LAST_ANSWERS_CHECK_MS = 5
 JSON_CONTENT_TYPE = ("Content-Type", "application/json")
 
 
@@ -153,6 +163,7 @@
         "_clock",
         "_log",
         "_metrics",
+        "_time_limits",
         "open_requests",
         "is_draining",
         "is_rejecting",
@@ -174,6 +185,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._time_limits = time_limits.TimeLimits()
         self.open_requests = 0
         self.is_draining = False
         self.is_rejecting = False
@@ -197,6 +209,16 @@
         app.router.add_route("*", "/{path:.*}", self.handle_forwarded)
         return app
 
+    async def end_waiting(self) -> None:
+        """Answer all requests whose responses have not begun, as at their deadlines."""
+        self.is_rejecting = True
+        self._time_limits.end_early()
+        began_ms = self._clock.monotonic_ms()
+        while self._time_limits.has_waiting and (
+            self._clock.monotonic_ms() - began_ms < LAST_ANSWERS_MS
+        ):
+            await self._clock.sleep_ms(LAST_ANSWERS_CHECK_MS)
+
     async def handle(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
         """Serve one request of a caller.
 
@@ -220,6 +242,7 @@
         self.has_served = True
         sink = WebSink(request, self.is_draining, self._account)
         holding = self._account.open(sink)
+        time_limit = self._time_limits.open(lambda: sink.has_started)
         arrived_at_ms = self._clock.monotonic_ms()
         facts: calls.CallerFacts | None = None
         outcome = "caller left"
@@ -230,7 +253,7 @@
             holding.request_id = facts.request_id
             self._check_memory(request, facts, is_forwarded)
             caller_request = await self._read_request(
-                request, facts, arrived_at_ms, holding, is_forwarded
+                request, facts, arrived_at_ms, holding, time_limit, is_forwarded
             )
             self._check_stopping(is_forwarded)  # The body may have taken long.
             if handover is not None:
@@ -254,6 +277,7 @@
         finally:
             self.open_requests -= 1
             self._account.close(holding)
+            self._time_limits.close(time_limit)
             self._record_end(request, facts, outcome, sink.status, arrived_at_ms)
         return sink.response
 
@@ -291,6 +315,7 @@
         facts: calls.CallerFacts,
         arrived_at_ms: int,
         holding: memory.Holding,
+        time_limit: time_limits.TimeLimit,
         is_forwarded: bool,
     ) -> calls.CallerRequest:
         target = request.raw_path
@@ -299,7 +324,13 @@
                 "the request target is not a path; send a path that starts with /"
             )
         try:
-            body = await self._read_body(request, facts, holding, is_forwarded)
+            async with time_limit.limit(facts.deadline_ms):
+                body = await self._read_body(request, facts, holding, is_forwarded)
+        except TimeoutError as error:
+            self._check_stopping(is_forwarded)
+            raise errors.RequestTooSlow(
+                "the body was not complete by the deadline; send it faster"
+            ) from error
         except aiohttp.web.HTTPRequestEntityTooLarge as error:
             raise errors.BodyTooLarge(
                 "the request body exceeds the limit; send a shorter one"
@@ -313,6 +344,7 @@
             body=body,
             arrived_at_ms=arrived_at_ms,
             holding=holding,
+            time_limit=time_limit,
         )
 
     async def _read_body(
@@ -324,28 +356,19 @@
     ) -> bytes:
         """Return the body of a request; where memory is bounded, count it as it is read.
 
-        :raises RequestTooSlow: the deadline passed before the body was complete.
         :raises NotRun: slow readers hold too much memory.
         :raises BodyTooLarge: the body exceeds the limit.
         """
         if not self._account.is_bounded:
             return await request.read()
         parts = []
-        try:
-            async with asyncio.timeout(facts.deadline_ms / 1000):
-                async for part in request.content.iter_any():
-                    parts.append(part)
-                    holding.grow_request(len(part))
-                    if holding.request_bytes > request.client_max_size:
-                        raise errors.BodyTooLarge(
-                            "the request body exceeds the limit; send a shorter one"
-                        )
-                    if holding.is_refused:
-                        raise self._make_memory_refusal(facts, is_forwarded)
-        except TimeoutError as error:
-            raise errors.RequestTooSlow(
-                "the body was not complete by the deadline; send it faster"
-            ) from error
+        async for part in request.content.iter_any():
+            parts.append(part)
+            holding.grow_request(len(part))
+            if holding.request_bytes > request.client_max_size:
+                raise errors.BodyTooLarge("the request body exceeds the limit; send a shorter one")
+            if holding.is_refused:
+                raise self._make_memory_refusal(facts, is_forwarded)
         return b"".join(parts)
 
     async def _send_error(
--- a/tests/relay/test_stop_answers.py
+++ b/tests/relay/test_stop_answers.py
@@ -5,10 +5,11 @@
 import pytest
 
 from tanagerfork.relay import daemon as daemons
-from tanagerfork.relay import forwarding
-from tanagerfork_standins.platform import site
+from tanagerfork.relay import exchange, forwarding
+from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
+GRACE_MS = daemons.SHUTDOWN_MARGIN_MS + 800
 ENOUGH_MB = 1000.0
 ANSWER_S = 2.0
 
@@ -51,11 +52,21 @@
     return "\r\n".join((*known, *lines, "", "")).encode()
 
 
+async def hang(client: exchange.UpstreamClient) -> None:
+    await asyncio.Event().wait()
+
+
 def list_runs(deployed: deployments.Deployment) -> list[str]:
     members = [*deployed.site.engine_runners, *deployed.site.plain_runners]
     return [run.target for member in members for run in member.requests]
 
 
+def allow_long_requests(deployed_site: site.Site) -> None:
+    config = deployed_site.make_config()
+    routes = [{**route, "timeoutMs": 60_000} for route in config["routes"]]
+    deployed_site.write_config(routes=routes)
+
+
 class TestLateBody:
     @pytest.mark.parametrize("memory_mb", [0.0, ENOUGH_MB], ids=["", "bounded"])
     @pytest.mark.parametrize("is_handed_over", [False, True], ids=["", "handed_over"])
@@ -92,3 +103,71 @@
             assert not list_runs(deployed)
             await stop_task
             deployed.daemons.clear()
+
+
+class TestEndOfTheGracePeriod:
+    @pytest.mark.parametrize("memory_mb", [0.0, ENOUGH_MB], ids=["", "bounded"])
+    @pytest.mark.parametrize("is_dark", [False, True], ids=["", "dark"])
+    @pytest.mark.parametrize(
+        "path, lines, status, runs",
+        [
+            ("/unsafe/x", ("Content-Length: 0",), 502, 1),
+            ("/safe/x", ("Content-Length: 0",), 502, 1),
+            ("/stream/x", ("Content-Length: 0",), 502, 1),
+            ("/unsafe/x", ("Content-Length: 4",), 503, 0),
+            ("/safe/x", ("Transfer-Encoding: chunked",), 503, 0),
+        ],
+    )
+    async def test_request_whose_answer_has_not_begun_gets_a_true_answer(
+        self,
+        path: str,
+        lines: tuple[str, ...],
+        status: int,
+        runs: int,
+        is_dark: bool,
+        memory_mb: float,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """The close of a connection waits for bytes that a dark upstream never takes."""
+        async with deployments.deploy(daemon_count=0) as deployed:
+            allow_long_requests(deployed.site)
+            daemon = await deployed.add_daemon(memory_mb=memory_mb)
+            await deployed.wait_for_group()
+            daemon.settings.bounds.grace_ms = GRACE_MS
+            for member in [*deployed.site.engine_runners, *deployed.site.plain_runners]:
+                member.faults = [runner.Fault.HANGS]
+            caller = await RawCaller.open(daemon.callers_port)
+            caller.send(make_head(path, *lines))
+            await deployed.wait_until(
+                lambda: daemon.front.open_requests and len(list_runs(deployed)) == runs, "a run"
+            )
+            with monkeypatch.context() as patched:
+                if is_dark:
+                    patched.setattr(exchange.UpstreamClient, "close", hang)
+                async with asyncio.timeout(GRACE_MS / 1000):
+                    await daemon.stop()
+            answer, head = await caller.read_answer()
+            await daemon._upstream_client.close()
+            assert answer == status and (b"Retry-After: " in head) is (status == 503)
+            assert list_runs(deployed) == [path] * runs
+            deployed.daemons.clear()
+
+    async def test_only_streams_that_have_begun_are_cut(self) -> None:
+        async with deployments.deploy() as deployed:
+            allow_long_requests(deployed.site)
+            daemon = deployed.daemons[0]
+            await deployed.wait_for_group()
+            daemon.settings.bounds.grace_ms = GRACE_MS
+            for member in deployed.site.engine_runners:
+                member.stream_gate.clear()
+            asked = asyncio.create_task(deployed.ask("/stream/x", "POST", deadline_ms=60_000))
+            await deployed.wait_until(
+                lambda: any(member.requests for member in deployed.site.engine_runners), "a run"
+            )
+            await asyncio.sleep(0.2)
+            async with asyncio.timeout(GRACE_MS / 1000):
+                await daemon.stop()
+            response = await asked
+            assert response.status == 200 and not response.is_whole
+            assert response.body.startswith(b"id: 1")
+            deployed.daemons.clear()
