Wait at a planned stop until answers have left the write buffers

Cause: a request counted as finished once its answer was written to the connection, of which up to 64 KB may wait in the process for a slow caller. The drain ended with the last open request, and what waited then was lost with the process: the caller got a short answer.

The drain now also waits, within the grace period, until no connection has unsent bytes.

--- a/src/tanagerfork/front/listener.py
+++ b/src/tanagerfork/front/listener.py
@@ -160,6 +160,17 @@
                 bound.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self._send_buffer_bytes)
         return int(self._server.sockets[0].getsockname()[1])
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether a connection has bytes in its write buffer."""
+        server = self._runner.server
+        connections = server.connections if server is not None else []
+        transports = (handler.transport for handler in connections)
+        return any(
+            isinstance(transport, asyncio.WriteTransport) and transport.get_write_buffer_size()
+            for transport in transports
+        )
+
     async def stop(self) -> None:
         """Close the port and all connections."""
         if self._server is not None:
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -297,7 +297,7 @@
         while (waited_ms := self.clock.monotonic_ms() - began_ms) < limit_ms:
             if waited_ms >= BALANCER_REMOVAL_MS:
                 self.front.is_rejecting = True  # A new request might outlast the grace period.
-                if not self.front.open_requests:
+                if not self.front.open_requests and not self._listeners.has_unsent_bytes:
                     break
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
         await self.front.end_waiting()
--- a/src/tanagerfork/relay/listeners.py
+++ b/src/tanagerfork/relay/listeners.py
@@ -81,6 +81,11 @@
 
         return await self._open_port(address, open_once)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes that were written to a connection would be lost with the process."""
+        return any(http_listener.has_unsent_bytes for http_listener in self._http_listeners)
+
     async def stop(self) -> None:
         """Stop all HTTP listeners."""
         await asyncio.gather(*(http_listener.stop() for http_listener in self._http_listeners))
--- a/tests/relay/test_stop_answers.py
+++ b/tests/relay/test_stop_answers.py
@@ -7,11 +7,12 @@
 from tanagerfork.relay import daemon as daemons
 from tanagerfork.relay import exchange, forwarding
 from tanagerfork_standins.platform import runner, site
-from tests.relay import deployments
+from tests.relay import deployments, test_slow_readers
 
 GRACE_MS = daemons.SHUTDOWN_MARGIN_MS + 800
 ENOUGH_MB = 1000.0
 ANSWER_S = 2.0
+ANSWER_BYTES = 2_000_000  # More than the kernel's buffers hold.
 
 
 class RawCaller:
@@ -40,15 +41,15 @@
 
 
 def make_head(path: str, *lines: str) -> bytes:
-    known = (
+    known = [
         f"POST {path} HTTP/1.1",
         f"Host: {site.HOST}",
         f"Authorization: Bearer {site.API_KEY}",
         f"Tanagerfork-Request-Id: late-{next(deployments.IDS)}",
         "Tanagerfork-Deadline-Ms: 60000",
-        f"Tanagerfork-Model: {site.SMALL_MODEL}",
-        "Tanagerfork-Tokens: 100,20",
-    )
+    ]
+    if path.startswith("/stream/"):
+        known += [f"Tanagerfork-Model: {site.SMALL_MODEL}", "Tanagerfork-Tokens: 100,20"]
     return "\r\n".join((*known, *lines, "", "")).encode()
 
 
@@ -171,3 +172,36 @@
             assert response.status == 200 and not response.is_whole
             assert response.body.startswith(b"id: 1")
             deployed.daemons.clear()
+
+
+class TestUnsentBytes:
+    async def test_process_does_not_end_before_callers_have_taken_their_answers(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(daemons, "BALANCER_REMOVAL_MS", 100)
+        async with deployments.deploy(engines=0, daemon_count=0) as deployed:
+            daemon = await deployed.add_daemon(memory_mb=ENOUGH_MB)
+            await deployed.wait_for_rules()
+            daemon.settings.bounds.grace_ms = daemons.SHUTDOWN_MARGIN_MS + 5000
+            for member in deployed.site.plain_runners:
+                member.padding_bytes = ANSWER_BYTES
+            loop = asyncio.get_running_loop()
+            with test_slow_readers.open_callers(daemon.callers_port, 1) as (caller,):
+                await loop.sock_sendall(caller, make_head("/unsafe/x", "Content-Length: 0"))
+                await deployed.wait_until(lambda: list_runs(deployed), "a run")
+                handlers = daemon._listeners._http_listeners[2]._runner.server.connections
+                await deployed.wait_until(
+                    lambda: handlers[0].transport.get_write_buffer_size(), "a full buffer"
+                )
+                size = 0
+                while daemon.front.open_requests:
+                    size += len(await loop.sock_recv(caller, 4096))
+                assert handlers[0].transport.get_write_buffer_size()
+                stop_task = asyncio.create_task(daemon.stop())
+                await deployed.wait_until(lambda: daemon.front.is_rejecting, "rejections")
+                await asyncio.sleep(0.3)
+                assert not stop_task.done()
+                received, was_reset = await test_slow_readers.read_all(caller)
+                assert size + len(received) > ANSWER_BYTES and not was_reset
+            await stop_task
+            deployed.daemons.clear()
