Callers of a daemon never go back to rules older than those of an answer

Cause: a daemon cut off from the upstreams hands requests over, and noted the version of the answers for its next handovers only. Once it reached upstreams again, and the store not yet, it served by its own older rules.

Change: until it has the version of an answer that it passed on, a daemon hands its requests over also while it reaches upstreams, for one run each, and takes none over. What its own rules refuse with 401 or 404 is refused 503, not run. The version of a daemon at which a handover is open, or was lost, counts as well, as known by its notices.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -26,6 +26,7 @@
 from tanagerfork.relay import progress as progresses
 
 LOGGER = "relay.attempts"
+OUTDATED = "the configuration here is older than that of an earlier answer; retry later"
 MAX_NOT_RUN_SENDS = 8  # A failure domain that is cut off takes a third of the groups with it.
 
 
@@ -109,12 +110,16 @@
         :param sink: receives the response.
         :raises CallerError: the request was not answered; nothing was written to the sink.
         """
+        is_outdated = self._forwarder.is_outdated
         progress = self._start_progress(request)
         if request.handover is None:  # Else the other daemon has recorded it.
             self._retry_budget.record_request(progress.service.name, self._clock.monotonic_ms())
         try:
             async with asyncio.timeout(progress.remaining_ms(self._clock.monotonic_ms()) / 1000):
-                await self._send_until_answered(request, progress, sink)
+                if is_outdated:
+                    await self._hand_over_until_answered(request, progress, sink)
+                else:
+                    await self._send_until_answered(request, progress, sink)
         except TimeoutError:
             await self._finish_unanswered(
                 request, progress, sink, "the deadline of the request has passed"
@@ -122,8 +127,9 @@
 
     def _start_progress(self, request: calls.CallerRequest) -> progresses.Progress:
         in_force = self._register.current
+        is_outdated = self._forwarder.is_outdated
         if request.handover is not None and (
-            in_force is None or in_force.version < request.handover.rules_version
+            in_force is None or is_outdated or in_force.version < request.handover.rules_version
         ):
             raise errors.NotTakenOver("the configuration here is older; use another daemon")
         if in_force is None:
@@ -132,8 +138,15 @@
                 round(2 * progresses.DEFAULT_RETRY_AFTER_MS),
             )
         self._chooser.follow_rules(in_force)
-        route = in_force.match(request.host, request.path)
-        team = in_force.identify(route, request.facts.key)
+        try:
+            route = in_force.match(request.host, request.path)
+            team = in_force.identify(route, request.facts.key)
+        except errors.CallerError as error:
+            if is_outdated:
+                raise errors.NotRun(OUTDATED, round(progresses.DEFAULT_RETRY_AFTER_MS)) from error
+            raise
+        if is_outdated:
+            route = route.make_unrepeatable()
         service = in_force.services.get(route.choose_service(request.facts.request_id))
         if service is None:
             raise errors.NotRun(
@@ -178,6 +191,23 @@
                 await self._finish_unanswered(request, progress, sink, progress.last_failure)
                 return
 
+    async def _hand_over_until_answered(
+        self, request: calls.CallerRequest, progress: progresses.Progress, sink: progresses.Sink
+    ) -> None:
+        """Hand a request over to daemons with newer rules, as those here must not be applied."""
+        while True:
+            daemon = self._choose_daemon(request, progress)
+            obstacle = self._find_obstacle(progress, daemon)
+            if daemon is None or obstacle:
+                await self._finish_unanswered(request, progress, sink, obstacle)
+                return
+            outcome = await self._forwarder.forward(request, progress, daemon, sink)
+            if outcome is calls.Outcome.ANSWERED:
+                return
+            if not self._may_retry(progress, outcome):
+                await self._finish_unanswered(request, progress, sink, progress.last_failure)
+                return
+
     async def _choose_path(
         self, request: calls.CallerRequest, progress: progresses.Progress
     ) -> placing.Choice | str | None:
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -57,10 +57,14 @@
 
 @dataclasses.dataclass(slots=True)
 class DaemonState:
-    """What is known of another daemon: services it does not reach either, and requests there."""
+    """What is known of another daemon: services it does not reach either, and requests there.
+
+    `rules_version` is the version of its rules by its last notice or answer, 0 if it is not known.
+    """
 
     cut_off: frozenset[str] = frozenset()
     told_at_ms: float = -1e12
+    rules_version: int = 0
     avoided_until_ms: float = -1e12
     open: int = 0
 
@@ -108,6 +112,7 @@
         "_responses",
         "_states",
         "_relayed_version",
+        "_open_versions",
         "_region_map",
     )
 
@@ -137,6 +142,28 @@
         self._responses = responses.ResponseRelay(dialect, clock)
         self._states: dict[str, DaemonState] = collections.defaultdict(DaemonState)
         self._relayed_version = 0
+        # Versions of the daemons that serve requests of this one now, which may apply them already.
+        self._open_versions: collections.Counter[int] = collections.Counter()
+
+    @property
+    def required_version(self) -> int:
+        """Oldest version of the rules by which requests of callers here may be served."""
+        return max(self._relayed_version, *self._open_versions, 0)
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether callers here may have seen the effect of newer rules than those in force."""
+        in_force = self._register.current
+        return (in_force.version if in_force else 0) < self.required_version
+
+    def note_rules_version(self, daemon: str, version: int) -> None:
+        """Record which version of the rules another daemon said that it has in force.
+
+        :param daemon: name of the daemon.
+        :param version: version.
+        """
+        if daemon in self._directory.daemons:
+            self._states[daemon].rules_version = version
 
     def note_cut_off(self, daemon: str, cut_off: Collection[str]) -> None:
         """Record which services another daemon said that it does not reach.
@@ -213,6 +240,8 @@
         state = self._states[daemon]
         began_ms = self._clock.monotonic_ms()
         state.open += 1
+        version = state.rules_version
+        self._open_versions[version] += 1
         outcome = calls.Outcome.LOST
         reason = "cancelled at the deadline or because the caller left"
         try:
@@ -224,8 +253,10 @@
             state.avoided_until_ms = self._clock.monotonic_ms() + avoided_ms
         finally:
             state.open -= 1
+            self._end_open(version)
             if outcome is calls.Outcome.LOST:
                 progress.sends, progress.may_have_run = progress.attempts, True
+                self._relayed_version = max(self._relayed_version, version)
             self._metrics.count("relay_forwards_total", outcome=outcome.value)
             self._log.note(
                 LOGGER,
@@ -269,7 +300,7 @@
                 message = f"{daemon} cannot serve the request; use another daemon"
                 return result.Err(errors.UpstreamRefused(message))
             progress.sends = progress.attempts
-            self._note_version(response)
+            self._note_version(daemon, response)
             return await self._relay(progress, response, sink)
         except errors.UpstreamError as error:
             return result.Err(error)
@@ -284,16 +315,22 @@
             request, max(1, int(left_ms)), progress.last_event_id
         )
         in_force = self._register.current
-        version = max(self._relayed_version, in_force.version if in_force else 0)
+        version = max(self.required_version, in_force.version if in_force else 0)
         headers.append((ATTEMPTS, str(progress.attempts - progress.sends)))
         headers.append((RULES_VERSION, str(version)))
         return headers
 
-    def _note_version(self, response: exchange.UpstreamResponse) -> None:
+    def _end_open(self, version: int) -> None:
+        self._open_versions[version] -= 1
+        if not self._open_versions[version]:
+            del self._open_versions[version]
+
+    def _note_version(self, daemon: str, response: exchange.UpstreamResponse) -> None:
         """Record the version of a response, so that callers here never go back to an older one."""
         version = response.http_response.headers.get(RULES_VERSION, "")
         if VERSION.fullmatch(version):
             self._relayed_version = max(self._relayed_version, int(version))
+            self.note_rules_version(daemon, int(version))
         response.headers = drop_headers(response.headers)
 
     async def _relay(
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -298,6 +298,7 @@
 
     def _handle(self, notice: notices.Notice) -> None:
         now_ms = self._clock.monotonic_ms()
+        self._forwarder.note_rules_version(notice.daemon, notice.rules_version)
         if notice.has_loads:
             self._sums.record(notice, now_ms)
             self._forwarder.note_cut_off(notice.daemon, notice.cut_off)
--- a/src/tanagerfork/relay/rules.py
+++ b/src/tanagerfork/relay/rules.py
@@ -58,6 +58,12 @@
             return self.is_resumable
         return self.repetition is Repetition.SAFE
 
+    def make_unrepeatable(self) -> "Route":
+        """Return the route for requests that may run once only, as newer rules may demand it."""
+        is_safe = self.repetition is Repetition.SAFE
+        repetition = Repetition.UNSAFE if is_safe else self.repetition
+        return dataclasses.replace(self, repetition=repetition, is_resumable=False)
+
     def choose_service(self, request_id: str) -> str:
         """Return the service of a request, drawn by weight; the same id always gets the same one.
 
