Requests are handed over to daemons with the required rules first

Cause: a daemon chose others without regard to their rules. One with older rules refused and was avoided for 300 ms each time, also after it had caught up.

Change: notices name the version in force; a daemon that is behind by a notice of the last 1.2 s is chosen only if there is no other, and one that was behind is tried again as soon as it tells the required version.

Both tests of TestChoice in tests/relay/test_outdated_rules.py failed before: the daemon with older rules was among those chosen, and a daemon that had caught up got no request until the time was over. They pass now.

--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -65,6 +65,7 @@
     cut_off: frozenset[str] = frozenset()
     told_at_ms: float = -1e12
     rules_version: int = 0
+    version_told_at_ms: float = -1e12
     avoided_until_ms: float = -1e12
     open: int = 0
 
@@ -75,6 +76,14 @@
         """
         return self.cut_off if now_ms - self.told_at_ms < STATE_TTL_MS else frozenset()
 
+    def is_behind(self, version: int, now_ms: float) -> bool:
+        """Return whether the daemon has older rules, by its last notice.
+
+        :param version: version.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        return self.rules_version < version and now_ms - self.version_told_at_ms < STATE_TTL_MS
+
     def may_take(self, service: str, now_ms: float) -> bool:
         """Return whether the daemon may be handed a request.
 
@@ -156,14 +165,27 @@
         in_force = self._register.current
         return (in_force.version if in_force else 0) < self.required_version
 
+    @property
+    def _least_version(self) -> int:
+        """Oldest version by which a daemon may serve a request that is handed over now."""
+        in_force = self._register.current
+        return max(self.required_version, in_force.version if in_force else 0)
+
     def note_rules_version(self, daemon: str, version: int) -> None:
         """Record which version of the rules another daemon said that it has in force.
 
+        A daemon that was too far behind to take requests over is tried again at once.
+
         :param daemon: name of the daemon.
         :param version: version.
         """
-        if daemon in self._directory.daemons:
-            self._states[daemon].rules_version = version
+        if daemon not in self._directory.daemons:
+            return
+        state = self._states[daemon]
+        if state.rules_version < self._least_version <= version:
+            state.avoided_until_ms = -1e12
+        state.rules_version = version
+        state.version_told_at_ms = self._clock.monotonic_ms()
 
     def note_cut_off(self, daemon: str, cut_off: Collection[str]) -> None:
         """Record which services another daemon said that it does not reach.
@@ -197,6 +219,8 @@
     ) -> str | None:
         """Choose a daemon that can take a request: of two, the one with fewer from this daemon.
 
+        One whose rules are too old by its last notice is chosen only if there is no other.
+
         :param service: service of the request.
         :param avoided: daemons that did not take it.
         :param allowed: regions in which the request may run.
@@ -212,6 +236,10 @@
             and self._may_receive(record, allowed)
             and (name not in self._states or self._states[name].may_take(service, now_ms))
         ]
+        version = self._least_version
+        names = [
+            name for name in names if not self._states[name].is_behind(version, now_ms)
+        ] or names
         drawn = self._rng.sample(names, min(SAMPLED_DAEMONS, len(names)))
         return min(drawn, key=lambda name: self._states[name].open, default=None)
 
@@ -314,10 +342,8 @@
         headers = self._dialect.make_forwarded_headers(
             request, max(1, int(left_ms)), progress.last_event_id
         )
-        in_force = self._register.current
-        version = max(self.required_version, in_force.version if in_force else 0)
         headers.append((ATTEMPTS, str(progress.attempts - progress.sends)))
-        headers.append((RULES_VERSION, str(version)))
+        headers.append((RULES_VERSION, str(self._least_version)))
         return headers
 
     def _end_open(self, version: int) -> None:
--- a/tests/relay/test_outdated_rules.py
+++ b/tests/relay/test_outdated_rules.py
@@ -3,7 +3,9 @@
 import asyncio
 import dataclasses
 
-from tanagerfork.relay import rules
+import pytest
+
+from tanagerfork.relay import calls, forwarding, rules
 from tanagerfork_standins import proxy
 from tests.relay import deployments, test_forwarding
 
@@ -111,3 +113,35 @@
             response = await deployed.ask("/unsafe/y", "POST", daemon=1)
             assert response.status == 503
             assert not test_forwarding.count_runs(deployed, "/unsafe/y")
+
+
+class TestChoice:
+    async def test_daemon_with_older_rules_by_its_notices_is_not_chosen_beside_others(self) -> None:
+        async with deployments.deploy(daemon_count=3, has_networks=True) as deployed:
+            first, second, _ = deployed.daemons
+            await deployed.wait_for_rules()
+            first.register.current.version = second.register.current.version = 2
+            states = first._forwarder._states
+            await deployed.wait_until(
+                lambda: (states["daemon-2"].rules_version, states["daemon-3"].rules_version)
+                == (2, 1),
+                "notices of both",
+            )
+            chosen = {first._forwarder.choose_daemon("svc", ()) for _ in range(50)}
+            assert chosen == {"daemon-2"}
+
+    async def test_daemon_that_refused_for_older_rules_is_tried_once_it_tells_the_newer_version(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        avoided_ms = {**forwarding.AVOIDED_MS, calls.Outcome.REFUSED: 60_000}
+        monkeypatch.setattr(forwarding, "AVOIDED_MS", avoided_ms)
+        async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
+            await test_forwarding.cut_off(deployed)
+            first, second = deployed.daemons
+            first.register.current.version = 2
+            assert (await deployed.ask("/unsafe/x", "POST")).status == 503
+            second.register.current.version = 2
+            await deployed.wait_until(
+                lambda: first._forwarder._states["daemon-2"].rules_version == 2, "a notice"
+            )
+            assert (await deployed.ask("/unsafe/x", "POST")).status == 200
