A daemon gets rules that it needs from another daemon without the store

Cause: daemons that are the sources of their cohorts, as all are in a small fleet, get their configuration from the store alone.

Change: a daemon whose rules are too old for a request asks one that told a newer version, by a notice; the answer is a notice with the packed configuration. Once it applied it, it tells all daemons its version, so that it is tried again at once. Frames may have 512 KB for it, as 1 MB of configuration with names that do not repeat takes about 90 KB.

They pass now, as does the rest of the file, with copies that cannot be read.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -127,10 +127,8 @@
 
     def _start_progress(self, request: calls.CallerRequest) -> progresses.Progress:
         in_force = self._register.current
-        is_outdated = self._forwarder.is_outdated
-        if request.handover is not None and (
-            in_force is None or is_outdated or in_force.version < request.handover.rules_version
-        ):
+        is_outdated = self._forwarder.check_outdated(request.handover)
+        if request.handover is not None and (in_force is None or is_outdated):
             raise errors.NotTakenOver("the configuration here is older; use another daemon")
         if in_force is None:
             raise errors.NotRun(
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -86,6 +86,9 @@
         self.lifecycle = lifecycle.Lifecycle(self._log_state)
         self.register = rules.RulesRegister()
         self.view = fleet.Fleet()
+        self._rules_follower = followers.RulesFollower(
+            config.CONFIG_KEY, config.decode_rules, self.register, self.view, self.log
+        )
         self.book = loads.LoadBook()
         self._demands = demands.DemandBook()
         self.capacities = capacities.Capacities(
@@ -170,6 +173,7 @@
             self.log,
             self.metrics,
             region_map,
+            lambda: self.peers.rules_exchange.want(),
         )
         suspects = poison.PoisonRegister()
         self._client = runners.RunnerClient(
@@ -244,6 +248,7 @@
             await self._listeners.open_inbox(settings.peers),
             self.directory,
             self.register,
+            self._rules_follower,
             self.view,
             self.book,
             fleet_sums.FleetSums(self.book, self._demands, self.capacities, own_cohorts),
@@ -335,9 +340,7 @@
 
     def _start_tasks(self) -> None:
         key_followers: list[followers.KeyFollower] = [
-            followers.RulesFollower(
-                config.CONFIG_KEY, config.decode_rules, self.register, self.view, self.log
-            ),
+            self._rules_follower,
             followers.UpstreamListFollower(
                 entries.SERVERS_PREFIX,
                 entries.decode_entry,
--- a/src/tanagerfork/relay/followers.py
+++ b/src/tanagerfork/relay/followers.py
@@ -1,6 +1,6 @@
 """Keeps the rules, the upstreams and the list of daemons in step with the store."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Protocol
 
 import result
@@ -301,9 +301,11 @@
     :param register: rules in force.
     :param view: fleet, whose groups depend on the rules.
     :param log: decision log.
+
+    `value` is the configuration in force; empty for none.
     """
 
-    __slots__ = ("prefix", "_decode", "_register", "_view", "_log")
+    __slots__ = ("prefix", "_decode", "_register", "_view", "_log", "value")
 
     def __init__(
         self,
@@ -318,6 +320,15 @@
         self._register = register
         self._view = view
         self._log = log
+        self.value = b""
+
+    def apply_copy(self, value: bytes, told_by: str) -> None:
+        """Apply the configuration that another daemon has in force, if it is newer.
+
+        :param value: configuration as stored.
+        :param told_by: name of the daemon.
+        """
+        self._apply(value, {"told_by": told_by})
 
     def apply_snapshot(self, entries: Sequence[key_value.Entry]) -> None:
         """Apply the stored configuration; see `KeyFollower.apply_snapshot`."""
@@ -327,7 +338,7 @@
         """Apply newer configurations; see `KeyFollower.apply_changes`."""
         for entry in changes.written:
             if entry.key == self.prefix:
-                self._apply_entry(entry)
+                self._apply(entry.value, {"revision": entry.revision})
 
     def note_unreachable(self) -> None:
         """Keep the rules in force; see `KeyFollower.note_unreachable`."""
@@ -335,25 +346,26 @@
     def note_restored(self) -> None:
         """Keep the rules in force, which never go back; see `KeyFollower.note_restored`."""
 
-    def _apply_entry(self, entry: key_value.Entry) -> None:
-        decoded = self._decode(entry.value)
+    def _apply(self, value: bytes, source: Mapping[str, int | str]) -> None:
+        decoded = self._decode(value)
         if isinstance(decoded, result.Err):
             self._log.note(
                 LOGGER,
                 "configuration cannot be decoded",
-                revision=entry.revision,
+                **source,
                 reason=decoded.err_value.message,
             )
             return
         if self._register.replace_if_newer(decoded.ok_value):
+            self.value = value
             self._view.update_rules(decoded.ok_value)
             self._log.note(
                 LOGGER,
                 "configuration in force",
                 version=decoded.ok_value.version,
-                revision=entry.revision,
+                **source,
                 routes=len(decoded.ok_value.routes),
-                size_bytes=len(entry.value),
+                size_bytes=len(value),
             )
 
 
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 import re
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import result
 
@@ -106,6 +106,7 @@
     :param log: decision log.
     :param metrics: counters.
     :param region_map: regions of the failure domains.
+    :param want_rules: called when the rules in force are too old for a request.
     """
 
     __slots__ = (
@@ -123,6 +124,7 @@
         "_relayed_version",
         "_open_versions",
         "_region_map",
+        "_want_rules",
     )
 
     def __init__(
@@ -137,7 +139,9 @@
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
         region_map: regions.RegionMap,
+        want_rules: Callable[[], None],
     ) -> None:
+        self._want_rules = want_rules
         self._region_map = region_map
         self._client = client
         self._dialect = dialect
@@ -165,6 +169,18 @@
         in_force = self._register.current
         return (in_force.version if in_force else 0) < self.required_version
 
+    def check_outdated(self, handover: calls.Handover | None) -> bool:
+        """Return whether a request must not be served by the rules in force, as they are too old.
+
+        :param handover: what another daemon says of the request; None for an own caller's.
+        """
+        in_force = self._register.current
+        asked_version = handover.rules_version if handover else 0
+        if (in_force.version if in_force else 0) >= max(self.required_version, asked_version):
+            return False
+        self._want_rules()
+        return True
+
     @property
     def _least_version(self) -> int:
         """Oldest version by which a daemon may serve a request that is handed over now."""
@@ -179,8 +195,6 @@
         :param daemon: name of the daemon.
         :param version: version.
         """
-        if daemon not in self._directory.daemons:
-            return
         state = self._states[daemon]
         if state.rules_version < self._least_version <= version:
             state.avoided_until_ms = -1e12
@@ -357,6 +371,8 @@
         if VERSION.fullmatch(version):
             self._relayed_version = max(self._relayed_version, int(version))
             self.note_rules_version(daemon, int(version))
+            if self.is_outdated:
+                self._want_rules()
         response.headers = drop_headers(response.headers)
 
     async def _relay(
--- a/src/tanagerfork/relay/listeners.py
+++ b/src/tanagerfork/relay/listeners.py
@@ -77,7 +77,7 @@
         host, _, port = address.rpartition(":")
 
         async def open_once() -> link.Inbox:
-            return link.Inbox(host, int(port), peers.MAX_NOTICE_BYTES)
+            return link.Inbox(host, int(port), peers.MAX_FRAME_BYTES)
 
         return await self._open_port(address, open_once)
 
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -19,6 +19,7 @@
     feeds,
     fleet,
     fleet_sums,
+    followers,
     forwarding,
     loads,
     members,
@@ -27,6 +28,7 @@
     reach,
     refused_notices,
     rules,
+    rules_exchange,
     send_limits,
 )
 from tanagerfork.routing import crash_evidence, poison
@@ -36,6 +38,7 @@
 LOAD_INTERVAL_MS = 300  # Half the time to the first event of a usual request.
 FANOUT = 24  # Largest number of daemons that are sent loads directly; more get sums from sources.
 MAX_NOTICE_BYTES = 64 * 1024
+MAX_FRAME_BYTES = 512 * 1024  # A notice with a packed configuration; no other one is as long.
 
 
 class Peers:
@@ -45,6 +48,7 @@
     :param inbox: receives notices; closed with this object.
     :param directory: list of daemons.
     :param register: rules in force.
+    :param rules_follower: knows the configuration in force.
     :param view: known upstreams.
     :param book: loads of the upstreams.
     :param sums: what daemons report of their sends, demands and answers.
@@ -83,6 +87,7 @@
         "_refused",
         "_heard_forms",
         "_links",
+        "rules_exchange",
     )
 
     def __init__(
@@ -91,6 +96,7 @@
         inbox: link.Inbox,
         directory: daemon_directory.DaemonDirectory,
         register: rules.RulesRegister,
+        rules_follower: followers.RulesFollower,
         view: fleet.Fleet,
         book: loads.LoadBook,
         sums: fleet_sums.FleetSums,
@@ -127,6 +133,17 @@
         self._heard_forms: dict[str, notice_codec.Form] = {}
         self._refused = refused_notices.RefusedNotices(directory, clock, log, metrics)
         self._links = link.LinkTable(2 * FANOUT + cohorts.COHORT_SIZE, clock, rng, metrics)
+        self.rules_exchange = rules_exchange.RulesExchange(
+            register,
+            rules_follower,
+            lambda name, version: self._send_to([name], self._make_notice(wanted_rules=version)),
+            self._send_rules,
+            lambda: self._broadcast(self._make_notice()),
+            clock,
+            rng,
+            log,
+            metrics,
+        )
 
     @property
     def address(self) -> str:
@@ -149,6 +166,8 @@
                 continue
             if read.notice.daemon in self._directory.daemons:
                 self._heard_forms[read.notice.daemon] = read.form
+                self._forwarder.note_rules_version(read.notice.daemon, read.notice.rules_version)
+                self.rules_exchange.hear(read.notice)
             self._handle(read.notice)
 
     async def broadcast_loads(self) -> None:
@@ -242,6 +261,14 @@
             )
         self._send_to(names, notice)
 
+    def _send_rules(self, name: str, packed: str) -> bool:
+        """Send the configuration in force to a daemon; return False if it is too large."""
+        notice = self._make_notice(packed_rules=packed)
+        is_possible = len(notice_codec.encode(notice)) <= MAX_FRAME_BYTES
+        if is_possible:
+            self._send_to([name], notice)
+        return is_possible
+
     def announce_suspect(self, suspicion: fleets.PoisonNotice) -> None:
         """Announce a request that was open when an upstream crashed.
 
@@ -261,6 +288,8 @@
         suspects: list[notices.Suspect] | None = None,
         closed: list[notices.ClosedGroup] | None = None,
         changes: notices.ChangeBatch | None = None,
+        wanted_rules: int = 0,
+        packed_rules: str = "",
     ) -> notices.Notice:
         in_force = self._register.current
         return notices.Notice(
@@ -271,6 +300,8 @@
             suspects=suspects or [],
             closed=closed or [],
             changes=changes,
+            wanted_rules=wanted_rules,
+            rules=packed_rules,
         )
 
     def _broadcast(self, notice: notices.Notice) -> None:
@@ -298,7 +329,6 @@
 
     def _handle(self, notice: notices.Notice) -> None:
         now_ms = self._clock.monotonic_ms()
-        self._forwarder.note_rules_version(notice.daemon, notice.rules_version)
         if notice.has_loads:
             self._sums.record(notice, now_ms)
             self._forwarder.note_cut_off(notice.daemon, notice.cut_off)
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -115,6 +115,8 @@
             )
         ]
     },
+    "wanted rules": {"wanted_rules": 8},
+    "rules": {"rules": "eJwDAAAAAAE="},
     "leaving": {"leaving": [("LeavingUpstream", {"upstream": "i-1", "born_at_ms": 1_700_000})]},
     "changes": {
         "changes": (
