A daemon that refused older rules is told the version at once

Cause: a daemon that refuses a handover, as its rules are too old, asks for newer ones when a notice tells it who has them, which took up to 360 ms.

Change: the daemon that was refused tells the other one its version in a notice.

--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -174,6 +174,7 @@
             self.metrics,
             region_map,
             lambda: self.peers.rules_exchange.want(),
+            lambda name: self.peers.tell_version(name),
         )
         suspects = poison.PoisonRegister()
         self._client = runners.RunnerClient(
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -107,6 +107,7 @@
     :param metrics: counters.
     :param region_map: regions of the failure domains.
     :param want_rules: called when the rules in force are too old for a request.
+    :param tell_version: tells another daemon which version of the rules is in force here.
     """
 
     __slots__ = (
@@ -125,6 +126,7 @@
         "_open_versions",
         "_region_map",
         "_want_rules",
+        "_tell_version",
     )
 
     def __init__(
@@ -140,8 +142,10 @@
         metrics: metric.Metrics,
         region_map: regions.RegionMap,
         want_rules: Callable[[], None],
+        tell_version: Callable[[str], None],
     ) -> None:
         self._want_rules = want_rules
+        self._tell_version = tell_version
         self._region_map = region_map
         self._client = client
         self._dialect = dialect
@@ -293,6 +297,8 @@
                 outcome, reason = calls.classify(answered.err_value), answered.err_value.message
             avoided_ms = AVOIDED_MS.get(outcome, 0)
             state.avoided_until_ms = self._clock.monotonic_ms() + avoided_ms
+            if outcome is calls.Outcome.REFUSED and state.rules_version < self._least_version:
+                self._tell_version(daemon)  # It refuses older rules, and may ask for these.
         finally:
             state.open -= 1
             self._end_open(version)
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -261,6 +261,13 @@
             )
         self._send_to(names, notice)
 
+    def tell_version(self, name: str) -> None:
+        """Tell a daemon which version of the rules is in force here.
+
+        :param name: name of the daemon.
+        """
+        self._send_to([name], self._make_notice())
+
     def _send_rules(self, name: str, packed: str) -> bool:
         """Send the configuration in force to a daemon; return False if it is too large."""
         notice = self._make_notice(packed_rules=packed)
--- a/tests/relay/test_rules_exchange.py
+++ b/tests/relay/test_rules_exchange.py
@@ -12,7 +12,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.generated import notices
 from tanagerfork.platform import config
-from tanagerfork.relay import fleet, followers, rules, rules_exchange
+from tanagerfork.relay import fleet, followers, peers, rules, rules_exchange
 from tanagerfork_standins import proxy
 from tanagerfork_standins.platform import site as sites
 from tests.relay import deployments, test_forwarding
@@ -55,6 +55,18 @@
             )
             assert (await deployed.ask("/unsafe/x", "POST")).status == 200
 
+    async def test_daemon_that_refused_hears_the_version_before_the_next_round_of_notices(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(peers, "LOAD_INTERVAL_MS", 60_000)
+        domains = ("a", "b")  # Else changes of the store would name the version as well.
+        async with deployments.deploy(4, 2, 2, True, True, domains) as deployed:
+            await deployed.wait_for_group()
+            await write_config_past(deployed, 1)
+            await test_forwarding.cut_off(deployed)
+            await deployed.ask("/unsafe/first", "POST")
+            await deployed.wait_until(lambda: find_version(deployed, 1) == 2, "the rules", 1.5)
+
     async def test_daemon_that_handed_over_gets_the_rules_of_the_answer(self) -> None:
         async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
             await test_forwarding.cut_off(deployed)
