--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -27,6 +27,7 @@
 )
 from tanagerfork.relay import progress as progresses
 
+OUTDATED = "the configuration here is older than that of an earlier answer; retry later"
 DEADLINE_PASSED = "the deadline of the request has passed"
 STOPPING = "the daemon is stopping"
 HEDGE_INTERVAL_MS = 300  # Between two looks for another upstream while the present one is silent.
@@ -122,9 +123,8 @@
 
     def _start_progress(self, request: calls.CallerRequest) -> progresses.Progress:
         in_force = self._register.current
-        if request.handover is not None and (
-            in_force is None or in_force.version < request.handover.rules_version
-        ):
+        is_outdated = self._forwarder.check_outdated(request.handover)
+        if request.handover is not None and (in_force is None or is_outdated):
             raise errors.NotTakenOver("the configuration here is older; use another daemon")
         if in_force is None:
             raise errors.NotRun(
@@ -132,8 +132,15 @@
                 round(2 * progresses.DEFAULT_RETRY_AFTER_MS),
             )
         self._chooser.follow_rules(in_force)
-        route = in_force.match(request.host, request.path)
-        team = in_force.identify(route, request.facts.key)
+        try:
+            route = in_force.match(request.host, request.path)
+            team = in_force.identify(route, request.facts.key)
+        except errors.CallerError as error:
+            if is_outdated:
+                raise errors.NotRun(OUTDATED, round(progresses.DEFAULT_RETRY_AFTER_MS)) from error
+            raise
+        if is_outdated:
+            route = route.make_unrepeatable()
         service = in_force.services.get(route.choose_service(request.facts.request_id))
         if service is None:
             raise errors.NotRun(
@@ -157,6 +164,7 @@
                 else route.attempts
             ),
             regions=regions.intersect(route.regions, team.regions if team else None),
+            must_hand_over=is_outdated,
         )
 
     async def _send_until_answered(
@@ -229,6 +237,8 @@
                 "it or a part of its prompt crashed upstreams, so it is quarantined"
             )
             return None
+        if progress.must_hand_over:
+            return self._choose_daemon(request, progress)
         await self._reach_checks.settle(progress.service.name)
         if self._reach.is_cut_off(progress.service.name):
             return self._choose_daemon(request, progress)
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -63,7 +63,7 @@
 BALANCER_REMOVAL_MS = 2500  # The balancer probes each second, drops a daemon after 2 failures.
 SHUTDOWN_MARGIN_MS = 1200  # Longest time to close, before the kill that ends the grace time.
 LEAVE_TIMEOUT_S = 0.2  # The entry lapses with its lease if the store does not answer by then.
-CLOSE_TIMEOUT_S = 0.8  # Connections still open by then end with the process.
+CLOSE_TIMEOUT_S = 0.6  # Connections still open by then end with the process.
 MAX_ADMIN_CONNECTIONS = 64
 
 
@@ -88,6 +88,9 @@
         self.lifecycle = lifecycle.Lifecycle(self._log_state)
         self.register = rules.RulesRegister()
         self.view = fleet.Fleet()
+        self._rules_follower = followers.RulesFollower(
+            config.CONFIG_KEY, config.decode_rules, self.register, self.view, self.log
+        )
         self.book = loads.LoadBook()
         self._demands = demands.DemandBook()
         self.capacities = capacities.Capacities(
@@ -172,6 +175,8 @@
             self.log,
             self.metrics,
             region_map,
+            lambda: self.peers.rules_exchange.want(),
+            lambda name: self.peers.tell_version(name),
         )
         suspects = poison.PoisonRegister()
         self._client = runners.RunnerClient(
@@ -245,6 +250,7 @@
             await self._listeners.open_inbox(settings.peers),
             self.directory,
             self.register,
+            self._rules_follower,
             self.view,
             self.book,
             fleet_sums.FleetSums(self.book, self._demands, self.capacities, own_cohorts),
@@ -340,9 +346,7 @@
 
     def _start_tasks(self) -> None:
         key_followers: list[followers.KeyFollower] = [
-            followers.RulesFollower(
-                config.CONFIG_KEY, config.decode_rules, self.register, self.view, self.log
-            ),
+            self._rules_follower,
             followers.UpstreamListFollower(
                 entries.SERVERS_PREFIX,
                 entries.decode_entry,
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 import re
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import result
 
@@ -57,10 +57,15 @@
 
 @dataclasses.dataclass(slots=True)
 class DaemonState:
-    """What is known of another daemon: services it does not reach either, and requests there."""
+    """What is known of another daemon: services it does not reach either, and requests there.
+
+    `rules_version` is the version of its rules by its last notice or answer, 0 if it is not known.
+    """
 
     cut_off: frozenset[str] = frozenset()
     told_at_ms: float = -1e12
+    rules_version: int = 0
+    version_told_at_ms: float = -1e12
     avoided_until_ms: float = -1e12
     open: int = 0
 
@@ -71,6 +76,14 @@
         """
         return self.cut_off if now_ms - self.told_at_ms < STATE_TTL_MS else frozenset()
 
+    def is_behind(self, version: int, now_ms: float) -> bool:
+        """Return whether the daemon has older rules, by its last notice.
+
+        :param version: version.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        return self.rules_version < version and now_ms - self.version_told_at_ms < STATE_TTL_MS
+
     def may_take(self, service: str, now_ms: float) -> bool:
         """Return whether the daemon may be handed a request.
 
@@ -93,6 +106,8 @@
     :param log: decision log.
     :param metrics: counters.
     :param region_map: regions of the failure domains.
+    :param want_rules: called when the rules in force are too old for a request.
+    :param tell_version: tells another daemon which version of the rules is in force here.
     """
 
     __slots__ = (
@@ -108,7 +123,10 @@
         "_responses",
         "_states",
         "_relayed_version",
+        "_open_versions",
         "_region_map",
+        "_want_rules",
+        "_tell_version",
     )
 
     def __init__(
@@ -123,7 +141,11 @@
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
         region_map: regions.RegionMap,
+        want_rules: Callable[[], None],
+        tell_version: Callable[[str], None],
     ) -> None:
+        self._want_rules = want_rules
+        self._tell_version = tell_version
         self._region_map = region_map
         self._client = client
         self._dialect = dialect
@@ -137,6 +159,51 @@
         self._responses = responses.ResponseRelay(dialect, clock)
         self._states: dict[str, DaemonState] = collections.defaultdict(DaemonState)
         self._relayed_version = 0
+        # Versions of the daemons that serve requests of this one now, which may apply them already.
+        self._open_versions: collections.Counter[int] = collections.Counter()
+
+    @property
+    def required_version(self) -> int:
+        """Oldest version of the rules by which requests of callers here may be served."""
+        return max(self._relayed_version, *self._open_versions, 0)
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether callers here may have seen the effect of newer rules than those in force."""
+        in_force = self._register.current
+        return (in_force.version if in_force else 0) < self.required_version
+
+    def check_outdated(self, handover: calls.Handover | None) -> bool:
+        """Return whether a request must not be served by the rules in force, as they are too old.
+
+        :param handover: what another daemon says of the request; None for an own caller's.
+        """
+        in_force = self._register.current
+        asked_version = handover.rules_version if handover else 0
+        if (in_force.version if in_force else 0) >= max(self.required_version, asked_version):
+            return False
+        self._want_rules()
+        return True
+
+    @property
+    def _least_version(self) -> int:
+        """Oldest version by which a daemon may serve a request that is handed over now."""
+        in_force = self._register.current
+        return max(self.required_version, in_force.version if in_force else 0)
+
+    def note_rules_version(self, daemon: str, version: int) -> None:
+        """Record which version of the rules another daemon said that it has in force.
+
+        A daemon that was too far behind to take requests over is tried again at once.
+
+        :param daemon: name of the daemon.
+        :param version: version.
+        """
+        state = self._states[daemon]
+        if state.rules_version < self._least_version <= version:
+            state.avoided_until_ms = -1e12
+        state.rules_version = version
+        state.version_told_at_ms = self._clock.monotonic_ms()
 
     def note_cut_off(self, daemon: str, cut_off: Collection[str]) -> None:
         """Record which services another daemon said that it does not reach.
@@ -174,6 +241,8 @@
     ) -> str | None:
         """Choose a daemon that can take a request: of two, the one with fewer from this daemon.
 
+        One whose rules are too old by its last notice is chosen only if there is no other.
+
         :param service: service of the request.
         :param avoided: daemons that did not take it.
         :param allowed: regions in which the request may run.
@@ -190,6 +259,10 @@
             and self._may_receive(record, allowed)
             and (name not in self._states or self._states[name].may_take(service, now_ms))
         ]
+        version = self._least_version
+        names = [
+            name for name in names if not self._states[name].is_behind(version, now_ms)
+        ] or names
         drawn = self._rng.sample(names, min(SAMPLED_DAEMONS, len(names)))
         return min(drawn, key=lambda name: self._states[name].open, default=None)
 
@@ -218,6 +291,8 @@
         state = self._states[daemon]
         began_ms = self._clock.monotonic_ms()
         state.open += 1
+        version = state.rules_version
+        self._open_versions[version] += 1
         outcome = calls.Outcome.LOST
         reason = "cancelled at the deadline or because the caller left"
         try:
@@ -227,10 +302,14 @@
                 outcome, reason = calls.classify(answered.err_value), answered.err_value.message
             avoided_ms = AVOIDED_MS.get(outcome, 0)
             state.avoided_until_ms = self._clock.monotonic_ms() + avoided_ms
+            if outcome is calls.Outcome.REFUSED and state.rules_version < self._least_version:
+                self._tell_version(daemon)  # It refuses older rules, and may ask for these.
         finally:
             state.open -= 1
+            self._end_open(version)
             if outcome is calls.Outcome.LOST:
                 progress.sends, progress.may_have_run = progress.attempts, True
+                self._relayed_version = max(self._relayed_version, version)
             self._metrics.count("relay_forwards_total", outcome=outcome.value)
             self._log.note(
                 LOGGER,
@@ -274,7 +353,7 @@
                 message = f"{daemon} cannot serve the request; use another daemon"
                 return result.Err(errors.UpstreamRefused(message))
             progress.sends = progress.attempts
-            self._note_version(response)
+            self._note_version(daemon, response)
             return await self._relay(progress, response, sink)
         except errors.UpstreamError as error:
             return result.Err(error)
@@ -288,18 +367,24 @@
         headers = self._dialect.make_forwarded_headers(
             request, max(1, int(left_ms)), progress.last_event_id
         )
-        in_force = self._register.current
-        version = max(self._relayed_version, in_force.version if in_force else 0)
         other_sends = progress.sends + progress.open_sends - 1
         headers.append((ATTEMPTS, str(progress.attempts - other_sends)))
-        headers.append((RULES_VERSION, str(version)))
+        headers.append((RULES_VERSION, str(self._least_version)))
         return headers
 
-    def _note_version(self, response: exchange.UpstreamResponse) -> None:
+    def _end_open(self, version: int) -> None:
+        self._open_versions[version] -= 1
+        if not self._open_versions[version]:
+            del self._open_versions[version]
+
+    def _note_version(self, daemon: str, response: exchange.UpstreamResponse) -> None:
         """Record the version of a response, so that callers here never go back to an older one."""
         version = response.http_response.headers.get(RULES_VERSION, "")
         if VERSION.fullmatch(version):
             self._relayed_version = max(self._relayed_version, int(version))
+            self.note_rules_version(daemon, int(version))
+            if self.is_outdated:
+                self._want_rules()
         response.headers = drop_headers(response.headers)
 
     async def _relay(
--- a/src/tanagerfork/relay/progress.py
+++ b/src/tanagerfork/relay/progress.py
@@ -65,6 +65,7 @@
     last_event_id: str
     fingerprint: str
     attempts: int  # Sends that may be made.
+    must_hand_over: bool = False  # The rules here are too old to serve it by.
     priority: int = 0  # Effective priority, 0 first.
     queue_priority: int | None = None  # See `calls.SendFields`.
     admitted_share: float = 1.0  # Of requests of its team and priority; below 1 in an overload.
