Call no service out of reach because of listed upstreams that are gone

What callers saw: 503 "no upstream is reached, nor a daemon that reaches one", while two upstreams of the service were sound.

Cause: the check of the reach drew two upstreams of each failure domain by chance and judged by these alone. With three listed upstreams in a domain that nobody answers at, beside two live ones, each check has three chances in ten to ask none of the live; while cut off, one is drawn, so that three further checks in five fail as well. What requests received did not count.

Change: upstreams are asked until one answers. What an open request receives from an upstream that took no new connection in time counts as an answer.

--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -144,6 +144,7 @@
                 reach_checks.CHECK_TIMEOUT_MS,
                 settings.members.order_timeout_ms,
             ),
+            self.book.find_heard_ms,
             self.clock,
         )
         record = daemon_directory.DaemonRecord(
--- a/src/tanagerfork/relay/loads.py
+++ b/src/tanagerfork/relay/loads.py
@@ -278,6 +278,14 @@
             load = self._loads[upstream_id] = UpstreamLoad()
         return load
 
+    def find_heard_ms(self, upstream_id: str) -> float:
+        """Return when this daemon received something from an upstream; `NEVER_MS` if it has not.
+
+        :param upstream_id: id of the upstream.
+        """
+        load = self._loads.get(upstream_id)
+        return NEVER_MS if load is None else load.heard_at_ms
+
     def begin(self, upstream_id: str, prompt_tokens: int) -> None:
         """Record the start of a send.
 
--- a/src/tanagerfork/relay/reach_checks.py
+++ b/src/tanagerfork/relay/reach_checks.py
@@ -1,7 +1,13 @@
-"""Checks of the reach: asks a sample of a service's upstreams over new connections."""
+"""Checks of the reach: asks upstreams of a service over new connections until one answers.
+
+They are asked in batches, so that a check costs few probes where most upstreams are sound.
+"""
 
 import asyncio
 import contextlib
+import dataclasses
+import enum
+import itertools
 from collections.abc import Callable
 
 import result
@@ -11,30 +17,52 @@
 from tanagerfork.relay import fleet, member_client, members, reach
 
 POLL_INTERVAL_MS = 100
+FIRST_BATCH = 2  # Each further batch is twice as large.
+BATCH_INTERVAL_MS = 50  # A sound upstream has answered by then, and the next batch is not needed.
 CHECK_TIMEOUT_MS = 300  # A sound upstream answers in a few milliseconds.
 
 
+class Answer(enum.Enum):
+    """What an upstream did that was asked in a check."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused the connection or broke it off"
+    SILENT = "did nothing in time"
+
+
+@dataclasses.dataclass(slots=True)
+class Check:
+    """One check; `answered_id` is the upstream that answered, empty as long as none has."""
+
+    began_ms: float
+    asked: int = 0
+    answered_id: str = ""
+
+
 class ReachChecks:
     """Runs the checks that are due, one at a time for each service.
 
     :param own_reach: decides on checks and their meaning.
     :param view: known upstreams.
     :param client: asks upstreams, on a new connection each time.
+    :param find_heard_ms: returns when this daemon last received something from an upstream.
     :param clock: clock to wait on.
     """
 
-    __slots__ = ("_reach", "_view", "_client", "_clock", "_running", "_calls")
+    __slots__ = ("_reach", "_view", "_client", "_find_heard_ms", "_clock", "_running", "_calls")
 
     def __init__(
         self,
         own_reach: reach.Reach,
         view: fleet.Fleet,
         client: member_client.MemberClient,
+        find_heard_ms: Callable[[str], float],
         clock: clocks.Clock,
     ) -> None:
         self._reach = own_reach
         self._view = view
         self._client = client
+        self._find_heard_ms = find_heard_ms
         self._clock = clock
         self._running: dict[str, asyncio.Task[None]] = {}
         self._calls: set[asyncio.Task[None]] = set()
@@ -105,24 +133,51 @@
         return task
 
     async def _check(self, service: str) -> None:
-        sample = self._reach.draw_sample(service, self._view.upstreams)
-        is_any_answered = False
-        pending = {asyncio.create_task(self._is_answered(upstream)) for upstream in sample}
+        ranked = self._reach.rank_upstreams(service, self._view.upstreams, self._find_heard_ms)
+        check = await self._ask_until_answered(ranked)
+        self._reach.end_check(service, check.asked, bool(check.answered_id), check.answered_id)
+
+    async def _ask_until_answered(self, ranked: list[members.Upstream]) -> Check:
+        """Ask upstreams in batches; the next one begins if one fails or none answers in time."""
+        check = Check(self._clock.monotonic_ms())
+        waiting = iter(ranked)
+        pending: set[asyncio.Task[None]] = set()
+        size = FIRST_BATCH
         try:
-            while pending and not is_any_answered:
-                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                is_any_answered = any(task.result() for task in done)
+            while not check.answered_id:
+                batch = list(itertools.islice(waiting, size))
+                size *= 2
+                check.asked += len(batch)
+                pending |= {asyncio.create_task(self._ask(one, check)) for one in batch}
+                if not pending:
+                    break
+                _, pending = await asyncio.wait(
+                    pending,
+                    timeout=BATCH_INTERVAL_MS / 1000,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
         finally:
             for task in pending:
                 task.cancel()
-        self._reach.end_check(service, len(sample), is_any_answered)
+        return check
 
-    async def _is_answered(self, upstream: members.Upstream) -> bool:
+    async def _ask(self, upstream: members.Upstream, check: Check) -> None:
+        self._reach.note_asked(upstream)
+        answer = await self._probe(upstream)
+        if answer is Answer.ANSWERED or (
+            answer is Answer.SILENT and self._find_heard_ms(upstream.id) >= check.began_ms
+        ):  # What an open request receives meanwhile is an answer, unless connections are refused.
+            check.answered_id = upstream.id
+
+    async def _probe(self, upstream: members.Upstream) -> Answer:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CHECK_TIMEOUT_MS / 1000):
                 reported = await self._client.probe(upstream)
-                # Any answer will do, also one that is no report.
-                return isinstance(reported, result.Ok) or isinstance(
-                    reported.err_value, errors.UpstreamConfused
-                )
-        return False
+                if isinstance(reported, result.Ok):
+                    return Answer.ANSWERED
+                error = reported.err_value
+                if isinstance(error, errors.UpstreamConfused):
+                    return Answer.ANSWERED  # Any answer will do, also one that is no report.
+                if not isinstance(error, (errors.UpstreamSilent, errors.ConnectTimedOut)):
+                    return Answer.REFUSED
+        return Answer.SILENT
