tests: upstreams that copy answers answer probes as well

What was seen: 503 instead of 502 once in five runs beside others, "no upstream is reached" (TestSecondCopy).

Cause: the stand-in looked for a request id in each request. A probe has none, so that it broke each probe off, and any check of the reach found the service out of reach.

Change: the stand-in answers probes with 404, and the test raises a doubt of the reach itself after six requests, so that it no longer depends on how busy the machine is. Nothing that it asserts has changed.

--- a/tests/relay/test_late_answers.py
+++ b/tests/relay/test_late_answers.py
@@ -55,6 +55,8 @@
 
     def _make_answer(self, head: bytes) -> bytes:
         path = head.split(b" ")[1]
+        if path == b"/report":
+            return b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
         self.paths.append(path)
         name = b"tanagerfork-request-id: "
         at = head.lower().index(name) + len(name)
@@ -93,7 +95,7 @@
 
     def _make_answer(self, head: bytes) -> bytes:
         answer = super()._make_answer(head)
-        if self.refuses_next:
+        if self.refuses_next and b"Request-Id" in answer:
             self.refuses_next = False
             self.paths.pop()
             at = answer.index(b"Tanagerfork-Request-Id")
@@ -145,6 +147,8 @@
             )
             served = 0
             for number in range(12):
+                if number == 6:  # As after a connection that took too long on a busy machine.
+                    deployed.daemons[0]._reach_checks.doubt(site.PLAIN_SERVICE)
                 path = f"/safe/{number}"
                 response = await deployed.ask(path)
                 if response.status == 200:
