Take no member for lost by what others answer over open connections

What was seen: "dissolve a-3: i-a4 does not answer" once, on a busy machine (TestCutOffCoordinator, REFUSES, 8 engines). Callers of that group are turned away while it is formed anew.

Cause: in a cut that spares open connections, members whose probes go over open connections answer, while one whose connection broke, as after a probe that timed out, is refused twice. With four members or more, half of the others answering was enough to write its group out of the record. The reach is checked over new connections, but not within 500 ms after the last check; a check from before the cut was the last word until then.

Change: a member is lost only if, besides, a check of the reach that began after it was found silent has been answered; such a check begins at once. With fewer than four members such a check is needed as well, where one answer over any connection was enough. test_silence.py asserted that no check is needed; its cases now hold with a check and are refused without.

Evidence: test_coordinator.py, test_member_is_not_lost_by_what_others_answer_over_open_connections[True] fails without the change (record replaced). test_partition.py now has the case live: the check passes just before the cut, and the connection of one member breaks.

--- a/src/tanagerfork/relay/coordinator.py
+++ b/src/tanagerfork/relay/coordinator.py
@@ -310,6 +310,11 @@
                 probes=seen.failed_probes,
                 reason=error.message,
             )
+            self._start_task(self._confirm_reach(seen))
+
+    async def _confirm_reach(self, seen: observations.Observation) -> None:
+        """Check at once whether the service of a silent member is reached."""
+        await self._reach_checks.confirm(seen.upstream.service)
 
     def _get_statuses(self, service: rules.Service, now_ms: int) -> dict[str, plans.UpstreamStatus]:
         list_time_ms = now_ms - self._view.measure_age(now_ms)
--- a/src/tanagerfork/relay/observations.py
+++ b/src/tanagerfork/relay/observations.py
@@ -24,7 +24,7 @@
     accepted.
     `taken_over_at_ms` is when this coordinator began to observe the upstream or took over again.
     `silent_since_ms` is when the first of the last `failed_probes` was sent, `is_silent` whether
-    they say that it is gone.
+    they say that it is gone, `found_silent_at_ms` since when they do.
     """
 
     upstream: members.Upstream
@@ -33,6 +33,7 @@
     failed_probes: int = 0
     is_silent: bool = False
     silent_since_ms: float = 1e12
+    found_silent_at_ms: float = 1e12
     order_count: int | None = None
     min_order_count: int = 0
     membership: members.GroupMembership | None = None
@@ -64,7 +65,10 @@
             self.silent_since_ms = self.probed_at_ms
         self.failed_probes += 1
         is_long = is_refused or now_ms - self.silent_since_ms >= MIN_SILENCE_MS
+        was_silent = self.is_silent
         self.is_silent = self.failed_probes >= SILENT_AFTER_FAILURES and is_long
+        if self.is_silent and not was_silent:
+            self.found_silent_at_ms = now_ms
 
     def forget_failed_probes(self) -> None:
         """Forget the failed probes, as the upstream answered or they are no evidence."""
--- a/src/tanagerfork/relay/reach.py
+++ b/src/tanagerfork/relay/reach.py
@@ -33,12 +33,13 @@
 class ServiceReach:
     """What is known of one service; `cut_off_at_ms` is None while it is reached.
 
-    `asked` and `answered` are when upstreams were last asked, and when they answered a check.
+    `reached_at_ms` is when the last check began that was answered. `asked` and `answered` are when
+    upstreams were last asked, and when they answered a check.
     """
 
     failed_at_ms: float = NEVER_MS
     checked_at_ms: float = NEVER_MS
-    answered_at_ms: float = NEVER_MS
+    reached_at_ms: float = NEVER_MS
     cut_off_at_ms: int | None = None
     asked: dict[str, float] = dataclasses.field(default_factory=dict)
     answered: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -82,12 +83,12 @@
         return found is not None and found.cut_off_at_ms is not None
 
     def was_reached_since(self, service: str, time_ms: float) -> bool:
-        """Return whether an upstream of a service has answered a check since a time.
+        """Return whether a check of a service that began since a time was answered.
 
         :param service: name of the service.
         :param time_ms: monotonic clock, in milliseconds.
         """
-        return self._find(service).answered_at_ms >= time_ms
+        return self._find(service).reached_at_ms >= time_ms
 
     def was_checked_since(self, service: str, time_ms: float) -> bool:
         """Return whether the last check of a service began since a time.
@@ -200,7 +201,7 @@
         found = self._find(service)
         now_ms = self._clock.monotonic_ms()
         if is_any_answered:
-            found.answered_at_ms = now_ms
+            found.reached_at_ms = found.checked_at_ms
             if answered_id:
                 found.answered[answered_id] = now_ms
         if asked and not is_any_answered and found.cut_off_at_ms is None:
--- a/src/tanagerfork/relay/silence.py
+++ b/src/tanagerfork/relay/silence.py
@@ -1,7 +1,9 @@
 """Silence: whether members that do not answer the coordinator are lost, or its own links are.
 
 Answers partitions between the coordinator and some or all of the upstreams. A member counts as lost
-only if others have answered since it fell silent.
+only if others have answered since it fell silent, and if a check of the reach that began after it
+was found silent has been answered: a partition may spare open connections, over which some members
+go on to answer.
 """
 
 from collections.abc import Callable, Collection, Mapping
@@ -10,7 +12,7 @@
 
 MIN_PROBED = 4  # Fewer members tell nothing about the links of this daemon.
 
-# Returns whether any upstream of a service has answered since a time, in milliseconds.
+# Returns whether a check of a service that began since a time, in milliseconds, was answered.
 WasReachedSince = Callable[[str, float], bool]
 
 
@@ -32,7 +34,7 @@
 
     :param seen_by_id: observations of all upstreams.
     :param probed: observations of the members that are probed regularly.
-    :param was_reached_since: whether any upstream of a service has answered since a time.
+    :param was_reached_since: whether a check of a service that began since a time was answered.
     """
     return {
         upstream_id
@@ -48,6 +50,6 @@
 ) -> bool:
     others = [other for other in probed if other is not seen]
     heard = sum(other.reported_at_ms >= seen.silent_since_ms for other in others)
-    if len(others) + 1 >= MIN_PROBED:
-        return heard >= len(others) / 2
-    return heard > 0 or was_reached_since(seen.upstream.service, seen.silent_since_ms)
+    if len(others) + 1 >= MIN_PROBED and heard < len(others) / 2:
+        return False
+    return was_reached_since(seen.upstream.service, seen.found_silent_at_ms)
--- a/src/tanagerfork_standins/platform/partition.py
+++ b/src/tanagerfork_standins/platform/partition.py
@@ -44,6 +44,13 @@
             if address not in spared:
                 path.cut(how)
 
+    def reset(self, address: str) -> None:
+        """Reset the open connections to a runner.
+
+        :param address: address of the runner.
+        """
+        self._proxies[address].reset()
+
     async def heal(self) -> None:
         """End the partition."""
         await asyncio.gather(*(path.heal() for path in self._proxies.values()))
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -12,6 +12,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork import decisions, errors
 from tanagerfork import metrics as metric
+from tanagerfork.generated import assignments
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.groups import lease
 from tanagerfork.platform import runners
@@ -49,11 +50,14 @@
         self.memberships: dict[str, members.GroupMembership] = {}  # Reported instead of the list's.
         self.expected: list[int | None] = []  # Order counts that came with orders to join.
         self.is_cut_off = False
+        self.gone: set[str] = set()
         self.leaving: set[str] = set()
 
     async def probe(self, upstream: members.Upstream) -> result.Result[members.Report, Exception]:
         if self.is_cut_off:
             return result.Err(errors.UpstreamSilent("no answer in time; go elsewhere"))
+        if upstream.id in self.gone:
+            return result.Err(errors.UpstreamUnreachable("refused; go elsewhere"))
         count = self.reported.get(upstream.id, 0)
         membership = self.memberships.get(upstream.id, upstream.membership)
         is_leaving = upstream.id in self.leaving
@@ -75,12 +79,31 @@
         return result.Ok(plans.Acceptance.BEGUN)
 
 
+class NewConnections:
+    """Probes over new connections, which may be refused while open ones live on."""
+
+    def __init__(self, client: CountingClient) -> None:
+        self._client = client
+        self.is_refused = False
+
+    async def probe(self, upstream: members.Upstream) -> result.Result[members.Report, Exception]:
+        if self.is_refused:
+            return result.Err(errors.UpstreamUnreachable("refused; go elsewhere"))
+        return await self._client.probe(upstream)
+
+    async def send_order(
+        self, order: plans.Order, fencing: int, order_count: int | None
+    ) -> result.Result[plans.Acceptance, Exception]:
+        raise NotImplementedError
+
+
 class Harness:
     """One coordinator with a store in memory and a manual clock."""
 
     def __init__(self, store: fakes.MemoryKeyValue, name: str = "d1") -> None:
         self.clock = clocks.ManualClock()
         self.client = CountingClient()
+        self.new_connections = NewConnections(self.client)
         self.view = fleet.Fleet()
         self.view.update_rules(test_fleet.IN_FORCE)
         register = rules.RulesRegister()
@@ -119,7 +142,11 @@
             self.left.append,
             self.reach,
             reach_checks.ReachChecks(
-                self.reach, self.view, self.client, loads.LoadBook().find_heard_ms, self.clock
+                self.reach,
+                self.view,
+                self.new_connections,
+                loads.LoadBook().find_heard_ms,
+                self.clock,
             ),
         )
 
@@ -493,6 +520,11 @@
         return listed
 
 
+def record_members(value: bytes) -> list[str]:
+    record = msgspec.json.decode(value, type=assignments.Assignments)
+    return [member for group in record.groups for member in group.members]
+
+
 class TestCutOff:
     """The coordinator's own links to all upstreams are cut."""
 
@@ -527,6 +559,28 @@
         assert (await store.read("tanagerfork/assignments/a")).ok_value == record
         assert not harness.closed and not harness.coordinator.is_holder
 
+    @pytest.mark.parametrize("is_cut_off", [True, False])
+    async def test_member_is_not_lost_by_what_others_answer_over_open_connections(
+        self, is_cut_off: bool
+    ) -> None:
+        store = fakes.MemoryKeyValue()
+        harness = Harness(store)
+        harness.list_upstreams(2 * self.GROUPS)
+        for _ in range(10):
+            await harness.step()
+        self._list_open_groups(harness)
+        for _ in range(10):
+            await harness.step()
+        record = (await store.read("tanagerfork/assignments/a")).ok_value
+        harness.reach.begin_check("writer")  # Just before the cut.
+        harness.reach.end_check("writer", 1, is_any_answered=True)
+        harness.new_connections.is_refused = is_cut_off
+        harness.client.gone.add(record_members(record.value)[0])
+        for _ in range(30):
+            await harness.step()
+        is_kept = (await store.read("tanagerfork/assignments/a")).ok_value == record
+        assert is_kept == is_cut_off and harness.coordinator.is_holder != is_cut_off
+
     async def test_lease_is_released_for_another_daemon(self) -> None:
         store = fakes.MemoryKeyValue()
         harness, other = Harness(store), Harness(store, "d2")
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tanagerfork_standins import proxy
-from tanagerfork_standins.platform import runner
+from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
 STABLE_S = 3.0
@@ -122,8 +122,12 @@
     """The daemon that coordinates loses its paths to all upstreams."""
 
     @pytest.mark.parametrize("engines", [4, 8])
-    @pytest.mark.parametrize("how", proxy.Cut)
-    async def test_sound_groups_are_not_given_up(self, how: proxy.Cut, engines: int) -> None:
+    @pytest.mark.parametrize(
+        "how, breaks_one", [*((how, False) for how in proxy.Cut), (proxy.Cut.REFUSES, True)]
+    )
+    async def test_sound_groups_are_not_given_up(
+        self, how: proxy.Cut, breaks_one: bool, engines: int
+    ) -> None:
         async with deployments.deploy(engines, daemon_count=3, has_networks=True) as deployed:
             await deployed.wait_for_group()
             (holder,) = [one for one in deployed.daemons if one._coordinator.is_holder]
@@ -133,7 +137,11 @@
                 if member.membership
             }
             index = deployed.daemons.index(holder)
+            assert await holder._reach_checks.confirm(site.ENGINE_SERVICE)
             deployed.networks[index].cut(how)
+            if breaks_one:  # The others go on to answer probes over open connections.
+                (member,) = [one for one in deployed.site.engine_runners if one.id in epochs][:1]
+                deployed.networks[index].reset(member.address)
             await deployed.ask("/stream/x", "POST", daemon=index)  # Open connections may live on.
             await deployed.wait_until(
                 lambda: any(
--- a/tests/relay/test_silence.py
+++ b/tests/relay/test_silence.py
@@ -7,7 +7,7 @@
 def observe(
     upstream_id: str, failed_probes: int, reported_at_ms: float
 ) -> observations.Observation:
-    """Return an upstream whose unanswered probes began at 1,000 ms."""
+    """Return an upstream whose unanswered probes began at 1,000 ms; the second was at 1,400 ms."""
     seen = observations.Observation(test_planner.make_status(upstream_id).upstream, 0)
     seen.reported_at_ms = reported_at_ms
     seen.probed_at_ms = 1000
@@ -29,7 +29,12 @@
 class TestLost:
     def test_silent_member_is_lost_where_half_of_the_others_answered_since(self) -> None:
         others = [observe(f"o{n}", 0, reported_at_ms=1000 if n < 2 else 999) for n in range(4)]
-        assert find_lost([observe("m", 2, 900), *others]) == {"m"}
+        assert find_lost([observe("m", 2, 900), *others], reached_at_ms=1400) == {"m"}
+
+    def test_no_member_is_lost_where_no_new_connection_was_answered_since(self) -> None:
+        for count in (1, 4):
+            others = [observe(f"o{n}", 0, reported_at_ms=2000) for n in range(count)]
+            assert not find_lost([observe("m", 2, 900), *others], reached_at_ms=1399)
 
     def test_no_member_is_lost_where_fewer_others_answered_since(self) -> None:
         others = [observe(f"o{n}", 0, reported_at_ms=1000 if n < 1 else 999) for n in range(4)]
@@ -38,22 +43,21 @@
     def test_no_member_is_lost_where_all_are_silent(self) -> None:
         """The first members are silent some time before the rest is."""
         seen = [observe(f"m{n}", 2 if n < 2 else 1, reported_at_ms=900) for n in range(10)]
-        assert not find_lost(seen)
+        assert not find_lost(seen, reached_at_ms=5000)
 
-    def test_of_few_members_one_other_answer_suffices(self) -> None:
-        pair = [observe("m", 2, 900), observe("o", 0, 1000)]
-        assert find_lost(pair) == {"m"}
-        pair[1].reported_at_ms = 999
-        assert not find_lost(pair)
+    def test_of_few_members_one_is_lost_where_a_check_was_answered_since(self) -> None:
+        pair = [observe("m", 2, 900), observe("o", 0, 999)]
+        assert find_lost(pair, reached_at_ms=1400) == {"m"}
+        assert not find_lost(pair, reached_at_ms=1399)
 
     def test_of_few_members_a_check_of_other_upstreams_suffices(self) -> None:
         pair = [observe("m", 2, 900), observe("n", 2, 900)]
-        assert not find_lost(pair, reached_at_ms=999)
-        assert find_lost(pair, reached_at_ms=1000) == {"m", "n"}
+        assert not find_lost(pair, reached_at_ms=1399)
+        assert find_lost(pair, reached_at_ms=1400) == {"m", "n"}
 
     def test_one_unanswered_probe_is_not_silence(self) -> None:
         others = [observe(f"o{n}", 0, 2000) for n in range(4)]
-        assert not find_lost([observe("m", 1, 900), *others])
+        assert not find_lost([observe("m", 1, 900), *others], reached_at_ms=5000)
 
 
 class TestIsolation:
