Do not count a connection as not taken while the event loop itself was late

What callers saw: 502 for a request that could be sent again (TestPlainFaults, RESETS, once on a busy machine), and ten requests that were retried without need (TestGoodRequests, once).

Cause: the time limit on connecting (0.4 s, 1 s) runs on while this process gets no processor. The connection was taken in time, but its timer fires before the event loop has handled that. The second upstream then counted as unreachable, and there was no third.

A second time limit counts in any case. For all sessions to upstreams.

--- a/src/tanagerfork/upstream/connections.py
+++ b/src/tanagerfork/upstream/connections.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from tanagerfork import errors
+from tanagerfork.upstream import connectors
 
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_IDLE_S = 15
@@ -79,7 +80,7 @@
     :param single_use: whether each connection carries a single exchange.
     :return: session, to be closed by its owner.
     """
-    connector = aiohttp.TCPConnector(
+    connector = connectors.Connector(
         limit=0,
         force_close=single_use,
         keepalive_timeout=None if single_use else POOL_IDLE_TIMEOUT_S,
--- a/src/tanagerfork/upstream/guarded.py
+++ b/src/tanagerfork/upstream/guarded.py
@@ -9,9 +9,10 @@
 import functools
 from typing import Any
 
-import aiohttp
 from aiohttp import client_proto
 
+from tanagerfork.upstream import connectors
+
 
 class GuardedHandler(client_proto.ResponseHandler):
     """Protocol of a connection that is closed if it receives bytes while it is idle."""
@@ -26,7 +27,7 @@
             super().data_received(data)
 
 
-class GuardedConnector(aiohttp.TCPConnector):
+class GuardedConnector(connectors.Connector):
     """TCP connector whose connections are guarded while they are pooled.
 
     :param options: options of `aiohttp.TCPConnector`.
--- a/tests/relay/test_faults.py
+++ b/tests/relay/test_faults.py
@@ -1,10 +1,15 @@
 """Responses to callers when a runner has a fault, and how often the request ran."""
 
 import asyncio
+import socket
+import time
+from collections.abc import Sequence
+from typing import Any
 
 import pytest
 
-from tanagerfork.relay import loads
+from tanagerfork.relay import exchange, loads
+from tanagerfork.upstream import connections
 from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
@@ -69,6 +74,29 @@
                 if response.status == 503:
                     assert float(response.headers["Retry-After"]) > 0
 
+    async def test_retry_is_sent_though_the_event_loop_is_late(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        stalls_s = [0.0, 1.1 * exchange.CONNECT_TIMEOUT_S]  # Of the connections to runners.
+        ports: set[int] = set()
+        open_socket = connections.open_socket
+
+        def open_late(address_info: Sequence[Any]) -> socket.socket:
+            if address_info[4][1] in ports and stalls_s:
+                asyncio.get_running_loop().call_soon(time.sleep, stalls_s.pop(0))
+            return open_socket(address_info)
+
+        monkeypatch.setattr(connections, "open_socket", open_late)
+        async with deployments.deploy(engines=0) as deployed:
+            await deployed.wait_for_rules()
+            plain = deployed.site.plain_runners
+            shared_faults = [FAULT.RESETS]
+            for member in plain:
+                member.faults = shared_faults
+                ports.add(int(member.address.rpartition(":")[2]))
+            response = await deployed.ask("/safe/x", deadline_ms=3000)
+            assert (response.status, count_runs(plain, "/safe/x")) == (200, 2)
+
     async def test_only_sends_that_reach_an_upstream_use_the_retry_budget(self) -> None:
         """A send to an unreachable upstream does not count as a retry."""
         for fault, status in ((None, 200), (FAULT.FULL, 503)):
--- /dev/null
+++ b/tests/test_connectors.py
@@ -0,0 +1,90 @@
+"""Tests of connections that take long because the event loop of the daemon itself is late."""
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import pytest
+
+from tanagerfork.relay import exchange
+from tanagerfork.upstream import connections, connectors
+from tanagerfork_standins import proxy
+
+LIMIT_S = 0.05
+
+
+async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(asyncio.IncompleteReadError):  # The first connection is given up.
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+    writer.close()
+
+
+def open_session(stalls_s: list[float]) -> aiohttp.ClientSession:
+    """Open a session; for each connection the event loop stands still for the next time."""
+
+    def open_socket(address_info: Sequence[Any]) -> socket.socket:
+        if stalls_s:
+            asyncio.get_running_loop().call_soon(time.sleep, stalls_s.pop(0))
+        return connections.open_socket(address_info)
+
+    return aiohttp.ClientSession(
+        connector=connectors.Connector(socket_factory=open_socket),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=LIMIT_S),
+    )
+
+
+class TestLateLoop:
+    async def test_time_that_the_loop_itself_used_up_is_not_the_upstreams(self) -> None:
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
+        async with open_session([4 * LIMIT_S]) as session, session.get(url) as response:
+            assert response.status == 200
+        server.close()
+
+    async def test_second_time_limit_counts(self) -> None:
+        path = proxy.Proxy("127.0.0.1:1")
+        await path.start()
+        path.cut(proxy.Cut.HANGS)
+        stalls_s = [4 * LIMIT_S] * 3
+        async with open_session(stalls_s) as session:
+            with pytest.raises(aiohttp.ConnectionTimeoutError):
+                await session.get(f"http://{path.address}/")
+        assert len(stalls_s) == 1
+        await path.stop()
+
+    async def test_connection_that_is_not_taken_in_time_is_tried_once(self) -> None:
+        path = proxy.Proxy("127.0.0.1:1")
+        await path.start()
+        path.cut(proxy.Cut.HANGS)
+        tried: list[None] = []
+
+        def open_socket(address_info: Sequence[Any]) -> socket.socket:
+            tried.append(None)
+            return connections.open_socket(address_info)
+
+        connector = connectors.Connector(socket_factory=open_socket)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=2.0)
+        async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+            with pytest.raises(aiohttp.ConnectionTimeoutError):
+                await session.get(f"http://{path.address}/")
+        assert len(tried) == 1
+        await path.stop()
+
+    @pytest.mark.parametrize(
+        "open_upstream_session",
+        [
+            lambda: connections.open_session(single_use=True),
+            lambda: connections.open_session(single_use=False),
+            lambda: exchange.open_session(is_pooled=True),
+            lambda: exchange.open_session(is_pooled=False),
+        ],
+        ids=["single-use", "reused", "relay-pooled", "relay-unpooled"],
+    )
+    async def test_sessions_to_upstreams_use_it(self, open_upstream_session: Any) -> None:
+        async with open_upstream_session() as session:
+            assert isinstance(session.connector, connectors.Connector)
