Count a send as open from its first step on

A send that was cancelled before its first step, as when the first upstream goes on in the very iteration in which a second send was created, stayed counted as open: a later break of the stream was then taken for the last attempt, and a failure was kept for an answer that could not come. The count now rises and falls in the send's own task.

--- a/src/tanagerfork/relay/open_sends.py
+++ b/src/tanagerfork/relay/open_sends.py
@@ -47,6 +47,9 @@
             self.timing.has_failed = has_failed
 
 
+MakeSend = Callable[[Send, progresses.Sink], Coroutine[Any, Any, calls.Outcome]]
+
+
 class OpenSends:
     """Runs the sends of one request; the first one that writes to the caller ends the others.
 
@@ -73,17 +76,14 @@
         """Whether all open sends wait for silent upstreams, so that another one may help."""
         return all(send.silence and not task.done() for task, send in self._tasks.items())
 
-    def start(
-        self, run: Callable[[Send, progresses.Sink], Coroutine[Any, Any, calls.Outcome]]
-    ) -> None:
+    def start(self, run: MakeSend) -> None:
         """Start a send.
 
         :param run: makes the send, and writes the response to the sink that it is given.
         """
         send = Send(self._wake)
         sink = _ClaimingSink(self._sink, lambda: self._supersede_others(send))
-        self._progress.open_sends += 1
-        task = asyncio.create_task(self._run(run(send, sink)))
+        task = asyncio.create_task(self._run(run, send, sink))
         task.add_done_callback(lambda _: self._wake())
         self._tasks[task] = send
 
@@ -114,9 +114,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _run(self, sending: Coroutine[Any, Any, calls.Outcome]) -> calls.Outcome:
+    async def _run(self, run: MakeSend, send: Send, sink: progresses.Sink) -> calls.Outcome:
+        self._progress.open_sends += 1
         try:
-            return await sending
+            return await run(send, sink)
         finally:
             self._progress.open_sends -= 1
 
