Ask an upstream again that was silent and has answered since

Beside a silent send, no upstream was asked that had been found silent itself within 1.5 s, though events had come from it since.

An upstream counts as silent now only while nothing was received from it since the suspicion began. The new test waited for its deadline before, and passes.

--- a/src/tanagerfork/relay/attempts.py
+++ b/src/tanagerfork/relay/attempts.py
@@ -253,15 +253,19 @@
             return progress.last_failure or "no upstream can take the request"
         if progress.remaining_ms(now_ms) < progresses.MIN_REMAINING_MS:
             return "the time left before the deadline is too short"
-        if progress.open_sends and isinstance(path, placing.Choice):
-            is_silent_too = now_ms < self._book.find(path.upstream.id).suspect_until_ms
-            if is_silent_too:
-                return "all upstreams are silent"
+        if progress.open_sends and self._is_silent(path, now_ms):
+            return "all upstreams are silent"
         has_sent = progress.has_reached_upstream or progress.open_sends
         if has_sent and not self._retry_budget.try_acquire(progress.service.name, now_ms):
             return "the retry budget of the service is used up"
         return ""
 
+    def _is_silent(self, path: placing.Choice | str | None, now_ms: float) -> bool:
+        """Return whether a path leads to an upstream that is silent itself."""
+        if not isinstance(path, placing.Choice):
+            return False
+        return self._book.find(path.upstream.id).is_silent(now_ms)
+
     def _choose_daemon(
         self, request: calls.CallerRequest, progress: progresses.Progress
     ) -> str | None:
--- a/src/tanagerfork/relay/loads.py
+++ b/src/tanagerfork/relay/loads.py
@@ -89,6 +89,14 @@
         """
         return epoch <= self.closed_epoch and now_ms < self.closed_until_ms
 
+    def is_silent(self, now_ms: float) -> bool:
+        """Return whether the upstream went silent lately, and nothing was received since.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        heard_at_ms = max(self.heard_at_ms, self.peer_heard_at_ms)
+        return now_ms < self.suspect_until_ms and heard_at_ms < self.suspect_until_ms - SUSPICION_MS
+
     def is_heard_elsewhere(self, now_ms: float) -> bool:
         """Return whether other daemons received something lately, and none found it silent.
 
--- a/tests/relay/test_paused_upstreams.py
+++ b/tests/relay/test_paused_upstreams.py
@@ -179,3 +179,16 @@
             first.answer_gate.set()
             assert (await asked).status == 200
             assert sum(len(one.requests) for one in deployed.site.plain_runners) == 1
+
+    async def test_upstream_that_answers_again_is_asked_at_once(self) -> None:
+        async with deployments.deploy(engines=4) as deployed:
+            await deploy_groups(deployed, 2)
+            asked, first = await start_and_pause(deployed, "/stream/x", is_begun=True)
+            daemon = deployed.daemons[0]
+            groups = daemon.view.list_groups(site.ENGINE_SERVICE, site.SMALL_MODEL)
+            other = next(group.head.id for group in groups if group.head.id != first.id)
+            now_ms = daemon.clock.monotonic_ms()
+            daemon.book.suspect(other, now_ms + 60_000)
+            daemon.book.find(other).heard_at_ms = now_ms + 61_000
+            assert (await asked).is_whole
+            assert deployed.log.find('"decision":"send"', other, '"outcome":"answered"')
