Cut the streams that are left at the end of a stop before connections close

What callers saw: a stream that had begun and outlasted the grace period ended with a plain close, which a caller of HTTP/1.0 takes for the end of a complete stream; the log said that the caller had left.

Cause: connections to upstreams were closed while such streams were read. The library does not wake the pending read; the next one raises RuntimeError, which nothing expected once a silent send no longer ended by itself.

The end of the grace period now ends streams as the deadline would, by a reset where nothing else marks the end, and before any connection is closed; only responses that are complete and being written go on. A read from a connection that the daemon has closed counts as one that broke off. With HTTP/1.0 and 1.1, 'the daemon is stopping' and outcome 'cut' are in the log now, which was so in neither case before; the HTTP/1.0 caller sees the reset.

--- a/src/tanagerfork/relay/exchange.py
+++ b/src/tanagerfork/relay/exchange.py
@@ -101,7 +101,8 @@
             if not chunk and self.is_ended_by_close:
                 self._check_clean_close()
             self.read_bytes += len(chunk)
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, RuntimeError) as error:
+            # The library raises RuntimeError where this daemon has closed the connection.
             raise errors.UpstreamLost(
                 f"the response broke off ({error!r}); use another upstream"
             ) from error
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -46,6 +46,7 @@
         "written_bytes",
         "extra_headers",
         "has_started",
+        "is_complete",
         "was_cut",
         "status",
     )
@@ -64,6 +65,7 @@
         self.extra_headers: calls.Headers = []
         self._response: aiohttp.web.StreamResponse | None = None
         self.has_started = False
+        self.is_complete = False
         self.was_cut = False
         self.status = 0
 
@@ -90,11 +92,12 @@
 
     async def finish_stream(self) -> None:
         """End a complete stream; see `progress.Sink.finish_stream`."""
+        self.is_complete = True
         await self.response.write_eof()
 
     async def send_response(self, status: int, headers: calls.Headers, body: bytes) -> None:
         """Send a complete response; see `progress.Sink.send_response`."""
-        self.has_started = True
+        self.has_started = self.is_complete = True
         if len(body) <= memory.BUFFER_BYTES:
             await self._prepare(aiohttp.web.Response(status=status, body=body), headers)
         else:  # The library would copy a long body into the write buffer at once.
@@ -210,7 +213,7 @@
         return app
 
     async def end_waiting(self) -> None:
-        """Answer all requests whose responses have not begun, as at their deadlines."""
+        """Answer all open requests and cut the streams that have begun, as at their deadlines."""
         self.is_rejecting = True
         self._time_limits.end_early()
         began_ms = self._clock.monotonic_ms()
@@ -242,7 +245,7 @@
         self.has_served = True
         sink = WebSink(request, self.is_draining, self._account)
         holding = self._account.open(sink)
-        time_limit = self._time_limits.open(lambda: sink.has_started)
+        time_limit = self._time_limits.open(lambda: sink.is_complete)
         arrived_at_ms = self._clock.monotonic_ms()
         facts: calls.CallerFacts | None = None
         outcome = "caller left"
--- a/src/tanagerfork/relay/time_limits.py
+++ b/src/tanagerfork/relay/time_limits.py
@@ -11,20 +11,20 @@
 
     `has_ended_early` is set once the request was ended before its time.
 
-    :param has_begun: returns whether the response has begun.
+    :param is_complete: returns whether the response is complete, and only has to be written.
     """
 
-    __slots__ = ("_has_begun", "_timeout", "has_ended_early")
+    __slots__ = ("_is_complete", "_timeout", "has_ended_early")
 
-    def __init__(self, has_begun: Callable[[], bool] = lambda: False) -> None:
-        self._has_begun = has_begun
+    def __init__(self, is_complete: Callable[[], bool] = lambda: False) -> None:
+        self._is_complete = is_complete
         self._timeout: asyncio.Timeout | None = None
         self.has_ended_early = False
 
     @property
     def is_waiting(self) -> bool:
-        """Whether the response has not begun."""
-        return not self._has_begun()
+        """Whether the response is not complete."""
+        return not self._is_complete()
 
     @contextlib.asynccontextmanager
     async def limit(self, left_ms: float) -> AsyncIterator[None]:
@@ -41,7 +41,7 @@
                 self._timeout = None
 
     def end_early(self) -> None:
-        """End the present step and those to come, unless the response has begun."""
+        """End the present step and those to come, unless the response is complete."""
         if not self.is_waiting:
             return
         self.has_ended_early = True
@@ -59,15 +59,15 @@
 
     @property
     def has_waiting(self) -> bool:
-        """Whether a request is open whose response has not begun."""
+        """Whether a request is open whose response is not complete."""
         return any(limit.is_waiting for limit in self._open)
 
-    def open(self, has_begun: Callable[[], bool]) -> TimeLimit:
+    def open(self, is_complete: Callable[[], bool]) -> TimeLimit:
         """Return the time limit of a new request.
 
-        :param has_begun: returns whether the response has begun.
+        :param is_complete: returns whether the response is complete, and only has to be written.
         """
-        limit = TimeLimit(has_begun)
+        limit = TimeLimit(is_complete)
         self._open.add(limit)
         return limit
 
@@ -79,6 +79,6 @@
         self._open.discard(limit)
 
     def end_early(self) -> None:
-        """End all requests whose responses have not begun."""
+        """End all requests whose responses are not complete."""
         for limit in list(self._open):
             limit.end_early()
--- a/tests/relay/test_paused_upstreams.py
+++ b/tests/relay/test_paused_upstreams.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tanagerfork_standins.platform import runner, site
-from tests.relay import deployments
+from tests.relay import deployments, test_broken_streams
 
 DEADLINE_MS = 6000
 GRACE_MS = 8000
@@ -192,3 +192,24 @@
             daemon.book.find(other).heard_at_ms = now_ms + 61_000
             assert (await asked).is_whole
             assert deployed.log.find('"decision":"send"', other, '"outcome":"answered"')
+
+
+class TestEndOfStop:
+    @pytest.mark.parametrize("version", ["1.0", "1.1"])
+    async def test_stream_of_a_silent_upstream_is_cut_visibly(self, version: str) -> None:
+        async with deployments.deploy(engines=4) as deployed:
+            await deploy_groups(deployed, 2)
+            daemon = deployed.daemons[0]
+            asked = asyncio.create_task(test_broken_streams.read_raw(deployed, version))
+            await deployed.wait_until(lambda: daemon.front.open_requests, "a request is open")
+            await asyncio.sleep(0.1)
+            pause(deployed)
+            await asyncio.sleep(0.7)
+            await daemon.stop()
+            deployed.daemons.clear()
+            received, was_reset = await asked
+            assert b"id: 1" in received and not received.endswith(b"0\r\n\r\n")
+            assert was_reset or version == "1.1"
+            assert deployed.log.find('"decision":"end"', '"outcome":"cut"')
+            assert deployed.log.find("request not answered", "the daemon is stopping")
+            go_on(deployed)
