Have the test of unsent answers leave bytes unsent on any machine

It now writes 1.8 MB more to the connection, and checks that the caller gets these to the last byte.

--- a/tests/relay/test_stop_answers.py
+++ b/tests/relay/test_stop_answers.py
@@ -13,6 +13,7 @@
 ENOUGH_MB = 1000.0
 ANSWER_S = 2.0
 ANSWER_BYTES = 2_000_000  # More than the kernel's buffers hold.
+UNSENT = b"unsent" * 300_000
 
 
 class RawCaller:
@@ -196,12 +197,15 @@
                 size = 0
                 while daemon.front.open_requests:
                     size += len(await loop.sock_recv(caller, 4096))
+                # How much of the answer itself is unsent by now depends on the kernel.
+                handlers[0].transport.write(UNSENT)
                 assert handlers[0].transport.get_write_buffer_size()
                 stop_task = asyncio.create_task(daemon.stop())
                 await deployed.wait_until(lambda: daemon.front.is_rejecting, "rejections")
                 await asyncio.sleep(0.3)
                 assert not stop_task.done()
                 received, was_reset = await test_slow_readers.read_all(caller)
-                assert size + len(received) > ANSWER_BYTES and not was_reset
+                assert size + len(received) > ANSWER_BYTES + len(UNSENT) and not was_reset
+                assert received.endswith(UNSENT)
             await stop_task
             deployed.daemons.clear()
