Read no more of a member's answer to a probe or an order than it may have

Reported by an operator of a similar system: a faulty runner sent bytes without end; the machine that had called it kept them all and ran out of memory.

Cause: the bodies of reports and of answers to orders were read whole, with no limit but the timeout of the call (400 and 600 ms). They are now read up to 256 KiB; past that the call has failed and its connection is closed.

Heads, trailers and chunk sizes without end were bounded before by aiohttp's parser.

--- a/src/tanagerfork/platform/runners.py
+++ b/src/tanagerfork/platform/runners.py
@@ -10,9 +10,10 @@
 from tanagerfork import addresses, errors
 from tanagerfork.platform import entries, headers
 from tanagerfork.relay import members, plans
-from tanagerfork.upstream import connections
+from tanagerfork.upstream import bodies, connections
 
 OP_BY_KIND = {plans.STAGE: "phase"}  # Other kinds are sent under their own names.
+MAX_BODY_BYTES = 256 * 1024  # A report has a few KB at most, an answer to an order has less.
 ACCEPTANCE_BY_STATUS = {200: plans.Acceptance.DONE, 202: plans.Acceptance.BEGUN}
 
 
@@ -71,7 +72,7 @@
                 async with self._session.get(
                     f"http://{upstream.address}/report", headers=probe_headers
                 ) as response:
-                    body = await response.read()
+                    body = await bodies.read_bounded(response, MAX_BODY_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return result.Err(connections.describe_failure(upstream.id, error))
         report = entries.decode_report(body) if response.status == 200 else None
@@ -116,7 +117,7 @@
                     data=msgspec.json.encode(body),
                     headers=order_headers,
                 ) as response:
-                    await response.read()
+                    await bodies.read_bounded(response, MAX_BODY_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return result.Err(connections.describe_failure(order.upstream_id, error))
         if response.status == 200 and order.kind == plans.LEAVE:
--- a/tests/relay/test_endless.py
+++ b/tests/relay/test_endless.py
@@ -53,9 +53,7 @@
         try:
             head = await reader.readuntil(b"\r\n\r\n")
             self.requests += 1
-            name = b"tanagerfork-request-id: "
-            at = head.lower().index(name) + len(name)
-            request_id = head[at : head.index(b"\r\n", at)]
+            request_id = head.lower().partition(b"tanagerfork-request-id: ")[2].partition(b"\r")[0]
             begin = self._begin % request_id if b"%s" in self._begin else self._begin
             for piece in repeat(begin, self._piece):
                 writer.write(piece)
