Quote few of the bytes of a broken answer in errors and log lines

Cause: an error of the HTTP library quotes the bytes that it could not parse, and its whole text went into the error response to the caller and into the lines of the decision log for the send and for the request. It is now cut at 300 characters.

Before: a caller got 33 KB after 16 KB letters in place of an answer, and 230 KB after zeros; in the three cases of the new test two fail.

--- a/src/tanagerfork/relay/exchange.py
+++ b/src/tanagerfork/relay/exchange.py
@@ -103,7 +103,8 @@
             self.read_bytes += len(chunk)
         except (aiohttp.ClientError, OSError) as error:
             raise errors.UpstreamLost(
-                f"the response broke off ({error!r}); use another upstream"
+                f"the response broke off ({connections.describe_error(error)}); "
+                "use another upstream"
             ) from error
         return chunk
 
--- a/src/tanagerfork/upstream/connections.py
+++ b/src/tanagerfork/upstream/connections.py
@@ -18,6 +18,7 @@
 USER_TIMEOUT_MS = 20_000
 POOL_IDLE_TIMEOUT_S = 10.0
 SESSION_ROTATION_S = 30.0
+MAX_DESCRIPTION_CHARACTERS = 300
 
 
 class ExchangeBroken(aiohttp.ClientConnectionError):
@@ -70,7 +71,7 @@
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ExchangeBroken(repr(error)) from error
+        raise ExchangeBroken(describe_error(error)) from error
 
 
 def open_session(single_use: bool) -> aiohttp.ClientSession:
@@ -132,6 +133,14 @@
         self._current = self._retired = None
 
 
+def describe_error(error: Exception) -> str:
+    """Return what an error of the HTTP library says, without most of the bytes that it quotes.
+
+    :param error: error raised by the HTTP library.
+    """
+    return repr(error)[:MAX_DESCRIPTION_CHARACTERS]
+
+
 def describe_failure(upstream: str, error: Exception) -> errors.UpstreamError:
     """Translate an error of the HTTP library into an upstream error.
 
@@ -139,13 +148,14 @@
     :param error: error raised by the HTTP library.
     :return: error whose class tells whether the request may have run.
     """
+    described = describe_error(error)
     if isinstance(error, aiohttp.ConnectionTimeoutError):
         return errors.ConnectTimedOut(f"{upstream} takes no connection ({error}); go elsewhere")
     if isinstance(error, aiohttp.ClientConnectorError):
         return errors.UpstreamUnreachable(f"{upstream} takes no connection ({error}); go elsewhere")
     if isinstance(error, (TimeoutError, asyncio.TimeoutError)):
         return errors.UpstreamSilent(f"{upstream} gave no answer in time; go elsewhere")
-    return errors.UpstreamLost(f"{upstream} broke off ({error!r}); go elsewhere")
+    return errors.UpstreamLost(f"{upstream} broke off ({described}); go elsewhere")
 
 
 def describe_bad_address(upstream: str, address: str) -> errors.UpstreamUnreachable:
--- a/tests/relay/test_endless.py
+++ b/tests/relay/test_endless.py
@@ -13,6 +13,7 @@
 
 DEADLINE_MS = 1500
 MAX_MEMORY_BYTES = 48 * 1024 * 1024  # Three times the largest response that is buffered.
+MAX_TEXT_BYTES = 2000
 PIECE = b"x" * 16_384
 OK = b"HTTP/1.1 200 OK\r\n"
 STAMPED = OK + b"Tanagerfork-Server-Stamp: s\r\nTanagerfork-Request-Id: %s\r\n"
@@ -111,3 +112,15 @@
             await deployed.wait_until(
                 lambda: not upstream.open_connections, "the connection is closed"
             )
+
+    @pytest.mark.parametrize("kind", ["no answer", "zeros", "many headers"])
+    async def test_caller_and_log_get_few_of_the_bytes(self, kind: str) -> None:
+        async with (
+            deployments.deploy(engines=0, plain=0) as deployed,
+            run_upstream(deployed, kind),
+        ):
+            await deployed.wait_for_rules()
+            response = await deployed.ask("/unsafe/x", "POST", deadline_ms=DEADLINE_MS)
+            assert response.status == 502 and len(response.body) < MAX_TEXT_BYTES
+            lines = deployed.log.find('"decision":"request not answered"')
+            assert lines and all(len(line) < MAX_TEXT_BYTES for line in deployed.log.lines)
