Free the parts of a response that is dropped at once

Reported by an operator of a similar system: answers without end took all memory of the machine that had called.

Cause: a response was dropped beyond 16 MiB, but its parts stayed in the frame of `read_body`, which the traceback of the error holds. Callers of it keep the error in a local, so that frame and error refer to each other until the next full garbage collection, while the account of the memory had let go of them.

--- a/src/tanagerfork/relay/exchange.py
+++ b/src/tanagerfork/relay/exchange.py
@@ -120,15 +120,18 @@
         """
         parts: list[bytes] = []
         size = 0
-        while chunk := await self.read_chunk():
-            parts.append(chunk)
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise errors.UpstreamLost(
-                    f"the response exceeds {MAX_RESPONSE_BYTES} bytes; drop it"
-                )
-            await record_part(len(chunk))
-        return b"".join(parts)
+        try:
+            while chunk := await self.read_chunk():
+                parts.append(chunk)
+                size += len(chunk)
+                if size > MAX_RESPONSE_BYTES:
+                    raise errors.UpstreamLost(
+                        f"the response exceeds {MAX_RESPONSE_BYTES} bytes; drop it"
+                    )
+                await record_part(len(chunk))
+            return b"".join(parts)
+        finally:
+            parts.clear()  # The traceback of an error may keep them until the next collection.
 
     def _check_clean_close(self) -> None:
         # aiohttp reports a reset as the normal end of a response without a length.
