Let gathered responses grow one at a time from the first memory bound on

Cause: responses that are gathered whole grew side by side up to the second bound, past which new requests are refused. Some answers without end were enough for that, and requests of other callers were refused with them for as long as these answers lasted.

They now grow one at a time past the first bound, so that they alone do not reach the second one. The test of this order runs for both bounds.

--- a/src/tanagerfork/relay/memory.py
+++ b/src/tanagerfork/relay/memory.py
@@ -2,9 +2,9 @@
 
 The account counts request bodies, response bodies that are gathered before they are passed on, and
 buffers of connections on both sides. Past the first bound, a response is read no further while its
-caller has not taken what was read before. Past the second one, new requests are refused, and
-responses that are gathered whole grow one at a time. Past the third one they stand still while
-there are slow readers, and the exchanges are ended whose callers would hold their bytes for
+caller has not taken what was read before, and responses that are gathered whole grow one at a time.
+Past the second one, new requests are refused. Past the third one, gathered responses stand still
+while there are slow readers, and the exchanges are ended whose callers would hold their bytes for
 longest. One such exchange at a time is also ended where the second bound stays passed.
 """
 
@@ -316,7 +316,7 @@
 
         :param holding: holding of the exchange.
         """
-        if self.level < Level.REFUSING or holding.response_bytes <= SMALL_BYTES:
+        if self.level < Level.PAUSING or holding.response_bytes <= SMALL_BYTES:
             return False
         if self.level >= Level.ENDING and any(
             one.behind_since_ms is not None for one in self._holdings
--- a/tests/relay/test_many_endless.py
+++ b/tests/relay/test_many_endless.py
@@ -1,4 +1,4 @@
-"""Many answers without end at once, and the memory of a daemon process."""
+"""Many answers without end at once, while one daemon process serves other callers."""
 
 import asyncio
 import contextlib
@@ -52,7 +52,9 @@
 
 class TestManyEndless:
     @pytest.mark.parametrize("kind", KINDS)
-    async def test_memory_stays_below_its_limit(self, kind: str, tmp_path: pathlib.Path) -> None:
+    async def test_memory_stays_below_its_limit_and_other_callers_are_served(
+        self, kind: str, tmp_path: pathlib.Path
+    ) -> None:
         async with (
             deployments.deploy(plain=0, daemon_count=0) as deployed,
             test_endless.run_upstream(deployed, kind) as upstream,
@@ -66,11 +68,15 @@
                 asyncio.create_task(ask(daemon, f"/unsafe/{number}"))
                 for number in range(ENDLESS_REQUESTS)
             ]
-            most_bytes = 0
-            for _ in range(SAMPLES):
+            others, most_bytes = [], 0
+            for number in range(SAMPLES):
                 await asyncio.sleep(SAMPLE_S)
                 most_bytes = max(most_bytes, daemon.measure_resident_bytes())
+                if number % 10 == 5:
+                    others.append(asyncio.create_task(ask(daemon, f"/stream/{number}")))
+            answers = await asyncio.gather(*others)
             for line in await asyncio.gather(*endless):
                 assert line.split(b" ")[1] in (b"502", b"504"), line
             assert most_bytes < MEMORY_MB * memory.MIB
+            assert all(line.endswith(b"200 OK") for line in answers), answers
             await deployed.wait_until(lambda: not upstream.open_connections, "closed connections")
--- a/tests/relay/test_memory.py
+++ b/tests/relay/test_memory.py
@@ -1,5 +1,7 @@
 """What slow readers hold, and what is done past each bound."""
 
+import pytest
+
 from tanagerfork.relay import exchange, memory
 
 MIB = memory.MIB
@@ -83,11 +85,16 @@
 
 
 class TestGathering:
-    def test_one_after_the_other_grows_past_the_second_bound(self) -> None:
+    @pytest.mark.parametrize(
+        "size_mb, level", [(9, memory.Level.PAUSING), (13, memory.Level.REFUSING)]
+    )
+    def test_one_after_the_other_grows_past_the_first_bound(
+        self, size_mb: int, level: memory.Level
+    ) -> None:
         """Guards against large answers that all wait for each other's memory."""
         account = make_account()
-        holdings = [hold(account, 13 * MIB) for _ in range(4)]
-        assert account.level is memory.Level.REFUSING
+        holdings = [hold(account, size_mb * MIB) for _ in range(4)]
+        assert account.level is level
         assert [one.must_pause for one in holdings] == [False, True, True, True]
         holdings[0].end_gathering()
         assert [one.must_pause for one in holdings[1:]] == [False, True, True]
