Bound the records that the daemon reads from model engines

Cause: as for the members of the relay, reports, answers to orders and cache events of an engine were read whole, with no limit but the timeout of the call. They are now read up to 8 MiB, and a longer one fails as a broken answer does.

After: below 24 MiB in all three, with the stand-in in the same process.

--- a/src/tanagerfork/upstream/engine.py
+++ b/src/tanagerfork/upstream/engine.py
@@ -11,7 +11,7 @@
 
 from tanagerfork import decoding, errors
 from tanagerfork.generated import engine
-from tanagerfork.upstream import connections, stream
+from tanagerfork.upstream import bodies, connections, stream
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 REQUEST_HEADER = "X-Request-Id"
@@ -21,6 +21,8 @@
 GROUP_HEADER = "X-Group"
 GENERATION_HEADER = "X-Group-Generation"
 
+MAX_RECORD_BYTES = 8 * 1024 * 1024  # 80,000 cache events; other records are short.
+
 RecordT = TypeVar("RecordT")
 
 
@@ -256,7 +258,7 @@
                 async with session.request(
                     method, url, data=body, allow_redirects=False
                 ) as response:
-                    answer = await response.read()
+                    answer = await bodies.read_bounded(response, MAX_RECORD_BYTES)
             if response.status != 200:
                 return result.Err(
                     errors.UpstreamRefused(
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import itertools
+import tracemalloc
 
 import pytest
 import result
 
 from tanagerfork import errors
+from tanagerfork.generated import engine
 from tanagerfork.upstream import connections
 from tanagerfork.upstream import engine as engines
 from tests import sites, upstreams
@@ -139,3 +142,24 @@
             async with run_client() as client:
                 await client.cancel(upstream.entry, "a1")
             assert upstream.requests == [b"POST /cancel HTTP/1.1"]
+
+
+class TestEndlessRecords:
+    @pytest.mark.parametrize("call", ["report", "order", "cache events"])
+    async def test_memory_stays_bounded(self, call):
+        script = itertools.chain([HEAD], itertools.repeat(b"x" * 16_384))
+        async with upstreams.run_upstream(script) as upstream, run_client() as client:
+            calls = {
+                "report": lambda: client.report(upstream.entry),
+                "order": lambda: client.send_order(
+                    upstream.entry, engine.Order(kind="leave", fencing=1)
+                ),
+                "cache events": lambda: client.read_cache_events(upstream.entry, 0),
+            }
+            tracemalloc.start()
+            try:
+                answer = await calls[call]()
+                peak_bytes = tracemalloc.get_traced_memory()[1]
+            finally:
+                tracemalloc.stop()
+            assert answer.is_err() and peak_bytes < 3 * engines.MAX_RECORD_BYTES
