--- a/src/tanagerfork/relay/exchange.py
+++ b/src/tanagerfork/relay/exchange.py
@@ -104,7 +104,8 @@
         except (aiohttp.ClientError, OSError, RuntimeError) as error:
             # The library raises RuntimeError where this daemon has closed the connection.
             raise errors.UpstreamLost(
-                f"the response broke off ({error!r}); use another upstream"
+                f"the response broke off ({connections.describe_error(error)}); "
+                "use another upstream"
             ) from error
         return chunk
 
@@ -120,15 +121,18 @@
         """
         parts: list[bytes] = []
         size = 0
-        while chunk := await self.read_chunk():
-            parts.append(chunk)
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise errors.UpstreamLost(
-                    f"the response exceeds {MAX_RESPONSE_BYTES} bytes; drop it"
-                )
-            await record_part(len(chunk))
-        return b"".join(parts)
+        try:
+            while chunk := await self.read_chunk():
+                parts.append(chunk)
+                size += len(chunk)
+                if size > MAX_RESPONSE_BYTES:
+                    raise errors.UpstreamLost(
+                        f"the response exceeds {MAX_RESPONSE_BYTES} bytes; drop it"
+                    )
+                await record_part(len(chunk))
+            return b"".join(parts)
+        finally:
+            parts.clear()  # The traceback of an error may keep them until the next collection.
 
     def _check_clean_close(self) -> None:
         # aiohttp reports a reset as the normal end of a response without a length.
