Take no upstream for silent while the event loop itself was late

What callers saw: streams broken off, and 502 where no attempt was left, on a machine without a free core; other daemons then avoided the sound upstreams as well ("daemon-2 suspects i-a0, told by daemon-1", TestBlame, once).

Cause: the limits on the silence of an upstream (400 ms) run on while this process gets no processor. What the upstream sent meanwhile is there, but the timer fires first. The upstream was suspected, and announced to the other daemons, as the check of the reach passes once the event loop goes on.

Change: the task that checks the reach notes by how much its wake-ups, each 100 ms, are late. Where that makes up half of a limit on silence or more, the sender looks again each 100 ms until the rest of the limit has passed in time.

A daemon whose wake-ups are late by half all the time finds an upstream silent only by the deadline of the request.

--- a/src/tanagerfork/relay/reach_checks.py
+++ b/src/tanagerfork/relay/reach_checks.py
@@ -51,7 +51,16 @@
     :param clock: clock to wait on.
     """
 
-    __slots__ = ("_reach", "_view", "_client", "_find_heard_ms", "_clock", "_running", "_calls")
+    __slots__ = (
+        "_reach",
+        "_view",
+        "_client",
+        "_find_heard_ms",
+        "_clock",
+        "_lateness",
+        "_running",
+        "_calls",
+    )
 
     def __init__(
         self,
@@ -66,12 +75,14 @@
         self._client = client
         self._find_heard_ms = find_heard_ms
         self._clock = clock
+        self._lateness = lateness.LatenessRecord(POLL_INTERVAL_MS)
         self._running: dict[str, asyncio.Task[None]] = {}
         self._calls: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Check the services that are cut off again and again, until cancelled."""
         while True:
+            self._lateness.note_wakeup(self._clock.monotonic_ms())
             for service in self._reach.cut_off_services:
                 self._start_if_due(service)
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
@@ -89,6 +100,14 @@
         self._reach.note_unreached(service)
         self._start_if_due(service)
 
+    def was_late(self, since_ms: float, limit_ms: float) -> bool:
+        """Return whether this daemon itself used up a time limit, as it got no processor.
+
+        :param since_ms: when the time limit began, by the monotonic clock, in milliseconds.
+        :param limit_ms: time limit, in milliseconds.
+        """
+        return self._lateness.has_used_up(since_ms, limit_ms, self._clock.monotonic_ms())
+
     async def settle(self, service: str) -> None:
         """Wait until it is known whether a service is reached, where that is in doubt.
 
--- a/src/tanagerfork/relay/sending.py
+++ b/src/tanagerfork/relay/sending.py
@@ -234,7 +234,9 @@
                 if event_count == 0 and load.heard_at_ms > silent_since_ms:
                     silent_since_ms = load.heard_at_ms  # The group works; this request is queued.
                     continue
-                if event_count == 0 and load.is_heard_elsewhere(self._clock.monotonic_ms()):
+                if (
+                    event_count == 0 and load.is_heard_elsewhere(self._clock.monotonic_ms())
+                ) or self._reach_checks.was_late(silent_since_ms, limit_ms):
                     silent_since_ms += RECHECK_INTERVAL_MS
                     continue
                 self._mark_suspect(choice.upstream)
@@ -267,7 +269,9 @@
                     return task.result()
                 if load.heard_at_ms > silent_since_ms:
                     silent_since_ms = load.heard_at_ms
-                elif load.is_heard_elsewhere(self._clock.monotonic_ms()):
+                elif load.is_heard_elsewhere(
+                    self._clock.monotonic_ms()
+                ) or self._reach_checks.was_late(silent_since_ms, limit_ms):
                     silent_since_ms += RECHECK_INTERVAL_MS
                 else:
                     raise TimeoutError
--- a/tests/relay/test_faults.py
+++ b/tests/relay/test_faults.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tanagerfork.relay import exchange, loads
+from tanagerfork.relay import exchange, loads, sending
 from tanagerfork.upstream import connections
 from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
@@ -283,3 +283,19 @@
             front = deployed.daemons[0].front
             await deployed.wait_until(lambda: not front.open_requests, "the request ends")
             assert len(member.requests) == 1
+
+
+class TestLateLoop:
+    async def test_streams_go_on_though_the_event_loop_is_late(self) -> None:
+        async with deployments.deploy(daemon_count=2) as deployed:
+            await deployed.wait_for_group()
+            asked = [asyncio.create_task(deployed.ask(f"/stream/{n}", "POST")) for n in range(20)]
+            for _ in range(4):
+                await asyncio.sleep(0.05)
+                asyncio.get_running_loop().call_soon(
+                    time.sleep, 1.5 * sending.MIN_GAP_TIMEOUT_MS / 1000
+                )
+            responses = await asyncio.gather(*asked)
+            assert [(one.status, one.is_whole) for one in responses] == [(200, True)] * 20
+            assert not deployed.log.find("upstream suspected", "told_by")
+            assert not deployed.log.find("sent nothing") and not deployed.log.find("had no event")
