--- a/src/tanagerfork/relay/sending.py
+++ b/src/tanagerfork/relay/sending.py
@@ -231,7 +231,9 @@
             except TimeoutError:
                 if event_count == 0 and load.heard_at_ms > silent_since_ms:
                     silent_since_ms = load.heard_at_ms  # The group works; this request is queued.
-                elif event_count == 0 and load.is_heard_elsewhere(self._clock.monotonic_ms()):
+                elif (
+                    event_count == 0 and load.is_heard_elsewhere(self._clock.monotonic_ms())
+                ) or self._reach_checks.was_late(silent_since_ms, limit_ms):
                     silent_since_ms += RECHECK_INTERVAL_MS
                 elif response.measure_buffered_bytes():
                     return await response.read_chunk()  # This daemon itself stood still.
@@ -266,7 +268,9 @@
                     break
                 if load.heard_at_ms > silent_since_ms:
                     silent_since_ms = load.heard_at_ms
-                elif load.is_heard_elsewhere(self._clock.monotonic_ms()):
+                elif load.is_heard_elsewhere(
+                    self._clock.monotonic_ms()
+                ) or self._reach_checks.was_late(silent_since_ms, limit_ms):
                     silent_since_ms += RECHECK_INTERVAL_MS
                 else:
                     self._mark_suspect(choice.upstream)
