Count a lost request for a crash only once something shows the crash

Cause: a response that broke off and one probe without an answer (400 ms) counted as a crash of the upstream. Two upstreams that reset a stream and were silent for about a second, but went on with the same start, had the request quarantined for 15 minutes.

Change: an upstream that neither answers nor refuses connections is probed again, every 400 ms. A refused connection or a new start shows a crash, the same start shows none. An upstream that was silent for 2 s since the loss and for one more probe, after a check that others are reached, counts as before. As a check may now take about 2.5 s, a request that is answered completely meanwhile is not suspected by it.

Before (trial with real daemons, two upstreams reset and silent for 1.2 s): "crashes":2 after 0.5 s, the same request got 503 "quarantined", Retry-After 899. After: no crash is counted, and the request is answered 200 whole. With upstreams that stay dark the request is quarantined within 3 s of the second loss.

--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -7,7 +7,7 @@
 import result
 
 from tanagerfork import clock as clocks
-from tanagerfork import decisions
+from tanagerfork import decisions, errors
 from tanagerfork import metrics as metric
 from tanagerfork.relay import calls, member_client, members, reach_checks
 from tanagerfork.routing import crash_evidence, poison
@@ -17,6 +17,8 @@
 FINGERPRINT_LENGTH = 16  # Hex digits that tell the requests of one crash apart.
 MAX_LOGGED_PARTS = 32
 RESTART_WAIT_MS = 100  # A killed process has released its port by then.
+PROBE_INTERVAL_MS = 400  # Between an unanswered probe and the next one.
+DARK_MS = 2000  # A sound upstream may be silent for a second or so.
 
 
 def make_fingerprint(request: calls.CallerRequest, team: str) -> str:
@@ -41,9 +43,22 @@
     prompt_parts: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(slots=True)
+class Check:
+    """A check under way; `is_answered` is set if the request was answered completely meanwhile."""
+
+    lost: LostRequest
+    run: poison.LostRun
+    upstream: members.Upstream
+    is_answered: bool = False
+
+
 class CrashWatch:
     """Checks whether an upstream that broke off a response crashed, and suspects the request.
 
+    Refusing connections and a new start show a crash. An upstream that is silent may go on, so that
+    it is probed again; it has crashed if it stays silent while other upstreams are reached.
+
     :param suspects: requests suspected of crashing upstreams.
     :param evidence: parts of prompts suspected of crashing upstreams.
     :param client: asks upstreams for their state.
@@ -63,7 +78,7 @@
         "_clock",
         "_log",
         "_metrics",
-        "_tasks",
+        "_checks",
     )
 
     def __init__(
@@ -85,7 +100,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._checks: dict[asyncio.Task[None], Check] = {}
 
     def quarantine_left_ms(self, fingerprint: str, prompt_parts: Sequence[str]) -> float:
         """Return how much longer a request is quarantined, in milliseconds; 0 if it may run.
@@ -108,6 +123,8 @@
         now_ms = self._clock.monotonic_ms()
         self._suspects.record_completed(fingerprint, now_ms)
         self._evidence.record_answer(prompt_parts, now_ms)
+        for check in self._checks.values():
+            check.is_answered |= check.lost.fingerprint == fingerprint
 
     def check_for_crash(self, lost: LostRequest, upstream: members.Upstream) -> None:
         """Start a check of whether an upstream broke off a response because it crashed.
@@ -116,19 +133,37 @@
         :param upstream: upstream that broke off the response.
         """
         run = poison.LostRun(lost.sent_at_ms, self._clock.monotonic_ms())
-        task = asyncio.create_task(self._check_crash(lost, run, upstream))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        check = Check(lost, run, upstream)
+        task = asyncio.create_task(self._run_check(check))
+        self._checks[task] = check
+        task.add_done_callback(self._checks.pop)
 
-    async def _check_crash(
-        self, lost: LostRequest, run: poison.LostRun, upstream: members.Upstream
-    ) -> None:
-        await self._clock.sleep_ms(RESTART_WAIT_MS)
-        asked = await self._client.probe(upstream)
-        if isinstance(asked, result.Ok) and asked.ok_value.born_at_ms == upstream.born_at_ms:
-            return
-        if isinstance(asked, result.Err) and not await self._reach_checks.confirm(upstream.service):
-            return
+    async def _run_check(self, check: Check) -> None:
+        if await self._has_crashed(check.upstream, check.run.lost_at_ms):
+            self._record_crash(check)
+
+    async def _has_crashed(self, upstream: members.Upstream, lost_at_ms: float) -> bool:
+        """Return whether an upstream crashed, once it answers, refuses or has been silent for long.
+
+        :param upstream: upstream.
+        :param lost_at_ms: when it broke off a response.
+        """
+        wait_ms = RESTART_WAIT_MS
+        while self._clock.monotonic_ms() < lost_at_ms + DARK_MS:
+            await self._clock.sleep_ms(wait_ms)
+            asked = await self._client.probe(upstream)
+            if isinstance(asked, result.Ok):
+                return asked.ok_value.born_at_ms != upstream.born_at_ms
+            if type(asked.err_value) is errors.UpstreamUnreachable:
+                return await self._reach_checks.confirm(upstream.service)
+            wait_ms = PROBE_INTERVAL_MS
+        if not await self._reach_checks.confirm(upstream.service):
+            return False
+        asked = await self._client.probe(upstream)  # This daemon may have been cut off until now.
+        return isinstance(asked, result.Err) or asked.ok_value.born_at_ms != upstream.born_at_ms
+
+    def _record_crash(self, check: Check) -> None:
+        lost, run, upstream = check.lost, check.run, check.upstream
         self._metrics.count("relay_crash_losses_total")
         self._log.note(
             LOGGER,
@@ -144,6 +179,8 @@
         crash = f"{upstream.id}/{upstream.born_at_ms}"
         request = lost.fingerprint[:FINGERPRINT_LENGTH]
         self._evidence.record_crash(lost.prompt_parts, crash, request, run.lost_at_ms, now_ms)
+        if check.is_answered:
+            return
         notice = self._suspects.record_crash(lost.fingerprint, upstream.id, now_ms, run)
         if notice is None:
             return
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -3,10 +3,16 @@
 import asyncio
 
 import pytest
+import result
 
+from tanagerfork import clock as clocks
+from tanagerfork import decisions, errors, metrics
+from tanagerfork.relay import crashes, members, peers
 from tanagerfork.relay import daemon as daemons
-from tanagerfork.relay import peers
-from tanagerfork_standins.platform import runner
+from tanagerfork.routing import crash_evidence, poison
+from tanagerfork.routing import fleet as fleets
+from tanagerfork_standins import transports
+from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
 CRASHES, RESETS = runner.Fault.CRASHES, runner.Fault.RESETS
@@ -95,6 +101,205 @@
             assert (await deployed.ask("/safe/other")).status == 200
 
 
+class TestPausedUpstreams:
+    """Two upstreams fall silent, one after the other, and reset the stream that they have."""
+
+    LEARN_S = 3.0  # After the second reset.
+
+    async def _lose_stream_twice(self, deployed: deployments.Deployment) -> list[runner.Runner]:
+        """Send a stream, and pause and reset each upstream that gets it; return those."""
+        view, runners = deployed.daemons[0].view, deployed.site.engine_runners
+        await deployed.wait_until(
+            lambda: len(view.list_groups(site.ENGINE_SERVICE, site.SMALL_MODEL)) >= 3, "groups"
+        )
+        for member in runners:
+            member.events = 100
+        asked = asyncio.create_task(deployed.ask("/stream/x", "POST"))
+        paused: list[runner.Runner] = []
+        for _ in range(2):
+            await deployed.wait_until(
+                lambda: any(one._open_streams for one in runners if one not in paused),
+                "the stream is sent",
+            )
+            await asyncio.sleep(0.1)
+            head = next(one for one in runners if one._open_streams and one not in paused)
+            head.answer_gate.clear()
+            paused.append(head)
+            for transport in head._open_streams:
+                transports.reset(transport)
+        assert not (await asked).is_whole
+        return paused
+
+    async def test_request_is_not_quarantined_if_the_upstreams_go_on(self) -> None:
+        async with deployments.deploy(engines=6, plain=0) as deployed:
+            paused = await self._lose_stream_twice(deployed)
+            await asyncio.sleep(1.2)
+            for member in paused:
+                member.answer_gate.set()
+            response = await deployed.ask("/stream/x", "POST")
+            assert response.status == 200 and response.is_whole
+            await asyncio.sleep(1)
+            assert not deployed.log.find("request lost in a crash")
+
+    async def test_request_is_quarantined_if_the_upstreams_stay_dark(self) -> None:
+        async with deployments.deploy(engines=6, plain=0) as deployed:
+            await self._lose_stream_twice(deployed)
+            await deployed.wait_until(
+                lambda: deployed.log.find("request suspected", '"crashes":2'),
+                "the quarantine",
+                self.LEARN_S,
+            )
+            response = await deployed.ask("/stream/x", "POST")
+            assert response.status == 503 and b"quarantined" in response.body
+
+
+UPSTREAM = members.Upstream("u0", "writer", "", "a", False, 13, born_at_ms=1)
+SAME_START = result.Ok(members.Report(1, 0, False, (), None, 1.0, 0, 0))
+NEW_START = result.Ok(members.Report(2, 0, False, (), None, 1.0, 0, 0))
+REFUSED = result.Err(errors.UpstreamUnreachable("refused; go elsewhere"))
+SILENT = result.Err(errors.UpstreamSilent("no answer in time; go elsewhere"))
+NO_CONNECTION = result.Err(errors.ConnectTimedOut("takes no connection; go elsewhere"))
+BROKEN = result.Err(errors.UpstreamLost("broke off; go elsewhere"))
+NO_REPORT = result.Err(errors.UpstreamConfused("status 503; probe again"))
+UNANSWERED = [SILENT, NO_CONNECTION, BROKEN, NO_REPORT]
+
+
+class SteppedClock(clocks.ManualClock):
+    """Sleeps end at once and advance it."""
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        self.advance(round(duration_ms))
+        await asyncio.sleep(0)
+
+
+class FakeUpstream:
+    """Gives one answer to probes until a time, and another one from then on."""
+
+    PROBE_TIMEOUT_MS = 400
+
+    def __init__(
+        self, clock: SteppedClock, first: result.Result, until_ms: float, then: result.Result
+    ) -> None:
+        self.clock = clock
+        self.first, self.until_ms, self.then = first, until_ms, then
+        self.probes = 0
+
+    async def probe(
+        self, upstream: members.Upstream
+    ) -> result.Result[members.Report, errors.UpstreamError]:
+        self.probes += 1
+        if self.first in (SILENT, NO_CONNECTION):
+            left_ms = self.until_ms - self.clock.monotonic_ms()
+            await self.clock.sleep_ms(max(0, min(left_ms, self.PROBE_TIMEOUT_MS)))
+        return self.first if self.clock.monotonic_ms() < self.until_ms else self.then
+
+    async def send_order(self, order, fencing, order_count):
+        raise NotImplementedError
+
+
+class FakeReachChecks:
+    def __init__(self, is_reached: bool) -> None:
+        self.is_reached = is_reached
+
+    async def confirm(self, service: str) -> bool:
+        return self.is_reached
+
+
+class Setting:
+    """A watch of one upstream, which has just broken off a response."""
+
+    def __init__(
+        self,
+        first: result.Result,
+        until_ms: float = 0,
+        then: result.Result = SAME_START,
+        is_reached: bool = True,
+    ) -> None:
+        self.clock, lines = SteppedClock(), deployments.LineList()
+        self.upstream = FakeUpstream(self.clock, first, until_ms, then)
+        self.reach_checks = FakeReachChecks(is_reached)
+        self.announced: list[fleets.PoisonNotice] = []
+        self.counters = metrics.Metrics()
+        self.watch = crashes.CrashWatch(
+            poison.PoisonRegister(),
+            crash_evidence.CrashEvidence(),
+            self.upstream,
+            self.reach_checks,
+            self.announced.append,
+            self.clock,
+            decisions.DecisionLog("d", self.clock, lines),
+            self.counters,
+        )
+
+    @property
+    def losses(self) -> int:
+        return self.counters.counter_value("relay_crash_losses_total")
+
+    async def check(self) -> int:
+        """Check a lost request until it is known what it was lost in; return the crashes."""
+        others = asyncio.all_tasks()
+        self.watch.check_for_crash(crashes.LostRequest("r1", "print", 0.0), UPSTREAM)
+        await asyncio.wait(asyncio.all_tasks() - others)
+        return self.losses
+
+
+class TestCheck:
+    """What shows that an upstream crashed which broke off a response."""
+
+    MAX_SILENCE_MS = 2000  # Of a sound upstream, as in test_paused_upstreams.py.
+    MAX_CHECK_MS = 3000
+    MAX_PROBES = 8
+
+    @pytest.mark.parametrize("first", UNANSWERED)
+    @pytest.mark.parametrize("silence_ms", [0, 150, 500, 1000, 1500, MAX_SILENCE_MS])
+    async def test_upstream_that_goes_on_after_a_silence_has_not_crashed(
+        self, first: result.Result, silence_ms: int
+    ) -> None:
+        setting = Setting(first, silence_ms)
+        assert await setting.check() == 0 and not setting.announced
+
+    @pytest.mark.parametrize("shown", [NEW_START, REFUSED])
+    @pytest.mark.parametrize("first", UNANSWERED)
+    @pytest.mark.parametrize("silence_ms", [0, 150, 1000, MAX_SILENCE_MS])
+    async def test_new_start_and_refused_connection_show_a_crash_after_a_silence(
+        self, first: result.Result, silence_ms: int, shown: result.Result
+    ) -> None:
+        setting = Setting(first, silence_ms, shown)
+        assert await setting.check() == len(setting.announced) == 1
+        assert setting.clock.monotonic_ms() <= silence_ms + 2 * FakeUpstream.PROBE_TIMEOUT_MS
+
+    @pytest.mark.parametrize("first", UNANSWERED)
+    async def test_upstream_that_stays_dark_counts_as_crashed(self, first: result.Result) -> None:
+        setting = Setting(first, float("inf"))
+        assert await setting.check() == len(setting.announced) == 1
+        assert setting.clock.monotonic_ms() <= self.MAX_CHECK_MS
+        assert setting.upstream.probes <= self.MAX_PROBES
+
+    @pytest.mark.parametrize("first", [*UNANSWERED, REFUSED])
+    async def test_daemon_that_is_cut_off_finds_no_crash(self, first: result.Result) -> None:
+        assert await Setting(first, float("inf"), is_reached=False).check() == 0
+
+    async def test_cut_that_ends_with_the_check_of_the_reach_is_no_crash(self) -> None:
+        setting = Setting(SILENT, float("inf"))
+
+        async def end_cut(service: str) -> bool:
+            setting.upstream.until_ms = 0
+            return True
+
+        setting.reach_checks.confirm = end_cut
+        assert await setting.check() == 0
+
+    @pytest.mark.parametrize("fingerprint, suspected", [("print", 0), ("another", 1)])
+    async def test_request_that_is_answered_during_the_check_is_not_suspected(
+        self, fingerprint: str, suspected: int
+    ) -> None:
+        setting = Setting(SILENT, float("inf"))
+        checking = asyncio.create_task(setting.check())
+        await asyncio.sleep(0)
+        setting.watch.record_success(fingerprint, ())
+        assert await checking == 1 and len(setting.announced) == suspected
+
+
 class TestStoredQuarantine:
     """Parts at fault are kept in the store, so that a restart of all daemons does not lose them."""
 
