--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -29,6 +29,7 @@
     daemon_directory,
     demand,
     demands,
+    draining,
     evacuation,
     exchange,
     feeds,
@@ -60,8 +61,6 @@
 LOGGER = "relay.daemon"
 BODY_LIMIT_BYTES = 8 * 1024 * 1024  # Twice the largest body of the platform's callers.
 READINESS_CHECK_INTERVAL_MS = 100
-DRAIN_CHECK_INTERVAL_MS = 20
-BALANCER_REMOVAL_MS = 2500  # The balancer probes each second, drops a daemon after 2 failures.
 SHUTDOWN_MARGIN_MS = 1200  # Longest time to close, before the kill that ends the grace time.
 LEAVE_TIMEOUT_S = 0.2  # The entry lapses with its lease if the store does not answer by then.
 CLOSE_TIMEOUT_S = 0.6  # Connections still open by then end with the process.
@@ -86,7 +85,9 @@
         self.clock = clock
         self.log = decisions.DecisionLog(settings.name, clock, writer)
         self.metrics = metric.Metrics()
-        self.lifecycle = lifecycle.Lifecycle(self._log_state)
+        self.lifecycle = lifecycle.Lifecycle(
+            lambda state: self.log.note(LOGGER, "state changed", state=state)
+        )
         self.register = rules.RulesRegister()
         self.view = fleet.Fleet()
         self._rules_follower = followers.RulesFollower(
@@ -157,14 +158,7 @@
             self.book.find_heard_ms,
             self.clock,
         )
-        record = daemon_directory.DaemonRecord(
-            settings.failure_domain,
-            settings.peers,
-            link_mbps=settings.link_mbps,
-            build=__version__,
-            notice_format=daemon_directory.NOTICE_FORMAT,
-            keeps_regions=True,
-        )
+        record = daemon_directory.make_record(settings)
         self.directory = daemon_directory.DaemonDirectory(
             self.store, settings.name, record, self.clock, self.log
         )
@@ -303,18 +297,10 @@
         """Fail readiness probes, finish open requests, then close all connections."""
         self.lifecycle.apply("drain")
         self._is_ready.clear()
-        self.front.is_draining = True
-        began_ms = self.clock.monotonic_ms()
         limit_ms = self.settings.bounds.grace_ms - SHUTDOWN_MARGIN_MS
         releasing = asyncio.create_task(self._hand_over_duties())
-        while (waited_ms := self.clock.monotonic_ms() - began_ms) < limit_ms:
-            if waited_ms >= BALANCER_REMOVAL_MS:
-                self.front.is_rejecting = True  # A new request might outlast the grace period.
-                if not self.front.open_requests and not self._listeners.has_unsent_bytes:
-                    break
-            await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
-        await self.front.end_waiting()
-        self.log.note(LOGGER, "stop", waited_ms=waited_ms, cut_off=self.front.open_requests)
+        drained = await draining.drain(self.front, self._listeners, self.clock, limit_ms)
+        self.log.note(LOGGER, "stop", waited_ms=drained.waited_ms, ended_early=drained.ended_early)
         self._tasks.cancel()
         releasing.cancel()
         self._reach_checks.close()
@@ -433,6 +419,3 @@
         if self._coordinator.is_holder:
             return [self.settings.name]
         return self._forwarder.list_reaching(self.settings.failure_domain)
-
-    def _log_state(self, state: str) -> None:
-        self.log.note(LOGGER, "state changed", state=state)
--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -6,9 +6,10 @@
 import msgspec
 import result
 
-from tanagerfork import addresses, decisions, decoding, errors
+from tanagerfork import __version__, addresses, decisions, decoding, errors
 from tanagerfork import clock as clocks
 from tanagerfork import metrics as metric
+from tanagerfork.generated import relay as settings_records
 from tanagerfork.storage import key_value
 
 LOGGER = "relay.daemon_directory"
@@ -41,6 +42,21 @@
     is_leaving: bool = False
 
 
+def make_record(settings: settings_records.RelaySettings) -> DaemonRecord:
+    """Return the entry of a daemon of this build.
+
+    :param settings: settings of the daemon.
+    """
+    return DaemonRecord(
+        settings.failure_domain,
+        settings.peers,
+        link_mbps=settings.link_mbps,
+        build=__version__,
+        notice_format=NOTICE_FORMAT,
+        keeps_regions=True,
+    )
+
+
 class DaemonDirectory:
     """Keeps this daemon's entry under a lease and follows the entries of the others.
 
