Write again that a daemon leaves until the store has taken it

Found by an independent review: with the one write at the signal refused, the other daemons offered the stopping one requests and listed it as a candidate for coordination until its end. The entry is written with each renewal of its lease now until a write has succeeded.

--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -78,6 +78,7 @@
         "_clock",
         "_log",
         "_lease",
+        "_is_written",
         "_was_unreadable",
         "_missing_until_ms",
         "_seen_builds",
@@ -99,6 +100,7 @@
         self._clock = clock
         self._log = log
         self._lease = 0
+        self._is_written = False
         self._was_unreadable = False
         self._missing_until_ms: dict[str, int] = {}
         self._seen_builds: set[str] = set()
@@ -134,6 +136,7 @@
     async def announce_leaving(self) -> None:
         """Write to this daemon's entry that it is being stopped."""
         self._record.is_leaving = True
+        self._is_written = False
         if self._lease:
             await self._put_entry(self._lease)
 
@@ -213,7 +216,11 @@
     async def _maintain_entry(self) -> None:
         if self._lease:
             kept = await self._store.renew_lease(self._lease)
-            if isinstance(kept, result.Err) or kept.ok_value:
+            if isinstance(kept, result.Err):
+                return
+            if kept.ok_value:
+                if not self._is_written:
+                    await self._put_entry(self._lease)
                 return
             self._log.note(LOGGER, "lease of this daemon's entry has expired", lease=self._lease)
             self._lease = 0
@@ -226,7 +233,9 @@
 
     async def _put_entry(self, lease: int) -> result.Result[int, errors.PlatformError]:
         value = msgspec.json.encode(self._record)
-        return await self._store.put_leased(DAEMON_PREFIX + self._name, value, lease)
+        put = await self._store.put_leased(DAEMON_PREFIX + self._name, value, lease)
+        self._is_written = isinstance(put, result.Ok)
+        return put
 
 
 def _find_unusable_address(record: DaemonRecord) -> str:
--- a/tests/relay/test_daemon_directory.py
+++ b/tests/relay/test_daemon_directory.py
@@ -1,8 +1,9 @@
 """The list of daemons while the store is away or restored from a copy."""
 
 import msgspec
+import result
 
-from tanagerfork import __version__, decisions
+from tanagerfork import __version__, decisions, errors
 from tanagerfork import clock as clocks
 from tanagerfork import metrics as metric
 from tanagerfork.relay import daemon_directory
@@ -104,3 +105,40 @@
             )
             entry = deployed.site.store.items["tanagerfork/daemons/daemon-1"].value
             assert name.encode() in entry and b'"notice_format":1' in entry
+
+
+class RefusingStore:
+    """A store that refuses the next writes, as many as told."""
+
+    def __init__(self) -> None:
+        self.refused = 0
+        self.written: list[daemon_directory.DaemonRecord] = []
+
+    async def grant_lease(self, ttl_ms: int) -> result.Result[int, errors.PlatformError]:
+        return result.Ok(7)
+
+    async def renew_lease(self, lease: int) -> result.Result[bool, errors.PlatformError]:
+        return result.Ok(True)
+
+    async def put_leased(
+        self, key: str, value: bytes, lease: int
+    ) -> result.Result[int, errors.PlatformError]:
+        if self.refused:
+            self.refused -= 1
+            return result.Err(errors.PlatformUnavailable("the store is away; retry later"))
+        self.written.append(msgspec.json.decode(value, type=daemon_directory.DaemonRecord))
+        return result.Ok(1)
+
+
+class TestLeaving:
+    async def test_entry_that_could_not_be_written_at_the_stop_is_written_later(self) -> None:
+        setting, store = Setting(), RefusingStore()
+        setting.directory._store = store
+        await setting.directory._maintain_entry()
+        store.refused = 2
+        await setting.directory.announce_leaving()
+        await setting.directory._maintain_entry()
+        assert [record.is_leaving for record in store.written] == [False]
+        await setting.directory._maintain_entry()
+        await setting.directory._maintain_entry()
+        assert [record.is_leaving for record in store.written] == [False, True]
