Take no upstream for crashed while the event loop itself was late

What callers could have seen: requests, and parts of prompts, refused as crashing upstreams.

Cause: after an answer that broke off, the upstream is probed. The 400 ms of that probe run on while this process gets no processor; the check of the reach that follows passes, and the lost answer counts as a crash.

Change: where late wake-ups made up half of the time of that probe or more, the upstream is probed once more.

--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -119,7 +119,11 @@
     async def _check_crash(self, lost: LostRequest, upstream: members.Upstream) -> None:
         lost_at_ms = self._clock.monotonic_ms()
         await self._clock.sleep_ms(RESTART_WAIT_MS)
+        probed_at_ms = self._clock.monotonic_ms()
         asked = await self._client.probe(upstream)
+        took_ms = self._clock.monotonic_ms() - probed_at_ms
+        if took_ms and self._reach_checks.was_late(probed_at_ms, took_ms):
+            asked = await self._client.probe(upstream)  # The first may have timed out by that.
         if isinstance(asked, result.Ok) and asked.ok_value.born_at_ms == upstream.born_at_ms:
             return
         if isinstance(asked, result.Err) and not await self._reach_checks.confirm(upstream.service):
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -1,8 +1,13 @@
 """Quarantine of requests that crash the upstreams that run them."""
 
 import asyncio
+import time
 
+import pytest
+
+from tanagerfork.platform import runners
 from tanagerfork.relay import daemon as daemons
+from tanagerfork.relay import members
 from tanagerfork_standins.platform import runner
 from tests.relay import deployments
 
@@ -61,6 +66,26 @@
             await asyncio.sleep(0.3)
             assert (await deployed.ask("/safe/x")).status == 200
 
+    async def test_probe_that_times_out_as_the_event_loop_is_late_shows_no_crash(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        probe, probed = runners.RunnerClient.probe, []
+
+        async def probe_late(client: runners.RunnerClient, upstream: members.Upstream) -> object:
+            if not probed:
+                asyncio.get_running_loop().call_soon(time.sleep, 0.6)
+            probed.append(upstream.id)
+            return await probe(client, upstream)
+
+        async with deployments.deploy(engines=0, plain=1) as deployed:
+            await deployed.wait_for_rules()
+            monkeypatch.setattr(runners.RunnerClient, "probe", probe_late)
+            deployed.site.plain_runners[0].faults = [RESETS]
+            assert (await deployed.ask("/safe/x")).status == 502
+            await deployed.wait_until(lambda: len(probed) >= 2, "a second look")
+            await asyncio.sleep(0.3)
+            assert not deployed.log.find("request lost in a crash")
+
 
 class TestStoredQuarantine:
     """Parts at fault are kept in the store, so that a restart of all daemons does not lose them."""
