Take the type of a stream from the send that began it

The type was noted when headers arrived; with two sends open, that of the other one could stay, and a later resume with the right type was refused. It is noted now when the stream begins. The new test saw text/plain before, and sees text/event-stream.

--- a/src/tanagerfork/relay/responses.py
+++ b/src/tanagerfork/relay/responses.py
@@ -110,9 +110,8 @@
         :raises UpstreamError: the stream broke off.
         """
         media_type = _read_media_type(response)
-        if not sink.has_started:
-            progress.stream_type = media_type
-        elif media_type and progress.stream_type and media_type != progress.stream_type:
+        begun_type = progress.stream_type if sink.has_started else ""
+        if media_type and begun_type and media_type != begun_type:
             message = f"the stream goes on as {media_type}; resume on another upstream"
             return result.Err(errors.UpstreamConfused(message))
         unread = UnreadTimes()
@@ -147,7 +146,7 @@
             note_events()
             progress.holding.source = response
             began_ms = self._clock.monotonic_ms()
-            await self._start_stream(response, sink)
+            await self._start_stream(progress, response, sink)
             await sink.send(complete.ok_value)
             event_at_ms = self._clock.monotonic_ms()  # A slow caller is no silence of the upstream.
             unread.record_pause(began_ms, event_at_ms)
@@ -156,7 +155,7 @@
             return result.Err(
                 errors.UpstreamLost("the stream ended within an event; resume on another upstream")
             )
-        await self._start_stream(response, sink)
+        await self._start_stream(progress, response, sink)
         progress.answer_events += splitter.event_count
         progress.has_succeeded = True
         await sink.finish_stream()
@@ -189,9 +188,13 @@
             holding.end_gathering()
 
     async def _start_stream(
-        self, response: exchange.UpstreamResponse, sink: progresses.Sink
+        self,
+        progress: progresses.Progress,
+        response: exchange.UpstreamResponse,
+        sink: progresses.Sink,
     ) -> None:
         if not sink.has_started:
+            progress.stream_type = _read_media_type(response)
             await sink.start_stream(
                 response.status, self._dialect.filter_response_headers(response.headers)
             )
--- a/tests/relay/test_broken_streams.py
+++ b/tests/relay/test_broken_streams.py
@@ -155,3 +155,26 @@
             read_chunk = mock.AsyncMock(side_effect=[*chunks, b""])
             relayed = await relay.relay_stream(progress, response, sink, read_chunk, mock.Mock())
         assert relayed.is_ok() and list_ids(sink.received) == WHOLE[:2]
+
+    async def test_type_is_that_of_the_send_that_began_the_stream(self) -> None:
+        """Two sends are open at the same time; the one that gets its headers first writes first."""
+        relay = responses.ResponseRelay(headers.PlatformDialect(), clocks.ManualClock())
+        progress = mock.Mock(stream_type="", last_event_id="", answer_events=0)
+        sink, has_headers = RecordingSink(), asyncio.Event()
+
+        async def read_later(*_: object) -> bytes:
+            await has_headers.wait()
+            return b"" if sink.has_started else b"id: 1\ndata: x\n\n"
+
+        async def read_never(*_: object) -> bytes:
+            has_headers.set()
+            return await asyncio.Event().wait() or b""
+
+        tasks = []
+        for media_type, read in (("text/event-stream", read_later), ("text/plain", read_never)):
+            response = mock.Mock(status=200, headers=[])
+            response.http_response.headers = {"Content-Type": media_type}
+            relaying = relay.relay_stream(progress, response, sink, read, mock.Mock())
+            tasks.append(asyncio.create_task(relaying))
+        assert (await tasks[0]).is_ok() and progress.stream_type == "text/event-stream"
+        tasks[1].cancel()
