Answer probes after the end of a stop with an error instead of an exception

Checks of the reach and of lost requests may outlast the connections of a daemon that stops. Such a probe counts as silence now, which is evidence of nothing. The new test raised before.

--- a/src/tanagerfork/platform/runners.py
+++ b/src/tanagerfork/platform/runners.py
@@ -66,6 +66,8 @@
         """
         if not addresses.is_valid(upstream.address):
             return result.Err(connections.describe_bad_address(upstream.id, upstream.address))
+        if self._session.closed:  # No evidence of a crash or a cut.
+            return result.Err(errors.UpstreamSilent("the daemon is stopping; probe no more"))
         probe_headers = {headers.EXPECTED_ID: upstream.id}
         try:
             async with asyncio.timeout(self._probe_timeout_s):
--- a/tests/relay/test_stop.py
+++ b/tests/relay/test_stop.py
@@ -195,3 +195,12 @@
             assert other._forwarder.list_reaching("a") == ["daemon-2"]
             await stop_task
             deployed.daemons.remove(stopping)
+
+    async def test_probe_after_the_end_of_a_stop_fails_without_an_exception(self) -> None:
+        async with deployments.deploy(engines=0, plain=1) as deployed:
+            await deployed.wait_for_rules()
+            daemon = deployed.daemons.pop()
+            await daemon.stop()
+            (upstream,) = daemon.view.upstreams
+            for client in (daemon._client, daemon._reach_checks._client):
+                assert (await client.probe(upstream)).is_err()
