--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -29,7 +29,6 @@
     daemon_directory,
     demand,
     demands,
-    draining,
     evacuation,
     exchange,
     feeds,
@@ -53,6 +52,7 @@
     send_limits,
     send_records,
     sending,
+    stopping,
     tasks,
 )
 from tanagerfork.routing import crash_evidence, poison
@@ -299,7 +299,7 @@
         self._is_ready.clear()
         limit_ms = self.settings.bounds.grace_ms - SHUTDOWN_MARGIN_MS
         releasing = asyncio.create_task(self._hand_over_duties())
-        drained = await draining.drain(self.front, self._listeners, self.clock, limit_ms)
+        drained = await stopping.drain(self.front, self._listeners, self.clock, limit_ms)
         self.log.note(LOGGER, "stop", waited_ms=drained.waited_ms, ended_early=drained.ended_early)
         self._tasks.cancel()
         releasing.cancel()
--- a/src/tanagerfork/relay/draining.py
+++ b/src/tanagerfork/relay/stopping.py
@@ -1,4 +1,4 @@
-"""Draining: the part of a planned stop in which open requests are finished."""
+"""Stopping: the part of a planned stop in which open requests are finished."""
 
 import dataclasses
 
--- a/tests/relay/test_stop.py
+++ b/tests/relay/test_stop.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tanagerfork.peers import link
-from tanagerfork.relay import draining, exchange, tasks
+from tanagerfork.relay import exchange, stopping, tasks
 from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
@@ -97,7 +97,7 @@
         async with deployments.deploy(engines=0) as deployed:
             await deployed.wait_for_rules()
             daemon = deployed.daemons.pop()
-            daemon.settings.bounds.grace_ms = draining.BALANCER_REMOVAL_MS + 2000
+            daemon.settings.bounds.grace_ms = stopping.BALANCER_REMOVAL_MS + 2000
             with monkeypatch.context() as patched:
                 patched.setattr(exchange.UpstreamClient, "close", hang)
                 async with asyncio.timeout(daemon.settings.bounds.grace_ms / 1000):
@@ -109,14 +109,14 @@
         async with deployments.deploy(engines=0, plain=1) as deployed:
             await deployed.wait_for_rules()
             daemon = deployed.daemons[0]
-            daemon.settings.bounds.grace_ms = draining.BALANCER_REMOVAL_MS + 3000
+            daemon.settings.bounds.grace_ms = stopping.BALANCER_REMOVAL_MS + 3000
             deployed.site.plain_runners[0].faults = [runner.Fault.HANGS]
             request_task = asyncio.create_task(
                 deployed.ask("/unsafe/x", "POST", deadline_ms=60_000)
             )
             await deployed.wait_until(lambda: daemon.front.open_requests, "a request is open")
             stop_task = asyncio.create_task(daemon.stop())
-            await asyncio.sleep((draining.BALANCER_REMOVAL_MS + 200) / 1000)
+            await asyncio.sleep((stopping.BALANCER_REMOVAL_MS + 200) / 1000)
             response = await deployed.ask("/safe/late")
             assert response.status == 503 and float(response.headers["Retry-After"]) > 0
             assert [run.target for run in deployed.site.plain_runners[0].requests] == ["/unsafe/x"]
--- a/tests/relay/test_stop_answers.py
+++ b/tests/relay/test_stop_answers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tanagerfork.relay import daemon as daemons
-from tanagerfork.relay import draining, exchange, forwarding
+from tanagerfork.relay import exchange, forwarding, stopping
 from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments, test_slow_readers
 
@@ -85,7 +85,7 @@
         memory_mb: float,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        monkeypatch.setattr(draining, "BALANCER_REMOVAL_MS", 100)
+        monkeypatch.setattr(stopping, "BALANCER_REMOVAL_MS", 100)
         async with deployments.deploy(engines=0, daemon_count=0) as deployed:
             daemon = await deployed.add_daemon(memory_mb=memory_mb)
             await deployed.wait_for_rules()
@@ -179,7 +179,7 @@
     async def test_process_does_not_end_before_callers_have_taken_their_answers(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(draining, "BALANCER_REMOVAL_MS", 100)
+        monkeypatch.setattr(stopping, "BALANCER_REMOVAL_MS", 100)
         async with deployments.deploy(engines=0, daemon_count=0) as deployed:
             daemon = await deployed.add_daemon(memory_mb=ENOUGH_MB)
             await deployed.wait_for_rules()
