--- a/src/tanagerfork/relay/link_checks.py
+++ b/src/tanagerfork/relay/link_checks.py
@@ -1,8 +1,8 @@
 """Link checks: renew the links to daemons whose connections carry nothing any more.
 
 An open connection may go silent for good without a reset, while new ones work. Notices go one way,
-so that their sender sees nothing of it. Each daemon tells in its rounds which others it heard, and
-a link whose receiver did not hear this daemon for several rounds gets a new connection.
+so that their sender sees nothing of it. Each daemon lists in its rounds from which others it has
+received notices, and a link whose receiver got nothing for several rounds gets a new connection.
 """
 
 import dataclasses
@@ -15,15 +15,15 @@
 
 LOGGER = "relay.link_checks"
 SILENCE_MS = 1500  # Five rounds of notices.
-MAX_SILENCE_MS = 3000  # Of a daemon that did not hear this one on new connections either.
+MAX_SILENCE_MS = 3000  # Of a daemon that received nothing over new connections either.
 MAX_HEARD = 64  # In one notice.
 
 
 @dataclasses.dataclass(slots=True)
 class LinkState:
-    """Since when the receiver of a link may not have heard this daemon, and how long it may so.
+    """Since when the receiver of a link may have received nothing, and the longest such time.
 
-    `is_confirmed` says that it heard something over the present connection.
+    `is_confirmed` says that it received something over the present connection.
     """
 
     address: str
@@ -33,7 +33,7 @@
 
 
 class LinkChecks:
-    """Keeps track of who heard whom.
+    """Keeps track of which daemons receive notices of which others.
 
     :param name: name of this daemon.
     :param links: links to the other daemons.
@@ -54,7 +54,7 @@
         self._heard_at_ms: dict[str, float] = {}
 
     def list_heard(self) -> list[notices.HeardDaemon]:
-        """Return the daemons that were heard recently, for the others."""
+        """Return the daemons from which notices were received recently."""
         now_ms = self._clock.monotonic_ms()
         self._heard_at_ms = {
             daemon: at_ms
@@ -73,9 +73,9 @@
         ]
 
     def note_notice(self, notice: notices.Notice) -> None:
-        """Record that a daemon was heard, and whether it heard this one.
+        """Record a notice, and whether its sender receives the notices of this daemon.
 
-        Earlier builds do not tell whom they heard; if they are heard, they are taken to hear.
+        Earlier builds list no such daemons; while they send notices, they count as receiving them.
 
         :param notice: its notice.
         """
@@ -93,7 +93,7 @@
             state.is_confirmed = True
 
     def check(self, daemon: str, address: str) -> None:
-        """Renew the link to a daemon before a send if the daemon did not hear this one for long.
+        """Renew the link to a daemon before a send if the daemon received nothing for long.
 
         :param daemon: name of the daemon.
         :param address: where it receives notices.
