--- a/review/support-2/bed.py
+++ b/review/support-2/bed.py
@@ -58,14 +58,16 @@
 
 @dataclasses.dataclass
 class Window:
-    """Writes whose answers are lost and which are carried out late: which keys, and how late."""
+    """Loss of answers: the first write of each key with a prefix gets none and is done late.
+
+    `writes` and `lost` count the writes of all keys until `until_s`, and those without an answer.
+    """
 
     until_s: float
     prefix: str
     late_s: float
-    max_share: float
     writes: int = 0
-    lost: int = 0
+    lost: set[str] = dataclasses.field(default_factory=set)
 
 
 class LateStore:
@@ -101,13 +103,12 @@
         window.writes += 1
         body = await request.read()
         change = json.loads(body) if request.path == "/kv-txn" else {}
-        keys = [row["key"] for row in change.get("writes", [])]
-        if not any(key.startswith(window.prefix) for key in keys):
-            return await handler(request)
-        if window.lost + 1 > window.max_share * window.writes:
+        keys = {row["key"] for row in change.get("writes", [])}
+        new = {key for key in keys if key.startswith(window.prefix)} - window.lost
+        if not new:
             return await handler(request)
-        window.lost += 1
-        self._record.note(f"store: answer to the write of {keys} is lost, done {window.late_s} s later")
+        window.lost |= new
+        self._record.note(f"store: the write of {sorted(new)} gets no answer")
         task = asyncio.create_task(self._write_late(change, window.late_s))
         self._late.add(task)
         request.transport.abort()
@@ -117,8 +118,8 @@
         await asyncio.sleep(late_s)
         async with aiohttp.ClientSession() as session:
             async with session.post(f"http://{self.address}/kv-txn", json=change) as response:
-                keys = [row["key"] for row in change["writes"]]
-                self._record.note(f"store: late write of {keys} done, status {response.status}")
+                keys = sorted(row["key"] for row in change["writes"])
+                self._record.note(f"store: the late write of {keys} is done, {response.status}")
 
 
 @dataclasses.dataclass
