--- a/review/7/case.py
+++ b/review/7/case.py
@@ -70,10 +70,12 @@
         return beds.HELD if failed == 0 else beds.UNABLE
     if len(reached_s) < MAX_LATE:
         return beds.HELD
-    late = [at_s for at_s in reached_s if at_s > reached_s[2] + STABLE_S]
+    limit_s = reached_s[2] + STABLE_S
+    late = {a.request_id for a in bed.arrivals if a.path == POISON and a.at_s > limit_s}
+    sends = sum(at_s > limit_s for at_s in reached_s)
     bed.record.note(
-        f"the lookup crashed the third runner at {reached_s[2]:.3f} and reached runners "
-        f"{len(late)} times later than {STABLE_S} s after that; {MAX_LATE} are allowed"
+        f"the lookup crashed the third runner at {reached_s[2]:.3f}; later than {STABLE_S} s after "
+        f"that, {len(late)} client attempts reached runners, {sends} times; {MAX_LATE} are allowed"
     )
     return beds.BROKEN if len(late) > MAX_LATE else beds.HELD
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,7 @@
-"""Another writer's entry, of which fields are missing, names a group with a large epoch.
+"""Requests with one part in their prompts crash runners; sound ones share their first part.
 
-The entry is there when the system starts, and is taken away some seconds later. Model runners are
-the project's stand-ins; callers ask for streams only.
+Callers of the sound prompt are quiet for some seconds while the first faulty requests come, and ask
+again afterwards, while the faulty ones still come.
 """
 
 import asyncio
@@ -10,20 +10,22 @@
 
 import aiohttp
 import bed as beds
+import model_runners
 
 from tanagerfork_standins.platform import site as sites
 
-FOREIGN_KEY = "servers/i-foreign"
-EPOCH = 2**53
-TAKEN_AWAY_S = 10.0
-LENGTH_S = 50.0
-STREAMS_PER_S = 4
+FIRST_PART, FAULTY_PART = "5c1e07a2", "91bd3f06"
+RUNNERS, BACK_AFTER_S = 8, 3.0  # A crashed runner is back after some seconds.
+SOUND_PER_S, FAULTY_PER_S = 1.5, 1.0
+BEFORE_S, QUIET_S, AFTER_S = 20.0, 6.0, 40.0
+STABLE_S = 3.0
+MIN_COUNTED = 20
 
 
-async def call_stream(bed: beds.Bed, number: int) -> None:
-    """Ask for a stream on a new connection, and record the status and the last event."""
-    daemon = bed.daemons[number % len(bed.daemons)]
+async def call_stream(bed: beds.Bed, number: int, daemon: beds.Daemon, is_faulty: bool) -> None:
+    """Ask for a stream with a prompt of its own behind the shared parts."""
     request_id = f"{number:016x}"
+    shared = f"{FIRST_PART}:40,{FAULTY_PART}:410" if is_faulty else f"{FIRST_PART}:40"
     headers = {
         "Host": sites.HOST,
         "Tanagerfork-Request-Id": request_id,
@@ -31,79 +33,104 @@
         "Authorization": f"Bearer {sites.API_KEY}",
         "Tanagerfork-Model": sites.SMALL_MODEL,
         "Tanagerfork-Tokens": "674,130",
-        "Tanagerfork-Prefix-Hash": "5c1e07a2:40,e4402b7d:634",
+        "Tanagerfork-Prefix-Hash": f"{shared},{number:08x}:224",
     }
     sent_s = bed.record.now_s
     try:
         async with bed.session.post(
             f"http://{daemon.callers}/stream/note",
             headers=headers,
-            data=b"intake note",
+            data=f"note {number}".encode(),
             timeout=aiohttp.ClientTimeout(total=7),
         ) as response:
             body = await response.read()
-            status, note = response.status, body[-60:].decode("latin-1").replace("\n", " ")
+            status, note = response.status, ""
+            if status != 200:
+                note = body[:120].decode("latin-1")
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         status, note = 0, type(error).__name__
-    bed.answers.append((sent_s, request_id, daemon.name, "/stream/note", status, note))
+    kind = "faulty" if is_faulty else "sound"
+    bed.answers.append((sent_s, request_id, daemon.name, kind, status, note))
 
 
-def write_foreign_entry(bed: beds.Bed) -> None:
-    """Write the entry without `version`, `slots`, `coldLeftMs` and `seq`."""
-    entry = {
-        "service": sites.ENGINE_SERVICE,
-        "address": f"127.0.0.1:{beds.find_port()}",  # Nothing listens there.
-        "zone": "a",
-        "state": "ready",
-        "group": {"name": "g7", "epoch": EPOCH, "rank": 1, "state": "ready"},
-    }
-    bed.record.note(f"another writer writes {FOREIGN_KEY}: {json.dumps(entry)}")
-    bed.store.put(FOREIGN_KEY, json.dumps(entry).encode())
+async def send_streams(bed: beds.Bed, per_s: float, is_faulty: bool) -> None:
+    """Send streams at a steady rate until cancelled.
+
+    Faulty ones come at any machine. The few callers of the sound prompt are all at the last two
+    machines, as the platform chooses the machine by a hash of the client.
+    """
+    tasks: set[asyncio.Task] = set()
+    while True:
+        bed.stream_count += 1
+        daemons = bed.daemons if is_faulty else bed.daemons[2:]
+        daemon = daemons[bed.stream_count % len(daemons)]
+        task = asyncio.create_task(call_stream(bed, bed.stream_count, daemon, is_faulty))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(1 / per_s)
 
 
 async def play(bed: beds.Bed, has_trouble: bool) -> int:
     """Return whether the rule was held; see `bed.run`."""
     await bed.start_platform(0)
-    site = sites.Site(("a",), engine_count=6, plain_count=0)
-    bed.store.put("op/config", json.dumps(site.make_config()).encode())
-    for runner in site.engine_runners:
-        runner._registry = bed.store
+    config = sites.Site(("a",), engine_count=0, plain_count=0).make_config()
+    bed.store.put("op/config", json.dumps(config).encode())
+    runners = [
+        model_runners.CrashingRunner(f"i-a{number}", bed, sites.ENGINE_SERVICE, BACK_AFTER_S)
+        for number in range(RUNNERS)
+    ]
+    for runner in runners:
+        runner.crashing_parts = {FAULTY_PART} if has_trouble else set()
         await runner.start()
     try:
-        if has_trouble:
-            write_foreign_entry(bed)
         await bed.start_daemons(4)
         if not await bed.wait_until_ready():
             return beds.UNABLE
-        await send_streams(bed, has_trouble)
-        for runner in site.engine_runners:
-            bed.record.note(f"{runner.id} has run {sum(r.has_run for r in runner.requests)} requests")
-            bed.record.note(f"{runner.id} is in {runner.membership}")
+        await asyncio.sleep(4.0)
+        await send_in_phases(bed)
+        return judge(bed, runners, has_trouble)
     finally:
-        for runner in site.engine_runners:
-            await runner.stop()
-    served = sum(answer[4] == 200 for answer in bed.answers)
-    late = [answer for answer in bed.answers if answer[0] > TAKEN_AWAY_S + 12]
-    late_served = sum(answer[4] == 200 for answer in late)
-    bed.record.note(f"{served} of {len(bed.answers)} streams were served")
-    bed.record.note(f"from 12 s after the entry was taken away: {late_served} of {len(late)}")
-    return beds.HELD if served else beds.BROKEN
-
-
-async def send_streams(bed: beds.Bed, has_trouble: bool) -> None:
-    """Send streams at a steady rate to the end of the case."""
-    tasks: set[asyncio.Task] = set()
-    number = 0
-    while bed.record.now_s < LENGTH_S:
-        number += 1
-        task = asyncio.create_task(call_stream(bed, number))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        await asyncio.sleep(1 / STREAMS_PER_S)
-        if has_trouble and bed.record.now_s > TAKEN_AWAY_S and FOREIGN_KEY in bed.store.items:
-            bed.store.remove(FOREIGN_KEY)
-            bed.record.note(f"{FOREIGN_KEY} is taken away")
-    await asyncio.gather(*tasks)
+        for runner in runners:
+            await runner.end()
+
+
+async def send_in_phases(bed: beds.Bed) -> None:
+    """Send sound streams, then faulty ones, then both."""
+    bed.record.note("sound streams come")
+    sound = asyncio.create_task(send_streams(bed, SOUND_PER_S, False))
+    await asyncio.sleep(BEFORE_S)
+    sound.cancel()
+    bed.record.note("faulty streams come, callers of the sound prompt are quiet")
+    faulty = asyncio.create_task(send_streams(bed, FAULTY_PER_S, True))
+    await asyncio.sleep(QUIET_S)
+    bed.record.note("sound streams come as well")
+    sound = asyncio.create_task(send_streams(bed, SOUND_PER_S, False))
+    await asyncio.sleep(AFTER_S)
+    sound.cancel()
+    faulty.cancel()
+    await asyncio.sleep(1.0)
+
+
+def judge(bed: beds.Bed, runners: list, has_trouble: bool) -> int:
+    """Return whether sound streams began less than half as often as before the crashes."""
+    begun = {
+        received.request_id for runner in runners for received in runner.requests if received.has_run
+    }
+    crashes = sorted(at_s for runner in runners for at_s in runner.crashed_at_s)
+    bed.record.note(f"{len(crashes)} crashes: {[round(at_s, 1) for at_s in crashes]}")
+    faulty = [answer[0] for answer in bed.answers if answer[3] == "faulty"]
+    counted_s = min(faulty)
+    if crashes:
+        counted_s = crashes[min(4, len(crashes) - 1)] + 2 * STABLE_S
+    sound = [answer for answer in bed.answers if answer[3] == "sound"]
+    before = [answer[1] in begun for answer in sound if answer[0] < min(faulty)]
+    after = [answer[1] in begun for answer in sound if counted_s < answer[0] < max(faulty)]
+    bed.record.note(f"before the first faulty stream {sum(before)} of {len(before)} sound ones began")
+    bed.record.note(f"later than {counted_s:.1f} {sum(after)} of {len(after)} sound ones began")
+    if min(len(before), len(after)) < MIN_COUNTED or (has_trouble and not crashes):
+        return beds.UNABLE
+    share_before, share_after = sum(before) / len(before), sum(after) / len(after)
+    return beds.BROKEN if share_after < share_before / 2 else beds.HELD
 
 
 beds.run(pathlib.Path(__file__).resolve().parent, play)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 [ -d target/deps ] || { echo 'run the build of deploy/system.toml first' >&2; exit 2; }
-PYTHONPATH="target/deps:src:review/support-2" PYTHONDONTWRITEBYTECODE=1 python3 -c 'import bed'
+PYTHONPATH="target/deps:src:review/support-2" PYTHONDONTWRITEBYTECODE=1 python3 -c 'import bed, model_runners'
--- a/review/support-2/bed.py
+++ b/review/support-2/bed.py
@@ -452,6 +452,7 @@
         self.daemons: list[Daemon] = []
         self.answers: list[tuple[float, str, str, str, int, str]] = []
         self._ids = itertools.count(1)
+        self.stream_count = 0
         self.session: aiohttp.ClientSession | None = None
 
     async def start_platform(self, runner_count: int, **options) -> None:
@@ -556,13 +557,16 @@
 
     async def play() -> int:
         bed = Bed(folder)
+        task = asyncio.current_task()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(110):
                 result = await case(bed, os.environ.get("TROUBLE", "1") != "0")
             bed.write_record()
             return result
-        except TimeoutError:
-            bed.record.note("the case took too long")
+        except (TimeoutError, asyncio.CancelledError):
+            bed.record.note("the case took too long, or was ended")
             return UNABLE
         finally:
             await bed.stop()
