--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,7 +17,7 @@
 FIRST_PART, FAULTY_PART = "5c1e07a2", "91bd3f06"
 RUNNERS, BACK_AFTER_S = 8, 3.0  # A crashed runner is back after some seconds.
 SOUND_PER_S, FAULTY_PER_S = 1.5, 1.0
-BEFORE_S, QUIET_S, AFTER_S = 20.0, 6.0, 40.0
+BEFORE_S, QUIET_S, AFTER_S = 20.0, 7.0, 40.0
 STABLE_S = 3.0
 MIN_COUNTED = 20
 
@@ -100,9 +100,11 @@
     sound = asyncio.create_task(send_streams(bed, SOUND_PER_S, False))
     await asyncio.sleep(BEFORE_S)
     sound.cancel()
-    bed.record.note("faulty streams come, callers of the sound prompt are quiet")
+    bed.record.note("the callers of the sound prompt are quiet")
+    await asyncio.sleep(1.0)
+    bed.record.note("faulty streams come")
     faulty = asyncio.create_task(send_streams(bed, FAULTY_PER_S, True))
-    await asyncio.sleep(QUIET_S)
+    await asyncio.sleep(QUIET_S - 1.0)
     bed.record.note("sound streams come as well")
     sound = asyncio.create_task(send_streams(bed, SOUND_PER_S, False))
     await asyncio.sleep(AFTER_S)
