--- a/review/support-2/bed.py
+++ b/review/support-2/bed.py
@@ -36,6 +36,7 @@
 HELD = 0
 BROKEN = 1
 UNABLE = 2
+BROKEN_STATUS = 10  # Python itself ends with 1 after an error.
 
 
 class Record:
@@ -553,7 +554,7 @@
 
 
 def run(folder: pathlib.Path, case) -> None:
-    """Run a case and exit with its result."""
+    """Run a case and exit with its result; see `run-case.sh`."""
 
     async def play() -> int:
         bed = Bed(folder)
@@ -571,4 +572,5 @@
         finally:
             await bed.stop()
 
-    sys.exit(asyncio.run(play()))
+    result = asyncio.run(play())
+    sys.exit(BROKEN_STATUS if result == BROKEN else result)
