Decide on a crash once the service is reached again

Cause: an upstream that refuses connections counts as crashed only if another upstream of the service answers. The request had crashed them all, so the daemon took itself for cut off, ended the check, and never looked again. That none answers shows neither a crash nor a cut.

Change: the check goes on for up to a minute. It waits until the checks of the reach find an upstream of the service again, which costs no probes of its own, and then probes the upstream: another start, refused connections or silence beside an upstream that answers show the crash, the same start shows that there was none. A check without any answer is logged as "crash not decided". `ReachChecks.confirm` now asks for an answer: it also returned True where no upstream was listed that could be asked.

--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -19,6 +19,9 @@
 RESTART_WAIT_MS = 100  # A killed process has released its port by then.
 PROBE_INTERVAL_MS = 400  # Between an unanswered probe and the next one.
 DARK_MS = 2000  # A sound upstream may be silent for a second or so.
+REACH_INTERVAL_MS = 100  # Between looks whether an upstream of the service is reached again.
+# Crashed upstreams start again, and partitions end, after some seconds.
+MAX_CHECK_MS = 60_000
 
 
 def make_fingerprint(request: calls.CallerRequest, team: str) -> str:
@@ -56,8 +59,10 @@
 class CrashWatch:
     """Checks whether an upstream that broke off a response crashed, and suspects the request.
 
-    Refusing connections and a new start show a crash. An upstream that is silent may go on, so that
-    it is probed again; it has crashed if it stays silent while other upstreams are reached.
+    A new start shows a crash; so does refusing connections while another upstream of the service is
+    reached. An upstream that is silent may go on, so that it is probed again; it has crashed if it
+    stays silent while others are reached. While none is reached, either all have crashed or this
+    daemon is cut off: the check goes on once one is reached again.
 
     :param suspects: requests suspected of crashing upstreams.
     :param evidence: parts of prompts suspected of crashing upstreams.
@@ -139,29 +144,49 @@
         task.add_done_callback(self._checks.pop)
 
     async def _run_check(self, check: Check) -> None:
-        if await self._has_crashed(check.upstream, check.run.lost_at_ms):
+        ends_ms = check.run.lost_at_ms + MAX_CHECK_MS
+        has_crashed = await self._probe_for_crash(check.upstream)
+        while has_crashed is None and self._clock.monotonic_ms() < ends_ms:
+            await self._wait_until_reached(check.upstream.service, ends_ms)
+            has_crashed = await self._probe_for_crash(check.upstream)
+        if has_crashed:
             self._record_crash(check)
-
-    async def _has_crashed(self, upstream: members.Upstream, lost_at_ms: float) -> bool:
+        elif has_crashed is None:
+            self._log.note(
+                LOGGER,
+                "crash not decided",
+                request_id=check.lost.request_id,
+                fingerprint=check.lost.fingerprint,
+                upstream=check.upstream.id,
+            )
+
+    async def _probe_for_crash(self, upstream: members.Upstream) -> bool | None:
         """Return whether an upstream crashed, once it answers, refuses or has been silent for long.
 
         :param upstream: upstream.
-        :param lost_at_ms: when it broke off a response.
+        :return: None if no upstream of its service is reached, so that nothing shows it.
         """
+        dark_ms = self._clock.monotonic_ms() + DARK_MS
         wait_ms = RESTART_WAIT_MS
-        while self._clock.monotonic_ms() < lost_at_ms + DARK_MS:
+        while self._clock.monotonic_ms() < dark_ms:
             await self._clock.sleep_ms(wait_ms)
             asked = await self._client.probe(upstream)
             if isinstance(asked, result.Ok):
                 return asked.ok_value.born_at_ms != upstream.born_at_ms
             if type(asked.err_value) is errors.UpstreamUnreachable:
-                return await self._reach_checks.confirm(upstream.service)
+                return await self._reach_checks.confirm(upstream.service) or None
             wait_ms = PROBE_INTERVAL_MS
         if not await self._reach_checks.confirm(upstream.service):
-            return False
+            return None
         asked = await self._client.probe(upstream)  # This daemon may have been cut off until now.
         return isinstance(asked, result.Err) or asked.ok_value.born_at_ms != upstream.born_at_ms
 
+    async def _wait_until_reached(self, service: str, ends_ms: float) -> None:
+        """Wait until an upstream of a service is reached again, which other checks find out."""
+        await self._clock.sleep_ms(PROBE_INTERVAL_MS)
+        while self._reach_checks.is_cut_off(service) and self._clock.monotonic_ms() < ends_ms:
+            await self._clock.sleep_ms(REACH_INTERVAL_MS)
+
     def _record_crash(self, check: Check) -> None:
         lost, run, upstream = check.lost, check.run, check.upstream
         self._metrics.count("relay_crash_losses_total")
--- a/src/tanagerfork/relay/reach_checks.py
+++ b/src/tanagerfork/relay/reach_checks.py
@@ -108,6 +108,13 @@
         """
         return self._lateness.has_used_up(since_ms, limit_ms, self._clock.monotonic_ms())
 
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether no upstream of a service is reached; it is checked again and again then.
+
+        :param service: name of the service.
+        """
+        return self._reach.is_cut_off(service)
+
     async def settle(self, service: str) -> None:
         """Wait until it is known whether a service is reached, where that is in doubt.
 
@@ -119,14 +126,14 @@
             await asyncio.wait({running})
 
     async def confirm(self, service: str) -> bool:
-        """Return whether a service is reached, by a check that begins now or later.
+        """Return whether an upstream of a service answers a check that begins now or later.
 
         :param service: name of the service.
         """
         since_ms = self._clock.monotonic_ms()
         while service in self._running or not self._reach.was_checked_since(service, since_ms):
             await asyncio.wait({self._running.get(service) or self._start(service)})
-        return not self._reach.is_cut_off(service)
+        return self._reach.was_reached_since(service, since_ms)
 
     def call_if_reached(self, service: str, action: Callable[[], None]) -> None:
         """Call a function once it is confirmed that a service is reached; else never.
--- a/src/tanagerfork_standins/platform/runner.py
+++ b/src/tanagerfork_standins/platform/runner.py
@@ -26,6 +26,7 @@
     FAILS = "fails"  # Runs, and fails with the status `failure_status`.
     RESETS = "resets"  # Runs, and the connection is aborted before the response.
     CRASHES = "crashes"  # As RESETS, and the runner shows a new start time.
+    EXITS = "exits"  # Runs, and the runner crashes and starts again `down_s` later.
     RESETS_MIDWAY = "resets_midway"  # The connection is reset within the body.
     TRICKLES = "trickles"  # A stream stalls within its third event, and a byte comes now and then.
     TRUNCATES = "truncates"  # The body is shorter than its Content-Length.
@@ -85,7 +86,7 @@
     `padding_bytes` are added to each event, and to each answer to a path that starts with
     `padded_prefix`. A stream of which nothing is read for `unread_limit_s` is reset and counted in
     `unread_resets`. Its reports have the `extra_report_fields` too, and the ids of
-    its events begin with `id_prefix`.
+    its events begin with `id_prefix`. A crashed runner starts again `down_s` later.
 
     :param runner_id: id of the runner.
     :param service: service that the runner belongs to.
@@ -143,7 +144,9 @@
         self._registry = registry
         self.address = ""
         self.observer: Callable[[Runner, str], None] = lambda runner, event: None
+        self.down_s = 0.0
         self._restarting = asyncio.Lock()
+        self._crash: asyncio.Task[None] | None = None
         self._open_streams: set[asyncio.Transport] = set()
         self._listener = listener.Listener()
         self._listener.app.router.add_get("/report", self._serve_report)
@@ -164,6 +167,7 @@
         """Restart under the same id and with empty state, without removing the entry first."""
         async with self._restarting:
             await self._listener.stop()
+            await asyncio.sleep(self.down_s)
             self.started_ms += 1
             self.membership, self.model = None, ""
             self.order_count = self.highest_epoch = 0
@@ -398,7 +402,9 @@
         if fault is Fault.CRASHES:
             self.started_ms += 1
             self.publish_entry()
-        if fault in (Fault.RESETS, Fault.CRASHES):
+        if fault is Fault.EXITS:
+            self._crash = asyncio.create_task(self.crash())
+        if fault in (Fault.RESETS, Fault.CRASHES, Fault.EXITS):
             transport.abort()
         if fault in (Fault.FULL_SILENTLY, Fault.FAILS):
             status = 503 if fault is Fault.FULL_SILENTLY else self.failure_status
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -43,6 +43,27 @@
             assert sum(len(member.requests) for member in deployed.site.plain_runners) == runs
             assert (await deployed.ask("/safe/other")).status == 200
 
+    async def test_request_that_crashes_all_upstreams_of_its_service_is_quarantined(self) -> None:
+        """A lookup that crashed all upstreams of its service crashed them again when it came."""
+        async with deployments.deploy(engines=0, plain=3, daemon_count=2) as deployed:
+            await deployed.wait_for_rules()
+            await deployed.wait_until(
+                lambda: len(deployed.daemons[0].directory.daemons) == 2, "daemons know each other"
+            )
+            shared_faults = [runner.Fault.EXITS] * 3
+            for member in deployed.site.plain_runners:
+                member.faults, member.down_s = shared_faults, 1.5
+            assert (await deployed.ask("/safe/poison")).status == 502
+            assert (await deployed.ask("/safe/poison", daemon=1)).status in (502, 503)
+            await deployed.wait_until(
+                lambda: len(deployed.log.find("request suspected", '"crashes":2')) >= 2,
+                "both daemons know",
+            )
+            for index in range(2):
+                response = await deployed.ask("/safe/poison", daemon=index)
+                assert response.status == 503 and b"quarantined" in response.body
+            assert (await deployed.ask("/safe/other")).status == 200
+
     async def test_failure_between_two_crashes_does_not_clear_the_request(self) -> None:
         async with deployments.deploy(engines=0, plain=1) as deployed:
             await deployed.wait_for_rules()
@@ -220,11 +241,16 @@
 
 
 class FakeReachChecks:
-    def __init__(self, is_reached: bool) -> None:
-        self.is_reached = is_reached
+    """Reaches an upstream of the service from a time on."""
+
+    def __init__(self, clock: clocks.Clock, reached_ms: float) -> None:
+        self.clock, self.reached_ms = clock, reached_ms
+
+    def is_cut_off(self, service: str) -> bool:
+        return self.clock.monotonic_ms() < self.reached_ms
 
     async def confirm(self, service: str) -> bool:
-        return self.is_reached
+        return not self.is_cut_off(service)
 
 
 class Setting:
@@ -235,11 +261,11 @@
         first: result.Result,
         until_ms: float = 0,
         then: result.Result = SAME_START,
-        is_reached: bool = True,
+        reached_ms: float = 0,
     ) -> None:
         self.clock, lines = SteppedClock(), deployments.LineList()
         self.upstream = FakeUpstream(self.clock, first, until_ms, then)
-        self.reach_checks = FakeReachChecks(is_reached)
+        self.reach_checks = FakeReachChecks(self.clock, reached_ms)
         self.announced: list[fleets.PoisonNotice] = []
         self.counters = metrics.Metrics()
         self.watch = crashes.CrashWatch(
@@ -299,7 +325,21 @@
 
     @pytest.mark.parametrize("first", [*UNANSWERED, REFUSED])
     async def test_daemon_that_is_cut_off_finds_no_crash(self, first: result.Result) -> None:
-        assert await Setting(first, float("inf"), is_reached=False).check() == 0
+        assert await Setting(first, float("inf"), reached_ms=float("inf")).check() == 0
+
+    @pytest.mark.parametrize("first", [REFUSED, SILENT])
+    @pytest.mark.parametrize(
+        "then, crashes", [(NEW_START, 1), (REFUSED, 1), (SILENT, 1), (SAME_START, 0)]
+    )
+    @pytest.mark.parametrize("reached_ms", [1000, 5000, 30_000])
+    async def test_what_shows_a_crash_once_the_service_is_reached_again_counts(
+        self, first: result.Result, then: result.Result, crashes: int, reached_ms: int
+    ) -> None:
+        """A request that crashed all upstreams of its service was never found at fault."""
+        setting = Setting(first, reached_ms, then, reached_ms)
+        assert await setting.check() == len(setting.announced) == crashes
+        assert setting.clock.monotonic_ms() <= reached_ms + self.MAX_CHECK_MS
+        assert setting.upstream.probes <= 2 * self.MAX_PROBES
 
     async def test_cut_that_ends_with_the_check_of_the_reach_is_no_crash(self) -> None:
         setting = Setting(SILENT, float("inf"))
