Count lost runs by when they were under way, in any order

A notice told only how many crashes a request was in flight at, so that a receiver took all of its own runs up to that moment for copies in the same crash: two crashes found 3 s later, after a peer had told of a third one, counted for nothing, and the request stayed free to run. A wave of crashes also began with the crash that was learned first.

Change: notices tell the runs that were lost, each with its crash and its ages, appended to the suspect, so that earlier builds ignore them. Runs are merged by crash and by the time for which they were under way. A notice without runs covers the time until the crash that it tells instead of until now. Waves are ordered by the time of the crashes. The crash is named by the last start of the upstream that a probe has found: the list may still show the start before, which gave two crashes one name, and made a crash of any later loss.

--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -1,6 +1,7 @@
 """Tells a request that crashes upstreams from one whose response was merely lost."""
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable, Sequence
 
@@ -22,6 +23,7 @@
 REACH_INTERVAL_MS = 100  # Between looks whether an upstream of the service is reached again.
 # Crashed upstreams start again, and partitions end, after some seconds.
 MAX_CHECK_MS = 60_000
+MAX_REPLACED = 4096  # Starts of upstreams that are known to have been followed by others.
 
 
 def make_fingerprint(request: calls.CallerRequest, team: str) -> str:
@@ -48,11 +50,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Check:
-    """A check under way; `is_answered` is set if the request was answered completely meanwhile."""
+    """A check under way; `is_answered` is set if the request was answered completely meanwhile.
+
+    `born_at_ms` is the start of the upstream that broke off the response.
+    """
 
     lost: LostRequest
     run: poison.LostRun
     upstream: members.Upstream
+    born_at_ms: int
     is_answered: bool = False
 
 
@@ -84,6 +90,7 @@
         "_log",
         "_metrics",
         "_checks",
+        "_replaced",
     )
 
     def __init__(
@@ -106,6 +113,8 @@
         self._log = log
         self._metrics = metrics
         self._checks: dict[asyncio.Task[None], Check] = {}
+        # Starts that probes have found, by the start before; the list follows later.
+        self._replaced: collections.OrderedDict[tuple[str, int], int] = collections.OrderedDict()
 
     def quarantine_left_ms(self, fingerprint: str, prompt_parts: Sequence[str]) -> float:
         """Return how much longer a request is quarantined, in milliseconds; 0 if it may run.
@@ -137,18 +146,20 @@
         :param lost: request whose response was broken off.
         :param upstream: upstream that broke off the response.
         """
-        run = poison.LostRun(lost.sent_at_ms, self._clock.monotonic_ms())
-        check = Check(lost, run, upstream)
+        born_at_ms = self._find_start(upstream)
+        crash = f"{upstream.id}/{born_at_ms}"
+        run = poison.LostRun(lost.sent_at_ms, self._clock.monotonic_ms(), crash)
+        check = Check(lost, run, upstream, born_at_ms)
         task = asyncio.create_task(self._run_check(check))
         self._checks[task] = check
         task.add_done_callback(self._checks.pop)
 
     async def _run_check(self, check: Check) -> None:
         ends_ms = check.run.lost_at_ms + MAX_CHECK_MS
-        has_crashed = await self._probe_for_crash(check.upstream)
+        has_crashed = await self._probe_for_crash(check)
         while has_crashed is None and self._clock.monotonic_ms() < ends_ms:
             await self._wait_until_reached(check.upstream.service, ends_ms)
-            has_crashed = await self._probe_for_crash(check.upstream)
+            has_crashed = await self._probe_for_crash(check)
         if has_crashed:
             self._record_crash(check)
         elif has_crashed is None:
@@ -160,26 +171,44 @@
                 upstream=check.upstream.id,
             )
 
-    async def _probe_for_crash(self, upstream: members.Upstream) -> bool | None:
+    async def _probe_for_crash(self, check: Check) -> bool | None:
         """Return whether an upstream crashed, once it answers, refuses or has been silent for long.
 
-        :param upstream: upstream.
+        :param check: check of the upstream.
         :return: None if no upstream of its service is reached, so that nothing shows it.
         """
+        upstream = check.upstream
         dark_ms = self._clock.monotonic_ms() + DARK_MS
         wait_ms = RESTART_WAIT_MS
         while self._clock.monotonic_ms() < dark_ms:
             await self._clock.sleep_ms(wait_ms)
             asked = await self._client.probe(upstream)
             if isinstance(asked, result.Ok):
-                return asked.ok_value.born_at_ms != upstream.born_at_ms
+                return self._compare_start(check, asked.ok_value)
             if type(asked.err_value) is errors.UpstreamUnreachable:
                 return await self._reach_checks.confirm(upstream.service) or None
             wait_ms = PROBE_INTERVAL_MS
         if not await self._reach_checks.confirm(upstream.service):
             return None
         asked = await self._client.probe(upstream)  # This daemon may have been cut off until now.
-        return isinstance(asked, result.Err) or asked.ok_value.born_at_ms != upstream.born_at_ms
+        return isinstance(asked, result.Err) or self._compare_start(check, asked.ok_value)
+
+    def _compare_start(self, check: Check, report: members.Report) -> bool:
+        """Return whether a report shows another start than the one that broke off a response."""
+        if report.born_at_ms == check.born_at_ms:
+            return False
+        self._replaced.pop((check.upstream.id, report.born_at_ms), None)  # Else a cycle may arise.
+        self._replaced[check.upstream.id, check.born_at_ms] = report.born_at_ms
+        if len(self._replaced) > MAX_REPLACED:
+            self._replaced.popitem(last=False)
+        return True
+
+    def _find_start(self, upstream: members.Upstream) -> int:
+        """Return the last known start of an upstream, which its entry may not show yet."""
+        born_at_ms = upstream.born_at_ms
+        while (upstream.id, born_at_ms) in self._replaced:
+            born_at_ms = self._replaced[upstream.id, born_at_ms]
+        return born_at_ms
 
     async def _wait_until_reached(self, service: str, ends_ms: float) -> None:
         """Wait until an upstream of a service is reached again, which other checks find out."""
@@ -201,9 +230,8 @@
             upstream=upstream.id,
         )
         now_ms = self._clock.monotonic_ms()
-        crash = f"{upstream.id}/{upstream.born_at_ms}"
         request = lost.fingerprint[:FINGERPRINT_LENGTH]
-        self._evidence.record_crash(lost.prompt_parts, crash, request, run.lost_at_ms, now_ms)
+        self._evidence.record_crash(lost.prompt_parts, run.crash, request, run.lost_at_ms, now_ms)
         if check.is_answered:
             return
         notice = self._suspects.record_crash(lost.fingerprint, upstream.id, now_ms, run)
--- a/src/tanagerfork/relay/suspect_notices.py
+++ b/src/tanagerfork/relay/suspect_notices.py
@@ -15,6 +15,12 @@
         is_quarantined=suspicion.is_quarantined,
         expires_in_ms=suspicion.expires_in_ms,
         age_ms=suspicion.age_ms,
+        runs=[
+            notices.LostRun(
+                crash=run.crash, sent_age_ms=run.sent_age_ms, lost_age_ms=run.lost_age_ms
+            )
+            for run in suspicion.runs
+        ],
     )
 
 
@@ -29,4 +35,5 @@
         suspect.is_quarantined,
         suspect.expires_in_ms,
         suspect.age_ms,
+        tuple(fleets.ToldRun(run.crash, run.sent_age_ms, run.lost_age_ms) for run in suspect.runs),
     )
--- a/src/tanagerfork/routing/fleet.py
+++ b/src/tanagerfork/routing/fleet.py
@@ -22,11 +22,21 @@
     free_slots: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ToldRun:
+    """A run of a request that ended with a crash; `crash` is empty if it is not known which."""
+
+    crash: str
+    sent_age_ms: int
+    lost_age_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class PoisonNotice:
     """A request fingerprint that was in flight when groups crashed.
 
-    `age_ms` is the time since the last crash that counted; -1 if it is not known.
+    `age_ms` is the time since the last crash that counted; -1 if it is not known. `runs` are those
+    that were lost in the crashes; peers of earlier builds tell none.
     """
 
     fingerprint: str
@@ -34,6 +44,7 @@
     is_quarantined: bool
     expires_in_ms: int
     age_ms: int = -1
+    runs: tuple[ToldRun, ...] = ()
 
 
 class Fleet(Protocol):
--- a/src/tanagerfork/routing/poison.py
+++ b/src/tanagerfork/routing/poison.py
@@ -15,22 +15,29 @@
 CORRELATED_CRASH_WINDOW_MS = 2_000
 REPEAT_INTERVAL_MS = 900
 MAX_REPEATS = 2  # Quarantines in one round of notices.
+MAX_TOLD_RUNS = 4  # More than it takes to quarantine.
 # Longer than a notice takes, or two daemons would renew an expired quarantine by turns.
 MIN_REPEATED_MS = 60_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LostRun:
-    """A run of a request that ended with the crash of its group."""
+    """A run of a request that ended with the crash of its group.
+
+    `crash` identifies the crash; empty if it is not known.
+    """
 
     sent_at_ms: float
     lost_at_ms: float
+    crash: str = ""
 
     def overlaps(self, other: "LostRun") -> bool:
-        """Return whether both runs were under way at the same time.
+        """Return whether both runs were under way at the same time, or lost in the same crash.
 
         :param other: other run of the request.
         """
+        if self.crash and self.crash == other.crash:
+            return True
         return self.sent_at_ms < other.lost_at_ms and other.sent_at_ms < self.lost_at_ms
 
 
@@ -46,6 +53,17 @@
     crashed_at_ms: float = float("-inf")
     told_at_ms: float = float("-inf")
 
+    def count(self, run: LostRun) -> bool:
+        """Count a run, unless it overlaps one that was counted; return whether it was counted.
+
+        :param run: run.
+        """
+        if any(run.overlaps(counted) for counted in self.runs):
+            return False
+        self.runs.append(run)
+        self.crashes += 1
+        return True
+
 
 class PoisonRegister:
     """Counts the crashes at which a fingerprint was in flight.
@@ -60,6 +78,9 @@
     cause may be no single request. A request that was first in flight at a later crash of a wave
     becomes a suspect only if it is in flight at another one.
 
+    Crashes are learned in any order, here and from peers, some of them seconds later: runs count by
+    when they were under way and which crash ended them, not by when that was learned.
+
     Quarantines are told to the peers again and again with the time that is left, so that a daemon
     that was restarted knows them, and they end at all daemons at about the same time.
     """
@@ -141,17 +162,17 @@
         suspicion = self._find_unexpired(fingerprint, now_ms)
         is_first_of_wave = self._is_first_of_wave(group, run.lost_at_ms)
         if suspicion is None:
+            doubted = self._find_doubt(fingerprint, now_ms)
+            if doubted is None and not is_first_of_wave:
+                self._doubt(fingerprint, run)
+                return None
             suspicion = Suspicion(0, 0)
-            if not is_first_of_wave:
-                doubted = self._find_doubt(fingerprint, now_ms)
-                if doubted is None:
-                    self._doubt(fingerprint, run)
-                    return None
+            if doubted is not None and not is_first_of_wave:
                 suspicion.runs.append(doubted)
-        if any(run.overlaps(counted) for counted in suspicion.runs):
+            elif doubted is not None and doubted.lost_at_ms > run.lost_at_ms:
+                suspicion.count(doubted)  # A later crash of the wave, which was learned first.
+        if not suspicion.count(run):
             return None
-        suspicion.runs.append(run)
-        suspicion.crashes += 1
         suspicion.is_quarantined = suspicion.crashes >= CRASHES_TO_QUARANTINE
         ttl_ms = QUARANTINE_TTL_MS if suspicion.is_quarantined else SUSPECT_TTL_MS
         suspicion.expires_at_ms = now_ms + ttl_ms
@@ -210,15 +231,25 @@
         suspicion = self._find_unexpired(notice.fingerprint, now_ms) or Suspicion(0, 0)
         if suspicion.is_quarantined:
             return False  # Else quarantines told to and fro would last a little longer each time.
+        for told in notice.runs:
+            suspicion.count(
+                LostRun(now_ms - told.sent_age_ms, now_ms - told.lost_age_ms, told.crash)
+            )
         if notice.crashes > suspicion.crashes:
-            # A run here that was sent before may have been lost in the crash that the peer tells.
-            suspicion.runs.append(LostRun(float("-inf"), now_ms))
+            if not notice.runs:
+                # A run here that was sent before may have been lost in the crash of the peer.
+                ended_ms = crashed_at_ms if notice.age_ms >= 0 else now_ms
+                suspicion.runs.append(LostRun(float("-inf"), ended_ms))
             suspicion.crashes = notice.crashes
         suspicion.crashed_at_ms = max(suspicion.crashed_at_ms, crashed_at_ms)
-        suspicion.is_quarantined = notice.is_quarantined
+        suspicion.is_quarantined = (
+            notice.is_quarantined or suspicion.crashes >= CRASHES_TO_QUARANTINE
+        )
         notice_ttl_ms = min(notice.expires_in_ms, QUARANTINE_TTL_MS)
+        if suspicion.is_quarantined and not notice.is_quarantined:
+            notice_ttl_ms = QUARANTINE_TTL_MS  # By what was known here and what the peer tells.
         suspicion.expires_at_ms = max(suspicion.expires_at_ms, now_ms + notice_ttl_ms)
-        suspicion.peer_trial_until_ms = 0 if notice.is_quarantined else now_ms + trial_ms
+        suspicion.peer_trial_until_ms = 0 if suspicion.is_quarantined else now_ms + trial_ms
         self._store(notice.fingerprint, suspicion)
         return True
 
@@ -226,8 +257,12 @@
         """Return whether the crash of a group begins a wave; losses of one crash come one by one.
 
         Later crashes don't prolong the wave, or a request that causes them would never be counted.
+        One that was earlier and is learned later begins the wave instead.
         """
-        if lost_at_ms - self._wave_began_ms >= CORRELATED_CRASH_WINDOW_MS:
+        after_ms = lost_at_ms - self._wave_began_ms
+        if after_ms <= -CORRELATED_CRASH_WINDOW_MS:
+            return True  # It belongs to an earlier wave, of which no other crash is known.
+        if after_ms < 0 or after_ms >= CORRELATED_CRASH_WINDOW_MS:
             self._wave_began_ms, self._wave_group = lost_at_ms, group
         return group == self._wave_group
 
@@ -265,6 +300,15 @@
         suspicion.is_quarantined,
         suspicion.expires_at_ms - now_ms,
         max(0, round(now_ms - suspicion.crashed_at_ms)),
+        tuple(
+            fleets.ToldRun(
+                run.crash,
+                max(0, round(now_ms - run.sent_at_ms)),
+                max(0, round(now_ms - run.lost_at_ms)),
+            )
+            for run in suspicion.runs[:MAX_TOLD_RUNS]
+            if run.sent_at_ms > float("-inf")
+        ),
     )
 
 
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -199,6 +199,7 @@
 UPSTREAM = members.Upstream("u0", "writer", "", "a", False, 13, born_at_ms=1)
 SAME_START = result.Ok(members.Report(1, 0, False, (), None, 1.0, 0, 0))
 NEW_START = result.Ok(members.Report(2, 0, False, (), None, 1.0, 0, 0))
+LATER_START = result.Ok(members.Report(3, 0, False, (), None, 1.0, 0, 0))
 REFUSED = result.Err(errors.UpstreamUnreachable("refused; go elsewhere"))
 SILENT = result.Err(errors.UpstreamSilent("no answer in time; go elsewhere"))
 NO_CONNECTION = result.Err(errors.ConnectTimedOut("takes no connection; go elsewhere"))
@@ -286,7 +287,8 @@
     async def check(self) -> int:
         """Check a lost request until it is known what it was lost in; return the crashes."""
         others = asyncio.all_tasks()
-        self.watch.check_for_crash(crashes.LostRequest("r1", "print", 0.0), UPSTREAM)
+        sent_at_ms = float(self.clock.monotonic_ms())
+        self.watch.check_for_crash(crashes.LostRequest("r1", "print", sent_at_ms), UPSTREAM)
         await asyncio.wait(asyncio.all_tasks() - others)
         return self.losses
 
@@ -341,6 +343,16 @@
         assert setting.clock.monotonic_ms() <= reached_ms + self.MAX_CHECK_MS
         assert setting.upstream.probes <= 2 * self.MAX_PROBES
 
+    @pytest.mark.parametrize("second, crashes", [(NEW_START, 1), (LATER_START, 2)])
+    async def test_start_that_is_known_already_shows_no_other_crash(
+        self, second: result.Result, crashes: int
+    ) -> None:
+        """The list named the start before, so that any loss seemed to be another crash."""
+        setting = Setting(NEW_START, float("inf"))
+        assert await setting.check() == 1
+        setting.upstream.first = second
+        assert await setting.check() == len(setting.announced) == crashes
+
     async def test_cut_that_ends_with_the_check_of_the_reach_is_no_crash(self) -> None:
         setting = Setting(SILENT, float("inf"))
 
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -241,3 +241,54 @@
             assert not any(register.quarantine_left_ms(key, at_ms + 400) for key in lost)
             for key in lost:
                 register.record_completed(key, at_ms + 400)
+
+
+class TestOrder:
+    """Crashes count the same in whichever order, and however late, they are learned."""
+
+    # Two daemons send a request to three upstreams, one after the other.
+    RUNS = (
+        (0, poison.LostRun(0, 45, "a/1")),
+        (0, poison.LostRun(46, 90, "b/1")),
+        (1, poison.LostRun(95, 140, "c/1")),
+    )
+
+    @pytest.mark.parametrize("order", list(itertools.permutations(range(3))))
+    @pytest.mark.parametrize("learned_ms", [150, 3000, 30_000])
+    def test_request_that_crashed_three_upstreams_is_quarantined_everywhere(
+        self, order, learned_ms
+    ):
+        """Runs before a peer's notice of a later crash were not counted."""
+        registers = [poison.PoisonRegister(), poison.PoisonRegister()]
+        for turn, number in enumerate(order):
+            index, run = self.RUNS[number]
+            now_ms = learned_ms + 100 * turn
+            upstream = run.crash.partition("/")[0]
+            notice = registers[index].record_crash("bad", upstream, now_ms, run)
+            if notice is not None:
+                registers[1 - index].hear(notice, 0, now_ms)
+        for register in registers:
+            assert register.quarantine_left_ms("bad", learned_ms + 1000)
+
+    @pytest.mark.parametrize("delay_ms", [0, 5, 400])
+    def test_copies_lost_in_one_crash_at_two_daemons_count_once(self, delay_ms):
+        registers = [poison.PoisonRegister(), poison.PoisonRegister()]
+        notice = registers[0].record_crash("f", "a", 3000, poison.LostRun(90, 100, "a/1"))
+        registers[1].hear(notice, 0, 3000 + delay_ms)
+        registers[1].record_crash("f", "a", 3500, poison.LostRun(95, 100, "a/1"))
+        assert not registers[1].quarantine_left_ms("f", 4000)
+
+    @pytest.mark.parametrize("order", list(itertools.permutations(range(2))))
+    def test_both_crashes_of_a_wave_count_in_either_order(self, order):
+        register = poison.PoisonRegister()
+        register.record_crash("sound", "a", 3000, poison.LostRun(0, 45, "a/1"))
+        runs = [("a", poison.LostRun(0, 45, "a/1")), ("b", poison.LostRun(46, 90, "b/1"))]
+        for number in order:
+            register.record_crash("bad", runs[number][0], 3100, runs[number][1])
+        assert register.quarantine_left_ms("bad", 3200)
+
+    def test_crash_that_is_learned_after_a_later_wave_is_the_first_of_its_own(self):
+        register = poison.PoisonRegister()
+        register.record_crash("sound", "x", 20_000, poison.LostRun(19_000, 19_500, "x/1"))
+        run = poison.LostRun(0, 100, "a/1")
+        assert register.record_crash("bad", "a", 20_100, run).crashes == 1
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -111,6 +111,7 @@
                     "is_quarantined": True,
                     "expires_in_ms": 900,
                     "age_ms": 40,
+                    "runs": [("LostRun", {"crash": "i-1/5", "sent_age_ms": 90, "lost_age_ms": 40})],
                 },
             )
         ]
