Quarantine a request that was answered before after five crashes only

A request that callers send often with the same content, such as a lookup, is in flight at many crashes. If it was lost twice within seconds, it was quarantined for 15 minutes, at all daemons, and as it may not run then, no answer could clear it.

Cause: that no answer is known here was taken for a sign that there is none. Other daemons may have served the request all the time, and this one did until the crashes.

Change: the last 4,096 fingerprints that were answered completely are kept. Such a request is quarantined after five crashes since its answer, as parts of prompts are; a request that crashes its upstreams is never answered, so that nothing changes for it. A daemon that knows of an answer says so when a peer tells a quarantine, and the peers drop it.

--- a/src/tanagerfork/relay/suspect_notices.py
+++ b/src/tanagerfork/relay/suspect_notices.py
@@ -21,6 +21,7 @@
             )
             for run in suspicion.runs
         ],
+        answered_age_ms=suspicion.answered_age_ms,
     )
 
 
--- a/src/tanagerfork/routing/fleet.py
+++ b/src/tanagerfork/routing/fleet.py
@@ -36,7 +36,8 @@
     """A request fingerprint that was in flight when groups crashed.
 
     `age_ms` is the time since the last crash that counted; -1 if it is not known. `runs` are those
-    that were lost in the crashes; peers of earlier builds tell none.
+    that were lost in the crashes; peers of earlier builds tell none. A notice with an
+    `answered_age_ms` of 0 or more tells only that the request was answered completely, and when.
     """
 
     fingerprint: str
@@ -45,6 +46,7 @@
     expires_in_ms: int
     age_ms: int = -1
     runs: tuple[ToldRun, ...] = ()
+    answered_age_ms: int = -1
 
 
 class Fleet(Protocol):
--- a/src/tanagerfork/routing/poison.py
+++ b/src/tanagerfork/routing/poison.py
@@ -9,9 +9,12 @@
 from tanagerfork.routing import fleet as fleets
 
 CRASHES_TO_QUARANTINE = 2
+# A request that was answered completely before may be in flight at the crashes of another one.
+CRASHES_OF_ANSWERED = 5
 SUSPECT_TTL_MS = 600_000
 QUARANTINE_TTL_MS = 900_000
 MAX_FINGERPRINTS = 10_000
+MAX_ANSWERED = 4096  # Fingerprints of answered requests, those answered last.
 CORRELATED_CRASH_WINDOW_MS = 2_000
 REPEAT_INTERVAL_MS = 900
 MAX_REPEATS = 2  # Quarantines in one round of notices.
@@ -78,6 +81,10 @@
     cause may be no single request. A request that was first in flight at a later crash of a wave
     becomes a suspect only if it is in flight at another one.
 
+    Requests that are sent often with the same content are in flight at many crashes. One that was
+    answered completely before is quarantined after `CRASHES_OF_ANSWERED` crashes since its last
+    answer. Peers may not know of the answer, so they are told when they report a quarantine.
+
     Crashes are learned in any order, here and from peers, some of them seconds later: runs count by
     when they were under way and which crash ended them, not by when that was learned.
 
@@ -89,6 +96,7 @@
         "_suspicions",
         "_doubts",
         "_answered_at_ms",
+        "_answers_to_tell",
         "_trials",
         "_wave_began_ms",
         "_wave_group",
@@ -97,7 +105,8 @@
     def __init__(self) -> None:
         self._suspicions: collections.OrderedDict[str, Suspicion] = collections.OrderedDict()
         self._doubts: collections.OrderedDict[str, LostRun] = collections.OrderedDict()
-        self._answered_at_ms: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._answered_at_ms: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._answers_to_tell: dict[str, None] = {}  # In order, each once.
         self._trials: dict[str, str] = {}
         self._wave_began_ms = float("-inf")
         self._wave_group = ""
@@ -173,7 +182,7 @@
                 suspicion.count(doubted)  # A later crash of the wave, which was learned first.
         if not suspicion.count(run):
             return None
-        suspicion.is_quarantined = suspicion.crashes >= CRASHES_TO_QUARANTINE
+        suspicion.is_quarantined = suspicion.crashes >= self._count_needed(fingerprint)
         ttl_ms = QUARANTINE_TTL_MS if suspicion.is_quarantined else SUSPECT_TTL_MS
         suspicion.expires_at_ms = now_ms + ttl_ms
         suspicion.crashed_at_ms = max(suspicion.crashed_at_ms, run.lost_at_ms)
@@ -186,22 +195,21 @@
         :param fingerprint: fingerprint.
         :param now_ms: monotonic clock, in milliseconds.
         """
-        if not self._suspicions and not self._doubts:
-            return
         self._doubts.pop(fingerprint, None)
-        if self._suspicions.pop(fingerprint, None) is not None:
-            self._answered_at_ms[fingerprint] = now_ms
-            self._answered_at_ms.move_to_end(fingerprint)
-            if len(self._answered_at_ms) > MAX_FINGERPRINTS:
-                self._answered_at_ms.popitem(last=False)
+        suspicion = self._suspicions.pop(fingerprint, None)
+        self._note_answer(fingerprint, now_ms)
+        if suspicion is not None and suspicion.is_quarantined:
+            self._answers_to_tell[fingerprint] = None
 
     def take_repeats(self, now_ms: int) -> list[fleets.PoisonNotice]:
-        """Return the quarantines to tell in a round of notices, those told longest ago first.
+        """Return what to tell in a round of notices: answers that peers lack, and quarantines.
 
-        Peers that have started since, or missed a notice, learn of them in this way.
+        Peers that have started since, or missed a notice, learn of quarantines in this way; those
+        told longest ago come first.
 
         :param now_ms: monotonic clock, in milliseconds.
         """
+        repeats = self._take_answers(now_ms)
         due = [
             (suspicion.told_at_ms, fingerprint)
             for fingerprint, suspicion in self._suspicions.items()
@@ -209,7 +217,6 @@
             and suspicion.expires_at_ms - now_ms >= MIN_REPEATED_MS
             and now_ms - suspicion.told_at_ms >= REPEAT_INTERVAL_MS
         ]
-        repeats = []
         for _, fingerprint in heapq.nsmallest(MAX_REPEATS, due):
             suspicion = self._suspicions[fingerprint]
             suspicion.told_at_ms = now_ms
@@ -224,34 +231,99 @@
         :param now_ms: monotonic clock, in milliseconds.
         :return: whether it tells something new.
         """
+        if notice.answered_age_ms >= 0:
+            return self._hear_answer(notice.fingerprint, now_ms - notice.answered_age_ms, now_ms)
         crashed_at_ms = now_ms - max(0, notice.age_ms)
         answered_at_ms = self._answered_at_ms.get(notice.fingerprint, float("-inf"))
         if notice.age_ms >= 0 and crashed_at_ms <= answered_at_ms:
+            if notice.is_quarantined:
+                self._answers_to_tell[notice.fingerprint] = None
             return False
         suspicion = self._find_unexpired(notice.fingerprint, now_ms) or Suspicion(0, 0)
         if suspicion.is_quarantined:
             return False  # Else quarantines told to and fro would last a little longer each time.
-        for told in notice.runs:
-            suspicion.count(
-                LostRun(now_ms - told.sent_age_ms, now_ms - told.lost_age_ms, told.crash)
-            )
-        if notice.crashes > suspicion.crashes:
-            if not notice.runs:
+        known_crashes = suspicion.crashes
+        self._merge(suspicion, notice, answered_at_ms, now_ms)
+        needed = self._count_needed(notice.fingerprint)
+        suspicion.is_quarantined = suspicion.crashes >= needed
+        if notice.is_quarantined and not suspicion.is_quarantined:
+            if needed == CRASHES_OF_ANSWERED:
+                self._answers_to_tell[notice.fingerprint] = None
+            else:
+                suspicion.is_quarantined = True
+        ttl_ms = min(notice.expires_in_ms, QUARANTINE_TTL_MS)
+        if suspicion.is_quarantined and not notice.is_quarantined:
+            ttl_ms = QUARANTINE_TTL_MS  # By what was known here and what the peer tells.
+        suspicion.expires_at_ms = max(suspicion.expires_at_ms, now_ms + ttl_ms)
+        suspicion.peer_trial_until_ms = 0 if suspicion.is_quarantined else now_ms + trial_ms
+        self._store(notice.fingerprint, suspicion)
+        return suspicion.is_quarantined or suspicion.crashes > known_crashes
+
+    def _merge(
+        self,
+        suspicion: Suspicion,
+        notice: fleets.PoisonNotice,
+        answered_at_ms: float,
+        now_ms: int,
+    ) -> None:
+        """Add the crashes that a peer tells, without those before the last answer."""
+        crashed_at_ms = now_ms - max(0, notice.age_ms)
+        runs = [
+            LostRun(now_ms - told.sent_age_ms, now_ms - told.lost_age_ms, told.crash)
+            for told in notice.runs
+        ]
+        later = [run for run in runs if run.lost_at_ms > answered_at_ms]
+        for run in later:
+            suspicion.count(run)
+        if notice.crashes > suspicion.crashes and len(later) == len(runs):
+            if not runs:
                 # A run here that was sent before may have been lost in the crash of the peer.
                 ended_ms = crashed_at_ms if notice.age_ms >= 0 else now_ms
                 suspicion.runs.append(LostRun(float("-inf"), ended_ms))
             suspicion.crashes = notice.crashes
         suspicion.crashed_at_ms = max(suspicion.crashed_at_ms, crashed_at_ms)
-        suspicion.is_quarantined = (
-            notice.is_quarantined or suspicion.crashes >= CRASHES_TO_QUARANTINE
-        )
-        notice_ttl_ms = min(notice.expires_in_ms, QUARANTINE_TTL_MS)
-        if suspicion.is_quarantined and not notice.is_quarantined:
-            notice_ttl_ms = QUARANTINE_TTL_MS  # By what was known here and what the peer tells.
-        suspicion.expires_at_ms = max(suspicion.expires_at_ms, now_ms + notice_ttl_ms)
-        suspicion.peer_trial_until_ms = 0 if suspicion.is_quarantined else now_ms + trial_ms
-        self._store(notice.fingerprint, suspicion)
-        return True
+
+    def _hear_answer(self, fingerprint: str, answered_at_ms: float, now_ms: int) -> bool:
+        """Apply that a peer knows of an answer; pass it on if it ends a quarantine here."""
+        if answered_at_ms <= self._answered_at_ms.get(fingerprint, float("-inf")):
+            return False
+        self._note_answer(fingerprint, answered_at_ms)
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None:
+            return False
+        was_quarantined = suspicion.is_quarantined
+        if suspicion.crashed_at_ms <= answered_at_ms:
+            del self._suspicions[fingerprint]
+        else:
+            suspicion.is_quarantined = suspicion.crashes >= CRASHES_OF_ANSWERED
+            if suspicion.is_quarantined:
+                return False
+        if was_quarantined:
+            self._answers_to_tell[fingerprint] = None
+        return was_quarantined
+
+    def _take_answers(self, now_ms: int) -> list[fleets.PoisonNotice]:
+        told = list(self._answers_to_tell)[:MAX_REPEATS]
+        notices = []
+        for fingerprint in told:
+            del self._answers_to_tell[fingerprint]
+            answered_at_ms = self._answered_at_ms.get(fingerprint)
+            if answered_at_ms is not None:
+                age_ms = max(0, round(now_ms - answered_at_ms))
+                notices.append(
+                    fleets.PoisonNotice(fingerprint, 1, False, 0, answered_age_ms=age_ms)
+                )
+        return notices
+
+    def _count_needed(self, fingerprint: str) -> int:
+        is_answered = fingerprint in self._answered_at_ms
+        return CRASHES_OF_ANSWERED if is_answered else CRASHES_TO_QUARANTINE
+
+    def _note_answer(self, fingerprint: str, at_ms: float) -> None:
+        self._answered_at_ms[fingerprint] = at_ms
+        self._answered_at_ms.move_to_end(fingerprint)
+        if len(self._answered_at_ms) > MAX_ANSWERED:
+            self._answered_at_ms.popitem(last=False)
 
     def _is_first_of_wave(self, group: str, lost_at_ms: float) -> bool:
         """Return whether the crash of a group begins a wave; losses of one crash come one by one.
