Refuse parts of prompts that look alike only together

Change: parts that were open at the same crashes in the same requests make one quarantine, which refuses requests with all of them only. A request with some of them runs. If it is answered, its parts leave the quarantine at all daemons; if it crashes its upstream, its parts have one crash more than the others, and are quarantined without them 1.5 s later. A request with the faulty part goes on to be refused, as it has the others too, and five crashes find the part where the parts before it change.

Notices have a new field for such combinations, which earlier builds ignore; they find the parts by themselves. What they tell of single parts with the same crashes is taken for a combination. The store keeps combinations under a hash, which earlier builds read as a part that no request has.

--- a/src/tanagerfork/relay/part_notices.py
+++ b/src/tanagerfork/relay/part_notices.py
@@ -4,9 +4,10 @@
 """
 
 from tanagerfork.generated import notices
-from tanagerfork.routing import crash_evidence
+from tanagerfork.routing import crash_evidence, part_quarantines
 
-MAX_CRASHES = 32  # Of a part, which explain crashes of the other parts.
+MAX_CRASHES = 32  # Of a quarantine, which explain crashes of the other parts.
+MAX_PARTS = 256  # Of all quarantines of several parts; the other daemons find the rest themselves.
 
 
 def add_to_notice(
@@ -32,15 +33,35 @@
             )
         else:
             notice.answered_parts.append(notices.AnsweredPart(part=finding.part, age_ms=age_ms))
-    for item in evidence.list_quarantines(now_ms):
-        notice.quarantined_parts.append(
-            notices.QuarantinedPart(
-                part=item.part,
-                crashes=sorted(item.crashes)[:MAX_CRASHES],
-                age_ms=max(0, round(now_ms - item.decided_at_ms)),
-                expires_in_ms=max(0, round(item.until_ms - now_ms)),
+    _add_quarantines(notice, evidence.list_quarantines(now_ms), now_ms)
+
+
+def _add_quarantines(
+    notice: notices.Notice, quarantines: list[part_quarantines.PartQuarantine], now_ms: float
+) -> None:
+    """Add quarantines, those of few parts first; single ones also as earlier builds read them."""
+    notice.quarantines = []
+    told_parts = 0
+    for item in sorted(quarantines, key=lambda found: len(found.parts)):
+        crashes = sorted(item.crashes)[:MAX_CRASHES]
+        age_ms = max(0, round(now_ms - item.decided_at_ms))
+        expires_in_ms = max(0, round(item.until_ms - now_ms))
+        parts = sorted(item.parts)
+        if len(parts) == 1:
+            notice.quarantined_parts.append(
+                notices.QuarantinedPart(
+                    part=parts[0], crashes=crashes, age_ms=age_ms, expires_in_ms=expires_in_ms
+                )
+            )
+        else:
+            told_parts += len(parts)
+            if told_parts > MAX_PARTS:
+                return
+            notice.quarantines.append(
+                notices.Quarantine(
+                    parts=parts, crashes=crashes, age_ms=age_ms, expires_in_ms=expires_in_ms
+                )
             )
-        )
 
 
 def hear(notice: notices.Notice, evidence: crash_evidence.CrashEvidence, now_ms: float) -> None:
@@ -60,11 +81,32 @@
     for answered in notice.answered_parts:
         finding = crash_evidence.PartAnswer(answered.part, now_ms - answered.age_ms)
         evidence.hear(finding, now_ms)
-    for item in notice.quarantined_parts:
+    for item in _list_quarantines(notice):
         until_ms = now_ms + min(item.expires_in_ms, crash_evidence.QUARANTINE_TTL_MS)
         evidence.hear_quarantine(
-            crash_evidence.PartQuarantine(
-                item.part, frozenset(item.crashes), now_ms - item.age_ms, until_ms
+            part_quarantines.PartQuarantine(
+                frozenset(item.parts), frozenset(item.crashes), now_ms - item.age_ms, until_ms
             ),
             now_ms,
         )
+
+
+def _list_quarantines(notice: notices.Notice) -> list[notices.Quarantine]:
+    """Return the quarantines in a notice.
+
+    Earlier builds refuse all parts that were open at the same crashes, each by itself.
+    """
+    single: dict[tuple[str, ...], notices.Quarantine] = {}
+    found = list(notice.quarantines or ())
+    for item in notice.quarantined_parts:
+        quarantine = notices.Quarantine(
+            parts=[item.part],
+            crashes=item.crashes,
+            age_ms=item.age_ms,
+            expires_in_ms=item.expires_in_ms,
+        )
+        if notice.quarantines is not None:
+            found.append(quarantine)
+        elif (known := single.setdefault(tuple(item.crashes), quarantine)) is not quarantine:
+            known.parts.append(item.part)
+    return [*found, *single.values()]
--- a/src/tanagerfork/relay/quarantine.py
+++ b/src/tanagerfork/relay/quarantine.py
@@ -8,24 +8,30 @@
 
 import msgspec
 import result
+import xxhash
 
 from tanagerfork import clock as clocks
 from tanagerfork import decisions, decoding
 from tanagerfork import metrics as metric
-from tanagerfork.routing import crash_evidence
+from tanagerfork.routing import crash_evidence, part_quarantines
 from tanagerfork.storage import key_value
 
 LOGGER = "relay.quarantine"
 PREFIX = "tanagerfork/quarantine/"
 CHECK_INTERVAL_MS = 200
+MAX_LOGGED_PARTS = 32
 # A key that was written before the part was cleared may be seen by a watch after it.
 CLEARED_DOUBT_MS = 30_000
 
 
-class QuarantineRecord(msgspec.Struct):
-    """Value of a key: the starts of the upstreams that crashed."""
+class QuarantineRecord(msgspec.Struct, omit_defaults=True):
+    """Value of a key: the starts of the upstreams that crashed, and the parts if there are several.
+
+    The key of a single part is its id, of several ones a hash.
+    """
 
     crashes: list[str]
+    parts: list[str] = []
 
 
 class QuarantineKeeper:
@@ -67,7 +73,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._known: set[str] = set()
+        self._known: dict[str, part_quarantines.PartQuarantine] = {}
         self._stored: set[str] = set()
 
     async def run(self) -> None:
@@ -77,9 +83,9 @@
             self._log_changes(quarantines)
             if self._is_writer():
                 for item in quarantines:
-                    if item.part not in self._stored:
+                    if _make_name(item) not in self._stored:
                         await self._write(item)
-                await self._remove_cleared({item.part for item in quarantines})
+                await self._remove_cleared({_make_name(item) for item in quarantines})
             await self._clock.sleep_ms(CHECK_INTERVAL_MS)
 
     def note_unreachable(self) -> None:
@@ -107,41 +113,57 @@
                 continue
             self._hear(entry.key.removeprefix(self.prefix), record)
 
-    def _hear(self, part: str, record: QuarantineRecord) -> None:
-        self._stored.add(part)
+    def _hear(self, name: str, record: QuarantineRecord) -> None:
+        self._stored.add(name)
+        parts = frozenset(record.parts or [name])
         now_ms = self._clock.monotonic_ms()
-        if self._evidence.find_answer_ms(part) > now_ms - CLEARED_DOUBT_MS:
+        if any(self._evidence.find_answer_ms(part) > now_ms - CLEARED_DOUBT_MS for part in parts):
             return
         until_ms = now_ms + crash_evidence.QUARANTINE_TTL_MS
         self._evidence.hear_quarantine(
-            crash_evidence.PartQuarantine(part, frozenset(record.crashes), now_ms, until_ms),
+            part_quarantines.PartQuarantine(parts, frozenset(record.crashes), now_ms, until_ms),
             now_ms,
         )
 
-    def _log_changes(self, quarantines: Sequence[crash_evidence.PartQuarantine]) -> None:
+    def _log_changes(self, quarantines: Sequence[part_quarantines.PartQuarantine]) -> None:
         for item in quarantines:
-            if item.part not in self._known:
+            if _make_name(item) not in self._known:
                 self._metrics.count("relay_part_quarantines_total")
                 self._log.note(
-                    LOGGER, "prompt part quarantined", part=item.part, crashes=sorted(item.crashes)
+                    LOGGER,
+                    "prompt part quarantined",
+                    parts=sorted(item.parts)[:MAX_LOGGED_PARTS],
+                    part_count=len(item.parts),
+                    crashes=sorted(item.crashes),
                 )
-        current = {item.part for item in quarantines}
-        for part in sorted(self._known - current):
-            self._log.note(LOGGER, "prompt part released", part=part)
+        current = {_make_name(item): item for item in quarantines}
+        for name in sorted(self._known.keys() - current.keys()):
+            parts = sorted(self._known[name].parts)[:MAX_LOGGED_PARTS]
+            self._log.note(LOGGER, "prompt part released", parts=parts)
         self._known = current
 
-    async def _write(self, item: crash_evidence.PartQuarantine) -> None:
+    async def _write(self, item: part_quarantines.PartQuarantine) -> None:
         granted = await self._store.grant_lease(crash_evidence.QUARANTINE_TTL_MS)
         if isinstance(granted, result.Err):
             return
-        value = msgspec.json.encode(QuarantineRecord(sorted(item.crashes)))
-        written = await self._store.put_leased(PREFIX + item.part, value, granted.ok_value)
+        parts = sorted(item.parts) if len(item.parts) > 1 else []
+        value = msgspec.json.encode(QuarantineRecord(sorted(item.crashes), parts))
+        name = _make_name(item)
+        written = await self._store.put_leased(PREFIX + name, value, granted.ok_value)
         if isinstance(written, result.Ok):
-            self._stored.add(item.part)
+            self._stored.add(name)
 
     async def _remove_cleared(self, quarantined: set[str]) -> None:
-        for part in sorted(self._stored - quarantined):
-            key = PREFIX + part
+        for name in sorted(self._stored - quarantined):
+            key = PREFIX + name
             removed = await self._store.delete_range(key, key + "\0")
             if isinstance(removed, result.Ok):
-                self._stored.discard(part)
+                self._stored.discard(name)
+
+
+def _make_name(item: part_quarantines.PartQuarantine) -> str:
+    """Return the name of a quarantine within its key."""
+    parts = sorted(item.parts)
+    if len(parts) == 1:
+        return parts[0]
+    return "set-" + xxhash.xxh3_128_hexdigest("\0".join(parts).encode())
--- a/src/tanagerfork/routing/crash_evidence.py
+++ b/src/tanagerfork/routing/crash_evidence.py
@@ -17,6 +17,8 @@
 import zlib
 from collections.abc import Iterable, Sequence
 
+from tanagerfork.routing import part_quarantines
+
 CRASHES_TO_QUARANTINE = 3
 # A part that was answered completely before is at fault only after more crashes without an answer.
 CRASHES_OF_ANSWERED_PART = 5
@@ -56,16 +58,6 @@
     at_ms: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PartQuarantine:
-    """A part that is at fault, since when, and until when requests with it are refused."""
-
-    part: str
-    crashes: frozenset[str]
-    decided_at_ms: float
-    until_ms: float
-
-
 @dataclasses.dataclass(slots=True)
 class Sighting:
     """One crash at which a part was open, when it was learned, and the requests with the part."""
@@ -75,6 +67,17 @@
     requests: set[str]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Suspect:
+    """A part that may be at fault, and when that can be decided; the highest rank comes first."""
+
+    part: str
+    rank: tuple[bool, int]
+    crashes: frozenset[str]
+    requests: frozenset[str]
+    settled_ms: float
+
+
 Finding = PartCrash | PartAnswer
 
 
@@ -120,7 +123,7 @@
         self._candidates: set[str] = set()
         self._answered_at_ms: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._answer_told_ms: dict[str, float] = {}
-        self._quarantines: dict[str, PartQuarantine] = {}
+        self._quarantines = part_quarantines.PartQuarantines()
         self._recent: collections.deque[Recent] = collections.deque(maxlen=MAX_RECENT)
         # When the next part can be at fault by what is known.
         self._decide_at_ms = float("-inf")
@@ -158,7 +161,7 @@
         :param now_ms: monotonic clock, in milliseconds.
         """
         for part in parts:
-            if part in self._sightings or part in self._quarantines:
+            if part in self._sightings or self._quarantines.list_with(part):
                 self._add_answer(PartAnswer(part, now_ms), True, now_ms)
             else:
                 self._note_answer(part, now_ms)
@@ -205,38 +208,43 @@
         """Return a key by which the most suspect parts come first."""
         return self.find_answer_ms(part), -len(self._sightings.get(part, ()))
 
-    def list_quarantines(self, now_ms: float) -> list[PartQuarantine]:
+    def list_quarantines(self, now_ms: float) -> list[part_quarantines.PartQuarantine]:
         """Return the parts at fault.
 
         :param now_ms: monotonic clock, in milliseconds.
         """
         self._decide(now_ms)
-        return list(self._quarantines.values())
+        return self._quarantines.items
 
-    def hear_quarantine(self, quarantine: PartQuarantine, now_ms: float) -> None:
-        """Add a part that another daemon found at fault, unless answers known here contradict it.
+    def hear_quarantine(self, quarantine: part_quarantines.PartQuarantine, now_ms: float) -> None:
+        """Add what another daemon found at fault, without parts that answers known here clear.
 
-        :param quarantine: part, by the clock of this daemon.
+        :param quarantine: parts, by the clock of this daemon.
         :param now_ms: monotonic clock, in milliseconds.
         """
-        if not self._can_be_at_fault(quarantine):
-            self._tell_answer(quarantine.part, now_ms)
-            return
-        if quarantine.part not in self._quarantines:
-            self._quarantines[quarantine.part] = quarantine
-            self._candidates.discard(quarantine.part)
-            self._decide_at_ms = float("-inf")
-
-    def _can_be_at_fault(self, quarantine: PartQuarantine) -> bool:
-        """Return whether the answers that are known leave a part at fault."""
-        part = quarantine.part
-        if part not in self._answered_at_ms:
-            return True
-        was_answered_since = self.find_answer_ms(part) >= quarantine.decided_at_ms
-        return not was_answered_since and len(quarantine.crashes) >= CRASHES_OF_ANSWERED_PART
+        for part in quarantine.parts - self._find_possible(quarantine):
+            self._tell_answer(part, now_ms)
+        self._add_quarantine(quarantine)
+        self._decide_at_ms = float("-inf")
 
-    def _count_needed(self, part: str) -> int:
-        return CRASHES_OF_ANSWERED_PART if part in self._answered_at_ms else CRASHES_TO_QUARANTINE
+    def _add_quarantine(self, quarantine: part_quarantines.PartQuarantine) -> None:
+        """Add a quarantine of those parts that can be at fault, if any can."""
+        possible = self._find_possible(quarantine)
+        if possible:
+            self._quarantines.add(dataclasses.replace(quarantine, parts=possible))
+            self._candidates -= possible
+
+    def _find_possible(self, quarantine: part_quarantines.PartQuarantine) -> frozenset[str]:
+        """Return which parts of a quarantine can be at fault by the answers that are known."""
+        possible = frozenset(
+            part
+            for part in quarantine.parts
+            if self.find_answer_ms(part) < quarantine.decided_at_ms
+        )
+        unanswered = frozenset(part for part in possible if part not in self._answered_at_ms)
+        if unanswered or len(quarantine.crashes) < CRASHES_OF_ANSWERED_PART:
+            return unanswered
+        return possible
 
     def find_answer_ms(self, part: str) -> float:
         """Return when a request with a part was last answered completely; -inf if never.
@@ -254,10 +262,7 @@
         if not parts:
             return 0.0
         self._decide(now_ms)
-        if not self._quarantines:
-            return 0.0
-        found = (self._quarantines.get(part) for part in parts)
-        return max((item.until_ms - now_ms for item in found if item is not None), default=0.0)
+        return self._quarantines.find_left_ms(parts, now_ms)
 
     def _add_crash(self, finding: PartCrash, is_own: bool, now_ms: float) -> None:
         part = finding.part
@@ -266,7 +271,7 @@
             self._tell_answer(part, now_ms)
         if finding.at_ms <= answered_at_ms:
             return
-        if part in self._quarantines:
+        if self._quarantines.is_found(part):
             return
         crashes = self._sightings.setdefault(part, {})
         self._sightings.move_to_end(part)
@@ -314,16 +319,25 @@
         is_news = bool(cleared) or (bool(crashes) and known_ms == float("-inf"))
         if not crashes:
             self._drop_sightings(part)
-        quarantine = self._quarantines.get(part)
-        if quarantine is not None and not self._can_be_at_fault(quarantine):
-            del self._quarantines[part]
-            is_news = True
-            if len(crashes) >= CRASHES_TO_QUARANTINE:
-                self._candidates.add(part)
+        is_news |= self._narrow_quarantines(part)
         if is_news:
             self._recent.append(Recent(now_ms, is_own, finding))
             self._decide_at_ms = float("-inf")
 
+    def _narrow_quarantines(self, part: str) -> bool:
+        """Apply the answer of a part to its quarantines; return whether that changed any."""
+        narrowed = [
+            item
+            for item in self._quarantines.list_with(part)
+            if self._find_possible(item) != item.parts
+        ]
+        for item in narrowed:
+            self._quarantines.remove(item)
+            self._add_quarantine(item)
+        if narrowed and len(self._sightings.get(part, ())) >= CRASHES_TO_QUARANTINE:
+            self._candidates.add(part)
+        return bool(narrowed)
+
     def _note_answer(self, part: str, at_ms: float) -> None:
         self._answered_at_ms[part] = at_ms
         self._answered_at_ms.move_to_end(part)
@@ -332,53 +346,72 @@
 
     def _decide(self, now_ms: float) -> None:
         """Quarantine the parts at fault by the evidence, most suspect first."""
-        for part, quarantine in list(self._quarantines.items()):
-            if quarantine.until_ms <= now_ms:
-                del self._quarantines[part]
-                self._decide_at_ms = float("-inf")
+        if self._quarantines.drop_expired(now_ms):
+            self._decide_at_ms = float("-inf")
         while self._candidates and now_ms >= self._decide_at_ms:
             found = self._find_at_fault(now_ms)
-            for part, crashes in found:
-                self._quarantines[part] = PartQuarantine(
-                    part, crashes, now_ms, now_ms + QUARANTINE_TTL_MS
+            for parts, crashes in found:
+                self._candidates -= parts
+                self._add_quarantine(
+                    part_quarantines.PartQuarantine(
+                        parts, crashes, now_ms, now_ms + QUARANTINE_TTL_MS
+                    )
                 )
-                self._candidates.discard(part)
             if not found:
                 return
 
-    def _find_at_fault(self, now_ms: float) -> list[tuple[str, frozenset[str]]]:
-        """Return the most suspect parts, all alike, once their evidence has settled."""
-        explained = {crash for item in self._quarantines.values() for crash in item.crashes}
-        best: list[tuple[str, frozenset[str]]] = []
-        best_rank: tuple[bool, int] = (False, 0)
+    def _find_at_fault(self, now_ms: float) -> list[tuple[frozenset[str], frozenset[str]]]:
+        """Return the most suspect parts, and their crashes, once their evidence has settled.
+
+        Parts that were open at the same crashes in the same requests come together.
+        """
+        weighed = [self._weigh(part, now_ms) for part in sorted(self._candidates)]
+        suspects = [item for item in weighed if item is not None]
+        best_rank = max((item.rank for item in suspects), default=None)
+        alike: dict[frozenset[str], list[Suspect]] = {}
+        for item in suspects:
+            if item.rank == best_rank:
+                alike.setdefault(item.crashes, []).append(item)
+        found: list[tuple[frozenset[str], frozenset[str]]] = []
         settled_ms = float("inf")
-        for part in sorted(self._candidates):
-            counted = {
-                key: sighting
-                for key, sighting in self._sightings[part].items()
-                if key not in explained and sighting.at_ms > now_ms - EVIDENCE_TTL_MS
-            }
-            was_answered = part in self._answered_at_ms
-            needed = self._count_needed(part)
-            requests = {request for item in counted.values() for request in item.requests}
-            distinct = _merge_simultaneous(counted.values())
-            if len(distinct) < needed or len(requests) < MIN_REQUESTS:
-                continue
-            rank = not was_answered, len(distinct)
-            if rank < best_rank:
-                continue
-            if rank > best_rank:
-                best_rank, best, settled_ms = rank, [], float("inf")
-            part_settled_ms = max(
-                distinct[needed - 1].at_ms + SETTLE_MS,
-                sorted(item.known_ms for item in distinct)[needed - 1] + REPLY_MS,
-            )
-            if now_ms >= part_settled_ms:
-                best.append((part, frozenset(counted)))
+        for crashes, group in alike.items():
+            group_settled_ms = max(item.settled_ms for item in group)
+            if now_ms >= group_settled_ms:
+                combined = part_quarantines.combine({item.part: item.requests for item in group})
+                found += [(parts, crashes) for parts in combined]
             else:
-                settled_ms = min(settled_ms, part_settled_ms)
-        self._decide_at_ms = float("-inf") if best else settled_ms
-        return best
+                settled_ms = min(settled_ms, group_settled_ms)
+        self._decide_at_ms = float("-inf") if found else settled_ms
+        return found
+
+    def _weigh(self, part: str, now_ms: float) -> Suspect | None:
+        """Return what speaks against a part; None if that is too little, or nothing new."""
+        explained = self._quarantines.list_explained(part)
+        counted = {
+            key: sighting
+            for key, sighting in self._sightings[part].items()
+            if key not in explained and sighting.at_ms > now_ms - EVIDENCE_TTL_MS
+        }
+        refused = {crash for item in self._quarantines.list_with(part) for crash in item.crashes}
+        was_answered = part in self._answered_at_ms
+        needed = CRASHES_OF_ANSWERED_PART if was_answered else CRASHES_TO_QUARANTINE
+        requests = {request for item in counted.values() for request in item.requests}
+        distinct = _merge_simultaneous(counted.values())
+        if len(distinct) < needed or len(requests) < MIN_REQUESTS or counted.keys() <= refused:
+            return None
+        decisive_at_ms = distinct[needed - 1].at_ms
+        decisive_known_ms = sorted(item.known_ms for item in distinct)[needed - 1]
+        if refused:  # Together with others; the first crash without them decides.
+            later = [sighting for key, sighting in counted.items() if key not in refused]
+            decisive_at_ms = min(sighting.at_ms for sighting in later)
+            decisive_known_ms = min(sighting.known_ms for sighting in later)
+        return Suspect(
+            part,
+            (not was_answered, len(distinct)),
+            frozenset(counted),
+            frozenset(requests),
+            max(decisive_at_ms + SETTLE_MS, decisive_known_ms + REPLY_MS),
+        )
 
 
 def _merge_simultaneous(sightings: Iterable[Sighting]) -> list[Sighting]:
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -418,6 +418,29 @@
             )
             assert deployed.log.find("prompt part released", "bad")
 
+    async def test_parts_that_are_refused_together_are_kept_by_the_store(self) -> None:
+        async with deployments.deploy(engines=0, plain=0) as deployed:
+            await deployed.wait_for_rules(with_upstreams=False)
+            daemon = deployed.daemons[0]
+            now_ms = daemon.clock.monotonic_ms()
+            for number in range(3):
+                at_ms = now_ms - 3000 + 200 * number
+                daemon.evidence.record_crash(
+                    ("f1257", "bad"), f"u{number}", f"r{number}", at_ms, at_ms
+                )
+            await deployed.wait_until(
+                lambda: any("quarantine/set-" in key for key in deployed.site.store.items),
+                "the parts are stored",
+            )
+            await deployed.daemons.pop().stop()
+            await deployed.add_daemon()
+            await deployed.wait_until(
+                lambda: deployed.daemons[0].evidence.list_quarantines(0), "the parts are read"
+            )
+            for prefix, is_refused in (("f1257:1,bad:1,c:1", True), ("f1257:1,c:1", False)):
+                response = await deployed.ask("/stream/x", "POST", Tanagerfork_Prefix_Hash=prefix)
+                assert (b"quarantined" in response.body) == is_refused
+
     async def test_value_that_cannot_be_read_is_logged(self) -> None:
         async with deployments.deploy(engines=0, plain=0) as deployed:
             await deployed.wait_for_rules(with_upstreams=False)
--- a/tests/relay/test_notice_codec.py
+++ b/tests/relay/test_notice_codec.py
@@ -44,7 +44,13 @@
         found = notice_codec.decode(notice_codec.encode(notice, form))
         if form is notice_codec.Form.INSERTED:
             notice = msgspec.structs.replace(
-                notice, demands=[], answers=[], heard=None, wanted_rules=0, rules=""
+                notice,
+                demands=[],
+                answers=[],
+                heard=None,
+                wanted_rules=0,
+                rules="",
+                quarantines=None,
             )
         assert found == notice_codec.ReadNotice(notice, form)
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tanagerfork.routing import crash_evidence as crashes
+from tanagerfork.routing import part_quarantines
 
 SETTLE_MS = crashes.SETTLE_MS
 NEVER = float("-inf")
@@ -21,7 +22,8 @@
 
 
 def list_parts(evidence: crashes.CrashEvidence, now_ms: float) -> list[str]:
-    return sorted(item.part for item in evidence.list_quarantines(now_ms))
+    """Return the parts that are refused, those that are refused only together joined by `+`."""
+    return sorted("+".join(sorted(item.parts)) for item in evidence.list_quarantines(now_ms))
 
 
 class TestQuarantine:
@@ -180,7 +182,9 @@
             evidence = crashes.CrashEvidence()
             if answered_at_ms > NEVER:
                 evidence.record_answer(("bad",), answered_at_ms)
-            quarantine = crashes.PartQuarantine("bad", frozenset(crashed), 1000, 50_000)
+            quarantine = part_quarantines.PartQuarantine(
+                frozenset(("bad",)), frozenset(crashed), 1000, 50_000
+            )
             evidence.hear_quarantine(quarantine, 2000)
             assert list_parts(evidence, 2000) == parts
             told = [] if parts else [crashes.PartAnswer("bad", answered_at_ms)]
@@ -241,6 +245,76 @@
         assert not first.list_recent(101 + crashes.TELL_MS, with_heard=True)
 
 
+class TestPartsThatAreAlike:
+    """Parts that were open at the same crashes in the same requests, and never answered.
+
+    The part at fault made the sound ones before it unusable for ten minutes.
+    """
+
+    def crash_together(self) -> crashes.CrashEvidence:
+        evidence = crashes.CrashEvidence()
+        record_crashes(evidence, ("first", "bad"), [0, 400, 800])
+        assert list_parts(evidence, 5000) == ["bad+first"]
+        return evidence
+
+    def test_only_requests_with_all_of_them_are_refused(self) -> None:
+        evidence = self.crash_together()
+        assert evidence.quarantine_left_ms(("first", "bad", "other"), 5000)
+        assert not evidence.quarantine_left_ms(("first", "other"), 5000)
+        assert not evidence.quarantine_left_ms(("bad",), 5000)
+
+    @pytest.mark.parametrize("answered_at_ms", [-60_000, 6000])
+    def test_answer_of_one_leaves_the_others(self, answered_at_ms: float) -> None:
+        evidence = self.crash_together()
+        evidence.hear(crashes.PartAnswer("first", answered_at_ms), 6000)
+        assert list_parts(evidence, 6000) == ["bad"]
+
+    def test_crash_under_one_of_them_shows_which_is_at_fault(self) -> None:
+        evidence = self.crash_together()
+        evidence.record_crash(("second", "bad"), "v", "s", 6000, 6000)
+        assert list_parts(evidence, 6000 + SETTLE_MS - 1) == ["bad+first"]
+        for number in range(10):  # More of them do not put the decision off.
+            at_ms = 6100 + 100 * number
+            evidence.record_crash(("second", "bad"), f"v{number}", f"s{number}", at_ms, at_ms)
+        assert list_parts(evidence, 6000 + SETTLE_MS) == ["bad"]
+
+    def test_answer_after_a_crash_of_another_cause_keeps_the_sound_one(self) -> None:
+        evidence = self.crash_together()
+        evidence.record_crash(("first", "other"), "v", "s", 6000, 6000)
+        evidence.record_answer(("first", "other"), 6500)
+        assert list_parts(evidence, 6000 + SETTLE_MS) == ["bad"]
+
+    def test_parts_of_different_requests_are_refused_each_by_itself(self) -> None:
+        """No request has both, so that a quarantine of both would refuse nothing."""
+        evidence = crashes.CrashEvidence()
+        for index, at_ms in enumerate((0, 400, 800)):
+            evidence.record_crash(("bad",), f"u{index}", f"r{index}", at_ms, at_ms)
+            evidence.record_crash(("rare",), f"u{index}", f"s{index}", at_ms, at_ms)
+        assert list_parts(evidence, 5000) == ["bad", "rare"]
+
+    def test_sound_neighbours_that_share_a_part_are_served(self) -> None:
+        evidence = crashes.CrashEvidence()
+        for index, at_ms in enumerate((0, 400, 800)):
+            evidence.record_crash(("first", "bad"), f"u{index}", f"r{index}", at_ms, at_ms)
+            evidence.record_crash(("first", f"d{index}"), f"u{index}", f"s{index}", at_ms, at_ms)
+        assert list_parts(evidence, 5000) == ["bad+first"]
+
+    def test_part_at_fault_behind_other_parts_each_time_is_found_in_five_crashes(self) -> None:
+        evidence = crashes.CrashEvidence()
+        for index in range(5):
+            parts = (f"f{index // 3}", "bad")
+            evidence.record_crash(parts, f"u{index}", f"r{index}", 400 * index, 400 * index)
+        assert list_parts(evidence, 1600 + SETTLE_MS) == ["bad"]
+
+    def test_finding_of_another_daemon_is_narrowed_by_answers_here(self) -> None:
+        teller, receiver = self.crash_together(), crashes.CrashEvidence()
+        receiver.record_answer(("first",), -60_000)
+        exchange([teller, receiver], 6000)
+        assert list_parts(receiver, 6000) == ["bad"]
+        exchange([teller, receiver], 6300)
+        assert list_parts(teller, 6300) == ["bad"]
+
+
 class TestLongPrompts:
     """Parts of prompts as long as the largest header allows, lost at one daemon after the other."""
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -152,4 +152,4 @@
             for part, value in (("p", b'{"parts": []}'), ("q", b'{"crashes": ["i-1/5"], "x": 1}'))
         ]
         keeper.apply_snapshot(entries)
-        assert [item.part for item in evidence.list_quarantines(0)] == ["q"]
+        assert [set(item.parts) for item in evidence.list_quarantines(0)] == [{"q"}]
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -112,6 +112,7 @@
                     "expires_in_ms": 900,
                     "age_ms": 40,
                     "runs": [("LostRun", {"crash": "i-1/5", "sent_age_ms": 90, "lost_age_ms": 40})],
+                    "answered_age_ms": 70,
                 },
             )
         ]
@@ -126,6 +127,14 @@
             )
         ]
     },
+    "quarantines": {
+        "quarantines": [
+            (
+                "Quarantine",
+                {"parts": ["a", "b"], "crashes": ["i-1/5"], "age_ms": 40, "expires_in_ms": 900},
+            )
+        ]
+    },
     "wanted rules": {"wanted_rules": 8},
     "rules": {"rules": "eJwDAAAAAAE="},
     "leaving": {"leaving": [("LeavingUpstream", {"upstream": "i-1", "born_at_ms": 1_700_000})]},
