Take an answer for survival only some time after the loss

Cause: the first probe follows 100 ms after the loss, "as a killed process has released its port by then". An ending process that still answered it, also over a connection that was open, was taken for a sound one that had merely lost a response, and was not looked at again. So no crash was ever counted.

Change: an answer of the same start counts from 1.5 s after the loss on; an earlier one is followed by one more probe then. A new start or a refused connection still show a crash at once.

--- a/src/tanagerfork/relay/crashes.py
+++ b/src/tanagerfork/relay/crashes.py
@@ -19,6 +19,9 @@
 MAX_LOGGED_PARTS = 32
 RESTART_WAIT_MS = 100  # A killed process has released its port by then.
 PROBE_INTERVAL_MS = 400  # Between an unanswered probe and the next one.
+# A process that ends may answer for a while after it broke off responses, so that only an answer
+# this long after the loss shows that it goes on.
+SURVIVAL_MS = 1500
 DARK_MS = 2000  # A sound upstream may be silent for a second or so.
 REACH_INTERVAL_MS = 100  # Between looks whether an upstream of the service is reached again.
 # Crashed upstreams start again, and partitions end, after some seconds.
@@ -66,9 +69,10 @@
     """Checks whether an upstream that broke off a response crashed, and suspects the request.
 
     A new start shows a crash; so does refusing connections while another upstream of the service is
-    reached. An upstream that is silent may go on, so that it is probed again; it has crashed if it
-    stays silent while others are reached. While none is reached, either all have crashed or this
-    daemon is cut off: the check goes on once one is reached again.
+    reached. An answer of the same start shows that there was none, unless it comes at once. An
+    upstream that is silent may go on, so that it is probed again; it has crashed if it stays silent
+    while others are reached. While none is reached, either all have crashed or this daemon is cut
+    off: the check goes on once one is reached again.
 
     :param suspects: requests suspected of crashing upstreams.
     :param evidence: parts of prompts suspected of crashing upstreams.
@@ -179,15 +183,19 @@
         """
         upstream = check.upstream
         dark_ms = self._clock.monotonic_ms() + DARK_MS
-        wait_ms = RESTART_WAIT_MS
+        wait_ms: float = RESTART_WAIT_MS
         while self._clock.monotonic_ms() < dark_ms:
             await self._clock.sleep_ms(wait_ms)
             asked = await self._client.probe(upstream)
+            wait_ms = PROBE_INTERVAL_MS
             if isinstance(asked, result.Ok):
-                return self._compare_start(check, asked.ok_value)
-            if type(asked.err_value) is errors.UpstreamUnreachable:
+                has_crashed = self._compare_start(check, asked.ok_value)
+                left_ms = check.run.lost_at_ms + SURVIVAL_MS - self._clock.monotonic_ms()
+                if has_crashed or left_ms <= 0:
+                    return has_crashed
+                wait_ms = max(wait_ms, left_ms)
+            elif type(asked.err_value) is errors.UpstreamUnreachable:
                 return await self._reach_checks.confirm(upstream.service) or None
-            wait_ms = PROBE_INTERVAL_MS
         if not await self._reach_checks.confirm(upstream.service):
             return None
         asked = await self._client.probe(upstream)  # This daemon may have been cut off until now.
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -318,6 +318,17 @@
         assert await setting.check() == len(setting.announced) == 1
         assert setting.clock.monotonic_ms() <= silence_ms + 2 * FakeUpstream.PROBE_TIMEOUT_MS
 
+    @pytest.mark.parametrize("shown", [NEW_START, REFUSED, SILENT, NO_CONNECTION])
+    @pytest.mark.parametrize("ends_ms", [101, 300, 1000])
+    async def test_upstream_that_answers_until_its_process_ends_has_crashed(
+        self, ends_ms: int, shown: result.Result
+    ) -> None:
+        """A port that stayed open 0.3 s longer hid all crashes of a request from its daemons."""
+        setting = Setting(SAME_START, ends_ms, shown)
+        assert await setting.check() == len(setting.announced) == 1
+        assert setting.clock.monotonic_ms() <= self.MAX_CHECK_MS
+        assert setting.upstream.probes <= self.MAX_PROBES
+
     @pytest.mark.parametrize("first", UNANSWERED)
     async def test_upstream_that_stays_dark_counts_as_crashed(self, first: result.Result) -> None:
         setting = Setting(first, float("inf"))
