Keep the requests that crash upstreams in the store

Telling it again helps as long as one that knows it runs, and is known to the others by the list of daemons. Parts of prompts are kept in the store for this; requests were not.

Change: the daemons that write the quarantined parts write the requests, too, at most 200, with the time that is left; they are removed once one is answered completely.

--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -100,6 +100,7 @@
         )
         self.metrics.collect_from(self.capacities.write_metrics)
         self.evidence = crash_evidence.CrashEvidence(clock.monotonic_ms())
+        self.suspects = poison.PoisonRegister()
         self.evacuation = evacuation.EvacuationFollower(
             config.EVACUATION_PREFIX,
             self.view,
@@ -178,7 +179,6 @@
             lambda: self.peers.rules_exchange.want(),
             lambda name: self.peers.tell_version(name),
         )
-        suspects = poison.PoisonRegister()
         self._client = runners.RunnerClient(
             self._session,
             self._unpooled_session,
@@ -223,7 +223,7 @@
             send_records.SendRecords(self.view, self.book, self.clock, self.log, self.metrics),
             self.metrics,
             crashes.CrashWatch(
-                suspects,
+                self.suspects,
                 self.evidence,
                 self._client,
                 self._reach_checks,
@@ -255,7 +255,7 @@
             self.book,
             fleet_sums.FleetSums(self.book, self._demands, self.capacities, own_cohorts),
             self._send_limits,
-            suspects,
+            self.suspects,
             self.evidence,
             self.feed,
             self._reach,
@@ -268,7 +268,13 @@
         )
         record.address = self.peers.address
         self._quarantine_keeper = quarantine.QuarantineKeeper(
-            self.store, self.evidence, own_cohorts.is_source, self.clock, self.log, self.metrics
+            self.store,
+            self.evidence,
+            self.suspects,
+            own_cohorts.is_source,
+            self.clock,
+            self.log,
+            self.metrics,
         )
         await self._listeners.listen(
             front.build_readiness_app(self._is_ready), settings.readiness, MAX_ADMIN_CONNECTIONS
--- a/src/tanagerfork/relay/quarantine.py
+++ b/src/tanagerfork/relay/quarantine.py
@@ -1,10 +1,12 @@
-"""Quarantine: keeps the parts of prompts that crash upstreams in the store.
+"""Quarantine: keeps what crashes upstreams in the store, requests and parts of prompts.
 
-Daemons tell each other of these parts, but a restart of all of them at once would lose what they
-know, and more upstreams would crash before it is found again.
+Daemons tell each other of these, but a restart of all of them at once would lose what they know,
+and more upstreams would crash before it is found again. A daemon that the others do not know yet
+reads it there, too.
 """
 
-from collections.abc import Callable, Sequence
+import dataclasses
+from collections.abc import Callable, Iterable, Sequence, Set
 
 import msgspec
 import result
@@ -13,32 +15,50 @@
 from tanagerfork import clock as clocks
 from tanagerfork import decisions, decoding
 from tanagerfork import metrics as metric
-from tanagerfork.routing import crash_evidence, part_quarantines
+from tanagerfork.routing import crash_evidence, part_quarantines, poison
+from tanagerfork.routing import fleet as fleets
 from tanagerfork.storage import key_value
 
 LOGGER = "relay.quarantine"
 PREFIX = "tanagerfork/quarantine/"
 CHECK_INTERVAL_MS = 200
 MAX_LOGGED_PARTS = 32
+MAX_REQUESTS = 200  # In the store; bounds its keys if very many requests crash upstreams.
+MIN_STORED_MS = 60_000  # A shorter rest is not worth a lease.
+REQUEST_PREFIX = "request-"
+MAX_LEASE_MS = 600_000  # The longest that a store grants.
 # A key that was written before the part was cleared may be seen by a watch after it.
 CLEARED_DOUBT_MS = 30_000
 
 
 class QuarantineRecord(msgspec.Struct, omit_defaults=True):
-    """Value of a key: the starts of the upstreams that crashed, and the parts if there are several.
+    """Value of a key: the starts of the upstreams that crashed, and what crashed them.
 
-    The key of a single part is its id, of several ones a hash.
+    The key of a single part ends in its id, that of several ones in a hash; only then `parts` are
+    listed. `request` is a fingerprint, and empty for parts; `expires_unix_ms` is the end of its
+    quarantine.
     """
 
     crashes: list[str]
     parts: list[str] = []
+    request: str = ""
+    expires_unix_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoredItem:
+    """Value for a key, and how long the key is to live."""
+
+    record: QuarantineRecord
+    ttl_ms: int
 
 
 class QuarantineKeeper:
-    """Writes the parts at fault to the store and reads those that other daemons wrote.
+    """Writes what is quarantined to the store and reads what other daemons wrote.
 
     :param store: store.
-    :param evidence: evidence of this daemon.
+    :param evidence: parts of prompts that this daemon knows to be at fault.
+    :param suspects: requests that it knows to be.
     :param is_writer: whether this daemon writes; a few of the daemons are enough.
     :param clock: clock to wait on.
     :param log: decision log.
@@ -49,6 +69,7 @@
         "prefix",
         "_store",
         "_evidence",
+        "_suspects",
         "_is_writer",
         "_clock",
         "_log",
@@ -61,6 +82,7 @@
         self,
         store: key_value.LeasingKeyValue,
         evidence: crash_evidence.CrashEvidence,
+        suspects: poison.PoisonRegister,
         is_writer: Callable[[], bool],
         clock: clocks.Clock,
         log: decisions.DecisionLog,
@@ -69,6 +91,7 @@
         self.prefix = PREFIX
         self._store = store
         self._evidence = evidence
+        self._suspects = suspects
         self._is_writer = is_writer
         self._clock = clock
         self._log = log
@@ -79,15 +102,41 @@
     async def run(self) -> None:
         """Keep the store in step with what this daemon knows, until cancelled."""
         while True:
-            quarantines = self._evidence.list_quarantines(self._clock.monotonic_ms())
+            now_ms = self._clock.monotonic_ms()
+            quarantines = self._evidence.list_quarantines(now_ms)
             self._log_changes(quarantines)
             if self._is_writer():
-                for item in quarantines:
-                    if _make_name(item) not in self._stored:
-                        await self._write(item)
-                await self._remove_cleared({_make_name(item) for item in quarantines})
+                items = self._list_items(quarantines, now_ms)
+                for name, item in items.items():
+                    if name not in self._stored:
+                        await self._write(name, item)
+                await self._remove_cleared(items.keys())
             await self._clock.sleep_ms(CHECK_INTERVAL_MS)
 
+    def _list_items(
+        self, quarantines: Iterable[part_quarantines.PartQuarantine], now_ms: int
+    ) -> dict[str, StoredItem]:
+        items = {
+            _make_name(item): StoredItem(
+                QuarantineRecord(
+                    sorted(item.crashes), sorted(item.parts) if len(item.parts) > 1 else []
+                ),
+                crash_evidence.QUARANTINE_TTL_MS,
+            )
+            for item in quarantines
+        }
+        wall_ms = self._clock.wall_ms()
+        for request in self._suspects.list_quarantines(now_ms, MAX_REQUESTS):
+            record = QuarantineRecord(
+                list(request.crashes),
+                request=request.fingerprint,
+                expires_unix_ms=wall_ms + request.left_ms,
+            )
+            ttl_ms = min(MAX_LEASE_MS, request.left_ms)
+            if ttl_ms >= MIN_STORED_MS:
+                items[REQUEST_PREFIX + request.fingerprint] = StoredItem(record, ttl_ms)
+        return items
+
     def note_unreachable(self) -> None:
         """Keep the known parts; see `followers.KeyFollower.note_unreachable`."""
 
@@ -115,8 +164,11 @@
 
     def _hear(self, name: str, record: QuarantineRecord) -> None:
         self._stored.add(name)
-        parts = frozenset(record.parts or [name])
         now_ms = self._clock.monotonic_ms()
+        if name.startswith(REQUEST_PREFIX):
+            self._hear_request(record, now_ms)
+            return
+        parts = frozenset(record.parts or [name])
         if any(self._evidence.find_answer_ms(part) > now_ms - CLEARED_DOUBT_MS for part in parts):
             return
         until_ms = now_ms + crash_evidence.QUARANTINE_TTL_MS
@@ -125,6 +177,21 @@
             now_ms,
         )
 
+    def _hear_request(self, record: QuarantineRecord, now_ms: int) -> None:
+        left_ms = min(record.expires_unix_ms - self._clock.wall_ms(), poison.QUARANTINE_TTL_MS)
+        if not record.request or left_ms <= 0:
+            return
+        crashes = max(poison.CRASHES_TO_QUARANTINE, len(record.crashes))
+        notice = fleets.PoisonNotice(record.request, crashes, True, left_ms)
+        if self._suspects.hear(notice, 0, now_ms):
+            self._log.note(
+                LOGGER,
+                "request suspected",
+                fingerprint=record.request,
+                crashes=crashes,
+                told_by="the store",
+            )
+
     def _log_changes(self, quarantines: Sequence[part_quarantines.PartQuarantine]) -> None:
         for item in quarantines:
             if _make_name(item) not in self._known:
@@ -142,18 +209,16 @@
             self._log.note(LOGGER, "prompt part released", parts=parts)
         self._known = current
 
-    async def _write(self, item: part_quarantines.PartQuarantine) -> None:
-        granted = await self._store.grant_lease(crash_evidence.QUARANTINE_TTL_MS)
+    async def _write(self, name: str, item: StoredItem) -> None:
+        granted = await self._store.grant_lease(item.ttl_ms)
         if isinstance(granted, result.Err):
             return
-        parts = sorted(item.parts) if len(item.parts) > 1 else []
-        value = msgspec.json.encode(QuarantineRecord(sorted(item.crashes), parts))
-        name = _make_name(item)
+        value = msgspec.json.encode(item.record)
         written = await self._store.put_leased(PREFIX + name, value, granted.ok_value)
         if isinstance(written, result.Ok):
             self._stored.add(name)
 
-    async def _remove_cleared(self, quarantined: set[str]) -> None:
+    async def _remove_cleared(self, quarantined: Set[str]) -> None:
         for name in sorted(self._stored - quarantined):
             key = PREFIX + name
             removed = await self._store.delete_range(key, key + "\0")
--- a/src/tanagerfork/routing/poison.py
+++ b/src/tanagerfork/routing/poison.py
@@ -68,6 +68,15 @@
         return True
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class QuarantinedRequest:
+    """A request that is refused, the crashes that are known by name, and for how much longer."""
+
+    fingerprint: str
+    crashes: tuple[str, ...]
+    left_ms: int
+
+
 class PoisonRegister:
     """Counts the crashes at which a fingerprint was in flight.
 
@@ -120,6 +129,26 @@
         suspicion = self._find_unexpired(fingerprint, now_ms)
         return suspicion.expires_at_ms - now_ms if suspicion and suspicion.is_quarantined else 0
 
+    def list_quarantines(self, now_ms: int, limit: int) -> list[QuarantinedRequest]:
+        """Return the quarantined requests; of many, those that stay so for the longest time.
+
+        :param now_ms: monotonic clock, in milliseconds.
+        :param limit: maximum number.
+        """
+        quarantined = [
+            (suspicion.expires_at_ms - now_ms, fingerprint)
+            for fingerprint, suspicion in self._suspicions.items()
+            if suspicion.is_quarantined and suspicion.expires_at_ms > now_ms
+        ]
+        return [
+            QuarantinedRequest(
+                fingerprint,
+                tuple(run.crash for run in self._suspicions[fingerprint].runs if run.crash),
+                left_ms,
+            )
+            for left_ms, fingerprint in heapq.nlargest(limit, quarantined)
+        ]
+
     def peer_trial_left_ms(self, fingerprint: str, now_ms: int) -> int:
         """Return how long a peer may still run a suspect, in milliseconds; 0 if none does.
 
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -9,7 +9,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork import decisions, errors, metrics
 from tanagerfork.platform import runners
-from tanagerfork.relay import crashes, members, peers
+from tanagerfork.relay import crashes, members, peers, quarantine
 from tanagerfork.relay import daemon as daemons
 from tanagerfork.routing import crash_evidence, poison
 from tanagerfork.routing import fleet as fleets
@@ -119,6 +119,7 @@
     ) -> None:
         """With a fan-out of 1 the daemons count as a large fleet, whose sources pass notices on."""
         monkeypatch.setattr(peers, "FANOUT", fanout)
+        monkeypatch.setattr(quarantine, "MAX_REQUESTS", 0)  # Else they learn it from the store.
         async with deployments.deploy(engines=0, plain=3) as deployed:
             await deployed.wait_for_rules()
             shared_faults = [CRASHES] * 2
@@ -429,6 +430,46 @@
             )
             assert deployed.log.find("prompt part released", "bad")
 
+    async def test_request_is_refused_after_a_restart_of_all_daemons(self) -> None:
+        """Each time that all daemons were killed at once, the request crashed upstreams again."""
+        async with deployments.deploy(engines=0, plain=3, daemon_count=2) as deployed:
+            await deployed.wait_for_rules()
+            shared_faults = [CRASHES] * 2
+            for member in deployed.site.plain_runners:
+                member.faults = shared_faults
+            assert (await deployed.ask("/safe/poison")).status == 502
+            await deployed.wait_until(
+                lambda: any("quarantine/request-" in key for key in deployed.site.store.items),
+                "the request is stored",
+            )
+            runs = sum(len(member.requests) for member in deployed.site.plain_runners)
+            for daemon in deployed.daemons:
+                await daemon.stop()
+            deployed.daemons.clear()
+            await deployed.add_daemon()
+            await deployed.wait_for_rules()
+            response = await deployed.ask("/safe/poison")
+            assert response.status == 503 and b"quarantined" in response.body
+            left_s = poison.QUARANTINE_TTL_MS / 1000
+            assert left_s - 30 < float(response.headers["Retry-After"]) <= left_s
+            assert sum(len(member.requests) for member in deployed.site.plain_runners) == runs
+            assert (await deployed.ask("/safe/other")).status == 200
+
+    async def test_request_that_is_answered_leaves_the_store(self) -> None:
+        async with deployments.deploy(engines=0, plain=0) as deployed:
+            await deployed.wait_for_rules(with_upstreams=False)
+            daemon = deployed.daemons[0]
+            now_ms = daemon.clock.monotonic_ms()
+            daemon.suspects.hear(fleets.PoisonNotice("f1", 2, True, 800_000), 0, now_ms)
+            key = "tanagerfork/quarantine/request-f1"
+            await deployed.wait_until(
+                lambda: key in deployed.site.store.items, "the request is stored"
+            )
+            daemon.suspects.record_completed("f1", daemon.clock.monotonic_ms())
+            await deployed.wait_until(
+                lambda: key not in deployed.site.store.items, "the request is removed"
+            )
+
     async def test_parts_that_are_refused_together_are_kept_by_the_store(self) -> None:
         async with deployments.deploy(engines=0, plain=0) as deployed:
             await deployed.wait_for_rules(with_upstreams=False)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -10,7 +10,7 @@
 from tanagerfork import decisions
 from tanagerfork import metrics as metric
 from tanagerfork.relay import assignment_record, daemon_directory, quarantine
-from tanagerfork.routing import crash_evidence
+from tanagerfork.routing import crash_evidence, poison
 from tanagerfork.storage import key_value
 from tests import fakes, test_upgrades
 from tests.relay import deployments
@@ -145,7 +145,13 @@
     def test_part_whose_record_cannot_be_read_is_not_quarantined(self) -> None:
         evidence = crash_evidence.CrashEvidence()
         keeper = quarantine.QuarantineKeeper(
-            None, evidence, lambda: False, clocks.ManualClock(), LOG, metric.Metrics()
+            None,
+            evidence,
+            poison.PoisonRegister(),
+            lambda: False,
+            clocks.ManualClock(),
+            LOG,
+            metric.Metrics(),
         )
         entries = [
             key_value.Entry(quarantine.PREFIX + part, value, 5)
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -214,7 +214,12 @@
     "keeps_regions": True,
     "is_leaving": True,
 }
-QUARANTINE: Fields = {"crashes": ["i-1@5"]}
+QUARANTINE: Fields = {
+    "crashes": ["i-1@5"],
+    "parts": ["a", "b"],
+    "request": "f1",
+    "expires_unix_ms": 1_800_000_000_000,
+}
 ORDER: Fields = {
     "op": "join",
     "group": "a-3",
