Keep combined parts and requests under keys that earlier builds do not read

Change: such keys begin with tanagerfork/quarantined/, which no earlier build reads. One read and one watch cover all keys, so that the prefix costs no call.

--- a/src/tanagerfork/relay/quarantine.py
+++ b/src/tanagerfork/relay/quarantine.py
@@ -20,12 +20,15 @@
 from tanagerfork.storage import key_value
 
 LOGGER = "relay.quarantine"
-PREFIX = "tanagerfork/quarantine/"
+PREFIX = "tanagerfork/quarantine"  # Of all keys.
+PART_PREFIX = PREFIX + "/"
+# Builds up to 05230a5 take each key of PART_PREFIX for a part that explains its crashes.
+PARTS_PREFIX = PREFIX + "d/parts/"
+REQUEST_PREFIX = PREFIX + "d/requests/"
 CHECK_INTERVAL_MS = 200
 MAX_LOGGED_PARTS = 32
 MAX_REQUESTS = 200  # In the store; bounds its keys if very many requests crash upstreams.
 MIN_STORED_MS = 60_000  # A shorter rest is not worth a lease.
-REQUEST_PREFIX = "request-"
 MAX_LEASE_MS = 600_000  # The longest that a store grants.
 # A key that was written before the part was cleared may be seen by a watch after it.
 CLEARED_DOUBT_MS = 30_000
@@ -107,9 +110,9 @@
             self._log_changes(quarantines)
             if self._is_writer():
                 items = self._list_items(quarantines, now_ms)
-                for name, item in items.items():
-                    if name not in self._stored:
-                        await self._write(name, item)
+                for key, item in items.items():
+                    if key not in self._stored:
+                        await self._write(key, item)
                 await self._remove_cleared(items.keys())
             await self._clock.sleep_ms(CHECK_INTERVAL_MS)
 
@@ -117,7 +120,7 @@
         self, quarantines: Iterable[part_quarantines.PartQuarantine], now_ms: int
     ) -> dict[str, StoredItem]:
         items = {
-            _make_name(item): StoredItem(
+            _make_key(item): StoredItem(
                 QuarantineRecord(
                     sorted(item.crashes), sorted(item.parts) if len(item.parts) > 1 else []
                 ),
@@ -150,8 +153,7 @@
 
     def apply_changes(self, changes: key_value.Changes) -> None:
         """Take on newly stored parts; see `followers.KeyFollower.apply_changes`."""
-        for key in changes.removed:
-            self._stored.discard(key.removeprefix(self.prefix))
+        self._stored.difference_update(changes.removed)
         for entry in changes.written:
             try:
                 record = decoding.decode_json(entry.value, QuarantineRecord)
@@ -160,15 +162,15 @@
                     LOGGER, "quarantine cannot be decoded", key=entry.key, reason=str(error)
                 )
                 continue
-            self._hear(entry.key.removeprefix(self.prefix), record)
+            self._hear(entry.key, record)
 
-    def _hear(self, name: str, record: QuarantineRecord) -> None:
-        self._stored.add(name)
+    def _hear(self, key: str, record: QuarantineRecord) -> None:
+        self._stored.add(key)
         now_ms = self._clock.monotonic_ms()
-        if name.startswith(REQUEST_PREFIX):
+        if record.request:
             self._hear_request(record, now_ms)
             return
-        parts = frozenset(record.parts or [name])
+        parts = frozenset(record.parts or [key.removeprefix(PART_PREFIX)])
         if any(self._evidence.find_answer_ms(part) > now_ms - CLEARED_DOUBT_MS for part in parts):
             return
         until_ms = now_ms + crash_evidence.QUARANTINE_TTL_MS
@@ -179,7 +181,7 @@
 
     def _hear_request(self, record: QuarantineRecord, now_ms: int) -> None:
         left_ms = min(record.expires_unix_ms - self._clock.wall_ms(), poison.QUARANTINE_TTL_MS)
-        if not record.request or left_ms <= 0:
+        if left_ms <= 0:
             return
         crashes = max(poison.CRASHES_TO_QUARANTINE, len(record.crashes))
         notice = fleets.PoisonNotice(record.request, crashes, True, left_ms)
@@ -194,7 +196,7 @@
 
     def _log_changes(self, quarantines: Sequence[part_quarantines.PartQuarantine]) -> None:
         for item in quarantines:
-            if _make_name(item) not in self._known:
+            if _make_key(item) not in self._known:
                 self._metrics.count("relay_part_quarantines_total")
                 self._log.note(
                     LOGGER,
@@ -203,32 +205,30 @@
                     part_count=len(item.parts),
                     crashes=sorted(item.crashes),
                 )
-        current = {_make_name(item): item for item in quarantines}
-        for name in sorted(self._known.keys() - current.keys()):
-            parts = sorted(self._known[name].parts)[:MAX_LOGGED_PARTS]
+        current = {_make_key(item): item for item in quarantines}
+        for key in sorted(self._known.keys() - current.keys()):
+            parts = sorted(self._known[key].parts)[:MAX_LOGGED_PARTS]
             self._log.note(LOGGER, "prompt part released", parts=parts)
         self._known = current
 
-    async def _write(self, name: str, item: StoredItem) -> None:
+    async def _write(self, key: str, item: StoredItem) -> None:
         granted = await self._store.grant_lease(item.ttl_ms)
         if isinstance(granted, result.Err):
             return
         value = msgspec.json.encode(item.record)
-        written = await self._store.put_leased(PREFIX + name, value, granted.ok_value)
+        written = await self._store.put_leased(key, value, granted.ok_value)
         if isinstance(written, result.Ok):
-            self._stored.add(name)
+            self._stored.add(key)
 
     async def _remove_cleared(self, quarantined: Set[str]) -> None:
-        for name in sorted(self._stored - quarantined):
-            key = PREFIX + name
+        for key in sorted(self._stored - quarantined):
             removed = await self._store.delete_range(key, key + "\0")
             if isinstance(removed, result.Ok):
-                self._stored.discard(name)
+                self._stored.discard(key)
 
 
-def _make_name(item: part_quarantines.PartQuarantine) -> str:
-    """Return the name of a quarantine within its key."""
+def _make_key(item: part_quarantines.PartQuarantine) -> str:
     parts = sorted(item.parts)
     if len(parts) == 1:
-        return parts[0]
-    return "set-" + xxhash.xxh3_128_hexdigest("\0".join(parts).encode())
+        return PART_PREFIX + parts[0]
+    return PARTS_PREFIX + xxhash.xxh3_128_hexdigest("\0".join(parts).encode())
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -439,7 +439,7 @@
                 member.faults = shared_faults
             assert (await deployed.ask("/safe/poison")).status == 502
             await deployed.wait_until(
-                lambda: any("quarantine/request-" in key for key in deployed.site.store.items),
+                lambda: any("quarantined/requests/" in key for key in deployed.site.store.items),
                 "the request is stored",
             )
             runs = sum(len(member.requests) for member in deployed.site.plain_runners)
@@ -461,7 +461,7 @@
             daemon = deployed.daemons[0]
             now_ms = daemon.clock.monotonic_ms()
             daemon.suspects.hear(fleets.PoisonNotice("f1", 2, True, 800_000), 0, now_ms)
-            key = "tanagerfork/quarantine/request-f1"
+            key = "tanagerfork/quarantined/requests/f1"
             await deployed.wait_until(
                 lambda: key in deployed.site.store.items, "the request is stored"
             )
@@ -481,7 +481,7 @@
                     ("f1257", "bad"), f"u{number}", f"r{number}", at_ms, at_ms
                 )
             await deployed.wait_until(
-                lambda: any("quarantine/set-" in key for key in deployed.site.store.items),
+                lambda: any("quarantined/parts/" in key for key in deployed.site.store.items),
                 "the parts are stored",
             )
             await deployed.daemons.pop().stop()
@@ -493,6 +493,25 @@
                 response = await deployed.ask("/stream/x", "POST", Tanagerfork_Prefix_Hash=prefix)
                 assert (b"quarantined" in response.body) == is_refused
 
+    async def test_only_single_parts_have_keys_that_earlier_builds_read(self) -> None:
+        """Builds up to 05230a5 took other keys for parts that explain the crashes."""
+        async with deployments.deploy(engines=0, plain=0) as deployed:
+            await deployed.wait_for_rules(with_upstreams=False)
+            daemon = deployed.daemons[0]
+            now_ms = daemon.clock.monotonic_ms()
+            self._record_crashes(daemon)
+            for number in range(3):
+                at_ms = now_ms - 3000 + 200 * number
+                daemon.evidence.record_crash(("f1", "f2"), f"v{number}", f"s{number}", at_ms, at_ms)
+            daemon.suspects.hear(fleets.PoisonNotice("f3", 2, True, 800_000), 0, now_ms)
+
+            def list_keys() -> list[str]:
+                return [key for key in deployed.site.store.items if "quarantine" in key]
+
+            await deployed.wait_until(lambda: len(list_keys()) == 3, "all are stored")
+            read = [key for key in list_keys() if key.startswith("tanagerfork/quarantine/")]
+            assert read == [self.KEY]
+
     async def test_value_that_cannot_be_read_is_logged(self) -> None:
         async with deployments.deploy(engines=0, plain=0) as deployed:
             await deployed.wait_for_rules(with_upstreams=False)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -154,7 +154,7 @@
             metric.Metrics(),
         )
         entries = [
-            key_value.Entry(quarantine.PREFIX + part, value, 5)
+            key_value.Entry(quarantine.PART_PREFIX + part, value, 5)
             for part, value in (("p", b'{"parts": []}'), ("q", b'{"crashes": ["i-1/5"], "x": 1}'))
         ]
         keeper.apply_snapshot(entries)
