Take answers with improper heads, framings and trailers for losses

Lines of a head whose name had a blank or a control byte were passed on in some cases; a control byte in a value ended in an unhandled exception and the daemon's own 500. An order that was answered in this way counted as refused, a probe as a report, a read of the store as its contents.

Cause: what the HTTP library accepts decided, which is lenient towards servers, and differs between its parsers and versions.

Change: heads.py says what a proper status line, field and framing is, by RFC 9110 and 9112. The bytes of each connection are checked by it before the library reads them, in every session of the daemons and of the command line: answers to callers, streams and resumed ones, other daemons, probes, orders, the store. A head is passed on once it is complete, and the last chunk once the trailer is. An improper answer raises what a broken connection raises, so that it is a loss that may have run: 502, or another send where the route allows it. A head may end all its lines by LF, as RFC 9112 allows, but not a single one. Informational responses are left out.

--- a/src/tanagerfork/cli/client.py
+++ b/src/tanagerfork/cli/client.py
@@ -14,6 +14,7 @@
 from tanagerfork import decoding, errors
 from tanagerfork.cli import key_files
 from tanagerfork.generated import bundle, callers, operators
+from tanagerfork.upstream import guarded
 
 READ_TIMEOUT_S = 5.0
 ROLL_TIMEOUT_S = 30.0
@@ -131,7 +132,7 @@
 
     :param target: token and certificates to use.
     """
-    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
+    connector = guarded.GuardedConnector(limit=MAX_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
         yield OperatorsClient(session, target)
 
--- a/src/tanagerfork/cli/upstream_commands.py
+++ b/src/tanagerfork/cli/upstream_commands.py
@@ -13,6 +13,7 @@
 from tanagerfork import metrics as metric
 from tanagerfork.cli import client as clients
 from tanagerfork.cli import options, output
+from tanagerfork.upstream import guarded
 
 SLOTS = metric.PREFIX + "relay_upstream_slots"
 SLOWNESS = metric.PREFIX + "relay_upstream_slowness"
@@ -90,7 +91,10 @@
 async def _read(url: str) -> str:
     timeout = aiohttp.ClientTimeout(total=clients.READ_TIMEOUT_S)
     try:
-        async with aiohttp.ClientSession(timeout=timeout) as session, session.get(url) as response:
+        async with (
+            aiohttp.ClientSession(connector=guarded.GuardedConnector(), timeout=timeout) as session,
+            session.get(url) as response,
+        ):
             text = await response.text()
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
         message = f"{url}: no answer ({error or type(error).__name__}); check address and daemon"
--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -46,7 +46,7 @@
 from tanagerfork.peers import service as peer_services
 from tanagerfork.storage import counted, etcd, vms
 from tanagerfork.timeline import kinds, ring
-from tanagerfork.upstream import connections
+from tanagerfork.upstream import connections, guarded
 from tanagerfork.upstream import engine as engines
 from tanagerfork.upstream import service as service_clients
 
@@ -100,7 +100,7 @@
         """Open the listeners and start the tasks."""
         settings = self.settings
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            connector=guarded.GuardedConnector(limit=0, keepalive_timeout=30),
             timeout=aiohttp.ClientTimeout(total=None),
         )
         self._single_use_session = connections.open_session(single_use=True)
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -5,9 +5,6 @@
 import pathlib
 import random
 
-import aiohttp
-import aiohttp.web
-
 from tanagerfork import __version__, decisions, errors, lifecycle
 from tanagerfork import clock as clocks
 from tanagerfork import metrics as metric
@@ -56,7 +53,6 @@
     tasks,
 )
 from tanagerfork.routing import crash_evidence, poison
-from tanagerfork.upstream import connections, guarded
 
 LOGGER = "relay.daemon"
 BODY_LIMIT_BYTES = 8 * 1024 * 1024  # Twice the largest body of the platform's callers.
@@ -128,13 +124,7 @@
         """
         settings = self.settings
         self.log.note(LOGGER, "start", failure_domain=settings.failure_domain, build=__version__)
-        self._session = aiohttp.ClientSession(
-            connector=guarded.GuardedConnector(
-                limit=0, keepalive_timeout=10, socket_factory=connections.open_socket
-            ),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=exchange.CONNECT_TIMEOUT_S),
-            middlewares=(connections.send_once,),
-        )
+        self._session = exchange.open_control_session()
         self.store = stores.PlatformStore(
             self._session,
             settings.store.address,
--- a/src/tanagerfork/relay/exchange.py
+++ b/src/tanagerfork/relay/exchange.py
@@ -16,6 +16,7 @@
 from tanagerfork.upstream import connections, guarded
 
 CONNECT_TIMEOUT_S = 0.4  # Over 100 round trips between failure domains.
+CONTROL_IDLE_TIMEOUT_S = 10.0
 POOL_IDLE_TIMEOUT_S = 4.0  # Below 5 s, the shortest idle timeout of an upstream.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 SUPPRESSED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -74,6 +75,22 @@
     )
 
 
+def open_control_session() -> aiohttp.ClientSession:
+    """Open a session for calls to the store and for probes.
+
+    :return: session; the caller closes it.
+    """
+    return aiohttp.ClientSession(
+        connector=guarded.GuardedConnector(
+            limit=0,
+            keepalive_timeout=CONTROL_IDLE_TIMEOUT_S,
+            socket_factory=connections.open_socket,
+        ),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        middlewares=(connections.send_once,),
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class UpstreamResponse:
     """An upstream's response whose headers have been received."""
--- a/src/tanagerfork/upstream/connections.py
+++ b/src/tanagerfork/upstream/connections.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from tanagerfork import errors
-from tanagerfork.upstream import connectors
+from tanagerfork.upstream import guarded, heads
 
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_IDLE_S = 15
@@ -81,7 +81,7 @@
     :param single_use: whether each connection carries a single exchange.
     :return: session, to be closed by its owner.
     """
-    connector = connectors.Connector(
+    connector = guarded.GuardedConnector(
         limit=0,
         force_close=single_use,
         keepalive_timeout=None if single_use else POOL_IDLE_TIMEOUT_S,
@@ -156,6 +156,8 @@
         return errors.UpstreamUnreachable(f"{upstream} takes no connection ({error}); go elsewhere")
     if isinstance(error, (TimeoutError, asyncio.TimeoutError)):
         return errors.UpstreamSilent(f"{upstream} gave no answer in time; go elsewhere")
+    if isinstance(error, heads.ImproperAnswer):
+        return errors.UpstreamLost(f"{upstream} sent no proper answer ({error}); go elsewhere")
     return errors.UpstreamLost(f"{upstream} broke off ({described}); go elsewhere")
 
 
--- a/src/tanagerfork/upstream/guarded.py
+++ b/src/tanagerfork/upstream/guarded.py
@@ -1,11 +1,12 @@
-"""Guarded connector: closes connections on which bytes arrive that nobody asked for.
+"""Guarded connector: closes connections on which improper answers or unrequested bytes arrive.
 
 An upstream may send a second copy of an answer late. aiohttp keeps what arrives on an idle
 connection and takes it for the answer to the next request that is sent there. The ids of answers
 tell that it is not, but by then the request has been sent in vain.
 
-A faulty upstream may also send informational answers without end. aiohttp parses all that was
-received at once, which would take most of the processor's time.
+aiohttp also accepts answers that are not proper, and parses all that was received at once, which
+for informational answers without end would take most of the processor's time. So the bytes are
+checked before it reads them.
 
 The connector has no public hook for either.
 """
@@ -13,57 +14,51 @@
 import functools
 from typing import Any
 
-import aiohttp
 from aiohttp import client_proto
 
-from tanagerfork.upstream import connectors
-
-MAX_INFORMATIONAL = 16  # Before one response; upstreams send none or one.
-HEAD_SLICE_BYTES = 2048  # Fed to the parser at once until the head of the response is complete.
+from tanagerfork.upstream import answers, connectors, heads
 
 
 class GuardedHandler(client_proto.ResponseHandler):
-    """Protocol of a connection that is closed if it receives bytes while it is idle."""
+    """Protocol of a connection that takes proper answers to requests, and nothing else."""
 
     is_idle = False
-    has_head = False
-    informational_count = 0
+    answer: answers.AnswerReader | None = None
 
-    def begin_exchange(self) -> None:
+    def set_response_params(self, **options: Any) -> None:
         """Expect the response to a request that is about to be sent."""
-        self.is_idle = self.has_head = False
-        self.informational_count = 0
+        self.is_idle = False
+        self.answer = answers.AnswerReader(not options.get("skip_payload", False))
+        super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
-        """Close an idle connection; otherwise process the bytes."""
-        if self.is_idle:
+        """Check and process bytes; close a connection that expects none."""
+        if self.is_idle or self.answer is None:
             self.close()
             return
-        at = 0
-        while not self.has_head and len(data) - at > HEAD_SLICE_BYTES:
-            super().data_received(data[at : at + HEAD_SLICE_BYTES])
-            at += HEAD_SLICE_BYTES
-            if self.transport is None or self.exception() is not None:
-                return  # What follows belongs to no response.
-        super().data_received(data[at:] if at else data)
-
-    def feed_data(self, data: Any, size: int = 0) -> None:
-        """Take a message from the parser; break off after too many informational ones."""
-        if data[0].code >= 200 or data[0].code == 101:
-            self.has_head = True
-        else:
-            self.informational_count += 1
-        if self.informational_count <= MAX_INFORMATIONAL:
-            super().feed_data(data, size)
-        elif self.exception() is None:
-            message = f"more than {MAX_INFORMATIONAL} informational responses"
-            self.set_exception(aiohttp.ClientPayloadError(message))
-            if self.transport is not None:
-                self.transport.close()
+        if not data:  # The library resumes a body that it had paused.
+            super().data_received(data)
+            return
+        try:
+            checked = self.answer.feed(data)
+        except heads.ImproperAnswer as error:
+            self._break_off(error)
+            return
+        if self.answer.has_excess:
+            self.force_close()
+        if checked:
+            super().data_received(checked)
+
+    def _break_off(self, error: heads.ImproperAnswer) -> None:
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.close()
 
 
 class GuardedConnector(connectors.Connector):
-    """TCP connector whose connections are guarded while they are pooled.
+    """TCP connector whose connections are guarded, also while they are pooled.
 
     :param options: options of `aiohttp.TCPConnector`.
     """
@@ -73,12 +68,6 @@
         factory: Any = functools.partial(GuardedHandler, loop=self._loop)
         self._factory = factory
 
-    async def _get(self, *arguments: Any) -> Any:
-        connection = await super()._get(*arguments)
-        if connection is not None and isinstance(connection.protocol, GuardedHandler):
-            connection.protocol.begin_exchange()
-        return connection
-
     def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
         super()._release(key, protocol, should_close=should_close)
         if isinstance(protocol, GuardedHandler):
