Use no entry that lacks a field or has one of another type

Cause: fields that every entry has were optional in the decoder, or not read at all. What was missing was replaced by a default.

Change: service, address, zone, version, slots, state, cold time and refresh count are required with their types. The start is not in all entries; one without it does not count for an upstream that names its start.

Evidence: the new cases of test_malformed_items.py (a field left out, or of another type) and test_fleet.py failed before.

--- a/src/tanagerfork/platform/entries.py
+++ b/src/tanagerfork/platform/entries.py
@@ -12,6 +12,8 @@
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 # No upstream runs more requests at once; a larger number would draw all requests to it.
 Slots = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
+# An epoch that another writer named may be high; those of the groups after it are read all the same.
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 MAX_COLD_MS = 600_000.0  # A longer time is a mistake, and is renewed with the entry if it is not.
 
 
@@ -19,7 +21,7 @@
     """`state` is the state of the member, not of the group."""
 
     name: str
-    epoch: decoding.Count
+    epoch: Epoch
     rank: decoding.Count
     state: str
 
@@ -31,22 +33,24 @@
 class _Entry(msgspec.Struct):
     """`seq` is the number of refreshes; in a report, it is the number of accepted orders.
 
-    `zone` is the failure domain, `domain` the fabric domain. `cold_left_ms` is decoded apart, so
-    that a malformed one does not lose the entry.
+    `zone` is the failure domain, `domain` the fabric domain, `version` that of the software. Every
+    entry of an upstream has the fields without defaults; one that lacks some, or has them of another
+    type, is from another writer.
     """
 
     service: str
     address: str
     zone: str
+    version: str
     state: str
-    slots: Slots = 1
-    seq: decoding.Count = 0
+    slots: Slots
+    seq: decoding.Count
+    cold_left_ms: float = msgspec.field(name="coldLeftMs")
     born: decoding.Count = 0
     domain: str = ""
     staged: list[str] = []
     models: list[_Model] = []
     group: _Group | None = None
-    cold_left_ms: msgspec.Raw = msgspec.field(default=msgspec.Raw(b"0"), name="coldLeftMs")
 
 
 class _Report(msgspec.Struct):
@@ -68,8 +72,8 @@
 
     :param key: key of the entry, which ends in the upstream's id.
     :param value: value of the entry.
-    :return: the upstream; None if the entry is malformed, names no service or no address to connect
-        to, or has an unknown state.
+    :return: the upstream; None if the entry is malformed or incomplete, names no service or no
+        address to connect to, or has an unknown state.
     """
     try:
         entry = decoding.decode_json(value, _Entry)
@@ -93,7 +97,7 @@
         staged=tuple(entry.staged),
         models=tuple(model.name for model in entry.models),
         membership=membership,
-        cold_left_ms=_to_cold_ms(entry.cold_left_ms),
+        cold_left_ms=_limit_cold_ms(entry.cold_left_ms),
     )
 
 
@@ -117,16 +121,20 @@
         pace=report.pace,
         running=report.active,
         waiting=report.queued,
-        cold_left_ms=_to_cold_ms(report.cold_left_ms),
+        cold_left_ms=_limit_cold_ms(_read_cold_ms(report.cold_left_ms)),
     )
 
 
-def _to_cold_ms(value: msgspec.Raw) -> float:
-    """Return a cold time as a number from 0 to `MAX_COLD_MS`; 0 for any other value."""
+def _read_cold_ms(value: msgspec.Raw) -> float:
+    """Return the cold time in a report, which a malformed one does not lose; 0 if it is none."""
     try:
-        cold_ms = decoding.decode_json(value, float)
+        return decoding.decode_json(value, float)
     except msgspec.MsgspecError:
         return 0.0
+
+
+def _limit_cold_ms(cold_ms: float) -> float:
+    """Return a cold time within 0 and `MAX_COLD_MS`; 0 if it is not finite."""
     return min(MAX_COLD_MS, max(0.0, cold_ms)) if math.isfinite(cold_ms) else 0.0
 
 
--- a/src/tanagerfork/relay/fleet.py
+++ b/src/tanagerfork/relay/fleet.py
@@ -180,6 +180,9 @@
         remembered = {upstream_id for upstream_id, _ in (*self._left, *self._doubted)}
         for key, upstream in self._listed.items():
             known = self._known.get(key)
+            if not upstream.born_at_ms and self._has_start(upstream.id):
+                del found[key]
+                continue
             is_newest = known is None or known.refresh_count <= upstream.refresh_count
             if is_newest and not upstream.is_leaving and key not in remembered:
                 continue
@@ -223,6 +226,13 @@
             if is_ready and not before[gone].is_leaving:
                 self._unlisted[gone] = before[gone], now_ms
 
+    def _has_start(self, upstream_id: str) -> bool:
+        """Return whether an upstream names its start; an entry without one is not its own then."""
+        known = self._known.get(upstream_id)
+        if known is not None:
+            return known.born_at_ms != 0
+        return any(key[0] == upstream_id and key[1] for key in self._removed)
+
     def _check_entry(self, upstream: members.Upstream) -> members.Upstream | None:
         """Return an upstream as it is to be used by its entry and what was known before."""
         key = upstream.key
--- a/tests/relay/test_cold_limits.py
+++ b/tests/relay/test_cold_limits.py
@@ -20,7 +20,16 @@
 UPSTREAM = members.Upstream("u", "ledger", "", "a", False, 13, born_at_ms=1, cold_left_ms=3000)
 SERVICE = rules.Service("ledger", 100, cold_start_ms=3000, cold_per_s=17)
 FREE_SERVICE = rules.Service("ledger", 100)
-ENTRY = {"service": "s", "address": "127.0.0.1:1", "zone": "a", "state": "ready", "born": 7}
+ENTRY = {
+    "service": "s",
+    "address": "127.0.0.1:1",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "seq": 1,
+    "born": 7,
+}
 MAX_PER_S = 30  # 1.5 times 17 plus 5.
 MEMBERSHIP = members.GroupMembership("g", 1, 0, members.MemberState.OPEN)
 
@@ -59,14 +68,21 @@
     @pytest.mark.parametrize(
         ("text", "cold_ms"),
         [("1500", 1500.0), ("0.5", 0.5), ("1e9", entries.MAX_COLD_MS)]
-        + [(text, 0.0) for text in ("0", "-3", "null", '"3"', "true", "[1]", "{}", "1e999")],
+        + [(text, 0.0) for text in ("0", "-3")]
+        + [(text, None) for text in ("null", '"3"', "true", "[1]", "{}", "1e999")],
     )
-    def test_cold_time_never_loses_an_entry_or_a_report(self, text: str, cold_ms: float) -> None:
+    def test_cold_time_that_is_no_number_loses_an_entry_but_no_report(
+        self, text: str, cold_ms: float | None
+    ) -> None:
+        """An entry with a field of another type is from another writer, a report is its own."""
         fields = msgspec.json.encode(ENTRY)[:-1] + b', "coldLeftMs": ' + text.encode() + b"}"
         entry = entries.decode_entry("servers/u", fields)
         report = entries.decode_report(b'{"coldLeftMs": ' + text.encode() + b"}")
-        assert entry is not None and (entry.cold_left_ms, entry.born_at_ms) == (cold_ms, 7)
-        assert report is not None and report.cold_left_ms == cold_ms
+        if cold_ms is None:
+            assert entry is None
+        else:
+            assert entry is not None and (entry.cold_left_ms, entry.born_at_ms) == (cold_ms, 7)
+        assert report is not None and report.cold_left_ms == (cold_ms or 0.0)
 
     @pytest.mark.parametrize(
         ("fields", "expected"),
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -208,3 +208,25 @@
         for number in range(fleet.MAX_LEFT + 10):
             view.mark_leaving(f"u{number}", 1)
         assert len(view._left) == fleet.MAX_LEFT
+
+
+class TestEntriesWithoutAStart:
+    """An entry of another writer brought back an upstream that had said that it leaves."""
+
+    def test_entry_without_a_start_is_not_that_of_an_upstream_that_names_one(self) -> None:
+        view, upstream = make_fleet(), make_member("a", 0, born_at_ms=7, refresh_count=3)
+        foreign = dataclasses.replace(upstream, born_at_ms=0, refresh_count=9)
+        for is_leaving in (False, True):
+            own = dataclasses.replace(upstream, is_leaving=is_leaving)
+            view.update_list([own], 0)
+            for now_ms in (100, 200):
+                view.update_list([foreign], now_ms)
+                assert view.find("a") is None
+            view.update_list([own], 300)
+            assert view.find("a").is_leaving == is_leaving
+
+    def test_upstreams_that_never_name_their_start_are_listed(self) -> None:
+        view, upstream = make_fleet(), make_member("a", 0, born_at_ms=0)
+        for now_ms in (0, 100):
+            view.update_list([upstream], now_ms)
+            assert view.find("a") == upstream
--- a/tests/relay/test_malformed_items.py
+++ b/tests/relay/test_malformed_items.py
@@ -4,7 +4,7 @@
 import pytest
 
 from tanagerfork import errors
-from tanagerfork.platform import runners
+from tanagerfork.platform import entries, runners
 from tanagerfork.relay import exchange, members, plans
 from tanagerfork_standins.platform import site
 from tests.relay import deployments
@@ -21,8 +21,10 @@
         "service": service,
         "address": "127.0.0.1:9",
         "zone": "a",
+        "version": "v1",
         "slots": 6,
         "state": "ready",
+        "coldLeftMs": 0,
         "seq": 1,
         "born": 1,
     }
@@ -40,7 +42,23 @@
     )
 
 
+def leave_out(name: str) -> bytes:
+    """Return an entry without one of its fields."""
+    fields = msgspec.json.decode(make_entry())
+    del fields[name]
+    return msgspec.json.encode(fields)
+
+
+REQUIRED = ("service", "address", "zone", "version", "slots", "state", "coldLeftMs", "seq")
+OTHER_TYPES = [b"null", b"[]", b"{}", b"true"]
 MALFORMED_ENTRIES = {
+    **{f"no {name}": leave_out(name) for name in REQUIRED},
+    "number as version": make_entry(version=b"1"),
+    "text as slots": make_entry(slots=b'"6"'),
+    "text as cold time": make_entry(coldLeftMs=b'"0"'),
+    "text as refresh count": make_entry(seq=b'"1"'),
+    "fraction as refresh count": make_entry(seq=b"1.5"),
+    "unknown state": make_entry(state=b'"resting"'),
     "deep": DEEP,
     "deep unknown field": make_entry(note=DEEP),
     "deep known field": make_entry(coldLeftMs=DEEP),
@@ -78,6 +96,21 @@
     assert not deployed.log.find('"task failed')
 
 
+class TestDecoding:
+    def test_complete_entry_is_read_and_one_with_another_type_is_not(self) -> None:
+        """Entries of other writers that lacked fields moved an upstream to another service."""
+        assert entries.decode_entry("servers/u", make_entry()) is not None
+        assert entries.decode_entry("servers/u", make_member()) is not None
+        for name in REQUIRED:
+            for value in OTHER_TYPES:
+                changed = msgspec.json.decode(make_entry())
+                changed[name] = msgspec.Raw(value)
+                found = entries.decode_entry("servers/u", msgspec.json.encode(changed))
+                assert found is None, (name, value)
+        for value in MALFORMED_ENTRIES.values():
+            assert entries.decode_entry("servers/u", value) is None
+
+
 class TestUpstreamEntries:
     @pytest.mark.parametrize("name", MALFORMED_ENTRIES)
     async def test_malformed_entry_stops_neither_configuration_nor_groups(self, name: str) -> None:
@@ -96,6 +129,19 @@
             await deployed.wait_for_group()
             await check_that_service_goes_on(deployed)
 
+    async def test_incomplete_entry_moves_no_upstream_to_another_service(self) -> None:
+        async with deployments.deploy(engines=0, plain=2) as deployed:
+            await deployed.wait_for_rules()
+            moved = deployed.site.plain_runners[0]
+            entry = {"service": site.ENGINE_SERVICE, "address": moved.address, "zone": "a"}
+            value = msgspec.json.encode({**entry, "state": "ready"})
+            deployed.site.store.put(f"servers/{moved.id}", value)
+            view = deployed.daemons[0].view
+            await deployed.wait_until(lambda: moved.id not in view.ids, "the entry is read")
+            moved.publish_entry()
+            await deployed.wait_until(lambda: moved.id in view.ids, "its own entry is back")
+            assert view.find(moved.id).service == site.PLAIN_SERVICE
+
 
 class TestOtherItems:
     @pytest.mark.parametrize(
