--- a/src/tanagerfork/relay/planner.py
+++ b/src/tanagerfork/relay/planner.py
@@ -26,6 +26,10 @@
 # the coordinator, and an order takes up to a second.
 MAX_UNLISTED_MS = fleet.UNLISTED_RETENTION_MS - 4000
 
+# Beyond all epochs that groups reach. A higher one is from another writer; the next ones must still
+# fit into the numbers that are read.
+MAX_FOLLOWED_EPOCH = 2**52
+
 
 def make_plan(situation: plans.Situation) -> plans.Plan:
     """Decide how the record of assignments changes and which orders to send.
@@ -185,9 +189,9 @@
 
 
 def _find_highest_epoch(statuses: Mapping[str, plans.UpstreamStatus]) -> int:
-    return max(
-        (status.membership.epoch for status in statuses.values() if status.membership), default=0
-    )
+    """Return the highest epoch that an upstream reports; higher ones than groups reach are none."""
+    epochs = (status.membership.epoch for status in statuses.values() if status.membership)
+    return max((epoch for epoch in epochs if epoch <= MAX_FOLLOWED_EPOCH), default=0)
 
 
 def _add_group_orders(
--- a/tests/relay/test_malformed_items.py
+++ b/tests/relay/test_malformed_items.py
@@ -142,6 +142,16 @@
             await deployed.wait_until(lambda: moved.id in view.ids, "its own entry is back")
             assert view.find(moved.id).service == site.PLAIN_SERVICE
 
+    async def test_entry_with_a_large_epoch_keeps_no_group_from_forming(self) -> None:
+        """Groups were formed with epochs above it, which could not be read any more."""
+        async with deployments.deploy(daemon_count=0) as deployed:
+            for epoch in (2**52, 2**53, 2**63 - 1):
+                value = make_member(epoch=str(epoch).encode())
+                deployed.site.store.put(f"servers/i-{epoch}", value)
+            await deployed.add_daemon()
+            await deployed.wait_for_group()
+            await check_that_service_goes_on(deployed)
+
 
 class TestOtherItems:
     @pytest.mark.parametrize(
