--- a/src/tanagerfork/platform/entries.py
+++ b/src/tanagerfork/platform/entries.py
@@ -12,7 +12,7 @@
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 # No upstream runs more requests at once; a larger number would draw all requests to it.
 Slots = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
-# An epoch that another writer named may be high; those of the groups after it are read all the same.
+# The groups that were formed after an entry with a high epoch of another writer are read too.
 Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 MAX_COLD_MS = 600_000.0  # A longer time is a mistake, and is renewed with the entry if it is not.
 
@@ -34,8 +34,8 @@
     """`seq` is the number of refreshes; in a report, it is the number of accepted orders.
 
     `zone` is the failure domain, `domain` the fabric domain, `version` that of the software. Every
-    entry of an upstream has the fields without defaults; one that lacks some, or has them of another
-    type, is from another writer.
+    entry of an upstream has the fields without defaults; one that lacks some, or has them of
+    another type, is from another writer.
     """
 
     service: str
