Write the entry of a daemon again that something else has changed

All daemons vanished from their directory for good, so that each took itself for the only one, and a cold upstream got 43 to 47 requests in a second; 30.5 are allowed.

Cause: without an answer, a daemon asked for a second lease and wrote its entry again. The late write then bound the entry to the first lease, which nobody renewed, and it went with that. The daemon renewed its second lease and took this for a sign that its entry is there.

Change: a daemon follows its own entry like the others. If it goes, or changes with a later revision than that of the daemon's last write, it is written again with the lease that is renewed. The change of the daemon's own write, which may come before its answer, is told apart.

Three new tests failed before.

--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -63,6 +63,10 @@
     Entries that are missing after the store was away or restored from a copy are kept for
     `RETURN_GRACE_MS`, as live daemons write theirs again.
 
+    A write without an answer may be carried out seconds later, and then binds this daemon's entry
+    to an earlier lease, which nobody renews. So the entry is written again if it changes or goes
+    without this daemon's doing.
+
     :param store: store.
     :param name: name of this daemon.
     :param record: entry of this daemon.
@@ -79,6 +83,8 @@
         "_log",
         "_lease",
         "_is_written",
+        "_is_writing",
+        "_revision",
         "_was_unreadable",
         "_missing_until_ms",
         "_seen_builds",
@@ -101,6 +107,8 @@
         self._log = log
         self._lease = 0
         self._is_written = False
+        self._is_writing = False
+        self._revision = key_value.ABSENT  # Of the last write that was answered.
         self._was_unreadable = False
         self._missing_until_ms: dict[str, int] = {}
         self._seen_builds: set[str] = set()
@@ -157,6 +165,7 @@
     def apply_snapshot(self, entries: Sequence[key_value.Entry]) -> None:
         """Replace the list of daemons; see `KeyFollower.apply_snapshot`."""
         before, self.daemons = self.daemons, {self._name: self._record}
+        self._check_own_entry(next((one for one in entries if one.key == self._own_key), None))
         self._read_entries(entries)
         now_ms = self._clock.monotonic_ms()
         for name in before.keys() - self.daemons.keys():
@@ -170,6 +179,11 @@
     def apply_changes(self, changes: key_value.Changes) -> None:
         """Add and remove daemons; see `KeyFollower.apply_changes`."""
         before = dict(self.daemons)
+        for entry in changes.written:
+            if entry.key == self._own_key:
+                self._check_own_entry(entry)
+        if self._own_key in changes.removed:
+            self._check_own_entry(None)
         self._read_entries(changes.written)
         for key in changes.removed:
             self.daemons.pop(key.removeprefix(self.prefix), None)
@@ -185,6 +199,18 @@
             self.daemons.pop(name, None)
         self._log_changes(before)
 
+    @property
+    def _own_key(self) -> str:
+        return DAEMON_PREFIX + self._name
+
+    def _check_own_entry(self, entry: key_value.Entry | None) -> None:
+        """Have this daemon's entry written again if it is not as this daemon wrote it last."""
+        if not self._is_written or self._is_writing:
+            return
+        if entry is None or entry.revision > self._revision:
+            self._is_written = False
+            self._log.note(LOGGER, "entry of this daemon was changed", is_gone=entry is None)
+
     def _read_entries(self, entries: Sequence[key_value.Entry]) -> None:
         for entry in entries:
             try:
@@ -233,8 +259,14 @@
 
     async def _put_entry(self, lease: int) -> result.Result[int, errors.PlatformError]:
         value = msgspec.json.encode(self._record)
-        put = await self._store.put_leased(DAEMON_PREFIX + self._name, value, lease)
+        self._is_writing = True
+        try:
+            put = await self._store.put_leased(self._own_key, value, lease)
+        finally:
+            self._is_writing = False
         self._is_written = isinstance(put, result.Ok)
+        if isinstance(put, result.Ok):
+            self._revision = put.ok_value
         return put
 
 
--- a/tests/relay/test_daemon_directory.py
+++ b/tests/relay/test_daemon_directory.py
@@ -1,5 +1,7 @@
 """The list of daemons while the store is away or restored from a copy."""
 
+from collections.abc import Callable
+
 import msgspec
 import result
 
@@ -113,6 +115,8 @@
     def __init__(self) -> None:
         self.refused = 0
         self.written: list[daemon_directory.DaemonRecord] = []
+        self.revision = 0
+        self.note_written: Callable[[], None] = lambda: None
 
     async def grant_lease(self, ttl_ms: int) -> result.Result[int, errors.PlatformError]:
         return result.Ok(7)
@@ -127,7 +131,9 @@
             self.refused -= 1
             return result.Err(errors.PlatformUnavailable("the store is away; retry later"))
         self.written.append(msgspec.json.decode(value, type=daemon_directory.DaemonRecord))
-        return result.Ok(1)
+        self.revision += 1
+        self.note_written()
+        return result.Ok(self.revision)
 
 
 class TestLeaving:
@@ -142,3 +148,54 @@
         await setting.directory._maintain_entry()
         await setting.directory._maintain_entry()
         assert [record.is_leaving for record in store.written] == [False, True]
+
+
+class TestOwnEntry:
+    """A late write bound the entry to a lease that ended, and the daemon vanished for good."""
+
+    KEY = daemon_directory.DAEMON_PREFIX + "d0"
+
+    async def write(self) -> tuple[Setting, RefusingStore]:
+        setting, store = Setting(), RefusingStore()
+        setting.directory._store = store
+        await setting.directory._maintain_entry()
+        setting.directory.apply_changes(self.make_change(store.revision))
+        await setting.directory._maintain_entry()
+        assert len(store.written) == 1
+        return setting, store
+
+    def make_change(self, revision: int) -> key_value.Changes:
+        value = make_entry("d0").value
+        return key_value.Changes([key_value.Entry(self.KEY, value, revision)], [])
+
+    async def test_entry_that_a_late_write_changed_is_written_again(self) -> None:
+        setting, store = await self.write()
+        store.revision += 1
+        setting.directory.apply_changes(self.make_change(store.revision))
+        await setting.directory._maintain_entry()
+        assert len(store.written) == 2
+        setting.directory.apply_changes(self.make_change(store.revision))
+        await setting.directory._maintain_entry()
+        assert len(store.written) == 2  # Its own write is no change.
+
+    async def test_entry_that_is_gone_is_written_again(self) -> None:
+        for has_snapshot in (False, True):
+            setting, store = await self.write()
+            if has_snapshot:
+                setting.read("d1")
+            else:
+                setting.directory.apply_changes(key_value.Changes([], [self.KEY]))
+            await setting.directory._maintain_entry()
+            assert len(store.written) == 2
+
+    async def test_change_that_arrives_before_the_answer_of_the_write_is_its_own(self) -> None:
+        setting, store = Setting(), RefusingStore()
+        setting.directory._store = store
+        await setting.directory._maintain_entry()
+        store.note_written = lambda: setting.directory.apply_changes(
+            self.make_change(store.revision)
+        )
+        setting.directory.apply_changes(key_value.Changes([], [self.KEY]))
+        for _ in range(3):
+            await setting.directory._maintain_entry()
+        assert len(store.written) == 2
