--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -4,11 +4,14 @@
 import json
 import os
 import pathlib
+import re
 import socket
 import sys
 
 import pytest
 
+from tanagerfork import settings
+from tanagerfork.generated import relay
 from tests.relay import deployments
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -38,6 +41,30 @@
         assert (process.returncode, output) == (0, b"started\n")
 
 
+class TestTemplate:
+    @pytest.mark.parametrize(
+        ("grace_s", "window_s", "expected_ms"),
+        [("8", "10", (8000, 10_000)), ("7.5", "10.25", (7500, 10_250)), ("0.5", "1", (500, 1000))],
+    )
+    def test_bounds_may_be_fractions(
+        self, grace_s: str, window_s: str, expected_ms: tuple[float, float], tmp_path: pathlib.Path
+    ) -> None:
+        """No daemon started where a bound was a fraction."""
+        values = {"graceS": grace_s, "retryWindowS": window_s}
+        values |= {"retryRatio": "0.2", "retrySlack": "30.5"}
+        template = (ROOT / "deploy" / "settings.json5").read_text()
+        block = re.search(r"bounds: {.*?\n  }", template, re.DOTALL)[0]
+        text = re.sub(r"{{bounds\.(\w+)}}", lambda found: values[found[1]], block)
+        listeners = "".join(f'{name}: "127.0.0.1:0", ' for name in LISTENERS)
+        path = tmp_path / "settings.json5"
+        path.write_text(
+            f'{{name: "d0", failure_domain: "a", failure_domains: ["a"], {listeners}'
+            f'store: {{address: "127.0.0.1:1"}}, {text}}}'
+        )
+        bounds = settings.load_record(path, relay.RelaySettings).bounds
+        assert (bounds.grace_ms, bounds.repeat_window_ms) == expected_ms
+
+
 class TestTakenPort:
     @pytest.mark.parametrize("field", LISTENERS)
     async def test_daemon_serves_once_its_port_is_released(self, field: str) -> None:
