Hand requests over to daemons that lost their entries but are heard

Cause: the entry of a daemon that does not reach the store lapses, and the others took a missing entry for a missing daemon, though its notices kept coming.

Change: such a daemon stays in the list that handovers and notices use, as long as notices from it arrive, at most 1.5 s ago. Duties that need the store, shares of common limits and the choice of sources go by the entries, as before. A daemon that said that it leaves is not kept.

test_daemon_that_lost_the_store_still_takes_requests failed before.

--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -18,6 +18,7 @@
 NOTICE_FORMAT = 1  # Fields of notices are appended only.
 DAEMON_LEASE_MS = 6000  # Outlasts a short loss of the connection to the store.
 DAEMON_RENEW_INTERVAL_MS = 2000
+HEARD_MS = 1500  # Five rounds of notices.
 RETURN_GRACE_MS = 2 * DAEMON_RENEW_INTERVAL_MS  # Live daemons have written their entries by then.
 
 
@@ -63,6 +64,9 @@
     Entries that are missing after the store was away or restored from a copy are kept for
     `RETURN_GRACE_MS`, as live daemons write theirs again.
 
+    A daemon that does not reach the store loses its entry, and may still take over requests: it
+    stays in `reachable`, though not in `daemons`, as long as notices from it arrive.
+
     A write without an answer may be carried out seconds later, and then binds this daemon's entry
     to an earlier lease, which nobody renews. So the entry is written again if it changes or goes
     without this daemon's doing.
@@ -88,6 +92,8 @@
         "_was_unreadable",
         "_missing_until_ms",
         "_seen_builds",
+        "_heard_at_ms",
+        "_lapsed",
         "daemons",
     )
 
@@ -112,8 +118,29 @@
         self._was_unreadable = False
         self._missing_until_ms: dict[str, int] = {}
         self._seen_builds: set[str] = set()
+        self._heard_at_ms: dict[str, int] = {}
+        self._lapsed: dict[str, DaemonRecord] = {}
         self.daemons: dict[str, DaemonRecord] = {name: record}
 
+    @property
+    def reachable(self) -> dict[str, DaemonRecord]:
+        """Listed daemons, and those without an entry from which notices still arrive."""
+        since_ms = self._clock.monotonic_ms() - HEARD_MS
+        self._lapsed = {
+            name: record
+            for name, record in self._lapsed.items()
+            if self._heard_at_ms.get(name, since_ms) > since_ms
+        }
+        return {**self._lapsed, **self.daemons}
+
+    def note_heard(self, name: str) -> None:
+        """Record that a notice of a daemon arrived.
+
+        :param name: name of the daemon.
+        """
+        if name in self.daemons or name in self._lapsed:
+            self._heard_at_ms[name] = self._clock.monotonic_ms()
+
     def list_names(self, failure_domain: str) -> list[str]:
         """Return the daemons of a failure domain.
 
@@ -236,6 +263,13 @@
 
     def _log_changes(self, before: Mapping[str, DaemonRecord]) -> None:
         came, went = self.daemons.keys() - before.keys(), before.keys() - self.daemons.keys()
+        for name in went:
+            if not before[name].is_leaving:
+                self._lapsed[name] = before[name]
+        for name in came:
+            self._lapsed.pop(name, None)
+        for name in self._heard_at_ms.keys() - self.reachable.keys():
+            del self._heard_at_ms[name]
         if came or went:
             self._log.note(LOGGER, "list of daemons changed", came=sorted(came), went=sorted(went))
 
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -251,7 +251,7 @@
         now_ms = self._clock.monotonic_ms()
         names = [
             name
-            for name, record in self._directory.daemons.items()
+            for name, record in self._directory.reachable.items()
             if name not in avoided
             and name != self._name
             and record.forwarding
@@ -331,7 +331,7 @@
         daemon: str,
         sink: progresses.Sink,
     ) -> result.Result[calls.Outcome, errors.UpstreamError]:
-        record = self._directory.daemons.get(daemon)
+        record = self._directory.reachable.get(daemon)
         if record is None:
             message = f"{daemon} is not listed any more; use another daemon"
             return result.Err(errors.UpstreamUnreachable(message))
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -170,7 +170,8 @@
             except notice_codec.UnreadableNotice as error:
                 self._refused.note(frame, str(error))
                 continue
-            if read.notice.daemon in self._directory.daemons:
+            self._directory.note_heard(read.notice.daemon)
+            if read.notice.daemon in self._directory.reachable:
                 self._heard_forms[read.notice.daemon] = read.form
                 self._forwarder.note_rules_version(read.notice.daemon, read.notice.rules_version)
                 self.rules_exchange.hear(read.notice)
@@ -318,7 +319,7 @@
 
     def _broadcast(self, notice: notices.Notice) -> None:
         """Send to all daemons; in a large fleet to the cohort and a random sample."""
-        names = [name for name in self._directory.daemons if name != self._name]
+        names = [name for name in self._directory.reachable if name != self._name]
         if len(names) > FANOUT:
             names = list({*self._cohorts.list_own_cohort(), *self._rng.sample(names, FANOUT)})
         self._send_to(names, notice)
@@ -330,8 +331,9 @@
         one of, only until they are heard.
         """
         frames: dict[notice_codec.Form, bytes] = {}
+        reachable = self._directory.reachable
         for name in names:
-            record = self._directory.daemons.get(name)
+            record = reachable.get(name)
             if name == self._name or record is None or not record.address:
                 continue
             form = self._heard_forms.get(name) or notice_codec.find_form(record)
--- a/tests/relay/test_daemon_directory.py
+++ b/tests/relay/test_daemon_directory.py
@@ -199,3 +199,41 @@
         for _ in range(3):
             await setting.directory._maintain_entry()
         assert len(store.written) == 2
+
+
+class TestLapsedEntries:
+    """Daemons that had lost the store got no requests handed over, though they could serve them."""
+
+    def lapse(self, is_leaving: bool = False, is_heard: bool = True) -> Setting:
+        setting = Setting()
+        setting.read("d1")
+        setting.directory.daemons["d1"].is_leaving = is_leaving
+        if is_heard:
+            setting.directory.note_heard("d1")
+        key = daemon_directory.DAEMON_PREFIX + "d1"
+        setting.directory.apply_changes(key_value.Changes([], [key]))
+        assert setting.names == {"d0"}
+        return setting
+
+    def test_daemon_without_an_entry_is_reachable_as_long_as_it_is_heard(self) -> None:
+        setting = self.lapse()
+        for _ in range(10):
+            setting.clock.advance(daemon_directory.HEARD_MS - 1)
+            assert set(setting.directory.reachable) == {"d0", "d1"}
+            setting.directory.note_heard("d1")
+        setting.clock.advance(daemon_directory.HEARD_MS)
+        setting.directory.note_heard("d2")
+        assert set(setting.directory.reachable) == {"d0"}
+        setting.directory.note_heard("d1")
+        assert set(setting.directory.reachable) == {"d0"}
+
+    def test_daemon_that_leaves_or_was_not_heard_is_not_reachable(self) -> None:
+        for setting in (self.lapse(is_leaving=True), self.lapse(is_heard=False)):
+            assert set(setting.directory.reachable) == {"d0"}
+
+    def test_daemon_whose_entry_is_back_is_listed_only(self) -> None:
+        setting = self.lapse()
+        setting.read("d1")
+        setting.clock.advance(daemon_directory.HEARD_MS)
+        assert setting.names == set(setting.directory.reachable) == {"d0", "d1"}
+        assert not setting.directory._lapsed
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -29,6 +29,20 @@
 
 
 class TestHandover:
+    async def test_daemon_that_lost_the_store_still_takes_requests(self) -> None:
+        """Its entry lapsed after 6 s, and the others handed nothing over to it any more."""
+        async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
+            await cut_off(deployed)
+            first, second = deployed.daemons
+            second_path = deployed.networks[1].store_path
+            second_path.cut(proxy.Cut.REFUSES)
+            second_path.reset()
+            await deployed.wait_until(
+                lambda: second.settings.name not in first.directory.daemons, "the entry lapses", 20
+            )
+            response = await deployed.ask("/unsafe/x", "POST", b"body")
+            assert response.status == 200
+
     async def test_request_arrives_as_the_caller_sent_it(self) -> None:
         async with deployments.deploy(daemon_count=2, has_networks=True) as deployed:
             await cut_off(deployed)
