--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -125,20 +125,29 @@
     @property
     def reachable(self) -> dict[str, DaemonRecord]:
         """Listed daemons, and those without an entry from which notices still arrive."""
-        since_ms = self._clock.monotonic_ms() - HEARD_MS
-        self._lapsed = {
-            name: record
-            for name, record in self._lapsed.items()
-            if self._heard_at_ms.get(name, since_ms) > since_ms
-        }
-        return {**self._lapsed, **self.daemons}
+        heard = {name: record for name, record in self._lapsed.items() if self._is_heard(name)}
+        return {**heard, **self.daemons}
+
+    def find_reachable(self, name: str) -> DaemonRecord | None:
+        """Return the entry of a daemon, or its last one while notices from it still arrive.
+
+        :param name: name of the daemon.
+        """
+        record = self.daemons.get(name)
+        if record is None and self._is_heard(name):
+            record = self._lapsed.get(name)
+        return record
+
+    def _is_heard(self, name: str) -> bool:
+        heard_at_ms = self._heard_at_ms.get(name)
+        return heard_at_ms is not None and self._clock.monotonic_ms() - heard_at_ms < HEARD_MS
 
     def note_heard(self, name: str) -> None:
         """Record that a notice of a daemon arrived.
 
         :param name: name of the daemon.
         """
-        if name in self.daemons or name in self._lapsed:
+        if self.find_reachable(name) is not None:
             self._heard_at_ms[name] = self._clock.monotonic_ms()
 
     def list_names(self, failure_domain: str) -> list[str]:
@@ -263,12 +272,13 @@
 
     def _log_changes(self, before: Mapping[str, DaemonRecord]) -> None:
         came, went = self.daemons.keys() - before.keys(), before.keys() - self.daemons.keys()
-        for name in went:
-            if not before[name].is_leaving:
-                self._lapsed[name] = before[name]
-        for name in came:
-            self._lapsed.pop(name, None)
-        for name in self._heard_at_ms.keys() - self.reachable.keys():
+        self._lapsed |= {name: before[name] for name in went if not before[name].is_leaving}
+        self._lapsed = {
+            name: record
+            for name, record in self._lapsed.items()
+            if name not in came and self._is_heard(name)
+        }
+        for name in self._heard_at_ms.keys() - self.daemons.keys() - self._lapsed.keys():
             del self._heard_at_ms[name]
         if came or went:
             self._log.note(LOGGER, "list of daemons changed", came=sorted(came), went=sorted(went))
--- a/src/tanagerfork/relay/forwarding.py
+++ b/src/tanagerfork/relay/forwarding.py
@@ -331,7 +331,7 @@
         daemon: str,
         sink: progresses.Sink,
     ) -> result.Result[calls.Outcome, errors.UpstreamError]:
-        record = self._directory.reachable.get(daemon)
+        record = self._directory.find_reachable(daemon)
         if record is None:
             message = f"{daemon} is not listed any more; use another daemon"
             return result.Err(errors.UpstreamUnreachable(message))
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -171,7 +171,7 @@
                 self._refused.note(frame, str(error))
                 continue
             self._directory.note_heard(read.notice.daemon)
-            if read.notice.daemon in self._directory.reachable:
+            if self._directory.find_reachable(read.notice.daemon) is not None:
                 self._heard_forms[read.notice.daemon] = read.form
                 self._forwarder.note_rules_version(read.notice.daemon, read.notice.rules_version)
                 self.rules_exchange.hear(read.notice)
@@ -331,9 +331,8 @@
         one of, only until they are heard.
         """
         frames: dict[notice_codec.Form, bytes] = {}
-        reachable = self._directory.reachable
         for name in names:
-            record = reachable.get(name)
+            record = self._directory.find_reachable(name)
             if name == self._name or record is None or not record.address:
                 continue
             form = self._heard_forms.get(name) or notice_codec.find_form(record)
