Leave the answer before an improper one readable on a pooled connection

What callers could see: a connection is used again once a body has arrived, also if it is still unread. An improper answer to the next request then ended the reading of the earlier one, whose complete answer was lost.

Cause: the check of answers, which this series adds, set its error on the body that the connection had last, complete or not.

The new test failed before.

--- a/src/tanagerfork/upstream/guarded.py
+++ b/src/tanagerfork/upstream/guarded.py
@@ -50,7 +50,8 @@
             super().data_received(checked)
 
     def _break_off(self, error: heads.ImproperAnswer) -> None:
-        if self._payload is not None:
+        # A complete body is that of the request before, and may still be unread.
+        if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
         self.set_exception(error)
         if self.transport is not None:
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -1,8 +1,11 @@
 """What a proper answer is: heads, trailers and the framing of bodies."""
 
+import asyncio
+
+import aiohttp
 import pytest
 
-from tanagerfork.upstream import answers, heads
+from tanagerfork.upstream import answers, guarded, heads
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -201,3 +204,26 @@
         reader = answers.AnswerReader()
         assert reader.feed(CHUNKED + b"5\r\nhello\r\n0\r\nX: y\r\n").endswith(b"hello\r\n")
         assert reader.feed(b"\r\n") == b"0\r\nX: y\r\n\r\n"
+
+
+class TestPooledConnection:
+    async def test_improper_answer_leaves_the_answer_before_it_readable(self) -> None:
+        """Its body may still be unread when the connection is used for the next request."""
+        replies = [OK + b"Content-Length: 5\r\n\r\nhello", b"HTTP/1.1 999 x\r\n\r\n"]
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for reply in replies:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(reply)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
+        async with aiohttp.ClientSession(connector=guarded.GuardedConnector()) as session:
+            first = await session.get(url)
+            await asyncio.sleep(0.05)
+            with pytest.raises(heads.ImproperAnswer):
+                await session.get(url)
+            assert await first.read() == b"hello"
+        server.close()
