--- a/src/tanagerfork/relay/daemon_directory.py
+++ b/src/tanagerfork/relay/daemon_directory.py
@@ -142,7 +142,7 @@
         heard_at_ms = self._heard_at_ms.get(name)
         return heard_at_ms is not None and self._clock.monotonic_ms() - heard_at_ms < HEARD_MS
 
-    def note_heard(self, name: str) -> None:
+    def record_notice(self, name: str) -> None:
         """Record that a notice of a daemon arrived.
 
         :param name: name of the daemon.
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -170,7 +170,7 @@
             except notice_codec.UnreadableNotice as error:
                 self._refused.note(frame, str(error))
                 continue
-            self._directory.note_heard(read.notice.daemon)
+            self._directory.record_notice(read.notice.daemon)
             if self._directory.find_reachable(read.notice.daemon) is not None:
                 self._heard_forms[read.notice.daemon] = read.form
                 self._forwarder.note_rules_version(read.notice.daemon, read.notice.rules_version)
--- a/src/tanagerfork/relay/quarantine.py
+++ b/src/tanagerfork/relay/quarantine.py
@@ -168,7 +168,7 @@
         self._stored.add(key)
         now_ms = self._clock.monotonic_ms()
         if record.request:
-            self._hear_request(record, now_ms)
+            self._apply_request(record, now_ms)
             return
         parts = frozenset(record.parts or [key.removeprefix(PART_PREFIX)])
         if any(self._evidence.find_answer_ms(part) > now_ms - CLEARED_DOUBT_MS for part in parts):
@@ -179,7 +179,7 @@
             now_ms,
         )
 
-    def _hear_request(self, record: QuarantineRecord, now_ms: int) -> None:
+    def _apply_request(self, record: QuarantineRecord, now_ms: int) -> None:
         left_ms = min(record.expires_unix_ms - self._clock.wall_ms(), poison.QUARANTINE_TTL_MS)
         if left_ms <= 0:
             return
--- a/src/tanagerfork/routing/crash_evidence.py
+++ b/src/tanagerfork/routing/crash_evidence.py
@@ -25,7 +25,7 @@
 MIN_REQUESTS = 2  # A single request that is repeated is quarantined by its own fingerprint.
 SIMULTANEOUS_MS = 50  # Upstreams that crash together, as with their rack, count as one crash.
 SETTLE_MS = 1500  # By then a complete answer at any daemon is known at all of them.
-# After a crash is learned, which may be late, other daemons tell the answers that they know of.
+# Other daemons have reported the answers before a crash this long after it became known.
 REPLY_MS = 800
 TELL_MS = 1000  # Three rounds of notices, each of which may be lost.
 EVIDENCE_TTL_MS = 600_000
@@ -94,8 +94,8 @@
 class CrashEvidence:
     """Crashes and answers by part, of this daemon and of those that told theirs.
 
-    A daemon knows only the answers that went through it. So each one tells when the parts were last
-    answered whose crashes it learns of, which also ends quarantines that were decided without it.
+    A daemon knows only the answers that it relayed itself. When a crash becomes known, each one
+    reports when its parts were last answered, which also ends quarantines decided without that.
 
     Crashes before `since_ms` are left to the daemons that also know which parts were answered
     before: a part that all requests share would seem at fault after few of them.
@@ -291,13 +291,13 @@
         self._candidates.discard(part)
 
     def _tell_answer(self, part: str, now_ms: float) -> None:
-        """Tell the others of the last answer, once for all those that ask by what they tell."""
+        """Report the last answer, at most once in `TELL_MS`."""
         if now_ms - self._answer_told_ms.get(part, float("-inf")) < TELL_MS:
             return
-        self._note_told(part, now_ms)
+        self._record_told(part, now_ms)
         self._recent.append(Recent(now_ms, True, PartAnswer(part, self.find_answer_ms(part))))
 
-    def _note_told(self, part: str, now_ms: float) -> None:
+    def _record_told(self, part: str, now_ms: float) -> None:
         if len(self._answer_told_ms) >= MAX_PARTS:
             self._answer_told_ms.clear()
         self._answer_told_ms[part] = now_ms
@@ -308,7 +308,7 @@
         if finding.at_ms < known_ms:
             return
         if not is_own:
-            self._note_told(part, now_ms)  # By another daemon, to this one and the others.
+            self._record_told(part, now_ms)  # By another daemon, to this one and the others.
         if finding.at_ms == known_ms:
             return
         self._note_answer(part, finding.at_ms)
--- a/src/tanagerfork/routing/poison.py
+++ b/src/tanagerfork/routing/poison.py
@@ -226,19 +226,19 @@
         """
         self._doubts.pop(fingerprint, None)
         suspicion = self._suspicions.pop(fingerprint, None)
-        self._note_answer(fingerprint, now_ms)
+        self._record_answer(fingerprint, now_ms)
         if suspicion is not None and suspicion.is_quarantined:
             self._answers_to_tell[fingerprint] = None
 
     def take_repeats(self, now_ms: int) -> list[fleets.PoisonNotice]:
-        """Return what to tell in a round of notices: answers that peers lack, and quarantines.
+        """Return what a round of notices reports: answers that peers lack, and quarantines.
 
         Peers that have started since, or missed a notice, learn of quarantines in this way; those
         told longest ago come first.
 
         :param now_ms: monotonic clock, in milliseconds.
         """
-        repeats = self._take_answers(now_ms)
+        repeats = self._pop_answers(now_ms)
         due = [
             (suspicion.told_at_ms, fingerprint)
             for fingerprint, suspicion in self._suspicions.items()
@@ -261,7 +261,7 @@
         :return: whether it tells something new.
         """
         if notice.answered_age_ms >= 0:
-            return self._hear_answer(notice.fingerprint, now_ms - notice.answered_age_ms, now_ms)
+            return self._apply_answer(notice.fingerprint, now_ms - notice.answered_age_ms, now_ms)
         crashed_at_ms = now_ms - max(0, notice.age_ms)
         answered_at_ms = self._answered_at_ms.get(notice.fingerprint, float("-inf"))
         if notice.age_ms >= 0 and crashed_at_ms <= answered_at_ms:
@@ -282,7 +282,7 @@
                 suspicion.is_quarantined = True
         ttl_ms = min(notice.expires_in_ms, QUARANTINE_TTL_MS)
         if suspicion.is_quarantined and not notice.is_quarantined:
-            ttl_ms = QUARANTINE_TTL_MS  # By what was known here and what the peer tells.
+            ttl_ms = QUARANTINE_TTL_MS  # By the crashes of both.
         suspicion.expires_at_ms = max(suspicion.expires_at_ms, now_ms + ttl_ms)
         suspicion.peer_trial_until_ms = 0 if suspicion.is_quarantined else now_ms + trial_ms
         self._store(notice.fingerprint, suspicion)
@@ -295,7 +295,7 @@
         answered_at_ms: float,
         now_ms: int,
     ) -> None:
-        """Add the crashes that a peer tells, without those before the last answer."""
+        """Add the crashes that a peer reports, without those before the last answer."""
         crashed_at_ms = now_ms - max(0, notice.age_ms)
         runs = [
             LostRun(now_ms - told.sent_age_ms, now_ms - told.lost_age_ms, told.crash)
@@ -312,11 +312,11 @@
             suspicion.crashes = notice.crashes
         suspicion.crashed_at_ms = max(suspicion.crashed_at_ms, crashed_at_ms)
 
-    def _hear_answer(self, fingerprint: str, answered_at_ms: float, now_ms: int) -> bool:
-        """Apply that a peer knows of an answer; pass it on if it ends a quarantine here."""
+    def _apply_answer(self, fingerprint: str, answered_at_ms: float, now_ms: int) -> bool:
+        """Apply an answer that a peer reports; pass it on if it ends a quarantine here."""
         if answered_at_ms <= self._answered_at_ms.get(fingerprint, float("-inf")):
             return False
-        self._note_answer(fingerprint, answered_at_ms)
+        self._record_answer(fingerprint, answered_at_ms)
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if suspicion is None:
             return False
@@ -331,7 +331,7 @@
             self._answers_to_tell[fingerprint] = None
         return was_quarantined
 
-    def _take_answers(self, now_ms: int) -> list[fleets.PoisonNotice]:
+    def _pop_answers(self, now_ms: int) -> list[fleets.PoisonNotice]:
         told = list(self._answers_to_tell)[:MAX_REPEATS]
         notices = []
         for fingerprint in told:
@@ -348,7 +348,7 @@
         is_answered = fingerprint in self._answered_at_ms
         return CRASHES_OF_ANSWERED if is_answered else CRASHES_TO_QUARANTINE
 
-    def _note_answer(self, fingerprint: str, at_ms: float) -> None:
+    def _record_answer(self, fingerprint: str, at_ms: float) -> None:
         self._answered_at_ms[fingerprint] = at_ms
         self._answered_at_ms.move_to_end(fingerprint)
         if len(self._answered_at_ms) > MAX_ANSWERED:
--- a/src/tanagerfork/upstream/answers.py
+++ b/src/tanagerfork/upstream/answers.py
@@ -94,7 +94,7 @@
             self._check_size(line)
             if line.endswith(b"\n"):
                 self._line = b""
-                passed.append(self._take_line(line))
+                passed.append(self._read_line(line))
             else:
                 self._line = line
         return b"".join(passed)
@@ -105,7 +105,7 @@
         if len(self._held) + len(line) > limit_bytes:
             raise heads.ImproperAnswer(f"a {self._state.value} of more than {limit_bytes} bytes")
 
-    def _take_line(self, line: bytes) -> bytes:
+    def _read_line(self, line: bytes) -> bytes:
         """Check a complete line; return what can be passed on."""
         if self._state is State.HEAD and not self._lines:
             self._line_end = b"\r\n" if line.endswith(b"\r\n") else b"\n"
@@ -115,9 +115,9 @@
             raise heads.ImproperAnswer(f"a line with another end: {heads.quote(line)}")
         line = content + b"\r\n"
         if self._state is State.HEAD:
-            return self._take_head_line(line, content)
+            return self._read_head_line(line, content)
         if self._state is State.TRAILER:
-            return self._take_trailer_line(line, content)
+            return self._read_trailer_line(line, content)
         if self._state is State.CHUNK_END:
             if content:
                 raise heads.ImproperAnswer(f"a chunk longer than its size: {heads.quote(content)}")
@@ -134,7 +134,7 @@
         self._held += line
         return b""
 
-    def _take_head_line(self, line: bytes, content: bytes) -> bytes:
+    def _read_head_line(self, line: bytes, content: bytes) -> bytes:
         self._held += line
         if content or not self._lines:  # Checked at once, as the rest may never come.
             check_line = heads.read_field if self._lines else heads.read_status_line
@@ -155,7 +155,7 @@
         self._state = _find_body_state(head)
         return held
 
-    def _take_trailer_line(self, line: bytes, content: bytes) -> bytes:
+    def _read_trailer_line(self, line: bytes, content: bytes) -> bytes:
         self._held += line
         if content:
             heads.read_field(content)
--- a/tests/relay/test_daemon_directory.py
+++ b/tests/relay/test_daemon_directory.py
@@ -209,7 +209,7 @@
         setting.read("d1")
         setting.directory.daemons["d1"].is_leaving = is_leaving
         if is_heard:
-            setting.directory.note_heard("d1")
+            setting.directory.record_notice("d1")
         key = daemon_directory.DAEMON_PREFIX + "d1"
         setting.directory.apply_changes(key_value.Changes([], [key]))
         assert setting.names == {"d0"}
@@ -220,11 +220,11 @@
         for _ in range(10):
             setting.clock.advance(daemon_directory.HEARD_MS - 1)
             assert set(setting.directory.reachable) == {"d0", "d1"}
-            setting.directory.note_heard("d1")
+            setting.directory.record_notice("d1")
         setting.clock.advance(daemon_directory.HEARD_MS)
-        setting.directory.note_heard("d2")
+        setting.directory.record_notice("d2")
         assert set(setting.directory.reachable) == {"d0"}
-        setting.directory.note_heard("d1")
+        setting.directory.record_notice("d1")
         assert set(setting.directory.reachable) == {"d0"}
 
     def test_daemon_that_leaves_or_was_not_heard_is_not_reachable(self) -> None:
