Wait for the quarantine, not for one way of logging it, in a test

Its log shows that both daemons had quarantined the request: the second one by its own crash and the first one's notice of one crash, so that the notice of two crashes told nothing new and was not logged, and the test waited for two lines with two crashes.

The test now waits until each daemon has the request quarantined, and goes on to check that both refuse it. The log line of a notice says whether the request is quarantined by what is known then.

--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -382,5 +382,6 @@
                 "request suspected",
                 fingerprint=suspect.fingerprint,
                 crashes=suspect.crashes,
+                is_quarantined=self._suspects.quarantine_left_ms(suspect.fingerprint, now_ms) > 0,
                 told_by=notice.daemon,
             )
--- a/src/tanagerfork/relay/quarantine.py
+++ b/src/tanagerfork/relay/quarantine.py
@@ -191,6 +191,7 @@
                 "request suspected",
                 fingerprint=record.request,
                 crashes=crashes,
+                is_quarantined=self._suspects.quarantine_left_ms(record.request, now_ms) > 0,
                 told_by="the store",
             )
 
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -56,7 +56,10 @@
             assert (await deployed.ask("/safe/poison")).status == 502
             assert (await deployed.ask("/safe/poison", daemon=1)).status in (502, 503)
             await deployed.wait_until(
-                lambda: len(deployed.log.find("request suspected", '"crashes":2')) >= 2,
+                lambda: all(
+                    daemon.suspects.list_quarantines(daemon.clock.monotonic_ms(), 1)
+                    for daemon in deployed.daemons
+                ),
                 "both daemons know",
             )
             for index in range(2):
