Do not repeat the decision for a quarantine that is known

Found by reading the diff: since quarantines may name several parts, each notice that tells a known one made the daemon weigh all candidates anew at the next request, several times a second from each daemon.

The decision is now repeated only if a quarantine was added. The new test failed before.

--- a/src/tanagerfork/routing/crash_evidence.py
+++ b/src/tanagerfork/routing/crash_evidence.py
@@ -224,15 +224,16 @@
         """
         for part in quarantine.parts - self._find_possible(quarantine):
             self._tell_answer(part, now_ms)
-        self._add_quarantine(quarantine)
-        self._decide_at_ms = float("-inf")
+        if self._add_quarantine(quarantine):
+            self._decide_at_ms = float("-inf")
 
-    def _add_quarantine(self, quarantine: part_quarantines.PartQuarantine) -> None:
-        """Add a quarantine of those parts that can be at fault, if any can."""
+    def _add_quarantine(self, quarantine: part_quarantines.PartQuarantine) -> bool:
+        """Add a quarantine of those parts that can be at fault; return whether it is a new one."""
         possible = self._find_possible(quarantine)
-        if possible:
-            self._quarantines.add(dataclasses.replace(quarantine, parts=possible))
-            self._candidates -= possible
+        if not possible:
+            return False
+        self._candidates -= possible
+        return self._quarantines.add(dataclasses.replace(quarantine, parts=possible))
 
     def _find_possible(self, quarantine: part_quarantines.PartQuarantine) -> frozenset[str]:
         """Return which parts of a quarantine can be at fault by the answers that are known."""
--- a/src/tanagerfork/routing/part_quarantines.py
+++ b/src/tanagerfork/routing/part_quarantines.py
@@ -35,16 +35,18 @@
         """All quarantines."""
         return list(self._items.values())
 
-    def add(self, quarantine: PartQuarantine) -> None:
+    def add(self, quarantine: PartQuarantine) -> bool:
         """Add a quarantine, unless one is known that covers it; drop those that it covers.
 
         :param quarantine: quarantine.
+        :return: whether it was added.
         """
         if any(parts <= quarantine.parts for parts in self._items):
-            return
+            return False
         for parts in [parts for parts in self._items if quarantine.parts < parts]:
             del self._items[parts]
         self._items[quarantine.parts] = quarantine
+        return True
 
     def remove(self, quarantine: PartQuarantine) -> None:
         """Remove a quarantine.
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -190,6 +190,20 @@
             told = [] if parts else [crashes.PartAnswer("bad", answered_at_ms)]
             assert evidence.list_recent(2000, with_heard=False) == told
 
+    def test_quarantine_that_is_told_again_does_not_repeat_the_decision(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Each notice of each daemon tells it, and candidates that it explains are many."""
+        evidence = crashes.CrashEvidence()
+        record_crashes(evidence, ("bad", "first"), [0, 400, 800])
+        evidence.record_crash(("bad",), "v", "s", 1200, 1200)
+        assert list_parts(evidence, 10_000) == ["bad"]
+        assert evidence._candidates
+        quarantine = evidence.list_quarantines(10_000)[0]
+        monkeypatch.setattr(crashes.CrashEvidence, "_find_at_fault", None)
+        evidence.hear_quarantine(quarantine, 10_001)
+        assert list_parts(evidence, 10_001) == ["bad"]
+
     def test_answer_is_told_once_for_all_that_tell_crashes_before_it(self) -> None:
         evidence = crashes.CrashEvidence()
         evidence.record_answer(("first",), 1000)
