Repeat which upstreams leave although their entries don't say so

What callers saw: an upstream that says in its answers that it leaves, while its entry does not, went on to get requests from some daemons until it exited, and the open ones were lost.

Cause: the daemon that reads the answer told the others once. One that was starting, suspended or cut off then never learned it, and in a fleet of more than 24 daemons only the cohort and 24 others were told. They concluded from the missing word that the upstream stays.

Change: load notices name the known upstreams that leave although their entries don't say so, and sources pass this on. Those whose entries do are left out, as all daemons read them.

Two tests failed before: test_daemon_that_starts_later_sends_a_leaving_ upstream_nothing and test_word_reaches_all_daemons_of_a_large_fleet.

--- a/src/tanagerfork/relay/fleet.py
+++ b/src/tanagerfork/relay/fleet.py
@@ -170,6 +170,21 @@
         self._rebuild_index()
         return True
 
+    def list_leaving(self) -> list[members.Upstream]:
+        """Return the known upstreams that leave although their entries don't say so.
+
+        Those without a start are left out, as the word of one start would count for the next.
+        """
+        return [
+            upstream
+            for upstream in self._known.values()
+            if upstream.is_leaving and upstream.born_at_ms and not self._says_leaving(upstream.id)
+        ]
+
+    def _says_leaving(self, upstream_id: str) -> bool:
+        listed = self._listed.get(upstream_id)
+        return listed is not None and listed.is_leaving
+
     def _note_left(self, key: tuple[str, int]) -> None:
         self._left[key] = None
         if len(self._left) > MAX_LEFT:
--- a/src/tanagerfork/relay/peers.py
+++ b/src/tanagerfork/relay/peers.py
@@ -40,6 +40,7 @@
 LOAD_INTERVAL_MS = 300  # Half the time to the first event of a usual request.
 FANOUT = 24  # Largest number of daemons that are sent loads directly; more get sums from sources.
 MAX_NOTICE_BYTES = 64 * 1024
+MAX_REPEATED_LEAVING = 128  # Of the leaving upstreams whose entries don't say so.
 MAX_FRAME_BYTES = 512 * 1024  # A notice with a packed configuration; no other one is as long.
 
 
@@ -226,6 +227,9 @@
         figures.add_to_notice(notice, now_ms)
         notice.cut_off = self._reach.cut_off_services
         notice.suspects = self._repeated_suspects
+        # The announcement misses daemons that start later, and most of a large fleet.
+        leaving = self._view.list_leaving()[:MAX_REPEATED_LEAVING]
+        notice.leaving = [_encode_leaving(upstream) for upstream in leaving]
         notice.heard = self._link_checks.list_heard()
         part_notices.add_to_notice(notice, self._evidence, now_ms, with_heard=covers != "daemon")
         return notice
@@ -245,9 +249,8 @@
         if not self._view.mark_leaving(upstream.id, upstream.born_at_ms):
             return
         self._log.note(LOGGER, "upstream says that it leaves", upstream=upstream.id)
-        leaving = notices.LeavingUpstream(upstream=upstream.id, born_at_ms=upstream.born_at_ms)
         notice = self._make_notice()
-        notice.leaving.append(leaving)
+        notice.leaving.append(_encode_leaving(upstream))
         self._broadcast(notice)
 
     def announce_closed(self, head_id: str, epoch: int) -> None:
@@ -385,3 +388,7 @@
                 is_quarantined=self._suspects.quarantine_left_ms(suspect.fingerprint, now_ms) > 0,
                 told_by=notice.daemon,
             )
+
+
+def _encode_leaving(upstream: members.Upstream) -> notices.LeavingUpstream:
+    return notices.LeavingUpstream(upstream=upstream.id, born_at_ms=upstream.born_at_ms)
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -203,6 +203,18 @@
         view.update_list([make_member("a", 0), make_member("b", 1)], 100)
         assert count_groups(view) == 0
 
+    def test_only_what_entries_do_not_say_is_listed_for_other_daemons(self) -> None:
+        view = make_fleet()
+        view.update_list([make_member("a", 0), make_member("b", 1, is_leaving=True)], 0)
+        assert view.list_leaving() == []
+        view.mark_leaving("a", view.find("a").born_at_ms)
+        view.mark_leaving("z", 1)
+        assert [upstream.id for upstream in view.list_leaving()] == ["a"]
+        view.update_list([make_member("a", 0), make_member("b", 1)], 100)
+        assert [upstream.id for upstream in view.list_leaving()] == ["a", "b"]
+        view.update_list([make_member("a", 0, born_at_ms=9)], 200)
+        assert view.list_leaving() == []
+
     def test_memory_is_bounded(self) -> None:
         view = make_fleet()
         for number in range(fleet.MAX_LEFT + 10):
--- a/tests/relay/test_leaving.py
+++ b/tests/relay/test_leaving.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tanagerfork.platform import headers
+from tanagerfork.relay import cohorts, peers
 from tanagerfork_standins.platform import runner, site
 from tests.relay import deployments
 
@@ -32,6 +33,48 @@
             assert leaving.requests[-1].received_at_s < began_s + DRAIN_S
             assert deployed.log.find("upstream says that it leaves", "told_by")
 
+    async def test_daemon_that_starts_later_sends_a_leaving_upstream_nothing(self) -> None:
+        """A daemon that was not running at the announcement sent requests until the exit."""
+        async with deployments.deploy(engines=0, plain=2) as deployed:
+            await deployed.wait_for_rules()
+            leaving = deployed.site.plain_runners[0]
+            leaving.leaving_text = "1"
+            while not leaving.requests:
+                assert (await deployed.ask("/safe/x")).status == 200
+            later = await deployed.add_daemon()
+            await deployed.wait_until(
+                lambda: (found := later.view.find(leaving.id)) and found.is_leaving,
+                "the word of it",
+            )
+            sent = len(leaving.requests)
+            for _ in range(10):
+                assert (await deployed.ask("/safe/x", daemon=1)).status == 200
+            assert len(leaving.requests) == sent
+
+    async def test_word_reaches_all_daemons_of_a_large_fleet(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The announcement goes to the cohort and to as many others as the fan-out allows."""
+        monkeypatch.setattr(peers, "FANOUT", 1)
+        monkeypatch.setattr(cohorts, "COHORT_SIZE", 2)
+        async with deployments.deploy(engines=0, plain=2, daemon_count=6) as deployed:
+            await deployed.wait_until(
+                lambda: all(len(daemon.directory.daemons) == 6 for daemon in deployed.daemons),
+                "six daemons",
+            )
+            await deployed.wait_for_rules()
+            leaving = deployed.site.plain_runners[0]
+            leaving.leaving_text = "1"
+            while not leaving.requests:
+                assert (await deployed.ask("/safe/x")).status == 200
+            await deployed.wait_until(
+                lambda: all(
+                    (found := daemon.view.find(leaving.id)) and found.is_leaving
+                    for daemon in deployed.daemons
+                ),
+                "the word at all daemons",
+            )
+
     async def test_group_of_a_leaving_head_is_replaced(self) -> None:
         async with deployments.deploy(engines=4, plain=0) as deployed:
             await deployed.wait_for_group()
