Count for cold runners only what builds with the rule have sent

Cause: a fault of the check.

Change: the check begins 1.2 s after the last replacement by another build. It stays as strict from then on, and in soaks of one build, where it holds throughout.

test_sends_of_a_replaced_build_without_the_rule_do_not_count failed before.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,15 @@
 """Short seeded runs of the soak test, also with the seeds that have failed before."""
 
+import asyncio
+import math
 import pathlib
 import random
+import signal
 
 import pytest
-from tools import builds, evacuations, keys, platform_faults, soak, upgrades, verdicts
+from tools import builds, evacuations, keys, platform_faults, processes, soak, upgrades, verdicts
 
-from tanagerfork_standins.platform import site
+from tanagerfork_standins.platform import runner, site
 
 # Every seed that fails is added here, with a line on its cause.
 # 11: a daemon exited after a restart without a log line; a reload signal during its startup would
@@ -33,6 +36,46 @@
         assert run.verdict.violations == ["MIXED"]
 
 
+class TestColdRunners:
+    @pytest.mark.parametrize(("replaced_before_s", "is_broken"), [(0.5, False), (2.0, True)])
+    async def test_sends_of_a_replaced_build_without_the_rule_do_not_count(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        tmp_path: pathlib.Path,
+        replaced_before_s: float,
+        is_broken: bool,
+    ) -> None:
+        """An upgrade was found broken by what the earlier build had sent in the second before."""
+        monkeypatch.setattr(soak, "COLD_NOTICE_S", -1.0)
+        monkeypatch.setattr(soak, "COLD_ENTRY_S", 0.05)
+        monkeypatch.setattr(soak, "COLD_S", 0.1)
+        run = soak.Soak(1, 1, tmp_path)
+        now_s = asyncio.get_running_loop().time()
+        daemon = processes.Daemon("d0", tmp_path, store_port=1)
+        daemon.build_since_s = now_s - replaced_before_s
+        run.daemons.append(daemon)
+        [cold] = run.cold_runners = run.site.plain_runners[:1]
+        cold.requests = [
+            runner.ReceivedRequest("r1", "GET", "/", {}, b"", True, now_s)
+            for _ in range(round(soak.MAX_PER_COLD_SECOND) + 1)
+        ]
+        await run._make_runner_cold()
+        daemon.close()
+        assert bool(run.verdict.violations) == is_broken
+
+    async def test_replacement_is_timed(self, tmp_path: pathlib.Path) -> None:
+        other = builds.Build("other", builds.ROOT)
+        daemon = processes.Daemon("d0", tmp_path, store_port=1)
+        await daemon.start()
+        await daemon.restart(signal.SIGKILL)
+        assert daemon.build_since_s == -math.inf
+        await daemon.restart(signal.SIGKILL, other)
+        assert 0 <= asyncio.get_running_loop().time() - daemon.build_since_s < 5
+        daemon.send(signal.SIGKILL)
+        await daemon.process.wait()
+        daemon.close()
+
+
 class TestMutants:
     """The verdicts on evacuations and regions find a build that ignores the rule."""
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import math
 import os
 import pathlib
 import signal
@@ -40,6 +41,7 @@
     ) -> None:
         self.name = name
         self.build = build
+        self.build_since_s = -math.inf  # In the time of the event loop.
         self.callers_port, *rest = find_ports(5)
         self._path = folder / f"{name}.json5"
         addresses = [f"127.0.0.1:{port}" for port in (self.callers_port, *rest)]
@@ -136,7 +138,9 @@
             self.send(number)
             assert self.process is not None
             await self.process.wait()
-            self.build = build or self.build
+            if build not in (None, self.build):
+                self.build = build
+                self.build_since_s = asyncio.get_running_loop().time()
             await self.start()
 
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -48,6 +48,7 @@
 COLD_PER_S, COLD_S = 4.0, 8.0
 MAX_PER_COLD_SECOND = 1.5 * COLD_PER_S + 5
 COLD_NOTICE_S = 3.0  # Time in which daemons read from a sound store that a runner is cold.
+REPLACED_S = 1.2  # The last second holds nothing more that the replaced build sent.
 COLD_ENTRY_S = 0.6  # Renews the entry of a cold runner; twice as often as runners do.
 STABLE_S = 3.0  # After this time, callers of daemons that are cut off are served as well.
 START_TEXT = '"decision":"start"'
@@ -399,11 +400,18 @@
                 return  # It may have got more in the part of the last second in which it was warm.
             known_s = clock() - max(began_s, self._platform.store_disturbed_s)
             is_known = known_s > COLD_NOTICE_S + 1 and not self._platform.is_store_disturbed
-            if is_known and all(daemon.build.limits_cold_sends for daemon in self.daemons):
+            if is_known and self._have_limited_cold_sends(clock() - REPLACED_S):
                 count = member.count_last_second()
                 text = f"COLD: {member.id} gets {count} requests in a second"
                 self.verdict.check(count <= MAX_PER_COLD_SECOND, text)
 
+    def _have_limited_cold_sends(self, since_s: float) -> bool:
+        """Return whether only builds that know the rate of cold runners have run since a time."""
+        return all(
+            daemon.build.limits_cold_sends and daemon.build_since_s <= since_s
+            for daemon in self.daemons
+        )
+
     async def _have_callers_stop_reading(self) -> None:
         daemon = self.rng.choice(self.daemons)
         self._excuse(daemon)  # It may refuse others meanwhile.
