Reload a daemon of the soak only once its interpreter has begun

Seen: one of six runs of TestMixedBuilds side by side broke RECOVER, as d0 ended by SIGHUP (status -1) right after a restart and was not started again.

Cause: a fault of the driver. The default action of the signal ends the interpreter before its first line, whatever program it is to run; the program ignores the signal from its first line on, which tests/relay/test_program.py keeps so.

Change: the driver waits until the process ignores or handles the signal, at most 5 s, and sends it then in any case, so that a program which never takes it is still found.

test_interpreter_that_starts_is_not_ended failed before.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+from collections.abc import AsyncIterator
 
 import pytest
 from tools import builds, evacuations, keys, platform_faults, processes, soak, upgrades, verdicts
@@ -76,6 +77,34 @@
         daemon.close()
 
 
+class TestReload:
+    @pytest.fixture
+    async def daemon(self, tmp_path: pathlib.Path) -> AsyncIterator[processes.Daemon]:
+        daemon = processes.Daemon("d0", tmp_path, store_port=1)
+        yield daemon
+        daemon.send(signal.SIGKILL)
+        await daemon.process.wait()
+        daemon.close()
+
+    async def test_interpreter_that_starts_is_not_ended(self, daemon: processes.Daemon) -> None:
+        """A reload right at a restart ended a process before its first line."""
+        for _ in range(5):
+            await daemon.start()
+            await daemon.reload()
+            await asyncio.sleep(0.05)
+            assert not daemon.has_ended
+            daemon.send(signal.SIGKILL)
+            await daemon.process.wait()
+
+    async def test_program_that_never_takes_the_signal_is_ended(
+        self, monkeypatch: pytest.MonkeyPatch, daemon: processes.Daemon
+    ) -> None:
+        monkeypatch.setattr(processes, "RELOAD_WAIT_S", 0.2)
+        daemon.process = await asyncio.create_subprocess_exec("sleep", "10")
+        await daemon.reload()
+        assert await daemon.process.wait() == -signal.SIGHUP
+
+
 class TestMutants:
     """The verdicts on evacuations and regions find a build that ignores the rule."""
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -16,6 +16,7 @@
 
 FIRST_PORT, END_PORT = 20_000, 32_000  # Below the ports of outgoing connections.
 PORT_STRIDE = 613  # Between processes that were started one after the other, as by pytest.
+RELOAD_WAIT_S, RELOAD_POLL_S = 5.0, 0.005
 _NEXT_PORTS = iter(range(FIRST_PORT + os.getpid() * PORT_STRIDE % 10_000, END_PORT))
 
 
@@ -91,6 +92,21 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def reload(self) -> None:
+        """Have the process read its settings again.
+
+        The signal ends an interpreter that has not begun with the program, whatever it does. So it
+        waits until the process ignores or handles the signal, but not for ever.
+        """
+        process = self.process
+        assert process is not None
+        for _ in range(round(RELOAD_WAIT_S / RELOAD_POLL_S)):
+            if takes_signal(process.pid, signal.SIGHUP):
+                break
+            await asyncio.sleep(RELOAD_POLL_S)
+        if process is self.process:
+            self.send(signal.SIGHUP)
+
     @property
     def has_ended(self) -> bool:
         """Whether the process has ended and was not started again."""
@@ -144,6 +160,21 @@
             await self.start()
 
 
+def takes_signal(process_id: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores or handles a signal; True if it has ended.
+
+    :param process_id: process.
+    :param number: signal.
+    """
+    try:
+        text = pathlib.Path(f"/proc/{process_id}/status").read_text()
+    except OSError:
+        return True
+    fields = dict(line.split(":", 1) for line in text.splitlines())
+    mask = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+    return bool(mask >> (number - 1) & 1)
+
+
 def find_ports(count: int) -> list[int]:
     """Return free ports outside the range that the system assigns to outgoing connections.
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -385,7 +385,7 @@
             process.send_signal(signal.SIGCONT)
 
     async def _reload_daemon(self) -> None:
-        self.rng.choice(self.daemons).send(signal.SIGHUP)
+        await self.rng.choice(self.daemons).reload()
 
     async def _make_runner_cold(self) -> None:
         """Let a runner be cold, and count what it gets once the daemons can know of it."""
