Take no report for the effect of an order that was asked for before

Cause: an accepted order is repeated if a later report shows that it had no effect, and later meant a higher sequence number than that of the report which the order was based on. A report that was requested before the engine accepted the order has one too.

Change: a report counts only if it was requested after the answer to the order.

test_report_from_before_the_answer_shows_nothing failed before.

--- a/src/tanagerfork/groups/facts.py
+++ b/src/tanagerfork/groups/facts.py
@@ -21,6 +21,7 @@
     :param is_lost: whether it has been silent for so long that it has to be replaced.
     :param is_leaving: whether it is about to be stopped or removed.
     :param is_straggling: whether it is much slower than its peers, or isolated from them.
+    :param reported_at_ms: time at which the report was requested, on this daemon's clock.
     """
 
     entry: engine.VmEntry
@@ -28,6 +29,7 @@
     is_lost: bool = False
     is_leaving: bool = False
     is_straggling: bool = False
+    reported_at_ms: int = 0
 
     @property
     def is_running(self) -> bool:
@@ -131,6 +133,7 @@
             is_lost=received is None and silence_ms >= lost_after_ttls * known.presence.ttl_ms,
             is_leaving=known.is_leaving(entry.vm, now_ms),
             is_straggling=entry.vm in straggling,
+            reported_at_ms=received.made_at_ms if received else 0,
         )
     return found
 
--- a/src/tanagerfork/groups/sender.py
+++ b/src/tanagerfork/groups/sender.py
@@ -19,17 +19,19 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _AcceptedOrder:
-    """Last order that an engine accepted, and the engine's report at that time."""
+    """Last order that an engine accepted, when, and the report that it was based on."""
 
     order: engine.Order
     incarnation: str
     sequence: int
+    accepted_at_ms: int
 
 
 class OrderSender:
     """Sends orders to engines as long as this daemon is allowed to.
 
-    An order that an engine accepted is repeated only if a later report shows that it had no effect.
+    An order that an engine accepted is repeated only if a report that was requested after that
+    shows that it had no effect.
 
     :param client: engine client.
     :param clock: clock of this daemon.
@@ -88,9 +90,9 @@
         ):
             return False
         report = fact.report
-        return (
-            report.incarnation == last_accepted.incarnation
-            and report.sequence <= last_accepted.sequence
+        return report.incarnation == last_accepted.incarnation and (
+            report.sequence <= last_accepted.sequence
+            or fact.reported_at_ms < last_accepted.accepted_at_ms
         )
 
     async def _send(
@@ -122,7 +124,9 @@
         fact = vms.get(vm)
         if fact is not None and fact.report is not None:
             report = fact.report
-            self._accepted[vm] = _AcceptedOrder(item.order, report.incarnation, report.sequence)
+            self._accepted[vm] = _AcceptedOrder(
+                item.order, report.incarnation, report.sequence, self._clock.monotonic_ms()
+            )
         self._record(kinds.EventKind.ORDER_SENT, item, item.order.kind, at)
 
     def _handle_refused(self, item: orders.VmOrder, reason: str, at: hybrid.HybridTime) -> None:
--- a/tests/groups/test_sender.py
+++ b/tests/groups/test_sender.py
@@ -1,5 +1,7 @@
 """Tests of the sender of engine orders."""
 
+import dataclasses
+
 import result
 
 from tanagerfork import clock as clocks
@@ -71,6 +73,20 @@
         await sending.send_orders(chosen, vms, lambda: True)
         assert engines.received == ["vm0", "vm0"]
 
+    async def test_report_from_before_the_answer_shows_nothing(self):
+        """A report that had been requested before the order arrived had orders sent twice."""
+        engines = FakeEngines(clocks.ManualClock(), answer_ms=10)
+        chosen, vms = make_orders(1)
+        sending = make_sender(engines)[0]
+        began_at_ms = engines.clock.monotonic_ms()
+        await sending.send_orders(chosen, vms, lambda: True)
+        vms["vm0"].report.sequence = 2
+        for asked_after_ms, count in ((9, 1), (10, 2)):
+            asked_at_ms = began_at_ms + asked_after_ms
+            later = {"vm0": dataclasses.replace(vms["vm0"], reported_at_ms=asked_at_ms)}
+            await sending.send_orders(chosen, later, lambda: True)
+            assert len(engines.received) == count
+
     async def test_repeated_refusal_is_recorded_once(self):
         engines = FakeEngines(clocks.ManualClock(), accepted=False)
         chosen, vms = make_orders(1)
