Use connections to upstreams again after their first answer

What callers saw: each request waited for a new connection to its upstream, and a new connection may hold one of the upstream's slots. 10 requests in turn took 10 connections; with the library's own connector they take one.

Cause: at the end of a body the library resumes reading, by a call without bytes. The guard took this on an idle connection for bytes that nobody asked for, and closed it.

Change: the call without bytes is passed on. Two things follow, as connections are really pooled now. A peer that names an idle timeout in Keep-Alive which is not longer than the pool's gets no second request on a connection, as it could close it at that moment.

--- a/src/tanagerfork/upstream/answers.py
+++ b/src/tanagerfork/upstream/answers.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 import re
 
 from tanagerfork.upstream import heads
@@ -36,6 +37,7 @@
 
     __slots__ = (
         "has_excess",
+        "idle_timeout_s",
         "_is_body_expected",
         "_state",
         "_line",
@@ -49,6 +51,8 @@
     def __init__(self, is_body_expected: bool = True) -> None:
         # Whether bytes followed that belong to no request.
         self.has_excess = False
+        # After how long the peer closes the connection while nothing is sent on it.
+        self.idle_timeout_s = math.inf
         self._is_body_expected = is_body_expected
         self._state = State.HEAD
         self._line = b""  # Beginning of a line.
@@ -151,6 +155,7 @@
                 message = f"more than {MAX_INFORMATIONAL} informational responses"
                 raise heads.ImproperAnswer(message)
             return b""
+        self.idle_timeout_s = head.idle_timeout_s
         self._left_bytes = head.length
         self._state = _find_body_state(head)
         return held
--- a/src/tanagerfork/upstream/guarded.py
+++ b/src/tanagerfork/upstream/guarded.py
@@ -33,12 +33,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Check and process bytes; close a connection that expects none."""
+        if not data:  # The library resumes reading, also at the end of each body.
+            super().data_received(data)
+            return
         if self.is_idle or self.answer is None:
             self.close()
             return
-        if not data:  # The library resumes a body that it had paused.
-            super().data_received(data)
-            return
         try:
             checked = self.answer.feed(data)
         except heads.ImproperAnswer as error:
@@ -70,6 +70,9 @@
         self._factory = factory
 
     def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
+        if isinstance(protocol, GuardedHandler) and protocol.answer is not None:
+            # The peer could close it while it is pooled, at the moment of the next request.
+            should_close |= protocol.answer.idle_timeout_s <= (self._keepalive_timeout or 0.0)
         super()._release(key, protocol, should_close=should_close)
         if isinstance(protocol, GuardedHandler):
             protocol.is_idle = True
--- a/src/tanagerfork/upstream/heads.py
+++ b/src/tanagerfork/upstream/heads.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import math
 import re
 from collections.abc import Sequence
 
@@ -21,6 +22,7 @@
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
 _FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):(" + _TEXT + rb")")
+_IDLE_TIMEOUT = re.compile(rb"(?:^|timeout=)\s*([0-9]{1,9})\b", re.IGNORECASE)
 _LENGTH = re.compile(rb"[0-9]{1,%d}" % MAX_LENGTH_DIGITS)
 
 
@@ -39,11 +41,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Head:
-    """What the head of a response says of its body; `length` is 0 for other framings."""
+    """What the head of a response says of its body; `length` is 0 for other framings.
+
+    `idle_timeout_s` is after how long the connection is closed that nothing is sent on.
+    """
 
     status: int
     framing: Framing
     length: int = 0
+    idle_timeout_s: float = math.inf
 
     @property
     def is_final(self) -> bool:
@@ -63,14 +69,15 @@
     codings = [value for name, value in fields if name == b"transfer-encoding"]
     lengths = [value for name, value in fields if name == b"content-length"]
     framing, length = _read_framing(version, codings, lengths)
+    idle_timeout_s = _read_idle_timeout_s(fields)
     if status < FIRST_FINAL_STATUS or status in STATUSES_WITHOUT_BODY:
         allows_length = status not in (NO_CONTENT, *range(FIRST_FINAL_STATUS))
         if framing is Framing.CHUNKS or (length and not allows_length):
             raise ImproperAnswer(f"a body in a response of status {status}")
-        return Head(status, Framing.NO_BODY)
+        return Head(status, Framing.NO_BODY, 0, idle_timeout_s)
     if not is_body_expected:
-        return Head(status, Framing.NO_BODY)
-    return Head(status, framing, length)
+        return Head(status, Framing.NO_BODY, 0, idle_timeout_s)
+    return Head(status, framing, length, idle_timeout_s)
 
 
 def read_status_line(line: bytes) -> tuple[int, int]:
@@ -108,6 +115,13 @@
     return repr(line[:MAX_QUOTED_BYTES])
 
 
+def _read_idle_timeout_s(fields: Sequence[tuple[bytes, bytes]]) -> float:
+    """Return the least time that the Keep-Alive fields name; infinite if none does."""
+    values = [value for name, value in fields if name == b"keep-alive"]
+    found = [_IDLE_TIMEOUT.search(value) for value in values]
+    return min((float(matched[1]) for matched in found if matched), default=math.inf)
+
+
 def _read_framing(
     version: int, codings: Sequence[bytes], lengths: Sequence[bytes]
 ) -> tuple[Framing, int]:
--- a/tests/test_connectors.py
+++ b/tests/test_connectors.py
@@ -8,9 +8,11 @@
 from typing import Any
 
 import aiohttp
+import aiohttp.web
 import pytest
 
-from tanagerfork.relay import exchange
+from tanagerfork.platform import headers
+from tanagerfork.relay import calls, exchange, memory
 from tanagerfork.upstream import connections, connectors
 from tanagerfork_standins import proxy
 
@@ -88,3 +90,52 @@
     async def test_sessions_to_upstreams_use_it(self, open_upstream_session: Any) -> None:
         async with open_upstream_session() as session:
             assert isinstance(session.connector, connectors.Connector)
+
+
+async def ignore_part(size_bytes: int) -> None:
+    """Account for nothing."""
+
+
+class TestReuse:
+    """Each connection was closed after its first answer, as if bytes had followed it."""
+
+    @pytest.mark.parametrize(
+        ("keep_alive", "count"),
+        [
+            ("", 1),
+            ("timeout=5", 1),
+            ("5", 1),
+            ("max=9", 1),
+            ("timeout=4, max=9", 3),
+            ("timeout=0", 3),
+            ("2", 3),
+        ],
+    )
+    @pytest.mark.parametrize("size", [10, 2 * memory.READ_AHEAD_BYTES])
+    async def test_connection_is_used_as_long_as_the_upstream_keeps_it(
+        self, keep_alive: str, count: int, size: int
+    ) -> None:
+        ports = set()
+
+        async def serve(request: aiohttp.web.Request) -> aiohttp.web.Response:
+            ports.add(request.transport.get_extra_info("peername")[1])
+            added = {"Keep-Alive": keep_alive} if keep_alive else {}
+            return aiohttp.web.Response(body=b"x" * size, headers=added)
+
+        app = aiohttp.web.Application()
+        app.router.add_get("/", serve)
+        runner = aiohttp.web.AppRunner(app)
+        await runner.setup()
+        site = aiohttp.web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        address = "127.0.0.1:{}".format(*runner.addresses[0][1:])
+        dialect = headers.PlatformDialect()
+        client = exchange.UpstreamClient(dialect, is_bounded=True)
+        request = calls.CallerRequest(dialect.read_request({}), "GET", "/", "h", [], b"", 0.0)
+        for _ in range(3):
+            response = await client.send_to("u", address, request, [], is_repeatable=True)
+            assert len(await response.read_body(ignore_part)) == size
+            response.http_response.close()
+        await client.close()
+        await runner.cleanup()
+        assert len(ports) == count
