Try a connection a third time after two stalls of the event loop

Cause: each stall used up one time limit for the connection.

Change: the first two time limits that a late loop used up do not count. A third one does, as a request must not wait for one upstream for all of its time.

--- a/src/tanagerfork/upstream/connectors.py
+++ b/src/tanagerfork/upstream/connectors.py
@@ -6,9 +6,12 @@
 
 from tanagerfork import lateness
 
+# After each of which the loop was late. Two stalls shortly after each other use up two.
+MAX_LATE_TRIES = 2
+
 
 class Connector(aiohttp.TCPConnector):
-    """TCP connector that tries once more if its own event loop used up the time for a connection.
+    """TCP connector that tries again if its own event loop used up the time for a connection.
 
     aiohttp has no public hook for this. No byte has been sent by then.
 
@@ -16,11 +19,12 @@
     """
 
     async def _wrap_create_connection(self, *arguments: Any, **options: Any) -> Any:
-        with lateness.LoopLateness() as late:
-            try:
-                return await super()._wrap_create_connection(*arguments, **options)
-            except TimeoutError:
-                limit_s = options["timeout"].sock_connect
-                if limit_s is None or not late.has_used_up(limit_s):
-                    raise
+        for _ in range(MAX_LATE_TRIES):
+            with lateness.LoopLateness() as late:
+                try:
+                    return await super()._wrap_create_connection(*arguments, **options)
+                except TimeoutError:
+                    limit_s = options["timeout"].sock_connect
+                    if limit_s is None or not late.has_used_up(limit_s):
+                        raise
         return await super()._wrap_create_connection(*arguments, **options)
