Count no partition for a daemon of the soak that still starts

The driver took a daemon for started once its process was there, so that a partition drawn in these 4 s, which counts 3 s after its beginning, counted refused connections of a process that had not loaded its modules.

Change: a restart is over when the daemon takes connections, or has ended. Whether daemons serve in the end is checked as before.

test_partition_during_the_start_does_not_count failed before.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -77,15 +77,40 @@
         daemon.close()
 
 
-class TestReload:
-    @pytest.fixture
-    async def daemon(self, tmp_path: pathlib.Path) -> AsyncIterator[processes.Daemon]:
-        daemon = processes.Daemon("d0", tmp_path, store_port=1)
-        yield daemon
-        daemon.send(signal.SIGKILL)
-        await daemon.process.wait()
-        daemon.close()
+@pytest.fixture
+async def daemon(tmp_path: pathlib.Path) -> AsyncIterator[processes.Daemon]:
+    """Daemon whose store is out of reach; not started."""
+    daemon = processes.Daemon("d0", tmp_path, store_port=1)
+    yield daemon
+    daemon.send(signal.SIGKILL)
+    await daemon.process.wait()
+    daemon.close()
+
+
+class TestRestart:
+    async def test_partition_during_the_start_does_not_count(
+        self, monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path, daemon: processes.Daemon
+    ) -> None:
+        """On a busy machine a start took 4 s, and its callers were found to be served worse."""
+        run = soak.Soak(1, 1, tmp_path)
+        run.daemons.append(daemon)
+        early, late = (verdicts.Partition(frozenset({"d0"})) for _ in range(2))
+        start = daemon.start
+
+        async def start_in_partition() -> None:
+            await start()
+            asyncio.get_running_loop().call_soon(run._partitions.append, early)
 
+        await start()
+        monkeypatch.setattr(daemon, "start", start_in_partition)
+        await run._restart_one(daemon, signal.SIGKILL)
+        run._partitions.append(late)
+        assert (early.excused, late.excused) == ({"d0"}, set())
+        _, writer = await asyncio.open_connection("127.0.0.1", daemon.callers_port)
+        writer.close()
+
+
+class TestReload:
     async def test_interpreter_that_starts_is_not_ended(self, daemon: processes.Daemon) -> None:
         """A reload right at a restart ended a process before its first line."""
         for _ in range(5):
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -17,6 +17,7 @@
 FIRST_PORT, END_PORT = 20_000, 32_000  # Below the ports of outgoing connections.
 PORT_STRIDE = 613  # Between processes that were started one after the other, as by pytest.
 RELOAD_WAIT_S, RELOAD_POLL_S = 5.0, 0.005
+LISTENING_POLL_S = 0.05
 _NEXT_PORTS = iter(range(FIRST_PORT + os.getpid() * PORT_STRIDE % 10_000, END_PORT))
 
 
@@ -107,6 +108,16 @@
         if process is self.process:
             self.send(signal.SIGHUP)
 
+    async def wait_until_listening(self) -> None:
+        """Wait until the process takes connections; until it ends or is replaced otherwise."""
+        process = self.process
+        while process is self.process and not self.has_ended:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection("127.0.0.1", self.callers_port)
+                writer.close()
+                return
+            await asyncio.sleep(LISTENING_POLL_S)
+
     @property
     def has_ended(self) -> bool:
         """Whether the process has ended and was not started again."""
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -187,9 +187,7 @@
         steps = self._upgrade.plan(sorted(daemons), self.rng)
         for name, build in steps:
             await asyncio.sleep(self.rng.uniform(0, length_s / len(steps)))
-            self._excuse(daemons[name])
-            await daemons[name].restart(signal.SIGTERM, build)
-            self._excuse(daemons[name])
+            await self._restart_one(daemons[name], signal.SIGTERM, build)
 
     def _check_logs(self) -> None:
         """Check that no daemon has logged that it cannot read what another one wrote."""
@@ -367,9 +365,15 @@
         await self._restart(signal.SIGTERM)
 
     async def _restart(self, number: signal.Signals) -> None:
-        daemon = self.rng.choice(self.daemons)
+        await self._restart_one(self.rng.choice(self.daemons), number)
+
+    async def _restart_one(
+        self, daemon: processes.Daemon, number: signal.Signals, build: builds.Build | None = None
+    ) -> None:
+        """Restart a daemon; partitions that come before it listens again don't count for it."""
         self._excuse(daemon)
-        await daemon.restart(number)
+        await daemon.restart(number, build)
+        await daemon.wait_until_listening()
         self._excuse(daemon)
 
     async def _pause_daemon(self) -> None:
