--- a/src/tanagerfork/relay/fleet.py
+++ b/src/tanagerfork/relay/fleet.py
@@ -173,7 +173,7 @@
     def list_leaving(self) -> list[members.Upstream]:
         """Return the known upstreams that leave although their entries don't say so.
 
-        Those without a start are left out, as the word of one start would count for the next.
+        Those without a start are left out, as a notice of one start would apply to the next one.
         """
         return [
             upstream
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import select
 
 import aiohttp.web
 
@@ -14,6 +13,7 @@
     attempts,
     calls,
     choosing,
+    disconnects,
     exchange,
     forwarding,
     memory,
@@ -21,7 +21,6 @@
 )
 from tanagerfork.upstream import connections
 
-CLOSED_EVENTS = getattr(select, "POLLRDHUP", 0)  # Errors and hang-ups are always reported.
 LOGGER = "relay.front"
 STOPPING_RETRY_AFTER_MS = 10  # Another daemon can take the request at once.
 LAST_ANSWERS_MS = 100  # To write the answers of requests that are ended early.
@@ -261,7 +260,7 @@
                 request, facts, arrived_at_ms, holding, time_limit, is_forwarded
             )
             self._check_stopping(is_forwarded)  # The body may have taken long.
-            _check_caller(request)
+            disconnects.check_caller(request)
             if handover is not None:
                 caller_request.handover = handover
                 caller_request.headers = forwarding.drop_headers(caller_request.headers)
@@ -444,20 +443,3 @@
     app = aiohttp.web.Application()
     app.router.add_get("/metrics", respond)
     return app
-
-
-def _check_caller(request: aiohttp.web.Request) -> None:
-    """Check that the caller has not left.
-
-    The event loop reads a request before the close that follows it, and a request on a pooled
-    connection would be sent between the two.
-
-    :raises ConnectionResetError: the caller has closed the connection.
-    """
-    opened = request.transport.get_extra_info("socket") if request.transport else None
-    if opened is None or opened.fileno() < 0:
-        raise ConnectionResetError("the caller has left")
-    poll = select.poll()
-    poll.register(opened.fileno(), CLOSED_EVENTS)
-    if poll.poll(0):
-        raise ConnectionResetError("the caller has left")
