Test that a connection which still owes a body is not used again

An upstream may answer before it has read a long body, and reads on later; a pooled connection would give it the next request for the rest of the body. The library keeps such a connection out of the pool.

--- a/tests/test_connectors.py
+++ b/tests/test_connectors.py
@@ -141,3 +141,27 @@
         await client.close()
         await runner.cleanup()
         assert len(ports) == count
+
+    async def test_connection_that_still_owes_a_body_is_not_used_again(self) -> None:
+        """An upstream that answers early would take the next request for the rest of the body."""
+
+        async def answer_early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                await reader.read()  # To the end of the connection.
+            writer.close()
+
+        server = await asyncio.start_server(answer_early, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        dialect = headers.PlatformDialect()
+        client = exchange.UpstreamClient(dialect, is_bounded=True)
+        for body in (b"x" * 8_000_000, b""):
+            facts = dialect.read_request({})
+            request = calls.CallerRequest(facts, "POST", "/", "h", [], body, 0.0)
+            async with asyncio.timeout(5):  # Without an answer, the request went into the body.
+                response = await client.send_to("u", address, request, [], is_repeatable=True)
+            assert response.status == 200
+            response.http_response.close()
+        await client.close()
+        server.close()
