--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import sys
 from collections.abc import AsyncIterator
 
 import pytest
@@ -19,6 +20,14 @@
 # 420: daemons connected to runners by the paths of others, which were cut off.
 SEEDS = (1, 11, 410, 420)
 
+# The signal may be ignored where the tests were started, as with nohup.
+PROGRAM_WITHOUT_HANDLER = """
+import signal, time
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+print(flush=True)
+time.sleep(10)
+"""
+
 
 class TestSoak:
     @pytest.mark.parametrize("seed", SEEDS)
@@ -125,7 +134,10 @@
         self, monkeypatch: pytest.MonkeyPatch, daemon: processes.Daemon
     ) -> None:
         monkeypatch.setattr(processes, "RELOAD_WAIT_S", 0.2)
-        daemon.process = await asyncio.create_subprocess_exec("sleep", "10")
+        daemon.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", PROGRAM_WITHOUT_HANDLER, stdout=asyncio.subprocess.PIPE
+        )
+        await daemon.process.stdout.readline()
         await daemon.reload()
         assert await daemon.process.wait() == -signal.SIGHUP
 
