--- a/src/tanagerfork/relay/disconnects.py
+++ b/src/tanagerfork/relay/disconnects.py
@@ -1,4 +1,4 @@
-"""Disconnects: finds callers that have left before the event loop has read it."""
+"""Disconnects: finds callers that have left, while the event loop has not read the close yet."""
 
 import select
 
--- a/src/tanagerfork/upstream/connectors.py
+++ b/src/tanagerfork/upstream/connectors.py
@@ -6,7 +6,7 @@
 
 from tanagerfork import lateness
 
-# After each of which the loop was late. Two stalls shortly after each other use up two.
+# Tries whose time the event loop itself used up; two stalls shortly after each other take two.
 MAX_LATE_TRIES = 2
 
 
--- a/src/tanagerfork/upstream/heads.py
+++ b/src/tanagerfork/upstream/heads.py
@@ -74,9 +74,9 @@
         allows_length = status not in (NO_CONTENT, *range(FIRST_FINAL_STATUS))
         if framing is Framing.CHUNKS or (length and not allows_length):
             raise ImproperAnswer(f"a body in a response of status {status}")
-        return Head(status, Framing.NO_BODY, 0, idle_timeout_s)
+        return Head(status, Framing.NO_BODY, idle_timeout_s=idle_timeout_s)
     if not is_body_expected:
-        return Head(status, Framing.NO_BODY, 0, idle_timeout_s)
+        return Head(status, Framing.NO_BODY, idle_timeout_s=idle_timeout_s)
     return Head(status, framing, length, idle_timeout_s)
 
 
--- a/src/tanagerfork_standins/proxy.py
+++ b/src/tanagerfork_standins/proxy.py
@@ -24,7 +24,7 @@
     :param port: TCP port; 0 lets the system choose.
     """
     opened = socket.socket()
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # asyncio sets it on its own only.
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # Not set by asyncio here.
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     opened.bind((listener.LOOPBACK, port))
--- a/tests/relay/test_leaving.py
+++ b/tests/relay/test_leaving.py
@@ -44,14 +44,14 @@
             later = await deployed.add_daemon()
             await deployed.wait_until(
                 lambda: (found := later.view.find(leaving.id)) and found.is_leaving,
-                "the word of it",
+                "the repeated announcement",
             )
             sent = len(leaving.requests)
             for _ in range(10):
                 assert (await deployed.ask("/safe/x", daemon=1)).status == 200
             assert len(leaving.requests) == sent
 
-    async def test_word_reaches_all_daemons_of_a_large_fleet(
+    async def test_leaving_upstream_is_known_to_all_daemons_of_a_large_fleet(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """The announcement goes to the cohort and to as many others as the fan-out allows."""
@@ -72,7 +72,7 @@
                     (found := daemon.view.find(leaving.id)) and found.is_leaving
                     for daemon in deployed.daemons
                 ),
-                "the word at all daemons",
+                "the announcement at all daemons",
             )
 
     async def test_group_of_a_leaving_head_is_replaced(self) -> None:
