Have daemons of a test that take changes from others use their own paths

What was seen: TestCutOffCoordinator [Cut.REFUSES-False-4] failed in 5 of 5 runs once listeners open faster: "dissolve a-2: i-a2 does not answer", by a coordinator that was not cut off.

Cause, by the log of a failed run: the third daemon probed the ports of the first one's proxies, which were cut. The test's network translates addresses where a daemon reads the store. A daemon that takes the changes from another one's feed got the addresses as that one had read them. Which daemon reads the store itself depends on when they start.

Change: the feed of a daemon with a network carries the runners' own addresses, and shows the daemon those of its own proxies.

The checks are the same.

--- a/tests/relay/deployments.py
+++ b/tests/relay/deployments.py
@@ -3,8 +3,11 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import itertools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+from unittest import mock
 
 import aiohttp
 import yarl
@@ -12,6 +15,8 @@
 from tanagerfork import clock as clocks
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.relay import daemon as daemons
+from tanagerfork.relay import feeds
+from tanagerfork.storage import key_value
 from tanagerfork_standins.platform import partition
 from tanagerfork_standins.platform import site as sites
 
@@ -45,6 +50,33 @@
     is_whole: bool = True
 
 
+class TranslatedFeed(feeds.ChangeFeed):
+    """Feed of a daemon whose paths can be cut: passes on the runners' own addresses.
+
+    Otherwise a daemon that takes changes from another one would use the other one's paths.
+    """
+
+    def __init__(self, network: partition.DaemonNetwork, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self._network = network
+
+    def publish(self, after: int, changes: key_value.Changes) -> None:
+        super().publish(after, translate(changes, self._network.accept))
+
+    def record_values(self, changes: key_value.Changes) -> None:
+        super().record_values(translate(changes, self._network.accept))
+
+    async def wait_for_changes(self, revision: int) -> key_value.Changes | None:
+        changes = await super().wait_for_changes(revision)
+        return changes and translate(changes, self._network.show)
+
+
+def translate(changes: key_value.Changes, convert: Callable[[bytes], bytes]) -> key_value.Changes:
+    """Return changes with other addresses in their values."""
+    written = [dataclasses.replace(entry, value=convert(entry.value)) for entry in changes.written]
+    return dataclasses.replace(changes, written=written)
+
+
 class Deployment:
     """Stand-ins, one or more daemons, and a caller of the first daemon."""
 
@@ -85,7 +117,9 @@
         await network.start()
         self.networks.append(network)
         store = settings_records.StoreSettings(address=network.store_path.address)
-        return await self.add_daemon(failure_domain, store=store)
+        make_feed = functools.partial(TranslatedFeed, network)
+        with mock.patch.object(feeds, "ChangeFeed", make_feed):
+            return await self.add_daemon(failure_domain, store=store)
 
     async def wait_until(self, condition, description: str, wait_s: float = WAIT_S) -> None:
         ends_s = asyncio.get_running_loop().time() + wait_s
--- a/tests/relay/test_outdated_rules.py
+++ b/tests/relay/test_outdated_rules.py
@@ -119,6 +119,9 @@
     async def test_daemon_with_older_rules_by_its_notices_is_not_chosen_beside_others(self) -> None:
         async with deployments.deploy(daemon_count=3, has_networks=True) as deployed:
             first, second, _ = deployed.daemons
+            await deployed.wait_until(
+                lambda: all(one.register.current for one in (first, second)), "rules of both"
+            )
             await deployed.wait_for_rules()
             first.register.current.version = second.register.current.version = 2
             states = first._forwarder._states
