Search routes by the lengths of their prefixes, not by the slashes of a path

What callers saw: a path of 16,000 slashes, which is inside the limits, kept the event loop of a daemon busy while all others waited.

Cause: the search for the longest prefix tried each slash of the path, with a copy and a hash of what stands before it.

Change: it tries the lengths that the routes of the host have. Prefixes that do not end with a slash match nothing, as before. The error quotes at most 200 characters of host and path.

--- a/src/tanagerfork/relay/rules.py
+++ b/src/tanagerfork/relay/rules.py
@@ -191,6 +191,7 @@
         "services",
         "limits",
         "_routes_by_prefix",
+        "_prefix_sizes",
         "_teams_by_key",
     )
 
@@ -207,6 +208,11 @@
         self.services = {service.name: service for service in services}
         self.limits = limits
         self._routes_by_prefix = {(route.host, route.prefix): route for route in routes}
+        sizes: dict[str, set[int]] = {}
+        for route in routes:
+            if route.prefix.endswith("/"):
+                sizes.setdefault(route.host, set()).add(len(route.prefix))
+        self._prefix_sizes = {host: sorted(found, reverse=True) for host, found in sizes.items()}
         self._teams_by_key = teams_by_key
 
     def match(self, host: str, path: str) -> Route:
@@ -216,12 +222,11 @@
         :param path: path as sent, without the query.
         :raises NotFound: no route of the host matches the path.
         """
-        end = len(path)
-        while (end := path.rfind("/", 0, end)) >= 0:
-            route = self._routes_by_prefix.get((host, path[: end + 1]))
+        for size in self._prefix_sizes.get(host, ()):  # Callers choose how many slashes there are.
+            route = self._routes_by_prefix.get((host, path[:size]))
             if route is not None:
                 return route
-        raise errors.NotFound(f"no route matches {host}{path}; check host and path")
+        raise errors.NotFound(f"no route matches {(host + path)[:200]}; check host and path")
 
     def identify(self, route: Route, key: str) -> Team | None:
         """Return the team of a request; None where it has none and needs none.
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -34,6 +34,26 @@
         routes = [make_route(prefix) for prefix in ("/", "/a/", "/a/b/")]
         assert decode(routes=routes).match("h", path).name == name
 
+    def test_search_does_not_grow_with_the_slashes_of_a_path(self) -> None:
+        """Guards against paths of slashes that hold up the event loop for tens of ms each."""
+
+        class CountingDict(dict):  # type: ignore[type-arg]
+            lookups = 0
+
+            def get(self, key: object, default: object = None) -> object:
+                self.lookups += 1
+                return super().get(key, default)
+
+        decoded = decode(routes=[make_route(prefix) for prefix in ("/a/", "/b/", "/a/b/")])
+        counting = decoded._routes_by_prefix = CountingDict(decoded._routes_by_prefix)
+        with pytest.raises(errors.NotFound) as caught:
+            decoded.match("h", "/" * 16_000)
+        assert counting.lookups <= 2 and len(caught.value.message) < 300
+
+    def test_prefix_without_a_slash_at_its_end_matches_nothing(self) -> None:
+        with pytest.raises(errors.NotFound):
+            decode(routes=[make_route("/ab")]).match("h", "/abc")
+
     def test_no_match(self) -> None:
         with pytest.raises(errors.NotFound):
             decode(routes=[make_route("/a/")]).match("h", "/b/x")
