Bound what clients decide on every HTTP listener

What callers saw: clients that sent heads over the limit or without end took one daemon from 45 MB to over 2,000 MB, beyond its machine, so that it was killed with all it served. A crowd that sent nothing kept ordinary callers out for 30 s. Targets over 8 KiB and heads of 200 fields got 400, although they keep to the limits.

Cause: nothing between the socket and the HTTP library bounded a client. The library's errors hold the bytes just read in a reference cycle through the frame that read them, up to 256 KiB each, until the garbage collector runs: this is what stayed beside the connections that a timer of 30 s kept. A request that was cut off left its body in a cycle through the task of its connection. After an error the library parsed, answered and logged on. The limits of the configuration were decoded and not used.

Change: request_reader.py checks heads and framing before the library reads them, and passes on one request at a time. client_connection.py pauses, refuses or cuts, and raises nothing that refers to the connection. It has no timer: the listener checks the oldest connections of each phase. connection_ledger.py decides which connection makes room for another, over all listeners and by the descriptors and the memory of the VM. bounds.py has all bounds with their defaults, docs/OPERATING.md a line for each, client_bounds_total a count. The relay follows the limits of the configuration. Long heads count in its account of memory. The stand-ins accept heads of 16 KiB.

Tests that changed: a head that is too long gets 431, no longer 400, as RFC 6585 names it. The connection beyond the limit of a listener is accepted, and the one that was idle for longest is closed. That a connection without a first request is closed is now checked in tests/test_client_bounds.py.

Empty lines of CR LF stayed within the bound before too.

--- a/src/tanagerfork/daemon.py
+++ b/src/tanagerfork/daemon.py
@@ -20,7 +20,9 @@
 from tanagerfork.claims import book, retention, sweeper, writer
 from tanagerfork.front import (
     assembly,
+    bounds,
     callers,
+    connection_ledger,
     journal,
     last_resort,
     listener,
@@ -54,6 +56,7 @@
 DRAIN_CHECK_INTERVAL_MS = 20
 MAX_OPERATOR_CONNECTIONS = 256
 CONNECTIONS_PER_REQUEST = 2
+BODY_SLACK_BYTES = 1024  # The applications refuse a body that is a little too long themselves.
 
 
 class Daemon:
@@ -89,6 +92,9 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[listener.Listener] = []
+        self._connections: listener.Table = connection_ledger.ConnectionTable(
+            bounds.count_connections(bounds.find_max_descriptors(0), None)
+        )
         self.measures = measure.Measures()
         self.journal = journal.Journal(settings.name, clock, self.timeline, self.metrics)
         self.metrics.collect_from(self._export_metrics)
@@ -215,10 +221,16 @@
         callers_app = self.callers.build_app()
         callers_app.middlewares.extend((self.journal.note, last_resort.answer_errors))
         self.operators_port = await self._listen(
-            operators_front.build_app(), settings.operators, MAX_OPERATOR_CONNECTIONS
+            operators_front.build_app(),
+            settings.operators,
+            MAX_OPERATOR_CONNECTIONS,
+            operators.BODY_LIMIT_BYTES,
         )
         self.callers_port = await self._listen(
-            callers_app, settings.callers, settings.limits.open_requests * CONNECTIONS_PER_REQUEST
+            callers_app,
+            settings.callers,
+            settings.limits.open_requests * CONNECTIONS_PER_REQUEST,
+            settings.limits.request_body_bytes,
         )
 
     async def _listen(
@@ -226,6 +238,7 @@
         app: aiohttp.web.Application,
         listener_settings: settings_records.Listener | settings_records.OperatorSettings,
         max_connections: int,
+        body_bytes: int,
     ) -> int:
         certificate = None
         if listener_settings.certificate_path:
@@ -242,6 +255,10 @@
             max_connections,
             self.metrics,
             certificate,
+            source=bounds.FixedBounds(
+                bounds.RequestBounds(body_bytes=body_bytes + BODY_SLACK_BYTES)
+            ),
+            table=self._connections,
         )
         self._listeners.append(opened)
         return await ports.open_port(
--- a/src/tanagerfork/errors.py
+++ b/src/tanagerfork/errors.py
@@ -74,6 +74,22 @@
     ran = NOT_RUN
 
 
+class HeadTooLarge(CallerError):
+    """The request line and the headers exceed the limit."""
+
+    kind = "head_too_large"
+    status = 431
+    ran = NOT_RUN
+
+
+class ExpectationFailed(CallerError):
+    """The request expects something that is not known."""
+
+    kind = "expectation_failed"
+    status = 417
+    ran = NOT_RUN
+
+
 class BodyTooLarge(CallerError):
     """The body exceeds the limit."""
 
--- a/src/tanagerfork/front/listener.py
+++ b/src/tanagerfork/front/listener.py
@@ -14,14 +14,15 @@
 from tanagerfork import clock as clocks
 from tanagerfork import errors
 from tanagerfork import metrics as metric
+from tanagerfork.front import bounds, client_connection, connection_ledger
 from tanagerfork.generated import settings as settings_records
 from tanagerfork.timeline import kinds, ring
 
 SHUTDOWN_TIMEOUT_S = 1.0
-MAX_LINE_BYTES = 8192
-MAX_HEADER_BYTES = 16384
 TLS_HANDSHAKE_TIMEOUT_S = 10.0
-FIRST_REQUEST_TIMEOUT_S = 30.0  # For the complete headers of a connection's first request.
+MAX_HANDSHAKES_SHARE = 0.5  # Of the connections.
+UNBOUNDED = 2**31 - 1
+LIBRARY_IDLE_TIMEOUT_S = 86_400.0  # The listener closes idle connections itself.
 BACKLOG = 512
 CERTIFICATE_CHECK_INTERVAL_MS = 10_000
 
@@ -75,17 +76,21 @@
         return self._certificate_path.stat().st_mtime_ns, self._private_key_path.stat().st_mtime_ns
 
 
+Table = connection_ledger.ConnectionTable[client_connection.ClientConnection]
+
+
 class Listener:
     """Serves an application on one port.
 
     :param app: application.
     :param host: IP address to bind.
     :param port: TCP port; 0 lets the system choose.
-    :param max_connections: maximum number of open connections; further ones are closed.
+    :param max_connections: maximum number of open connections; beyond it, idle ones are closed.
     :param metrics: metrics registry.
     :param certificate: certificate; None serves plain HTTP.
     :param keeps_encoding: whether request bodies are passed on without decompression.
-    :param idle_s: keep-alive timeout in seconds; None for the library's default.
+    :param source: tells the bounds on requests; None for the defaults.
+    :param table: connections of all listeners of the process; None for those of this one.
     :param send_buffer_bytes: size of the kernel's send buffer of each connection; 0 lets the system
         choose.
     :param read_ahead_bytes: bytes of a body that are read ahead; 0 for the library's default.
@@ -95,12 +100,18 @@
         "_runner",
         "_host",
         "_port",
-        "_max_connections",
         "_metrics",
         "_certificate",
         "_server",
+        "_source",
+        "_table",
+        "_ledger",
+        "_options",
+        "_handshakes",
         "_send_buffer_bytes",
-        "_used_transports",
+        "_checking",
+        "_checked_at_ms",
+        "_has_skipped",
     )
 
     def __init__(
@@ -112,32 +123,39 @@
         metrics: metric.Metrics,
         certificate: Certificate | None = None,
         keeps_encoding: bool = False,
-        idle_s: float | None = None,
+        source: bounds.BoundsSource | None = None,
+        table: Table | None = None,
         send_buffer_bytes: int = 0,
         read_ahead_bytes: int = 0,
     ) -> None:
-        options: dict[str, Any] = {} if idle_s is None else {"keepalive_timeout": idle_s}
+        self._options: dict[str, Any] = {
+            "access_log": None,
+            "auto_decompress": not keeps_encoding,
+            "keepalive_timeout": LIBRARY_IDLE_TIMEOUT_S,
+            "lingering_time": bounds.LINGER_MS / 1000,
+            # The connection bounds the head in total.
+            "max_line_size": UNBOUNDED,
+            "max_field_size": UNBOUNDED,
+            "max_headers": UNBOUNDED,
+        }
         if read_ahead_bytes:
-            options["read_bufsize"] = read_ahead_bytes
-        self._send_buffer_bytes = send_buffer_bytes
-        app.middlewares.insert(0, self._mark_transport_used)
-        self._used_transports: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
+            self._options["read_bufsize"] = read_ahead_bytes
         self._runner = aiohttp.web.AppRunner(
-            app,
-            access_log=None,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-            handler_cancellation=True,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            auto_decompress=not keeps_encoding,
-            **options,
+            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S, handler_cancellation=True
         )
         self._host = host
         self._port = port
-        self._max_connections = max_connections
         self._metrics = metrics
         self._certificate = certificate
+        self._source = source or bounds.FixedBounds()
+        self._table: Table = table or connection_ledger.ConnectionTable(max_connections)
+        self._ledger = self._table.open_ledger(max_connections)
+        self._handshakes: weakref.WeakSet[_Handshake] = weakref.WeakSet()
         self._server: asyncio.Server | None = None
+        self._send_buffer_bytes = send_buffer_bytes
+        self._checking: asyncio.TimerHandle | None = None
+        self._checked_at_ms = 0.0
+        self._has_skipped = False
 
     async def start(self) -> int:
         """Open the port; may be called again after it was found taken.
@@ -147,18 +165,18 @@
         """
         if self._runner.server is None:
             await self._runner.setup()
+        bound = _open_socket(self._host, self._port, self._send_buffer_bytes)
         self._server = await asyncio.get_running_loop().create_server(
             self._make_protocol,
-            self._host,
-            self._port,
+            sock=bound,
             ssl=self._certificate.context if self._certificate else None,
             ssl_handshake_timeout=TLS_HANDSHAKE_TIMEOUT_S if self._certificate else None,
-            backlog=BACKLOG,
+            backlog=bounds.ACCEPTS_AT_ONCE,
         )
-        if self._send_buffer_bytes:  # Connections get the options of the socket that listens.
-            for bound in self._server.sockets:
-                bound.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self._send_buffer_bytes)
-        return int(self._server.sockets[0].getsockname()[1])
+        bound.listen(BACKLOG)  # The event loop accepts as many at once as it is told to listen for.
+        self._checked_at_ms = _read_clock_ms()
+        self._check_later()
+        return int(bound.getsockname()[1])
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -173,34 +191,131 @@
 
     async def stop(self) -> None:
         """Close the port and all connections."""
+        if self._checking is not None:
+            self._checking.cancel()
         if self._server is not None:
             self._server.close()
         await self._runner.cleanup()
 
     def _make_protocol(self) -> asyncio.Protocol:
-        server = self._runner.server
-        if server is None or len(server.connections) >= self._max_connections:
+        handshakes = len(self._handshakes)
+        has_room = (
+            self._runner.server is not None
+            and handshakes <= self._ledger.limit * MAX_HANDSHAKES_SHARE
+            and self._table.make_room(self._ledger, handshakes, _read_clock_ms(), _close_for_room)
+        )
+        if not has_room:
             self._metrics.count("connections_refused_total")
             return _RefusingProtocol()
-        handler = server()
-        asyncio.get_running_loop().call_later(
-            FIRST_REQUEST_TIMEOUT_S, self._abort_if_unused, handler
+        if self._certificate is None:
+            return self._make_connection()
+        handshake = _Handshake(self._make_connection)
+        self._handshakes.add(handshake)
+        return handshake
+
+    def _make_connection(self) -> client_connection.ClientConnection:
+        return client_connection.ClientConnection(
+            self._runner.server,
+            self._table,
+            self._ledger,
+            self._source,
+            self._metrics,
+            loop=asyncio.get_running_loop(),
+            **self._options,
         )
-        return handler
-
-    def _abort_if_unused(self, handler: aiohttp.web.RequestHandler) -> None:
-        transport = handler.transport
-        if transport is not None and transport not in self._used_transports:
-            self._metrics.count("connections_unused_total")
-            transport.abort()
-
-    @aiohttp.web.middleware
-    async def _mark_transport_used(
-        self, request: aiohttp.web.Request, handler: Handler
-    ) -> aiohttp.web.StreamResponse:
-        if request.transport is not None:
-            self._used_transports.add(request.transport)
-        return await handler(request)
+
+    def _check_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._checking = loop.call_later(bounds.CHECK_INTERVAL_MS / 1000, self._check)
+
+    def _check(self) -> None:
+        """Check the times of all connections.
+
+        If the event loop was late, bytes may wait to be read, so that it checks the next time.
+        """
+        now_ms = _read_clock_ms()
+        is_late = now_ms - self._checked_at_ms > 2 * bounds.CHECK_INTERVAL_MS
+        self._checked_at_ms = now_ms
+        self._has_skipped = is_late and not self._has_skipped
+        if not self._has_skipped:
+            check_times(self._ledger, self._source.current, now_ms)
+        self._check_later()
+
+
+def check_times(
+    ledger: connection_ledger.ConnectionLedger[client_connection.ClientConnection],
+    limits: bounds.RequestBounds,
+    now_ms: float,
+) -> None:
+    """Refuse or close the connections that have passed a time.
+
+    :param ledger: connections of a listener.
+    :param limits: bounds in force.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    phases = connection_ledger.Phase
+    idle_since_ms = now_ms - limits.idle_timeout_ms - bounds.TIME_SLACK_MS
+    head_since_ms = now_ms - limits.header_timeout_ms - bounds.TIME_SLACK_MS
+    for phase in (phases.NEW, phases.IDLE):
+        for connection in ledger.list_older(phase, idle_since_ms):
+            connection.cut(bounds.Bound.IDLE_TIME)
+    for connection in ledger.list_older(phases.HEAD, head_since_ms):
+        connection.refuse_late(bounds.Bound.HEAD_TIME)
+    for connection in ledger.list_older(phases.REFUSED, now_ms - bounds.LINGER_MS):
+        connection.cut(bounds.Bound.LINGER)
+    for connection in ledger.list_older(phases.BODY, now_ms - bounds.BODY_TIMEOUT_MS):
+        connection.refuse_late(bounds.Bound.BODY_TIME)
+    for connection in ledger.list_older(phases.UNREAD, now_ms - bounds.DRAIN_TIMEOUT_MS):
+        connection.cut(bounds.Bound.DRAIN_TIME)
+    for phase in (phases.BODY, phases.ANSWER, phases.UNREAD):
+        for connection in ledger.list_in(phase):
+            connection.check_times(phase, now_ms)
+
+
+def _close_for_room(connection: client_connection.ClientConnection) -> None:
+    connection.cut(bounds.Bound.ROOM)
+
+
+def _read_clock_ms() -> float:
+    return asyncio.get_running_loop().time() * 1000
+
+
+def _open_socket(host: str, port: int, send_buffer_bytes: int) -> socket.socket:
+    """Return a bound socket, whose connections get its options.
+
+    :raises OSError: the address cannot be bound.
+    """
+    family = socket.AF_INET6 if ipaddress.ip_address(host).version == 6 else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            bound.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, bounds.RECEIVE_BUFFER_BYTES)
+        if send_buffer_bytes:
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
+        bound.setblocking(False)
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+class _Handshake(asyncio.Protocol):
+    """Protocol of a connection until its TLS handshake is complete; freed if it fails.
+
+    :param make_connection: makes the protocol that follows.
+    """
+
+    def __init__(self, make_connection: Callable[[], asyncio.Protocol]) -> None:
+        self._make_connection = make_connection
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Go over to the next protocol."""
+        connection = self._make_connection()
+        transport.set_protocol(connection)
+        connection.connection_made(transport)
 
 
 class _RefusingProtocol(asyncio.Protocol):
--- a/src/tanagerfork/relay/daemon.py
+++ b/src/tanagerfork/relay/daemon.py
@@ -9,6 +9,7 @@
 from tanagerfork import clock as clocks
 from tanagerfork import metrics as metric
 from tanagerfork import settings as settings_files
+from tanagerfork.front import bounds, connection_ledger, listener
 from tanagerfork.generated import relay as settings_records
 from tanagerfork.groups import lease
 from tanagerfork.platform import config, entries, headers, runners
@@ -17,6 +18,7 @@
     assignment_record,
     attempts,
     budget,
+    caller_bounds,
     capacities,
     choosing,
     cohorts,
@@ -55,7 +57,6 @@
 from tanagerfork.routing import crash_evidence, poison
 
 LOGGER = "relay.daemon"
-BODY_LIMIT_BYTES = 8 * 1024 * 1024  # Twice the largest body of the platform's callers.
 READINESS_CHECK_INTERVAL_MS = 100
 SHUTDOWN_MARGIN_MS = 1200  # Longest time to close, before the kill that ends the grace time.
 LEAVE_TIMEOUT_S = 0.2  # The entry lapses with its lease if the store does not answer by then.
@@ -113,7 +114,7 @@
         self._is_ready = asyncio.Event()
         self._tasks = tasks.Tasks(clock, self.log, self.metrics)
         self._listeners = listeners.Listeners(
-            self.account.is_bounded, clock, self.log, self.metrics
+            self.account.is_bounded, self._make_table(), clock, self.log, self.metrics
         )
         self.callers_port = 0
 
@@ -266,19 +267,22 @@
             self.log,
             self.metrics,
         )
-        await self._listeners.listen(
-            front.build_readiness_app(self._is_ready), settings.readiness, MAX_ADMIN_CONNECTIONS
-        )
-        await self._listeners.listen(
-            front.build_metrics_app(self.metrics), settings.metrics, MAX_ADMIN_CONNECTIONS
-        )
+        for app, address in (
+            (front.build_readiness_app(self._is_ready), settings.readiness),
+            (front.build_metrics_app(self.metrics), settings.metrics),
+        ):
+            await self._listeners.listen(app, address, MAX_ADMIN_CONNECTIONS, bounds.FixedBounds())
         self.callers_port = await self._listeners.listen(
-            self.front.build_app(BODY_LIMIT_BYTES), settings.callers, settings.open_connections
+            self.front.build_app(),
+            settings.callers,
+            settings.open_connections,
+            caller_bounds.RulesBounds(self.register),
         )
         forwarding_port = await self._listeners.listen(
-            self.front.build_forwarding_app(BODY_LIMIT_BYTES),
+            self.front.build_forwarding_app(),
             settings.forwarding,
             settings.open_connections,
+            caller_bounds.RulesBounds(self.register, caller_bounds.HANDOVER_BYTES),
         )
         record.forwarding = f"{settings.forwarding.rpartition(':')[0]}:{forwarding_port}"
         self.lifecycle.apply("listen")
@@ -332,6 +336,16 @@
             return
         self.log.note(LOGGER, "reload", has_changed=newer != self.settings)
 
+    def _make_table(self) -> listener.Table:
+        """Return the table of the connections that the VM can hold."""
+        limit = bounds.count_connections(
+            bounds.find_max_descriptors(self.settings.max_descriptors),
+            memory.measure_free_bytes(self.settings.memory_mb),
+        )
+        if self.account.bounds is None:
+            return connection_ledger.ConnectionTable(limit)
+        return connection_ledger.ConnectionTable(limit, self.account.bounds.end_bytes)
+
     def _start_tasks(self) -> None:
         key_followers: list[followers.KeyFollower] = [
             self._rules_follower,
--- a/src/tanagerfork/relay/front.py
+++ b/src/tanagerfork/relay/front.py
@@ -195,21 +195,15 @@
         self.is_rejecting = False
         self.has_served = False
 
-    def build_app(self, body_limit_bytes: int) -> aiohttp.web.Application:
-        """Return the application of the callers' listener.
-
-        :param body_limit_bytes: largest accepted body.
-        """
-        app = aiohttp.web.Application(client_max_size=body_limit_bytes)
+    def build_app(self) -> aiohttp.web.Application:
+        """Return the application of the callers' listener, which bounds the bodies."""
+        app = aiohttp.web.Application(client_max_size=0)
         app.router.add_route("*", "/{path:.*}", self.handle)
         return app
 
-    def build_forwarding_app(self, body_limit_bytes: int) -> aiohttp.web.Application:
-        """Return the application for requests that other daemons hand over.
-
-        :param body_limit_bytes: largest accepted body.
-        """
-        app = aiohttp.web.Application(client_max_size=body_limit_bytes)
+    def build_forwarding_app(self) -> aiohttp.web.Application:
+        """Return the application for requests that other daemons hand over."""
+        app = aiohttp.web.Application(client_max_size=0)
         app.router.add_route("*", "/{path:.*}", self.handle_forwarded)
         return app
 
@@ -255,6 +249,7 @@
             handover = forwarding.read_handover(request.headers) if is_forwarded else None
             self._check_stopping(is_forwarded)
             holding.request_id = facts.request_id
+            holding.grow_head(memory.estimate_head_bytes(list(request.headers.items())))
             self._check_memory(request, facts, is_forwarded)
             caller_request = await self._read_request(
                 request, facts, arrived_at_ms, holding, time_limit, is_forwarded
@@ -336,10 +331,6 @@
             raise errors.RequestTooSlow(
                 "the body was not complete by the deadline; send it faster"
             ) from error
-        except aiohttp.web.HTTPRequestEntityTooLarge as error:
-            raise errors.BodyTooLarge(
-                "the request body exceeds the limit; send a shorter one"
-            ) from error
         return calls.CallerRequest(
             facts=facts,
             method=request.method,
@@ -362,7 +353,6 @@
         """Return the body of a request; where memory is bounded, count it as it is read.
 
         :raises NotRun: slow readers hold too much memory.
-        :raises BodyTooLarge: the body exceeds the limit.
         """
         if not self._account.is_bounded:
             return await request.read()
@@ -370,8 +360,6 @@
         async for part in request.content.iter_any():
             parts.append(part)
             holding.grow_request(len(part))
-            if holding.request_bytes > request.client_max_size:
-                raise errors.BodyTooLarge("the request body exceeds the limit; send a shorter one")
             if holding.is_refused:
                 raise self._make_memory_refusal(facts, is_forwarded)
         return b"".join(parts)
--- a/src/tanagerfork/relay/listeners.py
+++ b/src/tanagerfork/relay/listeners.py
@@ -9,12 +9,11 @@
 from tanagerfork import clock as clocks
 from tanagerfork import decisions, ports
 from tanagerfork import metrics as metric
-from tanagerfork.front import listener
+from tanagerfork.front import bounds, listener
 from tanagerfork.peers import link
 from tanagerfork.relay import memory, peers
 
 LOGGER = "relay.listeners"
-CALLER_IDLE_TIMEOUT_S = 60.0  # Four times as long as callers keep a connection idle.
 
 T = TypeVar("T")
 
@@ -23,32 +22,42 @@
     """Opens listeners, and stops all HTTP listeners at the end.
 
     :param is_memory_bounded: whether the buffers of connections are kept small.
+    :param table: connections of all HTTP listeners.
     :param clock: clock to wait on for taken ports.
     :param log: decision log.
     :param metrics: counters.
     """
 
-    __slots__ = ("_is_memory_bounded", "_clock", "_log", "_metrics", "_http_listeners")
+    __slots__ = ("_is_memory_bounded", "_table", "_clock", "_log", "_metrics", "_http_listeners")
 
     def __init__(
         self,
         is_memory_bounded: bool,
+        table: listener.Table,
         clock: clocks.Clock,
         log: decisions.DecisionLog,
         metrics: metric.Metrics,
     ) -> None:
         self._is_memory_bounded = is_memory_bounded
+        self._table = table
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self._http_listeners: list[listener.Listener] = []
 
-    async def listen(self, app: aiohttp.web.Application, address: str, max_connections: int) -> int:
+    async def listen(
+        self,
+        app: aiohttp.web.Application,
+        address: str,
+        max_connections: int,
+        source: bounds.BoundsSource,
+    ) -> int:
         """Serve an application.
 
         :param app: application.
         :param address: IP address and port, where 0 lets the system choose.
         :param max_connections: connections open at once.
+        :param source: tells the bounds on requests.
         :return: port.
         :raises SettingsError: the address cannot be bound.
         """
@@ -60,7 +69,8 @@
             max_connections,
             self._metrics,
             keeps_encoding=True,
-            idle_s=CALLER_IDLE_TIMEOUT_S,
+            source=source,
+            table=self._table,
             send_buffer_bytes=memory.SOCKET_BUFFER_BYTES if self._is_memory_bounded else 0,
             read_ahead_bytes=memory.READ_AHEAD_BYTES if self._is_memory_bounded else 0,
         )
--- a/src/tanagerfork/relay/memory.py
+++ b/src/tanagerfork/relay/memory.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Sequence
 from typing import Protocol
 
 MIB = 1024 * 1024
@@ -23,6 +24,12 @@
 LEFT_SHARE = 0.9  # A bound counts as left below this share of it, so that the log does not repeat.
 EXCHANGE_BYTES = 32 * 1024  # Tasks, parsers and headers of one exchange; 30 KB were measured.
 SMALL_BYTES = 64 * 1024  # Bodies up to this size are read at once; their number is bounded anyway.
+# A head up to this size is part of `EXCHANGE_BYTES`. Of a longer one, each byte is held in several
+# forms, such as the parts of a prompt that it names, and each field is an object.
+USUAL_HEAD_BYTES = 2 * 1024
+USUAL_HEAD_FIELDS = 64
+HELD_PER_HEAD_BYTE = 10
+HELD_PER_FIELD_BYTES = 256
 BUFFER_BYTES = 64 * 1024  # For a connection to write, before the sender waits.
 # Sent bytes of a slow reader stay in the kernel's buffer, which would grow to several megabytes.
 # The kernel takes twice this size, for its own bookkeeping.
@@ -87,17 +94,37 @@
         return level
 
 
+def measure_free_bytes(memory_mb: float) -> float | None:
+    """Return the memory of a VM that an idle daemon does not take; None where it is not known.
+
+    :param memory_mb: memory of the VM, in MiB; 0 if it is unknown.
+    """
+    return max(MIN_FREE_BYTES, memory_mb * MIB - OWN_BYTES) if memory_mb > 0 else None
+
+
 def make_bounds(memory_mb: float) -> Bounds | None:
     """Return the bounds of a VM; None where its memory is not known.
 
     :param memory_mb: memory of the VM, in MiB; 0 if it is unknown.
     """
-    if memory_mb <= 0:
+    free_bytes = measure_free_bytes(memory_mb)
+    if free_bytes is None:
         return None
-    free_bytes = max(MIN_FREE_BYTES, memory_mb * MIB - OWN_BYTES)
     return Bounds(*(share * free_bytes for share in BOUND_SHARES))
 
 
+def estimate_head_bytes(headers: Sequence[tuple[str, str]]) -> int:
+    """Return what a head takes in memory beyond a usual one.
+
+    :param headers: names and values.
+    """
+    size = sum(len(name) + len(value) for name, value in headers)
+    return (
+        max(0, size - USUAL_HEAD_BYTES) * HELD_PER_HEAD_BYTE
+        + max(0, len(headers) - USUAL_HEAD_FIELDS) * HELD_PER_FIELD_BYTES
+    )
+
+
 class Holding:
     """What one exchange holds.
 
@@ -110,6 +137,7 @@
         "reader",
         "request_id",
         "source",
+        "head_bytes",
         "request_bytes",
         "response_bytes",
         "buffered_bytes",
@@ -127,6 +155,7 @@
         self.reader = reader
         self.request_id = ""
         self.source: Source | None = None
+        self.head_bytes = 0
         self.request_bytes = 0
         self.response_bytes = 0
         self.buffered_bytes = 0
@@ -149,8 +178,8 @@
         copied_bytes = min(self.request_bytes, BUFFER_BYTES) + min(
             self.response_bytes, BUFFER_BYTES
         )
-        own_bytes = EXCHANGE_BYTES + self.request_bytes + self.response_bytes + copied_bytes
-        return own_bytes + self.buffered_bytes
+        own_bytes = EXCHANGE_BYTES + self.head_bytes + self.request_bytes + self.response_bytes
+        return own_bytes + copied_bytes + self.buffered_bytes
 
     @property
     def must_pause(self) -> bool:
@@ -163,6 +192,16 @@
         is_large = self.request_bytes > SMALL_BYTES
         return is_large and self._account is not None and self._account.is_refusing(0)
 
+    def grow_head(self, size: int) -> None:
+        """Record that a head was read that is longer than usual.
+
+        :param size: bytes that it takes beyond a usual one.
+        """
+        before_bytes = self.held_bytes
+        self.head_bytes += size
+        if self._account is not None:
+            self._account.record_growth(self.held_bytes - before_bytes)
+
     def grow_request(self, size: int) -> None:
         """Record that a part of the request's body was read.
 
@@ -287,7 +326,7 @@
             return
         before_bytes = holding.held_bytes
         holding.end()
-        holding.request_bytes = holding.response_bytes = 0
+        holding.head_bytes = holding.request_bytes = holding.response_bytes = 0
         self.record_growth(holding.held_bytes - before_bytes)
         if not holding.buffered_bytes and not (
             holding.reader and holding.reader.measure_unread_bytes()
@@ -349,7 +388,9 @@
     def sum_by_kind(self) -> dict[str, int]:
         """Return the bytes held, by what they are held for."""
         return {
-            "request": sum(holding.request_bytes for holding in self._holdings),
+            "request": sum(
+                holding.head_bytes + holding.request_bytes for holding in self._holdings
+            ),
             "response": sum(holding.response_bytes for holding in self._holdings),
             "buffer": sum(holding.buffered_bytes for holding in self._holdings),
         }
--- a/src/tanagerfork_standins/listener.py
+++ b/src/tanagerfork_standins/listener.py
@@ -5,6 +5,8 @@
 LOOPBACK = "127.0.0.1"
 SHUTDOWN_TIMEOUT_S = 0.1
 MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_HEAD_BYTES = 32 * 1024  # Of one field or target; callers may send 16 KiB.
+MAX_HEAD_FIELDS = 8192
 
 
 class Listener:
@@ -32,6 +34,9 @@
             access_log=None,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             handler_cancellation=True,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            max_headers=MAX_HEAD_FIELDS,
         )
         await self._runner.setup()
         site = aiohttp.web.TCPSite(self._runner, LOOPBACK, self.port, reuse_address=True)
--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients that stay outside the limits."""
--- a/tests/relay/test_memory.py
+++ b/tests/relay/test_memory.py
@@ -84,6 +84,27 @@
         assert (account.held_bytes, account.exchange_count) == (0, 0)
 
 
+class TestHeads:
+    """Guards against heads inside the limits that take a megabyte each and count as nothing."""
+
+    def test_usual_head_is_part_of_what_every_exchange_takes(self) -> None:
+        assert memory.estimate_head_bytes([("Name", "value" * 10)] * 30) == 0
+
+    def test_short_fields_count_by_their_number_and_long_ones_by_their_size(self) -> None:
+        assert memory.estimate_head_bytes([("a", "")] * 4000) > 4000 * 250
+        assert memory.estimate_head_bytes([("Name", "x" * 16_000)]) > 100_000
+
+    def test_long_heads_are_refused_past_the_second_bound_and_released_at_the_end(self) -> None:
+        account = make_account()
+        holdings = [account.open(FakeReader()) for _ in range(100)]
+        for holding in holdings:
+            holding.grow_head(MIB)
+        assert account.is_refusing(0)
+        for holding in holdings:
+            account.close(holding)
+        assert (account.held_bytes, account.is_refusing(0)) == (0, False)
+
+
 class TestGathering:
     @pytest.mark.parametrize(
         "size_mb, level", [(9, memory.Level.PAUSING), (13, memory.Level.REFUSING)]
