Do not pass on an expectation that the daemon has met

Cause: the daemon asks the caller for the body itself, and has all of it when it sends the request on, with the header. The HTTP library then waits for the upstream's 100 before it sends the body.

Change: Expect is left out of sends and handovers, as the body follows at once. An upstream that never sends 100 does not hold up the body any more either.

--- a/src/tanagerfork/platform/headers.py
+++ b/src/tanagerfork/platform/headers.py
@@ -24,6 +24,7 @@
 LAST_EVENT_ID = "Last-Event-Id"
 RETRY_AFTER = "Retry-After"  # Seconds, with a fraction.
 AUTHORIZATION = "Authorization"
+EXPECTATION = "Expect"  # Met by the daemon, which sends a request once it has the whole body.
 BEARER_PREFIX = "Bearer "
 
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
@@ -49,10 +50,18 @@
 )
 REPLACED_HEADERS = frozenset(
     name.lower()
-    for name in (DEADLINE, EXPECTED_ID, TEAM, AUTHORIZATION, LAST_EVENT_ID, "Content-Length")
+    for name in (
+        DEADLINE,
+        EXPECTED_ID,
+        TEAM,
+        AUTHORIZATION,
+        LAST_EVENT_ID,
+        "Content-Length",
+        EXPECTATION,
+    )
 )
 REPLACED_ON_HANDOVER = frozenset(
-    name.lower() for name in (DEADLINE, LAST_EVENT_ID, "Content-Length")
+    name.lower() for name in (DEADLINE, LAST_EVENT_ID, "Content-Length", EXPECTATION)
 )
 
 
