Give clients whose bytes take long to check a share of the processor

What callers saw, in a trial with 200 clients for 6 s that send bodies in chunks of one byte: an ordinary caller got no answer for 10 s. With 200 clients that repeat requests with 3,900 fields, the daemon came to 254 MB of 233.

Cause: 16 KiB of such chunks take several ms to check. Each round of the event loop read 200 connections, and a request needs several rounds. Fields were counted with a third of what they take in the parser, the request and the send.

Change: a connection of which a read took over 1 ms to check waits twice that time for each other such connection of the last 5 s, so that all of them together get about half of the processor, however many they are. A single one does not wait. A field counts with 800 bytes.

The crowd of tests/clients gets the two kinds of requests with long heads, and one at the listener for notices.

--- a/src/tanagerfork/front/bounds.py
+++ b/src/tanagerfork/front/bounds.py
@@ -19,7 +19,7 @@
 HEAD_SLACK_BYTES = 1 * KIB  # The platform does not say whether its limit counts the request line.
 HEADER_TIMEOUT_MS = 10_000.0
 MAX_EMPTY_BYTES = 16  # Of empty lines before a request; RFC 9112 asks to ignore one line.
-FIELD_BYTES = 256  # What one field of a head takes in memory, besides its bytes.
+FIELD_BYTES = 800  # What one field of a head takes in memory, besides its bytes.
 
 # A body.
 BODY_BYTES = 8 * MIB
@@ -43,6 +43,13 @@
 LINGER_MS = 1000.0  # To read a refusal, while what the client still sends is discarded.
 LINGER_BYTES = 256 * KIB
 
+# Bytes that take long to check, such as a body in chunks of one byte. A connection of which a read
+# takes longer than this is read again after as much time for each other such connection, and more.
+COSTLY_READ_MS = 1.0
+PACE_FACTOR = 2.0
+PACE_WINDOW_MS = 5000.0
+MAX_PACE_MS = 5000.0
+
 # All connections.
 CONNECTION_BYTES = READ_BYTES + HEADER_BYTES + 12 * KIB  # Held by a connection without a request.
 MEMORY_SHARE = 0.25  # Of the memory beyond what an idle daemon takes.
@@ -73,6 +80,7 @@
     TRAILER_BYTES = "trailer_bytes"
     ALL_BODIES = "all_bodies"
     AHEAD = "requests_ahead"
+    PROCESSOR_TIME = "processor_time"
     IDLE_TIME = "idle_time"
     UNREAD_TIME = "unread_time"
     DRAIN_TIME = "drain_time"
--- a/src/tanagerfork/front/client_connection.py
+++ b/src/tanagerfork/front/client_connection.py
@@ -43,6 +43,7 @@
         "_is_answered",
         "_is_holding",
         "_is_paused_by_library",
+        "_pacing",
         "_counted_bytes",
         "_discarded_bytes",
         "_unread_bytes",
@@ -70,6 +71,7 @@
         self._is_answered = False  # The present request, whose body may not be complete.
         self._is_holding = False
         self._is_paused_by_library = False
+        self._pacing: asyncio.TimerHandle | None = None  # Ends a pause for other connections.
         self._counted_bytes = 0  # Of the present request, in the ledger.
         self._discarded_bytes = 0
         self._unread_bytes = 0  # In the write buffer, when it was last looked at.
@@ -89,9 +91,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End, and free what is held; see `asyncio.BaseProtocol.connection_lost`."""
-        self._ledger.remove(self)
-        self._count_body(0)
-        self._reader.clear()
+        self._leave()
         if self._current_request is not None:
             with contextlib.suppress(Exception):  # The body has ended, or is being read.
                 self._current_request.content.read_nowait()
@@ -106,8 +106,13 @@
         if self._is_refused:
             self._discard(len(data))
             return
+        began_ms = self._now_ms()
         self._feed(data)
         self._go_on()
+        now_ms = self._now_ms()
+        pause_ms = self._table.pace(self, now_ms - began_ms, now_ms)
+        if pause_ms:
+            self._pace(pause_ms)
 
     async def finish_response(
         self, request: aiohttp.web.BaseRequest, resp: Any, start_time: float | None
@@ -151,10 +156,8 @@
         :param bound: what the client has passed.
         """
         self._metrics.count("client_bounds_total", bound=bound.value)
-        self._ledger.remove(self)
-        self._count_body(0)
+        self._leave()
         self._is_refused = True
-        self._reader.clear()
         if self.transport is not None:
             if self._has_begun_answer():  # An answer that only the close ends must not look whole.
                 connections.reset_on_close(self.transport)
@@ -180,7 +183,8 @@
         """
         if phase is Phase.BODY:
             limit_ms = self._reader.limits.idle_timeout_ms + bounds.TIME_SLACK_MS
-            if now_ms - self.progress_at_ms > limit_ms and not self._is_paused_by_library:
+            is_paused = self._is_paused_by_library or self._pacing is not None
+            if now_ms - self.progress_at_ms > limit_ms and not is_paused:
                 self.refuse_late(bounds.Bound.BODY_TIME)
             return
         is_unread = self.watch_unread(now_ms)
@@ -231,8 +235,7 @@
 
     def _resume_transport_reading(self) -> None:
         self._is_paused_by_library = False
-        if not self._is_holding:
-            super()._resume_transport_reading()
+        self._resume_if_allowed()
 
     def _feed(self, data: bytes) -> None:
         reader = self._reader
@@ -271,8 +274,33 @@
         """Read on after a pause for requests that were sent ahead."""
         if self._is_holding:
             self._is_holding = False
-            if not self._is_paused_by_library:
-                super()._resume_transport_reading()
+            self._resume_if_allowed()
+
+    def _pace(self, pause_ms: float) -> None:
+        if self._pacing is not None or self._ledger.find_phase(self) is None:
+            return
+        self._metrics.count("client_bounds_total", bound=bounds.Bound.PROCESSOR_TIME.value)
+        self._pacing = self._loop.call_later(pause_ms / 1000, self._end_pace)
+        super()._pause_transport_reading()
+
+    def _end_pace(self) -> None:
+        self._pacing = None
+        self.progress_at_ms = self._now_ms()
+        self._resume_if_allowed()
+
+    def _resume_if_allowed(self) -> None:
+        if not (self._is_holding or self._is_paused_by_library or self._pacing is not None):
+            super()._resume_transport_reading()
+
+    def _leave(self) -> None:
+        """Free what is held, and the place of the connection."""
+        self._ledger.remove(self)
+        self._table.forget(self)
+        self._count_body(0)
+        self._reader.clear()
+        if self._pacing is not None:
+            self._pacing.cancel()
+            self._pacing = None
 
     def _record_phase(self) -> None:
         state = self._reader.state
--- a/src/tanagerfork/front/connection_ledger.py
+++ b/src/tanagerfork/front/connection_ledger.py
@@ -127,12 +127,41 @@
     :param all_bodies_bytes: bytes of requests that are read or served at once.
     """
 
-    __slots__ = ("limit", "all_bodies_bytes", "_ledgers")
+    __slots__ = ("limit", "all_bodies_bytes", "_ledgers", "_costly_at_ms")
 
     def __init__(self, limit: int, all_bodies_bytes: float = bounds.ALL_BODIES_BYTES) -> None:
         self.limit = limit
         self.all_bodies_bytes = all_bodies_bytes
         self._ledgers: list[ConnectionLedger[C]] = []
+        self._costly_at_ms: dict[C, float] = {}  # In the order of the last costly read.
+
+    def pace(self, connection: C, cost_ms: float, now_ms: float) -> float:
+        """Return for how long a connection is not read, so that the others are, in milliseconds.
+
+        A crowd whose bytes take long to check gets a share of the processor, however large it is.
+
+        :param connection: connection.
+        :param cost_ms: time that it took to check the bytes that were just read.
+        :param now_ms: monotonic clock, in milliseconds.
+        """
+        if cost_ms < bounds.COSTLY_READ_MS:
+            return 0.0
+        self._costly_at_ms.pop(connection, None)
+        self._costly_at_ms[connection] = now_ms
+        while True:
+            oldest = next(iter(self._costly_at_ms))
+            if now_ms - self._costly_at_ms[oldest] <= bounds.PACE_WINDOW_MS:
+                break
+            del self._costly_at_ms[oldest]
+        others = len(self._costly_at_ms) - 1
+        return min(bounds.MAX_PACE_MS, bounds.PACE_FACTOR * cost_ms * others)
+
+    def forget(self, connection: C) -> None:
+        """Forget the reads of a connection that has ended.
+
+        :param connection: connection.
+        """
+        self._costly_at_ms.pop(connection, None)
 
     def open_ledger(self, limit: int) -> ConnectionLedger[C]:
         """Return the ledger of a new listener.
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -62,6 +62,17 @@
     ),
     "tunnel": (CONNECT, fill(b"x")),
     "requests ahead": (b"", fill(GET + KEY + b"\r\n")),
+    "requests with long heads": (
+        b"",
+        fill(
+            GET
+            + KEY
+            + b"Tanagerfork-Prefix-Hash: "
+            + b",".join(b"%x:1" % number for number in range(2300))
+            + b"\r\n\r\n"
+        ),
+    ),
+    "requests with many fields": (b"", fill(GET + KEY + b"a:\r\n" * 3900 + b"\r\n")),
     "requests ahead with bodies": (
         b"",
         POST + KEY + b"Content-Length: %d\r\n\r\n" % PIECE_BYTES + fill(b"x"),
--- a/tests/clients/crowded.py
+++ b/tests/clients/crowded.py
@@ -42,10 +42,10 @@
 
     @property
     def ports(self) -> dict[str, int]:
-        """The ports of the HTTP listeners."""
+        """The ports of the listeners."""
         return {
             name: int(str(self.daemon._settings[name]).rpartition(":")[2])
-            for name in ("callers", "forwarding", "readiness", "metrics")
+            for name in ("callers", "forwarding", "readiness", "metrics", "peers")
         }
 
     def count_descriptors(self) -> int:
--- a/tests/clients/test_crowds.py
+++ b/tests/clients/test_crowds.py
@@ -76,6 +76,13 @@
         async with crowded.run_daemon(tmp_path) as running:
             await self.check_served(running, running.ports[listener], kind)
 
+    async def test_callers_are_served_while_a_crowd_holds_the_listener_for_notices(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against connections between daemons that take all descriptors."""
+        async with crowded.run_daemon(tmp_path) as running:
+            await self.check_served(running, running.ports["peers"], "silent")
+
     async def test_callers_are_served_while_a_crowd_leaves_answers_unread(
         self, tmp_path: pathlib.Path
     ) -> None:
