Cut clients that take neither an answer nor a refusal, visibly

An answer of HTTP/1.0 that was cut for its reader's sake ended like a complete one. A failing check of the times would have been the last one.

Change: such a connection has the time of a refusal, whatever is unsent. One that is cut with unsent bytes is reset. The next check is due before this one.

Evidence: test_client_that_takes_neither_answers_nor_the_refusal_is_cut and the HTTP/1.0 cases of test_answer_that_is_not_taken_is_cut.

--- a/src/tanagerfork/front/client_connection.py
+++ b/src/tanagerfork/front/client_connection.py
@@ -77,11 +77,6 @@
         self._unread_bytes = 0  # In the write buffer, when it was last looked at.
         self.progress_at_ms = self._now_ms()  # When bytes of a body or an answer last moved.
 
-    @property
-    def limits(self) -> bounds.RequestBounds:
-        """Bounds of the present request."""
-        return self._reader.limits
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin; see `asyncio.BaseProtocol.connection_made`."""
         super().connection_made(transport)
@@ -132,9 +127,10 @@
         :param passed: what the client has passed.
         """
         transport = self.transport
-        self._metrics.count("client_bounds_total", bound=passed.bound.value)
         if self._is_refused or transport is None or transport.is_closing():
             return
+        self._metrics.count("client_bounds_total", bound=passed.bound.value)
+        self._enter(Phase.REFUSED)  # It is cut if the client does not take the refusal.
         self._is_refused = True
         self._reader.clear()
         if self._has_begun_answer():
@@ -145,7 +141,6 @@
         if self._has_request:  # Its handler would answer as well.
             transport.close()
             return
-        self._enter(Phase.REFUSED)
         self._release()
         if transport.can_write_eof():  # A close would reset the connection before it is read.
             transport.write_eof()
@@ -159,7 +154,8 @@
         self._leave()
         self._is_refused = True
         if self.transport is not None:
-            if self._has_begun_answer():  # An answer that only the close ends must not look whole.
+            if self._has_begun_answer() or self.transport.get_write_buffer_size():
+                # An answer that only the close ends must not look complete.
                 connections.reset_on_close(self.transport)
             self.transport.abort()
 
--- a/src/tanagerfork/front/listener.py
+++ b/src/tanagerfork/front/listener.py
@@ -166,13 +166,17 @@
         if self._runner.server is None:
             await self._runner.setup()
         bound = _open_socket(self._host, self._port, self._send_buffer_bytes)
-        self._server = await asyncio.get_running_loop().create_server(
-            self._make_protocol,
-            sock=bound,
-            ssl=self._certificate.context if self._certificate else None,
-            ssl_handshake_timeout=TLS_HANDSHAKE_TIMEOUT_S if self._certificate else None,
-            backlog=bounds.ACCEPTS_AT_ONCE,
-        )
+        try:
+            self._server = await asyncio.get_running_loop().create_server(
+                self._make_protocol,
+                sock=bound,
+                ssl=self._certificate.context if self._certificate else None,
+                ssl_handshake_timeout=TLS_HANDSHAKE_TIMEOUT_S if self._certificate else None,
+                backlog=bounds.ACCEPTS_AT_ONCE,
+            )
+        except OSError:
+            bound.close()
+            raise
         bound.listen(BACKLOG)  # The event loop accepts as many at once as it is told to listen for.
         self._checked_at_ms = _read_clock_ms()
         self._check_later()
@@ -233,13 +237,13 @@
 
         If the event loop was late, bytes may wait to be read, so that it checks the next time.
         """
+        self._check_later()
         now_ms = _read_clock_ms()
         is_late = now_ms - self._checked_at_ms > 2 * bounds.CHECK_INTERVAL_MS
         self._checked_at_ms = now_ms
         self._has_skipped = is_late and not self._has_skipped
         if not self._has_skipped:
             check_times(self._ledger, self._source.current, now_ms)
-        self._check_later()
 
 
 def check_times(
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -190,6 +190,16 @@
             answer = await running.send(GET.replace(b"/a", b"/slow") + b"\r\n" + b"\0\0\0")
             assert answer.index(b"200 OK") < answer.index(b"400 Bad Request")
 
+    async def test_client_that_takes_neither_answers_nor_the_refusal_is_cut(self) -> None:
+        """Guards against closes that wait for ever for bytes that nobody takes."""
+        async with run_listener() as running:
+            with socket.socket() as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                client.connect((sites.HOST, running.port))
+                client.sendall(GET.replace(b"/a", b"/long") + b"\r\n" + CHUNKED + b"x\r\n")
+                await running.wait_until(lambda: running.count(bounds.Bound.CHUNK_FRAMING))
+                await running.wait_until(lambda: not len(running.ledger))
+
     async def test_client_that_goes_on_after_a_refusal_is_cut(self) -> None:
         async with run_listener() as running:
             _, writer = await running.connect()
@@ -266,10 +276,16 @@
             assert answer.startswith(b"HTTP/1.1 200 OK")
             assert running.count(bounds.Bound.IDLE_TIME) == 1
 
+    @pytest.mark.parametrize("version", [b"1.0", b"1.1"])
     @pytest.mark.parametrize("path", [b"/long", b"/longer"])
     @pytest.mark.parametrize("unread_ms, drain_ms", [(200.0, 1e9), (1e9, 300.0)])
     async def test_answer_that_is_not_taken_is_cut(
-        self, unread_ms: float, drain_ms: float, path: bytes, monkeypatch: pytest.MonkeyPatch
+        self,
+        unread_ms: float,
+        drain_ms: float,
+        path: bytes,
+        version: bytes,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         monkeypatch.setattr(bounds, "UNREAD_TIMEOUT_MS", unread_ms)
         monkeypatch.setattr(bounds, "DRAIN_TIMEOUT_MS", drain_ms)
@@ -278,9 +294,13 @@
             with socket.socket() as client:
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
                 client.connect((sites.HOST, running.port))
-                client.sendall(GET.replace(b"/a", path) + b"\r\n")
+                client.sendall(GET.replace(b"/a", path).replace(b"1.1", version) + b"\r\n")
                 await running.wait_until(lambda: running.count(bound))
                 await running.wait_until(lambda: not len(running.ledger))
+                client.settimeout(WAIT_S)
+                with pytest.raises(ConnectionResetError):  # Not an end that looks complete.
+                    while client.recv(4096):
+                        pass
 
 
 class TestAhead:
