Count what takes long to check, instead of measuring the time

What callers could see: with a daemon whose process did not run for a moment while it read requests took their connections for costly ones, and left each unread for up to 5 s if others were read just then.

Cause: the time of a check was measured, which includes the time in which the process does not run, as on VMs without a free core.

Change: the fields and the lines between chunks of a read are counted. Ordinary requests have far fewer than the 500 from which a connection waits.

--- a/src/tanagerfork/front/bounds.py
+++ b/src/tanagerfork/front/bounds.py
@@ -43,9 +43,11 @@
 LINGER_MS = 1000.0  # To read a refusal, while what the client still sends is discarded.
 LINGER_BYTES = 256 * KIB
 
-# Bytes that take long to check, such as a body in chunks of one byte. A connection of which a read
-# takes longer than this is read again after as much time for each other such connection, and more.
-COSTLY_READ_MS = 1.0
+# Bytes that take long to check, such as a body in chunks of one byte: chunks and fields of one read
+# beyond which a connection waits for each other such connection, and longer than their check takes.
+# They are counted, as a measured time would include that in which the process does not run.
+COSTLY_READ_PARTS = 500
+PART_MS = 0.005  # To check one; 2 to 3 µs were measured.
 PACE_FACTOR = 2.0
 PACE_WINDOW_MS = 5000.0
 MAX_PACE_MS = 5000.0
--- a/src/tanagerfork/front/client_connection.py
+++ b/src/tanagerfork/front/client_connection.py
@@ -101,11 +101,10 @@
         if self._is_refused:
             self._discard(len(data))
             return
-        began_ms = self._now_ms()
+        before = self._reader.parts
         self._feed(data)
         self._go_on()
-        now_ms = self._now_ms()
-        pause_ms = self._table.pace(self, now_ms - began_ms, now_ms)
+        pause_ms = self._table.pace(self, self._reader.parts - before, self._now_ms())
         if pause_ms:
             self._pace(pause_ms)
 
--- a/src/tanagerfork/front/connection_ledger.py
+++ b/src/tanagerfork/front/connection_ledger.py
@@ -135,16 +135,16 @@
         self._ledgers: list[ConnectionLedger[C]] = []
         self._costly_at_ms: dict[C, float] = {}  # In the order of the last costly read.
 
-    def pace(self, connection: C, cost_ms: float, now_ms: float) -> float:
+    def pace(self, connection: C, parts: int, now_ms: float) -> float:
         """Return for how long a connection is not read, so that the others are, in milliseconds.
 
         A crowd whose bytes take long to check gets a share of the processor, however large it is.
 
         :param connection: connection.
-        :param cost_ms: time that it took to check the bytes that were just read.
+        :param parts: chunks and fields that were checked of the bytes just read.
         :param now_ms: monotonic clock, in milliseconds.
         """
-        if cost_ms < bounds.COSTLY_READ_MS:
+        if parts <= bounds.COSTLY_READ_PARTS:
             return 0.0
         self._costly_at_ms.pop(connection, None)
         self._costly_at_ms[connection] = now_ms
@@ -154,7 +154,7 @@
                 break
             del self._costly_at_ms[oldest]
         others = len(self._costly_at_ms) - 1
-        return min(bounds.MAX_PACE_MS, bounds.PACE_FACTOR * cost_ms * others)
+        return min(bounds.MAX_PACE_MS, bounds.PACE_FACTOR * parts * bounds.PART_MS * others)
 
     def forget(self, connection: C) -> None:
         """Forget the reads of a connection that has ended.
--- a/src/tanagerfork/front/request_reader.py
+++ b/src/tanagerfork/front/request_reader.py
@@ -42,10 +42,13 @@
     `head_cost_bytes` is what the fields of the present request take in memory, `body_bytes` what
     was read of its body, and `framing_bytes` the rest of a chunked body.
 
+    `parts` is the number of fields and lines between chunks that were checked on the connection.
+
     :param limits: bounds of the next request.
     """
 
     __slots__ = (
+        "parts",
         "state",
         "limits",
         "head_cost_bytes",
@@ -62,6 +65,7 @@
     )
 
     def __init__(self, limits: bounds.RequestBounds) -> None:
+        self.parts = 0
         self._ahead = bytearray()
         self._head = bytearray()
         self._line = b""
@@ -168,6 +172,7 @@
             fields = [heads.read_field(line) for line in lines[1:]]
         except heads.ImproperAnswer:
             raise _pass(bounds.Bound.HEAD_SYNTAX, "no proper header field") from None
+        self.parts += len(fields)
         self.head_cost_bytes = len(head) + len(fields) * bounds.FIELD_BYTES
         codings = [value for name, value in fields if name == b"transfer-encoding"]
         lengths = [value for name, value in fields if name == b"content-length"]
@@ -226,6 +231,7 @@
             self._line = line
             return end
         self._line = b""
+        self.parts += 1
         self._read_line(line)
         return end
 
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -5,6 +5,7 @@
 import dataclasses
 import gc
 import socket
+import time
 from collections.abc import AsyncIterator
 
 import aiohttp.web
@@ -14,7 +15,13 @@
 from hypothesis import strategies
 
 from tanagerfork import metrics as metric
-from tanagerfork.front import bounds, client_connection, connection_ledger, listener
+from tanagerfork.front import (
+    bounds,
+    client_connection,
+    connection_ledger,
+    listener,
+    request_reader,
+)
 from tests import sites
 
 LIMITS = bounds.RequestBounds(2048, 10_000, 200.0, 400.0)
@@ -326,6 +333,32 @@
             writer.close()
 
 
+class TestPace:
+    async def test_late_event_loop_does_not_count_as_bytes_that_take_long(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against pauses for ordinary callers of a process that stands still at times."""
+        read_head = request_reader.RequestReader._accept_head
+
+        def read_slowly(self: request_reader.RequestReader, head: bytes) -> bytes:
+            time.sleep(0.02)
+            return read_head(self, head)
+
+        monkeypatch.setattr(request_reader.RequestReader, "_accept_head", read_slowly)
+        async with run_listener() as running:
+            answers = await asyncio.gather(*(running.ask() for _ in range(5)))
+            assert all(b"200 OK" in answer for answer in answers)
+            assert not running.count(bounds.Bound.PROCESSOR_TIME)
+
+    async def test_crowd_with_small_chunks_waits_and_is_served(self) -> None:
+        async with run_listener() as running:
+            sent = CHUNKED + b"1\r\nx\r\n" * 9000 + b"0\r\n\r\n" + GET
+            last = b"Connection: close\r\n\r\n"
+            answers = await asyncio.gather(*(running.send(sent + last) for _ in range(5)))
+            assert [answer.count(b"200 OK") for answer in answers] == [2] * 5
+            assert running.count(bounds.Bound.PROCESSOR_TIME)
+
+
 class TestRoom:
     async def test_idle_connection_makes_room_for_a_caller(self) -> None:
         async with run_listener(bounds.RequestBounds(), max_connections=2) as running:
--- a/tests/test_connection_ledger.py
+++ b/tests/test_connection_ledger.py
@@ -116,33 +116,34 @@
 
     def test_single_client_does_not_wait(self) -> None:
         table: connection_ledger.ConnectionTable[str] = connection_ledger.ConnectionTable(8)
-        assert [table.pace("a", 50.0, now_ms) for now_ms in (0, 50, 100)] == [0, 0, 0]
+        assert [table.pace("a", 5000, now_ms) for now_ms in (0, 50, 100)] == [0, 0, 0]
 
     def test_usual_reads_never_wait(self) -> None:
         table: connection_ledger.ConnectionTable[int] = connection_ledger.ConnectionTable(8)
-        assert not any(table.pace(number, 0.5, number) for number in range(100))
+        assert not any(table.pace(number, 200, number) for number in range(100))
 
     @pytest.mark.parametrize("clients", [2, 20, 200])
     def test_crowd_of_any_size_gets_about_half_of_the_processor(self, clients: int) -> None:
         """Plays clients that are read whenever they may be, each read taking 7 ms."""
         table: connection_ledger.ConnectionTable[int] = connection_ledger.ConnectionTable(8)
+        parts = round(7.0 / bounds.PART_MS)
         may_read_at_ms = dict.fromkeys(range(clients), 0.0)
         now_ms = busy_ms = 0.0
         while now_ms < 60_000:
             client = min(may_read_at_ms, key=may_read_at_ms.__getitem__)
             now_ms = max(now_ms, may_read_at_ms[client]) + 7.0
             busy_ms += 7.0 if now_ms > 10_000 else 0.0
-            may_read_at_ms[client] = now_ms + table.pace(client, 7.0, now_ms)
+            may_read_at_ms[client] = now_ms + table.pace(client, parts, now_ms)
         assert busy_ms < 0.75 * 50_000
 
     def test_clients_that_have_left_are_not_waited_for(self) -> None:
         table: connection_ledger.ConnectionTable[str] = connection_ledger.ConnectionTable(8)
-        table.pace("a", 5.0, 0)
-        assert table.pace("b", 5.0, 1) == 10.0
+        table.pace("a", 1000, 0)
+        assert table.pace("b", 1000, 1) == 10.0
         table.forget("a")
-        assert table.pace("b", 5.0, 2) == 0.0
-        table.pace("c", 5.0, 3)
-        assert table.pace("b", 5.0, bounds.PACE_WINDOW_MS + 4) == 0.0
+        assert table.pace("b", 1000, 2) == 0.0
+        table.pace("c", 1000, 3)
+        assert table.pace("b", 1000, bounds.PACE_WINDOW_MS + 4) == 0.0
 
 
 class TestLimits:
