--- a/src/tanagerfork/front/bounds.py
+++ b/src/tanagerfork/front/bounds.py
@@ -47,7 +47,7 @@
 # beyond which a connection waits for each other such connection, and longer than their check takes.
 # They are counted, as a measured time would include that in which the process does not run.
 COSTLY_READ_PARTS = 500
-PART_MS = 0.005  # To check one; 2 to 3 µs were measured.
+PART_MS = 0.005  # Allowed for the check of one.
 PACE_FACTOR = 2.0
 PACE_WINDOW_MS = 5000.0
 MAX_PACE_MS = 5000.0
