--- a/src/tanagerfork/front/listener.py
+++ b/src/tanagerfork/front/listener.py
@@ -177,7 +177,7 @@
         except OSError:
             bound.close()
             raise
-        bound.listen(BACKLOG)  # The event loop accepts as many at once as it is told to listen for.
+        bound.listen(BACKLOG)  # asyncio also uses `backlog` as the number of accepts in one step.
         self._checked_at_ms = _read_clock_ms()
         self._check_later()
         return int(bound.getsockname()[1])
