--- a/review/12/play.py
+++ b/review/12/play.py
@@ -40,7 +40,9 @@
         await response.write_eof()
 
 
-async def call_streams(case: bed.Bed, daemon: bed.Daemon, name: str, counts: dict[str, int]) -> None:
+async def call_streams(
+    case: bed.Bed, daemon: bed.Daemon, name: str, counts: dict[str, int]
+) -> None:
     """Send streams over a kept connection, one after the other."""
     caller, number = case.caller(daemon), 0
     ends_s = case.record.now_s + PLAY_S
--- a/review/support-3/bed.py
+++ b/review/support-3/bed.py
@@ -15,6 +15,8 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "src"))
@@ -29,10 +31,6 @@
 TEMPLATE_VALUE = re.compile(r"\{\{([a-zA-Z.0-9]+)(\|json)?\}\}")
 
 
-class BedFailure(Exception):
-    """The case cannot run."""
-
-
 class Record:
     """Lines with the time since the start, as they are written to `record.txt`."""
 
@@ -273,11 +271,18 @@
         self._folder.cleanup()
 
 
-def run(play: "typing.Callable[[], typing.Coroutine[None, None, int]]") -> None:  # noqa: F821
+async def _play_until_stopped(play: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Play a case; a SIGTERM ends it with all the processes that it started."""
+    playing = asyncio.ensure_future(play())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
+    return await playing
+
+
+def run(play: Callable[[], Coroutine[Any, Any, int]]) -> None:
     """Run a case and exit with its status; 2 if it cannot run."""
     try:
-        status = asyncio.run(play())
-    except Exception as error:  # noqa: BLE001
+        status = asyncio.run(_play_until_stopped(play))
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         status = NOT_RUN
     sys.exit(status)
